--- /dev/null
+++ b/crates/ibishill-config/src/settings.rs
@@ -0,0 +1,120 @@
+//! Settings of one daemon.
+
+use std::net::SocketAddr;
+
+use ibishill_core::{id, secret, time};
+use serde::Deserialize;
+
+/// What one daemon is told about itself.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Settings {
+    /// The VM's name, unique among all VMs.
+    pub vm: id::VmId,
+    /// The availability zone where the VM stands.
+    pub zone: id::ZoneId,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Base address of the platform's service, such as `http://127.0.0.1:7000`.
+    pub platform: String,
+    /// Credentials.
+    #[serde(default)]
+    pub security: Security,
+    /// Limits towards callers.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Periods of the daemon's duties.
+    #[serde(default)]
+    pub periods: Periods,
+}
+
+/// Credentials of a daemon.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Security {
+    /// Allows operators and peers without credentials, on loopback only.
+    pub insecure: bool,
+    /// Tokens of operators.
+    pub tokens: Vec<Token>,
+    /// Key that signs session tokens, shared by all daemons.
+    pub session_keys: Vec<secret::Secret>,
+    /// PEM file of the certificate authority of the daemons.
+    pub authority: Option<String>,
+    /// PEM file of this daemon's certificate.
+    pub certificate: Option<String>,
+    /// PEM file of this daemon's private key.
+    pub private_key: Option<String>,
+}
+
+/// An operator's token and rights.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Token {
+    /// The operator.
+    pub operator: id::OperatorId,
+    /// SHA-256 of the token.
+    pub hash: crate::key::KeyHash,
+    /// Whether the operator may only read.
+    #[serde(default)]
+    pub read_only: bool,
+}
+
+/// Limits towards callers.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest request body, in bytes.
+    pub body: u64,
+    /// Largest sum of request headers, in bytes.
+    pub headers: u64,
+    /// Most requests that run at once.
+    pub streams: usize,
+    /// Longest silence within a stream.
+    pub idle: time::Millis,
+    /// Deadline of a request that names none.
+    pub deadline: time::Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: 4 * 1024 * 1024,
+            headers: 16 * 1024,
+            streams: 4_096,
+            idle: time::Millis::from_secs(30),
+            deadline: time::Millis::from_secs(120),
+        }
+    }
+}
+
+/// Periods of a daemon's duties.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Periods {
+    /// Mean time between two reads of the configuration's head.
+    pub poll: time::Millis,
+    /// Time between two renewals of the lease.
+    pub renew: time::Millis,
+    /// Validity of the lease.
+    pub lease: time::Millis,
+    /// Longest wait of a billing record before it is written.
+    pub billing: time::Millis,
+    /// Wait between failing readiness and refusing new connections.
+    pub drain: time::Millis,
+}
+
+impl Default for Periods {
+    fn default() -> Self {
+        Self {
+            poll: time::Millis(2_000),
+            renew: time::Millis(2_000),
+            lease: time::Millis(10_000),
+            billing: time::Millis(2_000),
+            drain: time::Millis(3_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibishill-core/src/event.rs
@@ -0,0 +1,101 @@
+//! Numbered log events; docs/EVENTS.md is their catalogue.
+
+use std::fmt;
+
+/// One field of an event, printed as `key=value`.
+pub struct Field<'a> {
+    /// The key.
+    pub key: &'static str,
+    /// The value.
+    pub value: &'a (dyn fmt::Display + Sync),
+}
+
+/// Makes a field.
+pub fn field<'a>(key: &'static str, value: &'a (dyn fmt::Display + Sync)) -> Field<'a> {
+    Field { key, value }
+}
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// A numbered event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Event {
+            $(#[doc = $text] $name = $number,)*
+        }
+
+        impl Event {
+            /// Every event, in the order of the catalogue.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// The text of the event, without fields.
+            pub const fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+
+            /// The level that the event is logged at.
+            pub const fn level(self) -> log::Level {
+                match self {
+                    $(Self::$name => log::Level::$level,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    DaemonStarted = 1001, Info, "daemon started";
+    DaemonReady = 1002, Info, "daemon ready";
+    DaemonStopping = 1003, Info, "daemon stopping";
+    DaemonStopped = 1004, Info, "daemon stopped";
+    ConfigApplied = 1101, Info, "configuration in force";
+    ConfigUnreachable = 1102, Warn, "configuration could not be read from the platform";
+    ConfigInvalid = 1103, Error, "configuration from the platform is not valid";
+    LeaseAcquired = 1201, Info, "lease acquired";
+    LeaseRenewFailed = 1202, Warn, "lease could not be renewed";
+    LeaseLost = 1203, Error, "lease lost";
+    ViewChanged = 1204, Info, "zone view changed";
+    RequestRefused = 1301, Info, "request refused";
+    RequestUnknown = 1302, Warn, "request ended with unknown outcome";
+    RingFull = 1303, Warn, "ring full";
+    EndpointFailed = 1401, Warn, "endpoint failed";
+    EndpointState = 1402, Info, "endpoint changed state";
+    PeerUnreachable = 1501, Warn, "peer could not be reached";
+    PeerRejected = 1502, Warn, "peer was rejected";
+    ChangeAccepted = 1601, Info, "change accepted";
+    ChangeRefused = 1602, Warn, "change refused";
+    RolloutHalted = 1603, Warn, "roll-out halted";
+    BillingWritten = 1701, Info, "billing batch written";
+    BillingDelayed = 1702, Warn, "billing batch could not be written yet";
+}
+
+impl Event {
+    /// The event's number.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// Logs an event with its fields.
+pub fn emit(event: Event, fields: &[Field<'_>]) {
+    if log::log_enabled!(event.level()) {
+        log::log!(event.level(), "{}", Line { event, fields });
+    }
+}
+
+struct Line<'a> {
+    event: Event,
+    fields: &'a [Field<'a>],
+}
+
+impl fmt::Display for Line<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{} {}", self.event.number(), self.event.text())?;
+        for field in self.fields {
+            let value = field.value.to_string();
+            write!(f, " {}={value:?}", field.key)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ibishill-core/src/id.rs
@@ -0,0 +1,187 @@
+//! Names of the things that operators declare, each as its own type so that a
+//! zone can't be passed where a VM is meant.
+
+use std::fmt;
+use std::str;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Longest accepted name, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Why a text is not a valid name.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum NameError {
+    /// The text is empty.
+    #[snafu(display("a name may not be empty"))]
+    Empty,
+    /// The text is longer than [`MAX_NAME_BYTES`].
+    #[snafu(display("a name may have at most {MAX_NAME_BYTES} bytes, this one has {len}"))]
+    TooLong {
+        /// Length of the text in bytes.
+        len: usize,
+    },
+    /// The text holds a character that names may not hold.
+    #[snafu(display(
+        "the character {found:?} may not stand in a name; use letters, digits, '-', '_' and '.'"
+    ))]
+    Character {
+        /// The first such character.
+        found: char,
+    },
+    /// A version reference lacks its `@`.
+    #[snafu(display("{text:?} is not of the form model@version"))]
+    NoVersion {
+        /// The text as given.
+        text: String,
+    },
+}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(NameError::TooLong { len: text.len() });
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    match text.chars().find(|&c| !allowed(c)) {
+        Some(found) => Err(NameError::Character { found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+    )*};
+}
+
+names! {
+    /// A workspace: one customer's requests, limits and bills.
+    WorkspaceId;
+    /// A model, which has one or more versions.
+    ModelId;
+    /// A version of one model.
+    VersionId;
+    /// An availability zone.
+    ZoneId;
+    /// A region, which holds availability zones.
+    RegionId;
+    /// An endpoint: one engine or plain service that runs requests.
+    EndpointId;
+    /// A VM that runs a daemon.
+    VmId;
+    /// A plain service that stands beside the engines.
+    ServiceId;
+    /// One request of a caller.
+    RequestId;
+    /// One change of the configuration, chosen by the operator's client.
+    ChangeId;
+    /// A roll-out of one version.
+    RolloutId;
+    /// An operator, as named by the credential.
+    OperatorId;
+    /// A caller's session.
+    SessionId;
+}
+
+/// One version of one model, written `model@version`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct VersionRef {
+    /// The model.
+    pub model: ModelId,
+    /// The version of that model.
+    pub version: VersionId,
+}
+
+impl fmt::Display for VersionRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.model, self.version)
+    }
+}
+
+impl str::FromStr for VersionRef {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        let Some((model, version)) = text.split_once('@') else {
+            return Err(NameError::NoVersion { text: text.to_owned() });
+        };
+        Ok(Self { model: model.parse()?, version: version.parse()? })
+    }
+}
+
+impl TryFrom<String> for VersionRef {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        text.parse()
+    }
+}
+
+impl From<VersionRef> for String {
+    fn from(version: VersionRef) -> String {
+        version.to_string()
+    }
+}
+
+/// What an endpoint can run: a model version or a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Target {
+    /// A model version.
+    Version(VersionRef),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Version(version) => version.fmt(f),
+            Self::Service(service) => service.fmt(f),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibishill-core/src/lib.rs
@@ -0,0 +1,22 @@
+//! Identifiers, sizes, outcomes, clocks and numbered log events that every
+//! other crate of the workspace shares.
+//!
+//! # Examples
+//!
+//! ```
+//! use ibishill_core::{id, outcome};
+//!
+//! let version: id::VersionRef = "assistente@v2".parse().unwrap();
+//! assert_eq!(version.to_string(), "assistente@v2");
+//! assert_eq!(outcome::Outcome::NotRun.to_string(), "not-run");
+//! ```
+
+pub mod clock;
+pub mod cost;
+pub mod event;
+pub mod id;
+pub mod outcome;
+pub mod repeat;
+pub mod secret;
+pub mod time;
+pub mod view;
--- /dev/null
+++ b/crates/ibishill-daemon/src/config_sync.rs
@@ -0,0 +1,77 @@
+//! Keeps the configuration in force up to date with the log.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use ibishill_config::in_force;
+use ibishill_core::{event, time};
+use ibishill_state::log;
+use rand::RngExt;
+use tokio::sync::Notify;
+
+use crate::context;
+
+/// Wakes the duty, so that it reads the log at once.
+#[derive(Debug, Clone, Default)]
+pub struct Refresh {
+    wake: Arc<Notify>,
+}
+
+impl Refresh {
+    /// Asks for a read.
+    pub fn ask(&self) {
+        self.wake.notify_one();
+    }
+}
+
+/// Starts the thread.
+///
+/// # Errors
+///
+/// Fails if the system can't start a thread.
+pub fn spawn(
+    log: log::Log,
+    cell: in_force::Cell,
+    life: context::Life,
+    period: time::Millis,
+) -> std::io::Result<Refresh> {
+    let refresh = Refresh::default();
+    let wake = Arc::clone(&refresh.wake);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("config".into()).spawn(move || {
+        runtime.block_on(async move {
+            while !life.closed() || life.running() > 0 {
+                read(&log, &cell, &life).await;
+                let wait = jitter(period);
+                tokio::select! {
+                    () = tokio::time::sleep(wait) => {}
+                    () = wake.notified() => {}
+                }
+            }
+        });
+    })?;
+    Ok(refresh)
+}
+
+// Jitter keeps the daemons from reading in step.
+fn jitter(period: time::Millis) -> Duration {
+    let half = period.0 / 2;
+    Duration::from_millis(rand::rng().random_range(half..=period.0 + half))
+}
+
+async fn read(log: &log::Log, cell: &in_force::Cell, life: &context::Life) {
+    match log.catch_up(&cell.get()).await {
+        Ok(next) => {
+            let version = next.version;
+            if cell.raise(next) {
+                let fields = [event::field("version", &version)];
+                event::emit(event::Event::ConfigApplied, &fields);
+            }
+            life.set_configured();
+        }
+        Err(error) => {
+            event::emit(event::Event::ConfigUnreachable, &[event::field("error", &error)]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibishill-daemon/src/context.rs
@@ -0,0 +1,144 @@
+//! What all duties of a daemon share.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+
+use ibishill_config::{in_force, settings};
+use ibishill_core::{id, view};
+use ibishill_decide::plan;
+use ibishill_endpoint::client;
+use ibishill_peer::link;
+
+use crate::{ledger, metrics, router};
+
+/// The views in force; they are replaced as a whole.
+#[derive(Debug, Clone, Default)]
+pub struct ViewCell {
+    inner: Arc<RwLock<Arc<view::Views>>>,
+}
+
+impl ViewCell {
+    /// The views now.
+    pub fn get(&self) -> Arc<view::Views> {
+        Arc::clone(&self.inner.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the views; returns whether they differ.
+    pub fn set(&self, views: view::Views) -> bool {
+        let mut guard = self.inner.write().unwrap_or_else(PoisonError::into_inner);
+        let changed = **guard != views;
+        *guard = Arc::new(views);
+        changed
+    }
+}
+
+/// How far a daemon's life has come.
+#[derive(Debug, Clone, Default)]
+pub struct Life {
+    inner: Arc<LifeFlags>,
+}
+
+#[derive(Debug, Default)]
+struct LifeFlags {
+    configured: AtomicBool,
+    member: AtomicBool,
+    stopping: AtomicBool,
+    closed: AtomicBool,
+    running: AtomicUsize,
+}
+
+/// Counts one running request until it is dropped.
+#[derive(Debug)]
+pub struct Running {
+    life: Life,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.life.inner.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Life {
+    /// Notes that a configuration is in force.
+    pub fn set_configured(&self) {
+        self.inner.configured.store(true, Ordering::Release);
+    }
+
+    /// Notes whether the daemon is a member of its zone's view.
+    pub fn set_member(&self, member: bool) {
+        self.inner.member.store(member, Ordering::Release);
+    }
+
+    /// Begins the shutdown: readiness fails.
+    pub fn stop(&self) {
+        self.inner.stopping.store(true, Ordering::Release);
+    }
+
+    /// Ends the drain: new requests are refused.
+    pub fn close(&self) {
+        self.inner.closed.store(true, Ordering::Release);
+    }
+
+    /// Whether the daemon may be sent requests.
+    pub fn ready(&self) -> bool {
+        let flags = &self.inner;
+        flags.configured.load(Ordering::Acquire)
+            && flags.member.load(Ordering::Acquire)
+            && !self.stopping()
+    }
+
+    /// Whether the shutdown has begun.
+    pub fn stopping(&self) -> bool {
+        self.inner.stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether new requests are refused.
+    pub fn closed(&self) -> bool {
+        self.inner.closed.load(Ordering::Acquire)
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> usize {
+        self.inner.running.load(Ordering::Acquire)
+    }
+
+    /// Counts one more running request unless there are `most` already.
+    pub fn start(&self, most: usize) -> Option<Running> {
+        let before = self.inner.running.fetch_add(1, Ordering::AcqRel);
+        let running = Running { life: self.clone() };
+        (before < most).then_some(running)
+    }
+}
+
+/// What all duties of a daemon share.
+pub struct Context {
+    /// The daemon's settings.
+    pub settings: settings::Settings,
+    /// Where the daemon stands.
+    pub place: plan::Place,
+    /// The configuration in force.
+    pub cell: in_force::Cell,
+    /// The views in force.
+    pub views: ViewCell,
+    /// How far the daemon's life has come.
+    pub life: Life,
+    /// The router thread.
+    pub router: router::Handle,
+    /// Billing and refusals.
+    pub ledger: ledger::Handle,
+    /// Client of endpoints.
+    pub endpoints: client::Client,
+    /// Connections to other daemons.
+    pub link: link::Link,
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+}
+
+impl Context {
+    /// Makes the id of a new request.
+    pub fn new_request(&self) -> id::RequestId {
+        let random: u128 = rand::random();
+        format!("req-{random:032x}").parse().expect("hexadecimal digits make a valid name")
+    }
+}
--- /dev/null
+++ b/crates/ibishill-daemon/src/entry.rs
@@ -0,0 +1,203 @@
+//! The entry daemon's side of a request: plan, hand over, try the next owner only
+//! while nothing can have run.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use ibishill_core::{cost, event, id, outcome, repeat, time};
+use ibishill_decide::plan;
+use ibishill_peer::{error::LinkError, frame, link};
+use tokio::sync::mpsc;
+
+use crate::{context, run};
+
+const TRIES_MAX: usize = 3;
+
+/// A caller's request, checked and read.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// The request.
+    pub request: id::RequestId,
+    /// The workspace.
+    pub workspace: id::WorkspaceId,
+    /// What the caller asked for.
+    pub wanted: plan::Wanted,
+    /// The caller's session.
+    pub session: Option<id::SessionId>,
+    /// Time left until the deadline.
+    pub left: time::Millis,
+    /// Whether the call may be sent twice.
+    pub repeat: repeat::Repeat,
+    /// HTTP method.
+    pub method: String,
+    /// Path with query at the endpoint.
+    pub path: String,
+    /// Content type of the body.
+    pub content: String,
+    /// Whether the caller wants a stream.
+    pub stream: bool,
+    /// Whether the caller wants the usage event of a stream.
+    pub show_usage: bool,
+}
+
+/// An answer that has begun.
+pub struct Answer {
+    /// Start of the answer.
+    pub head: frame::Head,
+    /// What runs.
+    pub target: id::Target,
+    /// How many owners were asked.
+    pub attempts: u32,
+    source: Source,
+}
+
+/// What comes after an answer's start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Part of the answer.
+    Chunk(Bytes),
+    /// The answer is whole.
+    End(cost::Usage),
+    /// The answer is cut.
+    Failed(outcome::Refusal),
+}
+
+/// A request that was given up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GivenUp {
+    /// What is known.
+    pub refusal: outcome::Refusal,
+    /// How many owners were asked.
+    pub attempts: u32,
+}
+
+enum Source {
+    Local(mpsc::Receiver<frame::Frame>),
+    Peer(Box<link::Call>),
+}
+
+impl Source {
+    async fn next(&mut self) -> Result<Option<frame::Frame>, LinkError> {
+        match self {
+            Self::Local(frames) => Ok(frames.recv().await),
+            Self::Peer(call) => call.next().await,
+        }
+    }
+}
+
+/// Runs a request; `body` makes the endpoint's body once the target is known.
+///
+/// # Errors
+///
+/// The request was given up before its answer began.
+pub async fn start<B>(
+    context: &Arc<context::Context>,
+    asked: &Asked,
+    body: B,
+) -> Result<Answer, GivenUp>
+where
+    B: Fn(&id::Target) -> Bytes,
+{
+    let ask = plan::Ask {
+        request: asked.request.clone(),
+        workspace: asked.workspace.clone(),
+        wanted: asked.wanted.clone(),
+        session: asked.session.clone(),
+        pinned: None,
+    };
+    let planned = context.router.plan(ask).await;
+    let plan = planned.map_err(|refusal| GivenUp { refusal, attempts: 0 })?;
+    let work = work(context, asked, &plan, body(&plan.target));
+    let mut attempts = 0;
+    let mut last = None;
+    for route in plan.routes.iter().take(TRIES_MAX) {
+        attempts += 1;
+        match attempt(context, route, &work).await {
+            Ok((head, source)) => {
+                return Ok(Answer { head, target: plan.target, attempts, source });
+            }
+            Err(refusal) => {
+                let again = refusal.outcome == outcome::Outcome::NotRun;
+                last = Some(refusal);
+                if !again {
+                    break;
+                }
+            }
+        }
+    }
+    let refusal = last.unwrap_or_else(|| {
+        outcome::Refusal::not_run(outcome::Reason::NoEndpoint, "no owner to ask")
+    });
+    Err(GivenUp { refusal, attempts })
+}
+
+fn work(context: &context::Context, asked: &Asked, plan: &plan::Plan, body: Bytes) -> frame::Work {
+    frame::Work {
+        request: asked.request.clone(),
+        workspace: asked.workspace.clone(),
+        target: plan.target.clone(),
+        config: context.cell.get().version.0,
+        left: asked.left,
+        repeat: asked.repeat,
+        method: asked.method.clone(),
+        path: asked.path.clone(),
+        content: asked.content.clone(),
+        stream: asked.stream,
+        show_usage: asked.show_usage,
+        body,
+    }
+}
+
+async fn attempt(
+    context: &Arc<context::Context>,
+    route: &plan::Route,
+    work: &frame::Work,
+) -> Result<(frame::Head, Source), outcome::Refusal> {
+    let mut source = if route.owner.vm == context.place.vm {
+        Source::Local(run::run(context, work.clone()))
+    } else {
+        let call = context.link.call(&route.zone, &route.owner, work).await;
+        Source::Peer(Box::new(call.map_err(|error| lost(&error))?))
+    };
+    match source.next().await {
+        Ok(Some(frame::Frame::Head(head))) => Ok((head, source)),
+        Ok(Some(frame::Frame::Failed(refusal))) => Err(refusal),
+        Ok(_) => Err(broken("the owner's answer has no start")),
+        Err(error) => Err(lost(&error)),
+    }
+}
+
+fn broken(detail: &str) -> outcome::Refusal {
+    outcome::Refusal::unknown(outcome::Reason::PeerLost, detail)
+}
+
+fn lost(error: &LinkError) -> outcome::Refusal {
+    event::emit(event::Event::PeerUnreachable, &[event::field("error", error)]);
+    match error {
+        LinkError::Unreachable { .. } | LinkError::Tls { .. } => {
+            outcome::Refusal::not_run(outcome::Reason::PeerLost, error.to_string())
+        }
+        LinkError::Broken { .. } | LinkError::Frame { .. } => broken(&error.to_string()),
+    }
+}
+
+impl Answer {
+    /// What comes next; after an end or a failure nothing does.
+    pub async fn next(&mut self) -> Next {
+        match self.source.next().await {
+            Ok(Some(frame::Frame::Chunk(chunk))) => Next::Chunk(chunk),
+            Ok(Some(frame::Frame::End(end))) => Next::End(end.usage),
+            Ok(Some(frame::Frame::Failed(refusal))) => Next::Failed(as_unknown(refusal)),
+            Ok(Some(frame::Frame::Head(_)) | None) => {
+                Next::Failed(broken("the owner's answer was cut"))
+            }
+            Err(error) => Next::Failed(as_unknown(lost(&error))),
+        }
+    }
+}
+
+// Once an answer has begun, the request has left for an endpoint.
+fn as_unknown(mut refusal: outcome::Refusal) -> outcome::Refusal {
+    refusal.outcome = outcome::Outcome::Unknown;
+    refusal
+}
--- /dev/null
+++ b/crates/ibishill-daemon/src/http.rs
@@ -0,0 +1,48 @@
+//! The callers' side, over HTTP.
+
+mod auth;
+mod chat;
+mod health;
+mod models;
+mod reply;
+mod service;
+
+use std::sync::Arc;
+
+use rocket::fairing::AdHoc;
+use rocket::{catchers, routes};
+
+use crate::context;
+
+/// Shared context as Rocket manages it.
+pub(crate) type Shared = Arc<context::Context>;
+
+/// Builds the callers' server of a daemon.
+pub fn server(context: Shared) -> rocket::Rocket<rocket::Build> {
+    let address = context.settings.callers;
+    let figment = rocket::Config::figment()
+        .merge(("address", address.ip().to_string()))
+        .merge(("port", address.port()))
+        .merge(("log_level", "off"))
+        .merge(("ident", "ibishill"))
+        .merge(("shutdown.ctrlc", false))
+        .merge(("shutdown.signals", Vec::<String>::new()))
+        .merge(("limits.bytes", context.settings.limits.body));
+    rocket::custom(figment)
+        .manage(context)
+        .mount("/", routes![chat::completions, models::list])
+        .mount("/", routes![health::live, health::ready, health::metrics])
+        .mount("/svc", service::routes())
+        .register("/", catchers![reply::fallback])
+}
+
+/// Calls `notify` with the server's shutdown handle once its address is open.
+pub fn on_open<N>(server: rocket::Rocket<rocket::Build>, notify: N) -> rocket::Rocket<rocket::Build>
+where
+    N: FnOnce(rocket::Shutdown) + Send + Sync + 'static,
+{
+    server.attach(AdHoc::on_liftoff("opened", |rocket| {
+        notify(rocket.shutdown());
+        Box::pin(async {})
+    }))
+}
--- /dev/null
+++ b/crates/ibishill-daemon/src/http/reply.rs
@@ -0,0 +1,194 @@
+//! Answers to callers: headers that say what happened, and refusals as problem documents.
+
+use bytes::Bytes;
+use ibishill_core::{event, id, outcome, time};
+use rocket::http::{ContentType, Header, Status};
+use rocket::response::stream::ByteStream;
+use rocket::response::{self, Responder};
+use rocket::serde::json::json;
+use rocket::{Request, Response};
+
+use super::Shared;
+
+const REQUEST_ID: &str = "x-ibishill-request-id";
+
+/// A refused request, counted when it is made.
+#[derive(Debug, Clone)]
+pub(crate) struct Refused {
+    request: id::RequestId,
+    refusal: outcome::Refusal,
+    attempts: u32,
+}
+
+impl Refused {
+    /// Counts a refusal and makes its answer.
+    pub(crate) fn new(
+        context: &Shared,
+        request: &id::RequestId,
+        workspace: Option<id::WorkspaceId>,
+        refusal: outcome::Refusal,
+    ) -> Self {
+        let fields = [event::field("request", request), event::field("refusal", &refusal)];
+        event::emit(event_of(refusal.outcome), &fields);
+        context.metrics.ended(refusal.outcome, Some(refusal.reason));
+        context.ledger.refused(workspace, refusal.reason);
+        Self { request: request.clone(), refusal, attempts: 0 }
+    }
+
+    /// Sets how many owners were asked.
+    pub(crate) fn attempts(mut self, attempts: u32) -> Self {
+        self.attempts = attempts;
+        self
+    }
+
+    /// The HTTP status.
+    pub(crate) fn status(&self) -> Status {
+        status(self.refusal.reason)
+    }
+
+    fn document(&self) -> String {
+        problem(&self.request, &self.refusal).to_string()
+    }
+}
+
+fn event_of(outcome: outcome::Outcome) -> event::Event {
+    match outcome {
+        outcome::Outcome::Unknown => event::Event::RequestUnknown,
+        outcome::Outcome::NotRun | outcome::Outcome::Ran => event::Event::RequestRefused,
+    }
+}
+
+/// The problem document of a refusal, in the form chat clients expect too.
+pub(crate) fn problem(
+    request: &id::RequestId,
+    refusal: &outcome::Refusal,
+) -> rocket::serde::json::Value {
+    let status = status(refusal.reason);
+    json!({
+        "type": format!("urn:ibishill:refusal:{}", refusal.reason),
+        "title": status.reason_lossy(),
+        "status": status.code,
+        "detail": refusal.detail,
+        "instance": format!("urn:ibishill:request:{request}"),
+        "outcome": refusal.outcome,
+        "error": {
+            "message": refusal.detail,
+            "type": refusal.reason,
+            "code": refusal.reason,
+            "param": null,
+        },
+    })
+}
+
+fn status(reason: outcome::Reason) -> Status {
+    use outcome::Reason;
+    match reason {
+        Reason::Unauthorized => Status::Unauthorized,
+        Reason::BadRequest => Status::BadRequest,
+        Reason::TooLarge => Status::PayloadTooLarge,
+        Reason::NotAllowed => Status::Forbidden,
+        Reason::NotFound => Status::NotFound,
+        Reason::Withdrawn => Status::Gone,
+        Reason::InProgress => Status::Conflict,
+        Reason::KeyReused => Status::UnprocessableEntity,
+        Reason::Overloaded | Reason::RetryBudget => Status::TooManyRequests,
+        Reason::Deadline => Status::GatewayTimeout,
+        Reason::EndpointFailed | Reason::PeerLost => Status::BadGateway,
+        Reason::NoEndpoint | Reason::Stopping | Reason::NotReady | Reason::ClaimUnavailable => {
+            Status::ServiceUnavailable
+        }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for Refused {
+    fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
+        let body = self.document();
+        let mut response = Response::new();
+        response.set_status(self.status());
+        response.set_header(ContentType::new("application", "problem+json"));
+        response.set_header(Header::new(REQUEST_ID, self.request.to_string()));
+        response.set_header(Header::new("x-ibishill-outcome", self.refusal.outcome.to_string()));
+        response.set_header(Header::new("x-ibishill-attempts", self.attempts.to_string()));
+        if let Some(after) = self.refusal.retry_after {
+            response.set_header(Header::new("retry-after", after.ceil_secs().to_string()));
+        }
+        response.set_sized_body(body.len(), std::io::Cursor::new(body));
+        Ok(response)
+    }
+}
+
+/// Answers whatever no route has answered.
+#[rocket::catch(default)]
+pub(crate) fn fallback(status: Status, request: &Request<'_>) -> Refused {
+    if let Some(refused) = request.local_cache(|| None::<Refused>) {
+        return refused.clone();
+    }
+    let context = request.rocket().state::<Shared>().expect("the server manages its context");
+    let reason = match status.code {
+        404 => outcome::Reason::NotFound,
+        413 => outcome::Reason::TooLarge,
+        500.. => outcome::Reason::NotReady,
+        _ => outcome::Reason::BadRequest,
+    };
+    let refusal = outcome::Refusal::not_run(reason, status.reason_lossy());
+    Refused::new(context, &context.new_request(), None, refusal)
+}
+
+/// What the headers of an answer tell.
+#[derive(Debug, Clone)]
+pub(crate) struct Facts {
+    /// The request.
+    pub(crate) request: id::RequestId,
+    /// What ran.
+    pub(crate) target: id::Target,
+    /// Where it ran.
+    pub(crate) zone: id::ZoneId,
+    /// How many owners were asked.
+    pub(crate) attempts: u32,
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Content type.
+    pub(crate) content: String,
+}
+
+/// An answer to a caller.
+pub(crate) enum Reply {
+    /// A whole answer.
+    Whole(Facts, Bytes),
+    /// A streamed answer.
+    Stream(Facts, futures::stream::BoxStream<'static, Bytes>),
+}
+
+impl<'r> Responder<'r, 'r> for Reply {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
+        let (facts, mut response) = match self {
+            Self::Whole(facts, body) => {
+                let mut response = Response::new();
+                response.set_sized_body(body.len(), std::io::Cursor::new(body));
+                response.set_header(Header::new("x-ibishill-outcome", "ran"));
+                (facts, response)
+            }
+            Self::Stream(facts, chunks) => (facts, ByteStream::from(chunks).respond_to(request)?),
+        };
+        response.set_status(Status::new(facts.status));
+        response.set_header(Header::new("content-type", facts.content));
+        response.set_header(Header::new(REQUEST_ID, facts.request.to_string()));
+        response.set_header(Header::new("x-ibishill-zone", facts.zone.to_string()));
+        response.set_header(Header::new("x-ibishill-attempts", facts.attempts.to_string()));
+        match facts.target {
+            id::Target::Version(version) => {
+                response.set_header(Header::new("x-ibishill-model", version.model.to_string()));
+                response.set_header(Header::new("x-ibishill-version", version.version.to_string()));
+            }
+            id::Target::Service(service) => {
+                response.set_header(Header::new("x-ibishill-service", service.to_string()));
+            }
+        }
+        Ok(response)
+    }
+}
+
+/// Seconds from `start` to now.
+pub(crate) fn seconds_since(start: time::Tick) -> f64 {
+    ibishill_core::clock::boot_now().since(start).to_std().as_secs_f64()
+}
--- /dev/null
+++ b/crates/ibishill-daemon/src/metrics.rs
@@ -0,0 +1,64 @@
+//! Metrics, readable in Prometheus text form.
+
+use ibishill_core::outcome;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+
+/// The instruments of a daemon.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: prometheus::Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    first_byte: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Makes the instruments with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be set up.
+    pub fn new() -> Result<Self, String> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| error.to_string())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("ibishill");
+        let requests = meter
+            .u64_counter("ibishill_requests")
+            .with_description("Requests by outcome and reason")
+            .build();
+        let first_byte = meter
+            .f64_histogram("ibishill_first_byte")
+            .with_unit("s")
+            .with_description("Time from a request's arrival to the start of its answer")
+            .build();
+        Ok(Self { registry, _provider: provider, requests, first_byte })
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&self, outcome: outcome::Outcome, reason: Option<outcome::Reason>) {
+        let reason = reason.map_or_else(|| "none".to_owned(), |reason| reason.to_string());
+        let labels =
+            [KeyValue::new("outcome", outcome.to_string()), KeyValue::new("reason", reason)];
+        self.requests.add(1, &labels);
+    }
+
+    /// Records the time to the start of an answer.
+    pub fn first_byte(&self, seconds: f64) {
+        self.first_byte.record(seconds, &[]);
+    }
+
+    /// All metrics in Prometheus text form.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        let encoder = prometheus::TextEncoder::new();
+        let _written = encoder.encode(&self.registry.gather(), &mut text);
+        String::from_utf8(text).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/ibishill-daemon/src/operators.rs
@@ -0,0 +1,118 @@
+//! The operators' side: what their calls need to know of this daemon.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use ibishill_config::declared;
+use ibishill_core::id;
+use ibishill_decide::owner;
+use ibishill_operator::generated::{
+    EndpointStatus, RolloutStatus, StatusReply, VersionStatus, ZoneStatus,
+};
+use ibishill_operator::service;
+use ibishill_platform::Platform;
+use ibishill_state::{billing, log, refusal};
+
+use crate::{config_sync, context, router};
+
+/// Builds the operators' service of a daemon.
+pub fn service(
+    context: &Arc<context::Context>,
+    platform: &Platform,
+    refresh: config_sync::Refresh,
+) -> service::Service {
+    let (known, asked) = (Arc::clone(context), Arc::clone(context));
+    service::Service {
+        log: log::Log::new(platform.table.clone()),
+        billing: billing::Billing::new(platform.objects.clone()),
+        refusals: refusal::Refusals::new(platform.objects.clone()),
+        cell: context.cell.clone(),
+        security: context.settings.security.clone(),
+        status: Arc::new(move || {
+            let context = Arc::clone(&known);
+            async move { status(&context).await }.boxed()
+        }),
+        confirmed: Arc::new(move || {
+            let context = Arc::clone(&asked);
+            async move { confirmed(&context) }.boxed()
+        }),
+        refresh: Arc::new(move || {
+            refresh.ask();
+            async {}.boxed()
+        }),
+    }
+}
+
+fn confirmed(context: &context::Context) -> Vec<service::Confirmed> {
+    vec![service::Confirmed {
+        vm: context.place.vm.clone(),
+        zone: context.place.zone.clone(),
+        version: Some(context.cell.get().version),
+    }]
+}
+
+async fn status(context: &context::Context) -> StatusReply {
+    let gates = context.router.status().await;
+    let config = context.cell.get();
+    let views = context.views.get();
+    let declared = &config.declared;
+    let zones = declared.zones.iter().map(|(name, zone)| {
+        let view = views.zones.get(name).cloned().unwrap_or_default();
+        ZoneStatus {
+            zone: name.to_string(),
+            in_service: zone.state == declared::ServiceState::In,
+            view: view.number.0,
+            vms: view.members.iter().map(|member| member.vm.to_string()).collect(),
+        }
+    });
+    let endpoints = declared.endpoints.iter().map(|(name, endpoint)| {
+        let view = views.zones.get(&endpoint.zone);
+        let owner = view.and_then(|view| owner::owner(view, name));
+        endpoint_status(name, endpoint, owner.map(|owner| &owner.vm), &gates)
+    });
+    StatusReply {
+        vm: context.place.vm.to_string(),
+        zone: context.place.zone.to_string(),
+        ready: context.life.ready(),
+        version: config.version.0,
+        zones: zones.collect(),
+        endpoints: endpoints.collect(),
+        rollouts: declared.rollouts.iter().map(|(n, r)| rollout_status(n, r)).collect(),
+        versions: declared.versions.iter().map(|(n, v)| version_status(n, v)).collect(),
+    }
+}
+
+fn endpoint_status(
+    name: &id::EndpointId,
+    endpoint: &declared::Endpoint,
+    owner: Option<&id::VmId>,
+    gates: &[router::GateStatus],
+) -> EndpointStatus {
+    let gate = gates.iter().find(|gate| gate.endpoint == *name);
+    EndpointStatus {
+        endpoint: name.to_string(),
+        zone: endpoint.zone.to_string(),
+        in_service: endpoint.state == declared::ServiceState::In,
+        owner: owner.map(ToString::to_string).unwrap_or_default(),
+        running: gate.map(|gate| gate.running),
+        limit: gate.map(|gate| gate.limit),
+    }
+}
+
+fn rollout_status(name: &id::RolloutId, rollout: &declared::Rollout) -> RolloutStatus {
+    RolloutStatus {
+        rollout: name.to_string(),
+        from_version: rollout.from.to_string(),
+        to_version: rollout.to.to_string(),
+        percent: rollout.percent().into(),
+        state: format!("{:?}", rollout.state).to_lowercase(),
+        reason: rollout.reason.clone().unwrap_or_default(),
+    }
+}
+
+fn version_status(name: &id::VersionRef, version: &declared::Version) -> VersionStatus {
+    VersionStatus {
+        version: name.to_string(),
+        state: format!("{:?}", version.state).to_lowercase(),
+    }
+}
--- /dev/null
+++ b/crates/ibishill-daemon/src/start.rs
@@ -0,0 +1,213 @@
+//! Start and graceful shutdown of a daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc as std_mpsc;
+use std::thread;
+use std::time::Duration;
+
+use ibishill_config::{in_force, settings};
+use ibishill_core::{event, view};
+use ibishill_decide::plan;
+use ibishill_endpoint::client;
+use ibishill_operator::generated::operator_server::OperatorServer;
+use ibishill_peer::{link, server, tls};
+use ibishill_platform::Platform;
+use ibishill_state::{lease, log};
+use snafu::ResultExt;
+
+use crate::error::{self, StartError};
+use crate::{config_sync, context, http, ledger, membership, metrics, operators, router, run};
+
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// A running daemon.
+pub struct Daemon {
+    /// What its duties share.
+    pub context: Arc<context::Context>,
+    callers: rocket::Shutdown,
+    socket: quinn::Endpoint,
+    membership: thread::JoinHandle<()>,
+}
+
+/// Checks that no side is open without credentials to others than this machine.
+///
+/// # Errors
+///
+/// Names what is missing.
+pub fn check_security(settings: &settings::Settings) -> Result<(), StartError> {
+    let security = &settings.security;
+    if !security.insecure {
+        if security.tokens.is_empty() {
+            return Err(StartError::NoCredential);
+        }
+        return Ok(());
+    }
+    let addresses = [settings.callers, settings.operators, settings.peers];
+    match addresses.into_iter().find(|address| !address.ip().is_loopback()) {
+        Some(address) => Err(StartError::InsecureAddress { address }),
+        None => Ok(()),
+    }
+}
+
+/// Starts a daemon; returns once all its sides are open.
+///
+/// # Errors
+///
+/// Fails if an address can't be opened, a credential is missing or a thread can't start.
+pub fn start(
+    settings: settings::Settings,
+    platform: &Platform,
+    identity: &tls::Identity,
+) -> Result<Daemon, StartError> {
+    check_security(&settings)?;
+    let fields = [event::field("vm", &settings.vm), event::field("zone", &settings.zone)];
+    event::emit(event::Event::DaemonStarted, &fields);
+    let place = plan::Place { vm: settings.vm.clone(), zone: settings.zone.clone() };
+    let cell = in_force::Cell::default();
+    let views = context::ViewCell::default();
+    let life = context::Life::default();
+    let router =
+        router::spawn(place.clone(), cell.clone(), views.clone()).context(error::ThreadSnafu)?;
+    let ledger = ledger::spawn(&settings.vm, &platform.objects, settings.periods.billing)
+        .context(error::ThreadSnafu)?;
+    let endpoints =
+        client::Client::new().map_err(|error| StartError::Client { detail: error.to_string() })?;
+    let peers = duty_runtime("peers", 2).context(error::ThreadSnafu)?;
+    let (socket, link) = {
+        let _guard = peers.enter();
+        let socket = server::bind(settings.peers, identity).context(error::LinkSnafu)?;
+        let link = link::Link::new(socket.clone(), identity).context(error::LinkSnafu)?;
+        (socket, link)
+    };
+    let metrics = metrics::Metrics::new().map_err(|detail| StartError::Client { detail })?;
+    let context = Arc::new(context::Context {
+        settings: settings.clone(),
+        place,
+        cell: cell.clone(),
+        views: views.clone(),
+        life: life.clone(),
+        router,
+        ledger,
+        endpoints,
+        link,
+        metrics,
+    });
+    spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
+    let refresh = config_sync::spawn(
+        log::Log::new(platform.table.clone()),
+        cell,
+        life.clone(),
+        settings.periods.poll,
+    )
+    .context(error::ThreadSnafu)?;
+    let membership = membership::spawn(membership::Duty {
+        leases: lease::Leases::new(platform.table.clone()),
+        member: view::Member { vm: settings.vm.clone(), peers: settings.peers },
+        zone: settings.zone.clone(),
+        views,
+        life,
+        periods: settings.periods.clone(),
+    })
+    .context(error::ThreadSnafu)?;
+    spawn_operators(settings.operators, operators::service(&context, platform, refresh))?;
+    let callers = spawn_callers(&context)?;
+    Ok(Daemon { context, callers, socket, membership })
+}
+
+fn duty_runtime(name: &str, threads: usize) -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()
+}
+
+fn spawn_peers(
+    runtime: tokio::runtime::Runtime,
+    socket: quinn::Endpoint,
+    context: &Arc<context::Context>,
+) -> std::io::Result<()> {
+    let context = Arc::clone(context);
+    thread::Builder::new().name("peers".into()).spawn(move || {
+        let accepting = server::accept(socket, move |work| run::run(&context, work));
+        runtime.block_on(accepting);
+    })?;
+    Ok(())
+}
+
+fn spawn_operators(
+    address: SocketAddr,
+    service: ibishill_operator::service::Service,
+) -> Result<(), StartError> {
+    let runtime = duty_runtime("operators", 1).context(error::ThreadSnafu)?;
+    let listener = listen(address)
+        .map_err(|error| StartError::Listen { address, detail: error.to_string() })?;
+    thread::Builder::new()
+        .name("operators".into())
+        .spawn(move || {
+            let serving = async {
+                let listener = tokio::net::TcpListener::from_std(listener)?;
+                let incoming = tonic::transport::server::TcpIncoming::from(listener);
+                let server = tonic::transport::Server::builder();
+                let server = { server }.add_service(OperatorServer::new(service));
+                let served = server.serve_with_incoming(incoming).await;
+                served.map_err(std::io::Error::other)
+            };
+            let _ended = runtime.block_on(serving);
+        })
+        .context(error::ThreadSnafu)?;
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn spawn_callers(context: &Arc<context::Context>) -> Result<rocket::Shutdown, StartError> {
+    let runtime = duty_runtime("callers", 2).context(error::ThreadSnafu)?;
+    let address = context.settings.callers;
+    let server = http::server(Arc::clone(context));
+    let (sender, receiver) = std_mpsc::sync_channel(1);
+    let lifted = http::on_open(server, move |shutdown| {
+        let _waiting = sender.try_send(shutdown);
+    });
+    let (failed, failure) = std_mpsc::sync_channel(1);
+    thread::Builder::new()
+        .name("callers".into())
+        .spawn(move || {
+            if let Err(error) = runtime.block_on(lifted.launch()) {
+                let _waiting = failed.try_send(error.to_string());
+            }
+        })
+        .context(error::ThreadSnafu)?;
+    // Either the server opens, or its thread ends and drops the sender.
+    receiver.recv().map_err(|_| StartError::Listen {
+        address,
+        detail: failure.recv().unwrap_or_else(|_| "the server ended".into()),
+    })
+}
+
+impl Daemon {
+    /// Shuts down without cutting a request.
+    ///
+    /// Readiness fails first; after the drain time new requests are refused; running
+    /// ones finish; records are written; then the sides close.
+    pub async fn stop(self) {
+        let life = &self.context.life;
+        event::emit(event::Event::DaemonStopping, &[event::field("running", &life.running())]);
+        life.stop();
+        tokio::time::sleep(self.context.settings.periods.drain.to_std()).await;
+        life.close();
+        while life.running() > 0 {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        self.context.ledger.flush().await;
+        self.callers.notify();
+        self.socket.close(quinn::VarInt::from_u32(0), b"stopping");
+        let _lapses = tokio::task::spawn_blocking(move || self.membership.join()).await;
+        event::emit(event::Event::DaemonStopped, &[]);
+    }
+}
--- /dev/null
+++ b/crates/ibishill-decide/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions as pure functions of state, input and given time.
+//!
+//! Nothing here reads a clock, a socket or a file, so tests and experiments
+//! drive the same code as the daemon.
+
+pub mod admit;
+pub mod choose;
+pub mod cold;
+pub mod owner;
+pub mod plan;
--- /dev/null
+++ b/crates/ibishill-decide/src/plan.rs
@@ -0,0 +1,248 @@
+//! The entry daemon's decision: which version, then which owners to ask, in order.
+
+use std::collections::BTreeSet;
+
+use ibishill_config::{declared, in_force};
+use ibishill_core::{id, outcome, view};
+use xxhash_rust::xxh3;
+
+use crate::owner;
+
+/// What the caller asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Wanted {
+    /// The cheapest allowed version that meets the quality target.
+    Auto,
+    /// The version of this model that the roll-out gives the session.
+    Model(id::ModelId),
+    /// Exactly this version.
+    Version(id::VersionRef),
+    /// A plain service.
+    Service(id::ServiceId),
+}
+
+/// A request as the plan sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// The request.
+    pub request: id::RequestId,
+    /// The workspace.
+    pub workspace: id::WorkspaceId,
+    /// What the caller asked for.
+    pub wanted: Wanted,
+    /// The caller's session.
+    pub session: Option<id::SessionId>,
+    /// The version that the session is pinned to.
+    pub pinned: Option<id::VersionRef>,
+}
+
+/// One owner to ask.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// The owner's zone.
+    pub zone: id::ZoneId,
+    /// The owner.
+    pub owner: view::Member,
+}
+
+/// The decision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// What runs.
+    pub target: id::Target,
+    /// The owners to ask, best first.
+    pub routes: Vec<Route>,
+}
+
+/// Where the daemon that plans stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Its VM.
+    pub vm: id::VmId,
+    /// Its zone.
+    pub zone: id::ZoneId,
+}
+
+/// Decides version and owners.
+///
+/// # Errors
+///
+/// A refusal of a request that has not run.
+pub fn plan(
+    config: &in_force::InForce,
+    views: &view::Views,
+    place: &Place,
+    ask: &Ask,
+) -> Result<Plan, outcome::Refusal> {
+    let target = target(&config.declared, ask)?;
+    let routes = routes(&config.declared, views, place, &target, &ask.request);
+    if routes.is_empty() {
+        let detail = format!("no endpoint in service runs {target}");
+        return Err(outcome::Refusal::not_run(outcome::Reason::NoEndpoint, detail));
+    }
+    Ok(Plan { target, routes })
+}
+
+fn target(declared: &declared::Declared, ask: &Ask) -> Result<id::Target, outcome::Refusal> {
+    let refuse = outcome::Refusal::not_run::<String>;
+    let Some(space) = declared.workspaces.get(&ask.workspace) else {
+        return Err(refuse(outcome::Reason::Unauthorized, "the workspace is not declared".into()));
+    };
+    if let Wanted::Service(service) = &ask.wanted {
+        if !space.services.contains(service) {
+            let detail = format!("the workspace may not use {service}");
+            return Err(refuse(outcome::Reason::NotAllowed, detail));
+        }
+        return Ok(id::Target::Service(service.clone()));
+    }
+    version(declared, space, ask).map(id::Target::Version)
+}
+
+fn version(
+    declared: &declared::Declared,
+    space: &declared::Workspace,
+    ask: &Ask,
+) -> Result<id::VersionRef, outcome::Refusal> {
+    if let Some(pinned) = &ask.pinned
+        && check_version(declared, space, pinned).is_ok()
+    {
+        return Ok(pinned.clone());
+    }
+    let version = match &ask.wanted {
+        Wanted::Version(version) => {
+            check_version(declared, space, version)?;
+            return Ok(version.clone());
+        }
+        Wanted::Model(model) => model_version(declared, space, ask, model)?,
+        Wanted::Auto | Wanted::Service(_) => cheapest(declared, space)?,
+    };
+    Ok(cohort(declared, space, ask, version))
+}
+
+/// Checks that a workspace may use a version now.
+///
+/// # Errors
+///
+/// A refusal that says what stands against it.
+pub fn check_version(
+    declared: &declared::Declared,
+    space: &declared::Workspace,
+    version: &id::VersionRef,
+) -> Result<(), outcome::Refusal> {
+    let Some(found) = declared.versions.get(version) else {
+        let detail = format!("{version} is not declared");
+        return Err(outcome::Refusal::not_run(outcome::Reason::NotFound, detail));
+    };
+    if !space.allows(version) {
+        let detail = format!("the workspace may not use {version}");
+        return Err(outcome::Refusal::not_run(outcome::Reason::NotAllowed, detail));
+    }
+    if found.state == declared::VersionState::Withdrawn {
+        let detail = format!("{version} was withdrawn");
+        return Err(outcome::Refusal::not_run(outcome::Reason::Withdrawn, detail));
+    }
+    Ok(())
+}
+
+fn serving<'a>(
+    declared: &'a declared::Declared,
+    space: &'a declared::Workspace,
+) -> impl Iterator<Item = (&'a id::VersionRef, &'a declared::Version)> {
+    declared.versions.iter().filter(|(name, version)| {
+        version.state == declared::VersionState::Serving && space.allows(name)
+    })
+}
+
+fn model_version(
+    declared: &declared::Declared,
+    space: &declared::Workspace,
+    ask: &Ask,
+    model: &id::ModelId,
+) -> Result<id::VersionRef, outcome::Refusal> {
+    let newest = serving(declared, space).filter(|(name, _)| name.model == *model).last();
+    if let Some((name, _)) = newest {
+        return Ok(name.clone());
+    }
+    let mut known = declared.versions.keys().filter(|name| name.model == *model).peekable();
+    if known.peek().is_none() {
+        let detail = format!("model {model} is not declared");
+        return Err(outcome::Refusal::not_run(outcome::Reason::NotFound, detail));
+    }
+    let reason = if known.any(|name| space.allows(name)) {
+        outcome::Reason::Withdrawn
+    } else {
+        outcome::Reason::NotAllowed
+    };
+    let detail = format!("no version of {model} serves workspace {}", ask.workspace);
+    Err(outcome::Refusal::not_run(reason, detail))
+}
+
+fn cheapest(
+    declared: &declared::Declared,
+    space: &declared::Workspace,
+) -> Result<id::VersionRef, outcome::Refusal> {
+    let good = serving(declared, space).filter(|(_, v)| v.quality >= space.quality_target);
+    let cheap = good.min_by_key(|(_, v)| v.prompt_price + v.output_price);
+    let best = || serving(declared, space).max_by(|(_, a), (_, b)| a.quality.total_cmp(&b.quality));
+    match cheap.or_else(best) {
+        Some((name, _)) => Ok(name.clone()),
+        None => Err(outcome::Refusal::not_run(
+            outcome::Reason::NotAllowed,
+            "the workspace may use no version that serves",
+        )),
+    }
+}
+
+// The session's hash decides its cohort, so that a session keeps its version within a stage.
+fn cohort(
+    declared: &declared::Declared,
+    space: &declared::Workspace,
+    ask: &Ask,
+    version: id::VersionRef,
+) -> id::VersionRef {
+    let key = ask.session.as_ref().map_or(ask.request.as_str(), id::SessionId::as_str);
+    for (name, rollout) in declared.rollouts.iter().filter(|(_, r)| r.from == version) {
+        let seed = xxh3::xxh3_64(name.as_str().as_bytes());
+        let slot = xxh3::xxh3_64_with_seed(key.as_bytes(), seed) % 100;
+        let chosen = slot < u64::from(rollout.percent());
+        if chosen && check_version(declared, space, &rollout.to).is_ok() {
+            return rollout.to.clone();
+        }
+    }
+    version
+}
+
+fn routes(
+    declared: &declared::Declared,
+    views: &view::Views,
+    place: &Place,
+    target: &id::Target,
+    request: &id::RequestId,
+) -> Vec<Route> {
+    let mut seen = BTreeSet::new();
+    let mut routes = Vec::new();
+    let open = |zone: &id::ZoneId| {
+        declared.zones.get(zone).is_some_and(|zone| zone.state == declared::ServiceState::In)
+    };
+    for (name, endpoint) in &declared.endpoints {
+        let usable = endpoint.state == declared::ServiceState::In && endpoint.serves(target);
+        if !usable || !open(&endpoint.zone) {
+            continue;
+        }
+        let Some(view) = views.zones.get(&endpoint.zone) else { continue };
+        let Some(owner) = owner::owner(view, name) else { continue };
+        if seen.insert(owner.vm.clone()) {
+            routes.push(Route { zone: endpoint.zone.clone(), owner: owner.clone() });
+        }
+    }
+    routes.sort_by_key(|route| {
+        let local = route.owner.vm == place.vm;
+        let near = route.zone == place.zone;
+        let spread = xxh3::xxh3_64_with_seed(
+            route.owner.vm.as_str().as_bytes(),
+            xxh3::xxh3_64(request.as_str().as_bytes()),
+        );
+        (!near, !local, spread)
+    });
+    routes
+}
--- /dev/null
+++ b/crates/ibishill-peer/src/link.rs
@@ -0,0 +1,133 @@
+//! The calling side: connections to peers, kept and shared by all requests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use ibishill_core::{id, view};
+use snafu::ResultExt;
+use tokio_util::codec;
+
+use crate::error::{self, LinkError};
+use crate::{frame, tls};
+
+/// Largest frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
+const IDLE_TIMEOUT_MS: u32 = 5_000;
+
+pub(crate) type Reader = codec::FramedRead<quinn::RecvStream, codec::LengthDelimitedCodec>;
+pub(crate) type Writer = codec::FramedWrite<quinn::SendStream, codec::LengthDelimitedCodec>;
+
+pub(crate) fn codec() -> codec::LengthDelimitedCodec {
+    codec::LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
+
+pub(crate) fn transport() -> Arc<quinn::TransportConfig> {
+    let mut transport = quinn::TransportConfig::default();
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.max_idle_timeout(Some(quinn::VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
+    transport.max_concurrent_bidi_streams(quinn::VarInt::from_u32(8_192));
+    Arc::new(transport)
+}
+
+/// Connections to peers; clones share them.
+#[derive(Clone)]
+pub struct Link {
+    endpoint: quinn::Endpoint,
+    open: Arc<Mutex<BTreeMap<SocketAddr, quinn::Connection>>>,
+}
+
+/// A running call: the frames of its answer.
+pub struct Call {
+    reader: Reader,
+    // Kept open so that the owner sees a cancelled call when it is dropped.
+    _writer: Writer,
+}
+
+impl Link {
+    /// Makes a link over `endpoint` with this daemon's identity.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a certificate or key can't be used.
+    pub fn new(mut endpoint: quinn::Endpoint, identity: &tls::Identity) -> Result<Self, LinkError> {
+        let mut client = tls::client(identity)?;
+        client.transport_config(transport());
+        endpoint.set_default_client_config(client);
+        Ok(Self { endpoint, open: Arc::default() })
+    }
+
+    fn known(&self, peer: SocketAddr) -> Option<quinn::Connection> {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.get(&peer).filter(|connection| connection.close_reason().is_none()).cloned()
+    }
+
+    async fn connect(
+        &self,
+        zone: &id::ZoneId,
+        member: &view::Member,
+    ) -> Result<quinn::Connection, LinkError> {
+        let peer = member.peers;
+        if let Some(connection) = self.known(peer) {
+            return Ok(connection);
+        }
+        let name = tls::subject(&member.vm, zone);
+        let unreachable = |detail: String| LinkError::Unreachable { peer, detail };
+        let connecting =
+            self.endpoint.connect(peer, &name).map_err(|error| unreachable(error.to_string()))?;
+        let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| unreachable("timeout".into()))?
+            .map_err(|error| unreachable(error.to_string()))?;
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.insert(peer, connection.clone());
+        Ok(connection)
+    }
+
+    /// Hands `work` to the daemon `member` in `zone`.
+    ///
+    /// # Errors
+    ///
+    /// `Unreachable` means that nothing of the request has left; after any other
+    /// error it may have run.
+    pub async fn call(
+        &self,
+        zone: &id::ZoneId,
+        member: &view::Member,
+        work: &frame::Work,
+    ) -> Result<Call, LinkError> {
+        let connection = self.connect(zone, member).await?;
+        let opened = connection.open_bi().await;
+        let (send, receive) = opened.map_err(|error| LinkError::Unreachable {
+            peer: member.peers,
+            detail: error.to_string(),
+        })?;
+        let mut writer = codec::FramedWrite::new(send, codec());
+        let text = postcard::to_stdvec(work).context(error::FrameSnafu)?;
+        let sent = writer.send(Bytes::from(text)).await;
+        sent.map_err(|error| LinkError::Broken { detail: error.to_string() })?;
+        let reader = codec::FramedRead::new(receive, codec());
+        Ok(Call { reader, _writer: writer })
+    }
+}
+
+impl Call {
+    /// The next frame, or none at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Any error means that the request may have run.
+    pub async fn next(&mut self) -> Result<Option<frame::Frame>, LinkError> {
+        match self.reader.next().await {
+            None => Ok(None),
+            Some(Ok(bytes)) => postcard::from_bytes(&bytes).map(Some).context(error::FrameSnafu),
+            Some(Err(error)) => Err(LinkError::Broken { detail: error.to_string() }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibishill-standin/src/memory.rs
@@ -0,0 +1,326 @@
+//! The platform's tables, objects and lists in memory, with injectable faults.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::FutureExt;
+use ibishill_platform::{Platform, failure, object, rating, table, vm};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What goes wrong at the stand-in.
+#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Faults {
+    /// Every call is refused before it does anything.
+    pub outage: bool,
+    /// Chance that an answer is lost after a write took effect.
+    pub lose_after: f64,
+    /// Chance that a call is lost before it takes effect.
+    pub lose_before: f64,
+    /// Longest delay of a call, in milliseconds.
+    pub delay_ms: u64,
+}
+
+#[derive(Debug)]
+struct Data {
+    rows: BTreeMap<table::RowKey, (u64, String)>,
+    revision: u64,
+    objects: BTreeMap<String, String>,
+    vms: Vec<vm::Vm>,
+    faults: Faults,
+    rng: ChaCha8Rng,
+    reads: u64,
+    writes: u64,
+}
+
+/// The platform in memory; clones share the same data.
+#[derive(Debug, Clone)]
+pub struct Memory {
+    data: Arc<Mutex<Data>>,
+}
+
+/// How many calls the stand-in has served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+pub struct Counts {
+    /// Reads of tables and objects.
+    pub reads: u64,
+    /// Writes of tables and objects.
+    pub writes: u64,
+}
+
+enum Fate {
+    Normal,
+    LostBefore,
+    LostAfter,
+}
+
+impl Memory {
+    /// Makes an empty platform whose faults follow `seed`.
+    pub fn new(seed: u64) -> Self {
+        let data = Data {
+            rows: BTreeMap::new(),
+            revision: 0,
+            objects: BTreeMap::new(),
+            vms: Vec::new(),
+            faults: Faults::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            reads: 0,
+            writes: 0,
+        };
+        Self { data: Arc::new(Mutex::new(data)) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Data> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+
+    /// Sets the list of VMs.
+    pub fn set_vms(&self, vms: Vec<vm::Vm>) {
+        self.lock().vms = vms;
+    }
+
+    /// How many calls were served.
+    pub fn counts(&self) -> Counts {
+        let data = self.lock();
+        Counts { reads: data.reads, writes: data.writes }
+    }
+
+    async fn arrive(&self, write: bool) -> Result<Fate, failure::Failure> {
+        let (delay, fate) = {
+            let mut data = self.lock();
+            if write {
+                data.writes += 1;
+            } else {
+                data.reads += 1;
+            }
+            let longest = data.faults.delay_ms;
+            let delay = data.rng.random_range(0..=longest);
+            let (before, after) = (data.faults.lose_before, data.faults.lose_after);
+            let draw: f64 = data.rng.random();
+            let fate = if draw < before {
+                Fate::LostBefore
+            } else if draw < before + after {
+                Fate::LostAfter
+            } else {
+                Fate::Normal
+            };
+            (delay, fate)
+        };
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        if self.lock().faults.outage {
+            return Err(failure::Failure::NotDone { detail: "outage".into() });
+        }
+        Ok(fate)
+    }
+
+    async fn call<O, W>(&self, write: bool, work: W) -> Result<O, failure::Failure>
+    where
+        W: FnOnce(&mut Data) -> Result<O, failure::Failure>,
+    {
+        let lost = || failure::Failure::Unknown { detail: "answer lost".into() };
+        match self.arrive(write).await? {
+            Fate::Normal => work(&mut self.lock()),
+            Fate::LostBefore => Err(lost()),
+            Fate::LostAfter => {
+                let _answer = work(&mut self.lock());
+                Err(lost())
+            }
+        }
+    }
+
+    /// Commits a transaction, subject to the faults.
+    ///
+    /// # Errors
+    ///
+    /// As the platform's table does.
+    pub async fn commit(&self, transaction: table::Transaction) -> Result<(), failure::Failure> {
+        self.call(true, |data| data.commit(transaction)).await
+    }
+
+    /// Reads rows, subject to the faults.
+    ///
+    /// # Errors
+    ///
+    /// As the platform's table does.
+    pub async fn read(&self, query: table::Query) -> Result<Vec<table::Row>, failure::Failure> {
+        self.call(false, |data| Ok(data.read(query))).await
+    }
+
+    /// Creates an object, subject to the faults.
+    ///
+    /// # Errors
+    ///
+    /// As the platform's object store does.
+    pub async fn create(&self, object: object::Object) -> Result<object::Put, failure::Failure> {
+        self.call(true, |data| Ok(data.create(object))).await
+    }
+
+    /// Reads an object, subject to the faults.
+    ///
+    /// # Errors
+    ///
+    /// As the platform's object store does.
+    pub async fn get(&self, name: String) -> Result<Option<String>, failure::Failure> {
+        self.call(false, |data| Ok(data.objects.get(&name).cloned())).await
+    }
+
+    /// Lists objects, subject to the faults.
+    ///
+    /// # Errors
+    ///
+    /// As the platform's object store does.
+    pub async fn list(&self, prefix: String) -> Result<Vec<String>, failure::Failure> {
+        self.call(false, |data| Ok(data.list(&prefix))).await
+    }
+
+    /// Lists the VMs, subject to the faults.
+    ///
+    /// # Errors
+    ///
+    /// As the platform's list does.
+    pub async fn vms(&self) -> Result<Vec<vm::Vm>, failure::Failure> {
+        self.call(false, |data| Ok(data.vms.clone())).await
+    }
+
+    /// Rates an answer: accepted unless it is empty or says that it is bad.
+    ///
+    /// # Errors
+    ///
+    /// As the rating service does.
+    pub async fn rate(
+        &self,
+        question: rating::Question,
+    ) -> Result<rating::Rating, failure::Failure> {
+        self.call(false, |_| {
+            let accepted = !question.answer.is_empty() && !question.answer.contains("(bad)");
+            Ok(rating::Rating { score: if accepted { 1.0 } else { 0.0 }, accepted })
+        })
+        .await
+    }
+
+    /// The platform's client over this memory, without HTTP.
+    pub fn platform(&self) -> Platform {
+        Platform {
+            table: self.table(),
+            objects: self.objects(),
+            vms: self.vm_list(),
+            ratings: self.ratings(),
+        }
+    }
+
+    fn table(&self) -> table::Table {
+        let (commit, read) = (self.clone(), self.clone());
+        table::Table::new(
+            move |transaction| {
+                let memory = commit.clone();
+                async move { memory.commit(transaction).await }.boxed()
+            },
+            move |query| {
+                let memory = read.clone();
+                async move { memory.read(query).await }.boxed()
+            },
+        )
+    }
+
+    fn objects(&self) -> object::Objects {
+        let (create, get, list) = (self.clone(), self.clone(), self.clone());
+        object::Objects::new(
+            move |object| {
+                let memory = create.clone();
+                async move { memory.create(object).await }.boxed()
+            },
+            move |name| {
+                let memory = get.clone();
+                async move { memory.get(name).await }.boxed()
+            },
+            move |prefix| {
+                let memory = list.clone();
+                async move { memory.list(prefix).await }.boxed()
+            },
+        )
+    }
+
+    fn vm_list(&self) -> vm::Vms {
+        let list = self.clone();
+        vm::Vms::new(move || {
+            let memory = list.clone();
+            async move { memory.vms().await }.boxed()
+        })
+    }
+
+    fn ratings(&self) -> rating::Ratings {
+        let rate = self.clone();
+        rating::Ratings::new(move |question| {
+            let memory = rate.clone();
+            async move { memory.rate(question).await }.boxed()
+        })
+    }
+}
+
+impl Data {
+    fn row(&self, name: &table::RowKey) -> table::Row {
+        match self.rows.get(name) {
+            Some((revision, value)) => {
+                table::Row { name: name.clone(), revision: *revision, value: Some(value.clone()) }
+            }
+            None => table::Row { name: name.clone(), revision: 0, value: None },
+        }
+    }
+
+    fn commit(&mut self, transaction: table::Transaction) -> Result<(), failure::Failure> {
+        let stale = |check: &&table::Check| self.row(&check.name).revision != check.revision;
+        let rows: Vec<_> =
+            transaction.checks.iter().filter(stale).map(|check| self.row(&check.name)).collect();
+        if !rows.is_empty() {
+            return Err(failure::Failure::Conflict { rows });
+        }
+        for write in transaction.writes {
+            self.revision += 1;
+            match write.value {
+                Some(value) => drop(self.rows.insert(write.name, (self.revision, value))),
+                None => drop(self.rows.remove(&write.name)),
+            }
+        }
+        Ok(())
+    }
+
+    fn read(&self, query: table::Query) -> Vec<table::Row> {
+        match query {
+            table::Query::Rows(names) => names.iter().map(|name| self.row(name)).collect(),
+            table::Query::Scan(scan) => self
+                .rows
+                .keys()
+                .filter(|name| name.table == scan.table && name.key.starts_with(&scan.prefix))
+                .filter(|name| name.key > scan.after)
+                .take(scan.limit)
+                .map(|name| self.row(name))
+                .collect(),
+        }
+    }
+
+    fn create(&mut self, object: object::Object) -> object::Put {
+        if self.objects.contains_key(&object.name) {
+            return object::Put::Exists;
+        }
+        self.objects.insert(object.name, object.content);
+        object::Put::Created
+    }
+
+    fn list(&self, prefix: &str) -> Vec<String> {
+        self.objects.keys().filter(|name| name.starts_with(prefix)).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/ibishill-state/src/billing.rs
@@ -0,0 +1,115 @@
+//! Billing records in create-only batches; counting is idempotent by request id.
+
+use std::collections::BTreeMap;
+
+use ibishill_core::{cost, id, time};
+use ibishill_platform::object;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::error::{self, StateError};
+
+const PREFIX: &str = "billing";
+
+/// What one request is billed for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The request; two records of one request count once.
+    pub request: id::RequestId,
+    /// The workspace.
+    pub workspace: id::WorkspaceId,
+    /// What ran.
+    pub target: String,
+    /// Tokens.
+    pub usage: cost::Usage,
+    /// Price.
+    pub price: cost::Micros,
+    /// Wall-clock time of the end.
+    pub at: time::Tick,
+}
+
+/// Sum of some records.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Total {
+    /// Requests.
+    pub requests: u64,
+    /// Tokens of prompts.
+    pub prompt: u64,
+    /// Tokens generated.
+    pub output: u64,
+    /// Price.
+    pub price: cost::Micros,
+}
+
+/// What a total is over.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Line {
+    /// The workspace.
+    pub workspace: id::WorkspaceId,
+    /// What ran.
+    pub target: String,
+}
+
+/// The billing batches in the object store.
+#[derive(Clone)]
+pub struct Billing {
+    objects: object::Objects,
+}
+
+impl Billing {
+    /// Opens the batches.
+    pub fn new(objects: object::Objects) -> Self {
+        Self { objects }
+    }
+
+    /// Writes a batch under a name of its own; repeating the call is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object store does; the batch is then still the caller's to keep.
+    pub async fn write(
+        &self,
+        vm: &id::VmId,
+        serial: u64,
+        records: &[Record],
+    ) -> Result<(), StateError> {
+        let name = format!("{PREFIX}/{vm}/{serial:020}");
+        let content = serde_json::to_string(records).expect("records always encode");
+        let put = self.objects.create(object::Object { name, content }).await;
+        put.map(drop).context(error::PlatformSnafu)
+    }
+
+    /// Totals of all batches.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the object store does or a batch is malformed.
+    pub async fn totals(&self) -> Result<BTreeMap<Line, Total>, StateError> {
+        let names = self.objects.list(format!("{PREFIX}/")).await;
+        let mut seen = BTreeMap::new();
+        for name in names.context(error::PlatformSnafu)? {
+            let content = self.objects.get(name.clone()).await.context(error::PlatformSnafu)?;
+            let content = content.unwrap_or_default();
+            let records: Vec<Record> = serde_json::from_str(&content)
+                .map_err(|error| StateError::Malformed { name, detail: error.to_string() })?;
+            seen.extend(records.into_iter().map(|record| (record.request.clone(), record)));
+        }
+        Ok(sum(seen.into_values()))
+    }
+}
+
+fn sum<I>(records: I) -> BTreeMap<Line, Total>
+where
+    I: Iterator<Item = Record>,
+{
+    let mut totals: BTreeMap<Line, Total> = BTreeMap::new();
+    for record in records {
+        let line = Line { workspace: record.workspace, target: record.target };
+        let total = totals.entry(line).or_default();
+        total.requests += 1;
+        total.prompt += record.usage.prompt;
+        total.output += record.usage.output;
+        total.price = total.price + record.price;
+    }
+    totals
+}
--- /dev/null
+++ b/crates/ibishill-state/src/lib.rs
@@ -0,0 +1,8 @@
+//! What must last, kept in the platform: the configuration log, leases and
+//! billing batches.
+
+pub mod billing;
+pub mod error;
+pub mod lease;
+pub mod log;
+pub mod refusal;
--- /dev/null
+++ b/crates/ibishill/src/connect.rs
@@ -0,0 +1,38 @@
+//! The connection of a command to a daemon.
+
+use std::fs;
+
+use ibishill_core::secret;
+use ibishill_operator::{client, generated};
+
+use crate::args::Options;
+use crate::error::CommandError;
+
+/// Where the operators' side of a daemon is unless the command says otherwise.
+pub(crate) const DEFAULT_DAEMON: &str = "http://127.0.0.1:7102";
+
+/// Connects to the daemon that the options name.
+pub(crate) async fn connect(options: &Options) -> Result<client::Client, CommandError> {
+    let address = options.daemon.as_deref().unwrap_or(DEFAULT_DAEMON);
+    let token = options.token_file.as_deref().map(read_token).transpose()?;
+    Ok(client::Client::connect(address, token.as_ref()).await?)
+}
+
+fn read_token(path: &str) -> Result<secret::Secret, CommandError> {
+    let text = read(path)?;
+    Ok(secret::Secret::new(text.trim()))
+}
+
+/// Reads a file.
+pub(crate) fn read(path: &str) -> Result<String, CommandError> {
+    fs::read_to_string(path).map_err(|source| CommandError::File { path: path.to_owned(), source })
+}
+
+/// The order that the options describe, with a new id if they name none.
+pub(crate) fn order(options: &Options) -> generated::Order {
+    let random = || format!("change-{:032x}", rand::random::<u128>());
+    generated::Order {
+        change_id: options.change_id.clone().unwrap_or_else(random),
+        expected_version: options.expect,
+    }
+}
--- /dev/null
+++ b/crates/ibishill/src/main.rs
@@ -0,0 +1,30 @@
+//! The one binary of ibishill: the daemon and the operators' commands.
+
+mod args;
+mod command;
+mod connect;
+mod error;
+mod help;
+mod output;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match args::parse(lexopt::Parser::from_env()) {
+        Ok(command) => finish(command::run(command)),
+        Err(error) => finish(Err(error)),
+    }
+}
+
+fn finish(result: Result<(), error::CommandError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            if let Some(hint) = error.hint() {
+                eprintln!("hint: {hint}");
+            }
+            ExitCode::from(error.code())
+        }
+    }
+}
