feat(bench): seeded experiment runner with bounds, baselines and plots

Cause: decisions need baseline, figure, bound and optimum side by side from one run. Measured: the runner builds and lists; no experiment stands yet. Conclusion: each experiment gets a module of its own under experiment/.

--- /dev/null
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -0,0 +1,17 @@
+//! The list of experiments; each has a module of its own.
+
+use crate::report;
+
+/// An experiment.
+#[derive(Clone, Copy)]
+pub struct Experiment {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What it shows, in one line.
+    pub purpose: &'static str,
+    /// Runs it with a seed.
+    pub run: fn(u64) -> report::Report,
+}
+
+/// Every experiment, in order.
+pub const ALL: &[Experiment] = &[];
--- /dev/null
+++ b/crates/ibishill-bench/src/lib.rs
@@ -0,0 +1,6 @@
+//! Experiments on the decisions, seeded, with baseline, figure, bound and optimum
+//! side by side from one run.
+
+pub mod experiment;
+pub mod plot;
+pub mod report;
--- /dev/null
+++ b/crates/ibishill-bench/src/main.rs
@@ -0,0 +1,88 @@
+//! Runs experiments from the command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use ibishill_bench::{experiment, plot};
+
+const USAGE: &str = "\
+Usage: ibishill-bench NAME... | all [--seed N] [--json] [--plot DIR]
+       ibishill-bench --list
+";
+
+struct Options {
+    names: Vec<String>,
+    seed: u64,
+    json: bool,
+    list: bool,
+    folder: Option<PathBuf>,
+}
+
+fn parse() -> Result<Options, lexopt::Error> {
+    use lexopt::ValueExt;
+
+    let mut parser = lexopt::Parser::from_env();
+    let mut options =
+        Options { names: Vec::new(), seed: 1, json: false, list: false, folder: None };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            lexopt::Arg::Long("json") => options.json = true,
+            lexopt::Arg::Long("list") => options.list = true,
+            lexopt::Arg::Long("plot") => options.folder = Some(parser.value()?.into()),
+            lexopt::Arg::Value(name) => options.names.push(name.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+fn main() -> ExitCode {
+    let options = match parse() {
+        Ok(options) if options.list || !options.names.is_empty() => options,
+        Ok(_) => return usage("a name is missing"),
+        Err(error) => return usage(&error.to_string()),
+    };
+    if options.list {
+        for found in experiment::ALL {
+            println!("{:12} {}", found.name, found.purpose);
+        }
+        return ExitCode::SUCCESS;
+    }
+    match run(&options) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => usage(&error),
+    }
+}
+
+fn usage(problem: &str) -> ExitCode {
+    eprintln!("error: {problem}\n{USAGE}");
+    ExitCode::from(2)
+}
+
+/// Runs what was asked for; tells whether every bound was kept.
+fn run(options: &Options) -> Result<bool, String> {
+    let mut kept = true;
+    for name in &options.names {
+        let known = |found: &&experiment::Experiment| name == "all" || found.name == name;
+        let chosen: Vec<_> = experiment::ALL.iter().filter(known).collect();
+        if chosen.is_empty() {
+            return Err(format!("{name:?} is no experiment; see --list"));
+        }
+        for found in chosen {
+            let report = (found.run)(options.seed);
+            if options.json {
+                println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
+            } else {
+                println!("{report}");
+            }
+            if let Some(folder) = &options.folder {
+                std::fs::create_dir_all(folder).map_err(|error| error.to_string())?;
+                plot::draw(&report, folder)?;
+            }
+            kept &= report.figures.iter().all(ibishill_bench::report::Figure::holds);
+        }
+    }
+    Ok(kept)
+}
