feat(state): claims of calls that may not be repeated, in grouped transactions

Cause: a call that may not be repeated was dispatched without anything that stops a second copy at another daemon.

What: a claim row with the claimant's own nonce is created before dispatch; a lost answer is resolved by repeating the same transaction, whose conflict shows the nonce; claims of many requests share one transaction; endings are recorded, abandoned or left as unknown; old rows are swept.

Left: the daemon's request path does not use it yet; the holder of billing records is not wired.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -68,6 +68,7 @@
     RolloutHalted = 1603, Warn, "roll-out halted";
     BillingWritten = 1701, Info, "billing batch written";
     BillingDelayed = 1702, Warn, "billing batch could not be written yet";
+    ClaimDelayed = 1703, Warn, "ending of a claim could not be recorded yet";
 }
 
 impl Event {
--- a/crates/ibishill-daemon/src/lib.rs
+++ b/crates/ibishill-daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`run`] admits and dispatches. The [`router`] thread alone owns the state of
 //! admission; [`config_sync`], [`membership`] and [`ledger`] keep what is shared.
 
+pub mod claims;
 pub mod config_sync;
 pub mod context;
 pub mod entry;
--- a/crates/ibishill-state/src/lib.rs
+++ b/crates/ibishill-state/src/lib.rs
@@ -2,7 +2,9 @@
 //! billing batches.
 
 pub mod billing;
+pub mod claim;
 pub mod error;
+pub mod holder;
 pub mod lease;
 pub mod log;
 pub mod refusal;
