--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod id;
 pub mod outcome;
+pub mod priority;
 pub mod repeat;
 pub mod secret;
 pub mod time;
--- a/crates/ibishill-standin/src/engine.rs
+++ b/crates/ibishill-standin/src/engine.rs
@@ -1,5 +1,9 @@
 //! A model engine's stand-in: it speaks the chat-completions form over HTTP.
 
+pub mod cache;
+pub mod model;
+pub mod order;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
