--- a/crates/ibishill-daemon/src/http.rs
+++ b/crates/ibishill-daemon/src/http.rs
@@ -3,6 +3,7 @@
 mod auth;
 mod body;
 mod chat;
+pub mod form;
 mod health;
 mod models;
 mod reply;
--- /dev/null
+++ b/crates/ibishill-daemon/src/http/form.rs
@@ -0,0 +1,80 @@
+//! The body of a chat request: a few known fields, all others passed on untouched.
+
+use bytes::Bytes;
+use ibishill_core::{id, outcome};
+use ibishill_decide::plan;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde_json::value::{RawValue, to_raw_value};
+
+/// The body with every field kept as the caller wrote it.
+type Fields = IndexMap<String, Box<RawValue>>;
+
+#[derive(Deserialize)]
+pub(crate) struct Known {
+    pub(crate) model: String,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    pub(crate) stream_options: Option<StreamOptions>,
+    #[serde(rename = "messages")]
+    _messages: Vec<serde::de::IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct StreamOptions {
+    #[serde(default)]
+    pub(crate) include_usage: bool,
+}
+
+/// The body of a chat request.
+pub struct Body {
+    fields: Fields,
+    pub(crate) known: Known,
+}
+
+fn bad(detail: String) -> outcome::Refusal {
+    outcome::Refusal::not_run(outcome::Reason::BadRequest, detail)
+}
+
+/// Reads what a caller means by a model's name.
+///
+/// # Errors
+///
+/// Refuses a name that is neither `auto`, a model nor `model@version`.
+pub fn wanted(model: &str) -> Result<plan::Wanted, outcome::Refusal> {
+    let invalid = |error: id::NameError| bad(format!("model: {error}"));
+    if model == "auto" {
+        return Ok(plan::Wanted::Auto);
+    }
+    if model.contains('@') {
+        return model.parse().map(plan::Wanted::Version).map_err(invalid);
+    }
+    model.parse().map(plan::Wanted::Model).map_err(invalid)
+}
+
+impl Body {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that is no chat request.
+    pub fn read(bytes: &[u8]) -> Result<Self, outcome::Refusal> {
+        let invalid = |error: serde_json::Error| bad(format!("the body is not valid: {error}"));
+        let fields = serde_json::from_slice(bytes).map_err(invalid)?;
+        let known = serde_json::from_slice(bytes).map_err(invalid)?;
+        Ok(Self { fields, known })
+    }
+
+    /// The body as the engine gets it: the version's full name, the usage of a stream,
+    /// and every other field as the caller wrote it.
+    pub fn for_engine(&self, target: &id::Target) -> Bytes {
+        let mut fields = self.fields.clone();
+        let raw = |value: &serde_json::Value| to_raw_value(value).expect("a JSON value encodes");
+        fields.insert("model".into(), raw(&target.to_string().into()));
+        if self.known.stream {
+            let options = serde_json::json!({"include_usage": true});
+            fields.insert("stream_options".into(), raw(&options));
+        }
+        Bytes::from(serde_json::to_vec(&fields).expect("raw values encode"))
+    }
+}
--- a/crates/ibishill-daemon/src/http/service.rs
+++ b/crates/ibishill-daemon/src/http/service.rs
@@ -13,6 +13,9 @@
 use super::{Shared, auth, body, reply, run, stream};
 use crate::entry;
 
+/// Statuses whose answers have no body.
+const NO_BODY: [u16; 2] = [204, 304];
+
 const EVENTS: &str = "text/event-stream";
 
 const METHODS: [Method; 7] = [
@@ -77,12 +80,13 @@
     mut answer: entry::Answer,
 ) -> Result<reply::Reply, reply::Refused> {
     let mut facts = run.facts(&answer);
-    if method != Method::Head && facts.content.starts_with(EVENTS) {
+    let is_empty = method == Method::Head || NO_BODY.contains(&facts.status);
+    if !is_empty && facts.content.starts_with(EVENTS) {
         let chunks = stream::pass(run, answer, stream::Cut::Event);
         return Ok(reply::Reply::Stream(facts, chunks));
     }
     facts.length = answer.head.length.filter(|length| *length > 0);
-    if method != Method::Head && facts.length.is_some() {
+    if !is_empty && facts.length.is_some() {
         let chunks = stream::pass(run, answer, stream::Cut::Length);
         return Ok(reply::Reply::Stream(facts, chunks));
     }
--- /dev/null
+++ b/crates/ibishill-daemon/tests/http_callers.rs
@@ -0,0 +1,9 @@
+//! The callers' side of running daemons on loopback.
+
+mod http_callers {
+    pub(crate) mod bad_input;
+    pub(crate) mod chat;
+    pub(crate) mod deployment;
+    pub(crate) mod raw;
+    pub(crate) mod service;
+}
--- /dev/null
+++ b/crates/ibishill-daemon/tests/http_callers/bad_input.rs
@@ -0,0 +1,150 @@
+//! Bad input: a clear error, one counted refusal, and the daemon serves on.
+
+use ibishill_config::settings;
+use ibishill_core::{outcome, time};
+
+use super::{deployment, raw};
+
+const LIMITS: settings::Limits = settings::Limits {
+    body: 4_096,
+    headers: 2_048,
+    streams: 16,
+    idle: time::Millis(2_000),
+    deadline: time::Millis(10_000),
+    longest: time::Millis(10_000),
+    sending: time::Millis(300),
+    answer: 65_536,
+};
+
+struct Case {
+    name: &'static str,
+    path: &'static str,
+    headers: Vec<String>,
+    body: Vec<u8>,
+    status: u16,
+    reason: outcome::Reason,
+}
+
+impl Case {
+    fn chat(name: &'static str, body: &str, status: u16, reason: outcome::Reason) -> Self {
+        let path = "POST /v1/chat/completions";
+        Self { name, path, headers: Vec::new(), body: body.as_bytes().to_vec(), status, reason }
+    }
+
+    fn head(name: &'static str, headers: &[&str], status: u16, reason: outcome::Reason) -> Self {
+        let headers = headers.iter().map(ToString::to_string).collect();
+        Self { headers, ..Self::chat(name, GOOD, status, reason) }
+    }
+
+    fn path(name: &'static str, path: &'static str, status: u16, reason: outcome::Reason) -> Self {
+        Self { path, ..Self::chat(name, "", status, reason) }
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let length = self.body.len();
+        let mut text = format!("{} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n", self.path);
+        if !self.headers.iter().any(|header| header.starts_with("authorization")) {
+            text.push_str(&format!("authorization: Bearer {}\r\n", deployment::KEY));
+        }
+        if !self.headers.iter().any(|header| header.starts_with("content-length")) {
+            text.push_str(&format!("content-length: {length}\r\n"));
+        }
+        for header in &self.headers {
+            text.push_str(&format!("{header}\r\n"));
+        }
+        let mut bytes = format!("{text}\r\n").into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+const GOOD: &str = r#"{"model":"assistant","messages":[{"role":"user","content":"a"}]}"#;
+
+fn cases() -> Vec<Case> {
+    use outcome::Reason;
+    let long = format!("x-long: {}", "a".repeat(4_000));
+    let bad = |name, body| Case::chat(name, body, 400, Reason::BadRequest);
+    let bad_head = |name, headers| Case::head(name, headers, 400, Reason::BadRequest);
+    vec![
+        bad("empty", ""),
+        bad("malformed", r#"{"model":"#),
+        bad("no object", "[1,2]"),
+        bad("trailing", r#"{"model":"assistant","messages":[]} x"#),
+        bad("model of a wrong type", r#"{"model":7,"messages":[]}"#),
+        bad("messages of a wrong type", r#"{"model":"assistant","messages":"a"}"#),
+        bad("stream of a wrong type", r#"{"model":"assistant","messages":[],"stream":"yes"}"#),
+        bad("model twice", r#"{"model":"assistant","model":"assistant","messages":[]}"#),
+        bad("model with a bad name", r#"{"model":"a b","messages":[]}"#),
+        Case { body: b"{\"model\":\"\xff\xfe\"}".to_vec(), ..bad("bad UTF-8", "") },
+        Case::chat("too large", &"x".repeat(5_000), 413, Reason::TooLarge),
+        Case::chat("unknown model", &GOOD.replace("assistant", "no"), 404, Reason::NotFound),
+        Case::chat("other's model", &GOOD.replace("assistant", "secret"), 403, Reason::NotAllowed),
+        Case::head("no such key", &["authorization: Bearer no"], 401, Reason::Unauthorized),
+        Case::head("no key", &["authorization: Basic eDp5"], 401, Reason::Unauthorized),
+        bad_head("key twice", &["authorization: Bearer a", "authorization: Bearer demo-key"]),
+        bad_head("session twice", &["x-ibishill-session: a", "x-ibishill-session: b"]),
+        bad_head("session with a bad name", &["x-ibishill-session: a b"]),
+        bad_head("key of copies twice", &["idempotency-key: a", "Idempotency-Key: a"]),
+        bad_head("empty key of copies", &["idempotency-key:"]),
+        bad_head("priority twice", &["x-ibishill-priority: low", "x-ibishill-priority: high"]),
+        bad_head("no priority", &["x-ibishill-priority: 7"]),
+        bad_head("no deadline", &["x-ibishill-deadline-ms: -1"]),
+        bad_head("deadline beyond numbers", &["x-ibishill-deadline-ms: 99999999999999999999"]),
+        Case::head("deadline passed", &["x-ibishill-deadline-ms: 0"], 504, Reason::Deadline),
+        Case::head("long headers", &[&long], 431, Reason::HeadersTooLarge),
+        bad_head("slow sender", &["content-length: 4000"]),
+        Case::path("unknown path", "GET /v1/nothing", 404, Reason::NotFound),
+        Case::path("unknown service", "GET /svc/nothing/read", 404, Reason::NotFound),
+        Case::path("other's service", "GET /svc/other/read", 403, Reason::NotAllowed),
+        Case::path("dot segments", "GET /svc/ledger/read/%2e%2E/pay", 400, Reason::BadRequest),
+        Case::path("service with a bad name", "GET /svc/a%20b/read", 404, Reason::NotFound),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_counted_and_survived() {
+    let (engine, address) = deployment::engine(Default::default());
+    let setup = deployment::Setup { near: Some(address), limits: LIMITS, ..Default::default() };
+    let deployment = setup.start().await;
+    let mut total = 0;
+    for case in cases() {
+        let answer = raw::exchange(&deployment, &case.bytes()).await;
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_default();
+        let name = case.name;
+        let status = format!("HTTP/1.1 {} ", case.status);
+        assert!(head.starts_with(&status), "{name}: {answer}");
+        assert_eq!(raw::header(head, "content-type"), Some("application/problem+json"), "{name}");
+        assert_eq!(raw::header(head, "x-ibishill-outcome"), Some("not-run"), "{name}");
+        let problem: serde_json::Value = serde_json::from_str(body).unwrap();
+        assert_eq!(problem["error"]["code"], case.reason.to_string(), "{name}: {problem}");
+        assert_eq!(problem["status"], case.status, "{name}");
+        assert!(!problem["error"]["message"].as_str().unwrap().is_empty(), "{name}");
+        total += 1;
+        assert_eq!(deployment.all_refused().await, total, "{name}");
+        assert!(deployment.refused(case.reason).await > 0, "{name}");
+    }
+    assert_eq!(engine.served(), 0);
+    let good = deployment.chat("assistant", false).send().await.unwrap();
+    assert_eq!(good.status(), 200);
+    assert_eq!(deployment.daemons[0].context.life.running(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beyond_the_limit_are_refused_at_once() {
+    let (engine, address) = deployment::engine(ibishill_standin::engine::Behaviour {
+        hang_after: 1,
+        ..Default::default()
+    });
+    let limits = settings::Limits { streams: 1, ..LIMITS };
+    let setup = deployment::Setup { near: Some(address), limits, ..Default::default() };
+    let deployment = setup.start().await;
+    let running = deployment.chat("assistant", true).send().await.unwrap();
+    assert_eq!(running.status(), 200);
+    let refused = deployment.chat("assistant", true).send().await.unwrap();
+    assert_eq!(refused.status(), 429);
+    assert_eq!(refused.headers()["retry-after"], "1");
+    assert_eq!(engine.served(), 1);
+    // The running one ends when its engine has been silent for too long.
+    let cut = running.text().await.unwrap();
+    assert!(cut.contains("event: error") && !cut.contains("[DONE]"), "{cut}");
+}
--- /dev/null
+++ b/crates/ibishill-daemon/tests/http_callers/deployment.rs
@@ -0,0 +1,187 @@
+//! Support: daemons, a platform in memory, and endpoints on loopback.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use ibishill_config::{change, declared, key, settings, yaml};
+use ibishill_core::{clock, outcome, time};
+use ibishill_daemon::start;
+use ibishill_peer::tls;
+use ibishill_platform::Platform;
+use ibishill_standin::{engine, memory};
+use ibishill_state::{log, refusal};
+
+/// The key of the workspace that every test declares.
+pub(crate) const KEY: &str = "demo-key";
+
+/// A free loopback address.
+pub(crate) fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// An engine's stand-in at a new address.
+pub(crate) fn engine(behaviour: engine::Behaviour) -> (engine::Engine, SocketAddr) {
+    let engine = engine::Engine::new(behaviour);
+    let address = free_address();
+    tokio::spawn(engine::server(engine.clone(), address).launch());
+    (engine, address)
+}
+
+/// Running daemons with their platform.
+pub(crate) struct Deployment {
+    /// The daemons.
+    pub(crate) daemons: Vec<start::Daemon>,
+    platform: Platform,
+    http: reqwest::Client,
+}
+
+/// What a test is about: endpoints, and limits where they differ.
+#[derive(Default)]
+pub(crate) struct Setup {
+    /// Engine in zone-a, which runs assistant@v1.
+    pub(crate) near: Option<SocketAddr>,
+    /// Engine in zone-b, which runs assistant@v2 and is owned by a second daemon.
+    pub(crate) far: Option<SocketAddr>,
+    /// Plain service in zone-a.
+    pub(crate) service: Option<SocketAddr>,
+    /// The daemons' limits.
+    pub(crate) limits: settings::Limits,
+}
+
+impl Setup {
+    fn document(&self) -> String {
+        let hash = key::KeyHash::of(KEY.as_bytes());
+        let mut endpoints = String::new();
+        let mut add = |name: &str, zone: &str, address: Option<SocketAddr>, runs: &str| {
+            let address = address.unwrap_or_else(free_address);
+            endpoints.push_str(&format!(
+                "  {name}: {{zone: {zone}, address: '{address}', {runs}, slots: 4, cold-slots: 4}}\n"
+            ));
+        };
+        add("near", "zone-a", self.near, "versions: [assistant@v1]");
+        add("far", "zone-b", self.far, "versions: [assistant@v2]");
+        add("desk", "zone-a", self.service, "services: [ledger]");
+        format!(
+            "zones: {{zone-a: {{region: r}}, zone-b: {{region: r}}}}
+versions:
+  assistant@v1: {{prompt-price: 1, output-price: 1, quality: 0.95}}
+  assistant@v2: {{prompt-price: 1, output-price: 1, quality: 0.95, state: candidate}}
+  secret@v1: {{prompt-price: 1, output-price: 1, quality: 0.95}}
+workspaces:
+  demo: {{keys: [{hash}], models: [assistant], services: [ledger]}}
+services:
+  ledger: {{calls: [{{method: GET, path: /read, repeat: safe}}]}}
+  other: {{}}
+endpoints:
+{endpoints}"
+        )
+    }
+
+    /// Starts one daemon, and a second one in zone-b if there is a far engine.
+    pub(crate) async fn start(self) -> Deployment {
+        let platform = memory::Memory::new(1).platform();
+        let declared: declared::Declared = yaml::read("test.yaml", &self.document()).unwrap();
+        let order = log::Order {
+            id: "first".parse().unwrap(),
+            author: "test".parse().unwrap(),
+            action: "apply".into(),
+            expected: None,
+            steps: change::diff(&declared::Declared::default(), &declared),
+        };
+        let log = log::Log::new(platform.table.clone());
+        log.accept(&order, clock::wall_now()).await.unwrap();
+        let authority = tls::Authority::generate().unwrap();
+        let mut places = vec![("vm-a", "zone-a")];
+        places.extend(self.far.map(|_| ("vm-b", "zone-b")));
+        let mut daemons = Vec::new();
+        for (vm, zone) in places {
+            let settings = settings(vm, zone, &self.limits);
+            let identity = authority.sign(&settings.vm, &settings.zone).unwrap();
+            let platform = platform.clone();
+            let starting = move || start::start(settings, &platform, &identity);
+            daemons.push(tokio::task::spawn_blocking(starting).await.unwrap().unwrap());
+        }
+        let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        let deployment = Deployment { daemons, platform, http };
+        let views = || deployment.daemons[0].context.views.get();
+        let is_complete = || {
+            let zones = views().zones.values().filter(|v| !v.members.is_empty()).count();
+            zones == deployment.daemons.len()
+        };
+        until("all daemons are ready", || async {
+            deployment.daemons.iter().all(|d| d.context.life.ready()) && is_complete()
+        })
+        .await;
+        deployment
+    }
+}
+
+fn settings(vm: &str, zone: &str, limits: &settings::Limits) -> settings::Settings {
+    settings::Settings {
+        vm: vm.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        callers: free_address(),
+        operators: free_address(),
+        peers: free_address(),
+        platform: "in-memory".into(),
+        security: settings::Security { insecure: true, ..settings::Security::default() },
+        limits: limits.clone(),
+        periods: settings::Periods {
+            poll: time::Millis(100),
+            renew: time::Millis(100),
+            drain: time::Millis(100),
+            ..settings::Periods::default()
+        },
+    }
+}
+
+impl Deployment {
+    /// Address of the first daemon's callers.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.daemons[0].context.settings.callers
+    }
+
+    /// A request with the workspace's key.
+    pub(crate) fn request(&self, method: reqwest::Method, path: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.callers());
+        self.http.request(method, url).bearer_auth(KEY)
+    }
+
+    /// A chat request.
+    pub(crate) fn chat(&self, model: &str, stream: bool) -> reqwest::RequestBuilder {
+        self.request(reqwest::Method::POST, "/v1/chat/completions").json(&serde_json::json!({
+            "model": model, "stream": stream,
+            "messages": [{"role": "user", "content": "hail dings"}],
+        }))
+    }
+
+    /// Refusals by reason, as the platform has them.
+    pub(crate) async fn refused(&self, reason: outcome::Reason) -> u64 {
+        self.daemons[0].context.ledger.flush().await;
+        let refusals = refusal::Refusals::new(self.platform.objects.clone());
+        let counts = refusals.read().await.unwrap();
+        counts.iter().filter(|(cell, _)| cell.reason == reason).map(|(_, count)| count).sum()
+    }
+
+    /// All refusals, as the platform has them.
+    pub(crate) async fn all_refused(&self) -> u64 {
+        self.daemons[0].context.ledger.flush().await;
+        let refusals = refusal::Refusals::new(self.platform.objects.clone());
+        refusals.read().await.unwrap().values().sum()
+    }
+}
+
+/// Waits until `check` holds.
+pub(crate) async fn until<C, F>(what: &str, check: C)
+where
+    C: Fn() -> F,
+    F: Future<Output = bool>,
+{
+    for _ in 0..1_000 {
+        if check().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("waited too long until {what}");
+}
--- /dev/null
+++ b/crates/ibishill-daemon/tests/http_callers/raw.rs
@@ -0,0 +1,70 @@
+//! Support: HTTP byte by byte, as a caller and as an endpoint.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::deployment;
+
+/// Requests that an endpoint has read, as text.
+pub(crate) type Seen = Arc<Mutex<Vec<String>>>;
+
+/// Starts an endpoint that answers with what `respond` makes of a request, and closes.
+pub(crate) async fn endpoint<R>(respond: R) -> (SocketAddr, Seen)
+where
+    R: Fn(&str) -> Vec<u8> + Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let seen = Seen::default();
+    let noted = Arc::clone(&seen);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (respond, noted) = (respond.clone(), Arc::clone(&noted));
+            tokio::spawn(async move {
+                let Some(request) = read_request(&mut stream).await else { return };
+                noted.lock().unwrap().push(request.clone());
+                let _sent = stream.write_all(&respond(&request)).await;
+                let _closed = stream.shutdown().await;
+            });
+        }
+    });
+    (address, seen)
+}
+
+/// Reads one request with a body of declared length.
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    loop {
+        let shown = String::from_utf8_lossy(&text).into_owned();
+        if let Some((head, body)) = shown.split_once("\r\n\r\n") {
+            let length = header(head, "content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+            if body.len() >= length {
+                return Some(shown);
+            }
+        }
+        let mut part = [0; 4_096];
+        let read = stream.read(&mut part).await.ok().filter(|read| *read > 0)?;
+        text.extend_from_slice(&part[..read]);
+    }
+}
+
+/// A header's value in the head of a message.
+pub(crate) fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.filter(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim()).next()
+}
+
+/// Sends bytes as a caller and reads until the daemon closes or has been silent for long.
+pub(crate) async fn exchange(deployment: &deployment::Deployment, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(deployment.callers()).await.unwrap();
+    // The daemon may answer and close before it has read everything.
+    let _sent = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _read = tokio::time::timeout(Duration::from_secs(10), reading).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- /dev/null
+++ b/crates/ibishill-daemon/tests/http_callers/service.rs
@@ -0,0 +1,210 @@
+//! Plain services: headers, cut answers, and calls that run at most once.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use ibishill_config::settings;
+use ibishill_core::{outcome, time};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+use super::{deployment, raw};
+
+/// More than all buffers between endpoint and caller hold, in bytes.
+const LARGE: usize = 64 * 1024 * 1024;
+
+async fn start(service: std::net::SocketAddr) -> deployment::Deployment {
+    deployment::Setup { service: Some(service), ..Default::default() }.start().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn safe_headers_pass_and_credentials_do_not() {
+    let (address, seen) = raw::endpoint(|_| {
+        b"HTTP/1.1 201 Created\r\netag: \"7\"\r\nx-own: b\r\nset-cookie: c=d\r\n\
+          x-ibishill-outcome: forged\r\ncontent-length: 4\r\n\r\nbody"
+            .to_vec()
+    })
+    .await;
+    let deployment = start(address).await;
+    let request = deployment.request(reqwest::Method::PUT, "/svc/ledger/pay/7?x=%20y");
+    let request = request.header("if-match", "\"6\"").header("x-own", "a").header("cookie", "c=d");
+    let answer = request.body("amount").send().await.unwrap();
+    assert_eq!(answer.status(), 201);
+    assert_eq!(answer.headers()["etag"], "\"7\"");
+    assert_eq!(answer.headers()["x-own"], "b");
+    assert_eq!(answer.headers()["content-length"], "4");
+    assert_eq!(answer.headers()["x-ibishill-service"], "ledger");
+    assert!(!answer.headers().contains_key("set-cookie"));
+    assert!(!answer.headers().contains_key("x-ibishill-outcome"));
+    assert_eq!(answer.text().await.unwrap(), "body");
+    let request = seen.lock().unwrap()[0].clone();
+    assert!(request.starts_with("PUT /pay/7?x=%20y HTTP/1.1"), "{request}");
+    assert!(request.ends_with("amount"), "{request}");
+    assert_eq!(raw::header(&request, "if-match"), Some("\"6\""));
+    assert_eq!(raw::header(&request, "x-own"), Some("a"));
+    assert_eq!(raw::header(&request, "authorization"), None);
+    assert_eq!(raw::header(&request, "cookie"), None);
+}
+
+struct Answer {
+    name: &'static str,
+    sent: &'static [u8],
+    // Status that the caller sees, and whether it can read the body to its end.
+    status: u16,
+    whole: Option<&'static str>,
+    refused: u64,
+}
+
+const ANSWERS: [Answer; 7] = [
+    Answer {
+        name: "length",
+        sent: b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody",
+        status: 200,
+        whole: Some("body"),
+        refused: 0,
+    },
+    Answer {
+        name: "cut length",
+        sent: b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody",
+        status: 200,
+        whole: None,
+        refused: 1,
+    },
+    Answer {
+        name: "chunked",
+        sent: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        status: 200,
+        whole: Some("body"),
+        refused: 0,
+    },
+    Answer {
+        name: "cut chunked",
+        sent: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        status: 502,
+        whole: Some(""),
+        refused: 1,
+    },
+    Answer {
+        name: "no content",
+        sent: b"HTTP/1.1 204 No Content\r\n\r\n",
+        status: 204,
+        whole: Some(""),
+        refused: 0,
+    },
+    Answer {
+        name: "redirect",
+        sent: b"HTTP/1.1 307 x\r\nlocation: /pay\r\ncontent-length: 1\r\n\r\na",
+        status: 307,
+        whole: Some("a"),
+        refused: 0,
+    },
+    Answer {
+        name: "too long",
+        sent: b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nbody body\r\n0\r\n\r\n",
+        status: 502,
+        whole: Some(""),
+        refused: 1,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_answer_never_looks_whole() {
+    for case in ANSWERS {
+        let (address, seen) = raw::endpoint(|_| case.sent.to_vec()).await;
+        let limits = settings::Limits { answer: 8, ..Default::default() };
+        let setup = deployment::Setup { service: Some(address), limits, ..Default::default() };
+        let deployment = setup.start().await;
+        let request = deployment.request(reqwest::Method::POST, "/svc/ledger/pay");
+        let http = reqwest::Client::builder().no_proxy();
+        let http = http.redirect(reqwest::redirect::Policy::none()).build().unwrap();
+        let answer = http.execute(request.build().unwrap()).await.unwrap();
+        assert_eq!(answer.status(), case.status, "{}", case.name);
+        let body = answer.text().await;
+        match case.whole {
+            None => assert!(body.is_err(), "{}: {body:?}", case.name),
+            Some("") if case.refused > 0 => assert!(body.unwrap().contains("unknown")),
+            Some(whole) => assert_eq!(body.unwrap(), whole, "{}", case.name),
+        }
+        assert_eq!(deployment.all_refused().await, case.refused, "{}", case.name);
+        assert_eq!(seen.lock().unwrap().len(), 1, "{}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn head_keeps_the_length() {
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n";
+    let (address, _) = raw::endpoint(|_| answer.to_vec()).await;
+    let deployment = start(address).await;
+    let request = deployment.request(reqwest::Method::HEAD, "/svc/ledger/read");
+    let answer = request.send().await.unwrap();
+    assert_eq!(answer.headers()["content-length"], "9");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_read_gives_its_slot_back() {
+    let (address, _) = raw::endpoint(|_| {
+        let mut answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE}\r\n\r\n").into_bytes();
+        answer.resize(answer.len() + LARGE, b'a');
+        answer
+    })
+    .await;
+    let limits = settings::Limits { idle: time::Millis(300), ..Default::default() };
+    let setup = deployment::Setup { service: Some(address), limits, ..Default::default() };
+    let deployment = setup.start().await;
+    let answer = deployment.request(reqwest::Method::GET, "/svc/ledger/read").send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(deployment.daemons[0].context.life.running(), 1);
+    deployment::until("the slot is free", || async {
+        deployment.daemons[0].context.life.running() == 0
+    })
+    .await;
+    assert!(answer.bytes().await.is_err());
+}
+
+// A service that answers once on a connection, and closes it when the next call comes.
+async fn closing_service() -> (std::net::SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let read = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&read);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counted = Arc::clone(&counted);
+            tokio::spawn(async move {
+                while raw::read_request(&mut stream).await.is_some() {
+                    if counted.fetch_add(1, Ordering::SeqCst) > 0 {
+                        return;
+                    }
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
+                    stream.write_all(answer).await.unwrap();
+                }
+            });
+        }
+    });
+    (address, read)
+}
+
+#[yare::parameterized(
+    never = { reqwest::Method::POST, "/svc/ledger/pay" },
+    safe_over_a_kept_connection = { reqwest::Method::GET, "/svc/ledger/read" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_call_is_not_sent_again_after_its_bytes_left(method: reqwest::Method, path: &str) {
+    let (address, read) = closing_service().await;
+    let deployment = start(address).await;
+    let first = deployment.request(method.clone(), path).send().await.unwrap();
+    assert_eq!(first.status(), 200);
+    let second = deployment.request(method, path).send().await.unwrap();
+    assert_eq!(second.status(), 502);
+    assert_eq!(second.headers()["x-ibishill-outcome"], "unknown");
+    assert_eq!(second.headers()["x-ibishill-attempts"], "1");
+    assert_eq!(read.load(Ordering::SeqCst), 2);
+    assert_eq!(deployment.refused(outcome::Reason::EndpointFailed).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreachable_service_has_not_run() {
+    let deployment = start(deployment::free_address()).await;
+    let answer = deployment.request(reqwest::Method::POST, "/svc/ledger/pay").send().await.unwrap();
+    assert_eq!(answer.headers()["x-ibishill-outcome"], "not-run");
+}
--- a/crates/ibishill-endpoint/src/client.rs
+++ b/crates/ibishill-endpoint/src/client.rs
@@ -105,7 +105,8 @@
         Ok(Answer {
             status: answer.status().as_u16(),
             content: content.unwrap_or("application/octet-stream").to_owned(),
-            length: answer.content_length(),
+            // Not the length of what follows, which is nothing for HEAD.
+            length: text(answer.headers(), "content-length").and_then(|n| n.parse().ok()),
             headers: passed(answer.headers()),
             request: call.request,
             is_marked: is_marked || is_service,
