feat(config): all findings of a document with line, column and path

serde-saphyr stopped at the first mistake and checks across objects had line 0. A located tree is compared with the expected keys first, so all mistakes come together, with a suggestion for mistyped keys and values.

--- /dev/null
+++ b/crates/ibishill-config/src/check/objects.rs
@@ -0,0 +1,169 @@
+//! Checks of declared objects.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use ibishill_core::id;
+
+use crate::check::{NO_USE, Report};
+use crate::{declared, finding};
+
+const MAX_PERCENT: u8 = 100;
+
+fn path<N>(kind: &str, name: N, field: &str) -> String
+where
+    N: fmt::Display,
+{
+    format!("{kind}.{name}.{field}")
+}
+
+fn near<'a, N, K>(name: N, known: K) -> Option<String>
+where
+    N: fmt::Display,
+    K: Iterator<Item = &'a dyn fmt::Display>,
+{
+    let known: Vec<_> = known.map(ToString::to_string).collect();
+    let known: Vec<_> = known.iter().map(String::as_str).collect();
+    finding::suggest(&name.to_string(), &known)
+}
+
+fn near_version(name: &str, declared: &declared::Declared) -> Option<String> {
+    near(name, declared.versions.keys().map(|name| name as &dyn fmt::Display))
+}
+
+pub(super) fn endpoints(declared: &declared::Declared, report: &mut Report<'_>) {
+    let mut addresses: BTreeMap<_, &id::EndpointId> = BTreeMap::new();
+    for (name, endpoint) in &declared.endpoints {
+        let at = |field: &str| path("endpoints", name, field);
+        if !declared.zones.contains_key(&endpoint.zone) {
+            let zones = declared.zones.keys().map(|name| name as &dyn fmt::Display);
+            let message = format!("zone {} is not declared", endpoint.zone);
+            report.hint(at("zone"), message, near(&endpoint.zone, zones));
+        }
+        for version in endpoint.versions.iter().filter(|v| !declared.versions.contains_key(v)) {
+            let message = format!("version {version} is not declared");
+            let hint = near_version(&version.to_string(), declared);
+            report.hint(at("versions"), message, hint);
+        }
+        for service in endpoint.services.iter().filter(|s| !declared.services.contains_key(s)) {
+            report.add(at("services"), format!("service {service} is not declared"));
+        }
+        if endpoint.slots == 0 {
+            report.add(at("slots"), "an endpoint has at least one slot");
+        }
+        if endpoint.slots > 0 && endpoint.cold_slots > endpoint.slots {
+            report.add(at("cold-slots"), "more cold slots than slots");
+        }
+        if let Some(other) = addresses.insert(endpoint.address, name) {
+            let message = format!("endpoint {other} has the address {} as well", endpoint.address);
+            report.add(at("address"), message);
+        }
+    }
+}
+
+pub(super) fn versions(declared: &declared::Declared, report: &mut Report<'_>) {
+    for (name, version) in &declared.versions {
+        if !(0.0..=1.0).contains(&version.quality) {
+            report.add(path("versions", name, "quality"), "quality lies between 0 and 1");
+        }
+    }
+}
+
+pub(super) fn services(declared: &declared::Declared, report: &mut Report<'_>) {
+    for (name, service) in &declared.services {
+        for (index, call) in service.calls.iter().enumerate() {
+            let at = |field: &str| path("services", name, &format!("calls[{index}].{field}"));
+            if !call.path.starts_with('/') {
+                report.add(at("path"), "a path starts with '/'");
+            }
+            let capitals = call.method.bytes().all(|byte| byte.is_ascii_uppercase());
+            if call.method.is_empty() || (call.method != "*" && !capitals) {
+                report.add(at("method"), "a method stands in capitals, or is '*'");
+            }
+        }
+    }
+}
+
+pub(super) fn workspaces(declared: &declared::Declared, report: &mut Report<'_>) {
+    let mut keys: BTreeMap<String, &id::WorkspaceId> = BTreeMap::new();
+    for (name, space) in &declared.workspaces {
+        let at = |field: &str| path("workspaces", name, field);
+        if !(0.0..=1.0).contains(&space.quality_target) {
+            report.add(at("quality-target"), "a target lies between 0 and 1");
+        }
+        for allowed in &space.models {
+            if !declared.versions.keys().any(|version| allowed.covers(version)) {
+                let shown = String::from(allowed.clone());
+                let hint = near_version(&shown, declared);
+                report.hint(at("models"), format!("{shown} is not declared"), hint);
+            }
+        }
+        for service in space.services.iter().filter(|s| !declared.services.contains_key(s)) {
+            report.add(at("services"), format!("service {service} is not declared"));
+        }
+        if space.share == 0 {
+            report.add(at("share"), "a share is at least 1");
+        }
+        for (index, key) in space.keys.iter().enumerate() {
+            if let Some(other) = keys.insert(key.to_string(), name) {
+                let message = format!("workspace {other} has the same key");
+                report.add(at(&format!("keys[{index}]")), message);
+            }
+        }
+    }
+}
+
+pub(super) fn rollouts(declared: &declared::Declared, report: &mut Report<'_>) {
+    for (name, rollout) in &declared.rollouts {
+        let at = |field: &str| path("rollouts", name, field);
+        for (field, version) in [("from", &rollout.from), ("to", &rollout.to)] {
+            if !declared.versions.contains_key(version) {
+                let hint = near_version(&version.to_string(), declared);
+                report.hint(at(field), format!("version {version} is not declared"), hint);
+            }
+        }
+        if rollout.from.model != rollout.to.model {
+            report.add(at("to"), "both versions are of one model");
+        }
+        if rollout.from == rollout.to {
+            report.add(at("to"), "the new version is another than the old one");
+        }
+        stages(rollout, &at("stages"), report);
+        if rollout.stage >= rollout.stages.len() && !rollout.stages.is_empty() {
+            report.add(at("stage"), format!("there are {} stages, from 0", rollout.stages.len()));
+        }
+    }
+}
+
+fn stages(rollout: &declared::Rollout, at: &str, report: &mut Report<'_>) {
+    if rollout.stages.is_empty() {
+        report.add(at.to_owned(), "a roll-out has at least one stage");
+    }
+    if rollout.stages.iter().any(|stage| !(1..=MAX_PERCENT).contains(stage)) {
+        report.add(at.to_owned(), "a stage lies between 1 and 100 percent");
+    }
+    if !rollout.stages.is_sorted_by(|left, right| left < right) {
+        report.add(at.to_owned(), "each stage is larger than the one before");
+    }
+}
+
+pub(super) fn unused(declared: &declared::Declared, report: &mut Report<'_>) {
+    for name in declared.zones.keys() {
+        if !declared.endpoints.values().any(|endpoint| endpoint.zone == *name) {
+            report.add(format!("zones.{name}"), format!("no endpoint {NO_USE}"));
+        }
+    }
+    for (name, endpoint) in &declared.endpoints {
+        if endpoint.versions.is_empty() && endpoint.services.is_empty() {
+            report.add(format!("endpoints.{name}"), "it runs neither a version nor a service");
+        }
+    }
+    for (name, space) in &declared.workspaces {
+        if space.keys.is_empty() {
+            report.add(path("workspaces", name, "keys"), "a workspace has at least one key");
+        }
+        if space.models.is_empty() && space.services.is_empty() {
+            report.add(format!("workspaces.{name}"), "it may use neither a model nor a service");
+        }
+    }
+}
--- a/crates/ibishill-config/src/finding.rs
+++ b/crates/ibishill-config/src/finding.rs
@@ -4,6 +4,9 @@
 
 use snafu::Snafu;
 
+// Jaro-Winkler likeness, from 0 to 1.
+const SIMILAR: f64 = 0.8;
+
 /// One thing that is wrong, and where.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
@@ -46,3 +49,10 @@
 fn list(findings: &[Finding]) -> String {
     findings.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
 }
+
+/// The most similar of `names`, as a hint, if one is similar enough.
+pub fn suggest(given: &str, names: &[&str]) -> Option<String> {
+    let near = names.iter().map(|name| (strsim::jaro_winkler(given, name), name));
+    let (likeness, name) = near.max_by(|left, right| left.0.total_cmp(&right.0))?;
+    (likeness >= SIMILAR).then(|| format!("did you mean '{name}'?"))
+}
--- a/crates/ibishill-config/src/lib.rs
+++ b/crates/ibishill-config/src/lib.rs
@@ -7,8 +7,12 @@
 pub mod change;
 pub mod check;
 pub mod declared;
+pub mod document;
 pub mod finding;
 pub mod in_force;
 pub mod key;
+mod schema;
 pub mod settings;
+mod shape;
+mod tree;
 pub mod yaml;
--- /dev/null
+++ b/crates/ibishill-config/src/tree.rs
@@ -0,0 +1,180 @@
+//! A YAML document as a tree whose every node knows its place.
+//!
+//! Typed reading stops at the first mistake; the tree lets all of them be found.
+
+use std::iter;
+
+use granit_parser::{Event, Parser, ScalarStyle, ScanError, Span, StrInput};
+
+use crate::finding;
+
+/// Line and column, both from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    pub(crate) line: u64,
+    pub(crate) column: u64,
+}
+
+/// One node.
+#[derive(Debug, Clone)]
+pub(crate) struct Node {
+    pub(crate) place: Place,
+    pub(crate) kind: Kind,
+}
+
+/// What a node holds.
+#[derive(Debug, Clone)]
+pub(crate) enum Kind {
+    /// A scalar, written so that it can be read as a document of its own.
+    Scalar(String),
+    /// A sequence.
+    List(Vec<Node>),
+    /// A mapping, with its entries in the order of the document.
+    Map(Vec<Entry>),
+    /// A repetition of an anchored node; the typed reader expands and checks it.
+    Alias,
+}
+
+/// One entry of a mapping.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) key: String,
+    pub(crate) place: Place,
+    pub(crate) value: Node,
+}
+
+type Events<'a> = iter::Peekable<Parser<'a, StrInput<'a>>>;
+
+fn place(span: &Span) -> Place {
+    Place { line: span.start.line() as u64, column: span.start.col() as u64 + 1 }
+}
+
+/// Reads the first document of `text`; an empty one is an empty mapping.
+///
+/// # Errors
+///
+/// Returns the place where the text stops being YAML.
+pub(crate) fn parse(file: &str, text: &str) -> Result<Node, finding::Finding> {
+    let mut events = Parser::new_from_str(text).peekable();
+    let empty = Node { place: Place { line: 1, column: 1 }, kind: Kind::Map(Vec::new()) };
+    let found = loop {
+        match next(&mut events) {
+            Ok(Some((Event::StreamStart | Event::DocumentStart(..), _))) => {}
+            Ok(Some((Event::DocumentEnd | Event::StreamEnd, _)) | None) => break Ok(empty),
+            Ok(Some((event, span))) => break node(&mut events, event, &span),
+            Err(error) => break Err(error),
+        }
+    };
+    // The rest is read as well, so that mistakes after the first document are seen.
+    let rest = found.and_then(|found| {
+        while next(&mut events)?.is_some() {}
+        Ok(found)
+    });
+    rest.map_err(|error| finding::Finding {
+        file: file.to_owned(),
+        line: error.marker().line() as u64,
+        column: error.marker().col() as u64 + 1,
+        path: String::new(),
+        message: error.info(),
+        hint: None,
+    })
+}
+
+// Comments are no data.
+fn next<'a>(events: &mut Events<'a>) -> Result<Option<(Event<'a>, Span)>, ScanError> {
+    loop {
+        match events.next().transpose()? {
+            Some((Event::Comment(..), _)) => {}
+            other => return Ok(other),
+        }
+    }
+}
+
+fn node<'a>(events: &mut Events<'a>, event: Event<'a>, span: &Span) -> Result<Node, ScanError> {
+    let kind = match event {
+        Event::Scalar(text, style, ..) => Kind::Scalar(scalar(&text, style)),
+        Event::SequenceStart(..) => list(events)?,
+        Event::MappingStart(..) => map(events)?,
+        _ => Kind::Alias,
+    };
+    Ok(Node { place: place(span), kind })
+}
+
+// A JSON string is a double-quoted YAML scalar, so quoting keeps text what it is.
+fn scalar(text: &str, style: ScalarStyle) -> String {
+    match style {
+        ScalarStyle::Plain if text.is_empty() => "~".to_owned(),
+        ScalarStyle::Plain => text.to_owned(),
+        _ => serde_json::Value::from(text).to_string(),
+    }
+}
+
+fn list(events: &mut Events<'_>) -> Result<Kind, ScanError> {
+    let mut items = Vec::new();
+    while let Some((event, span)) = next(events)? {
+        if matches!(event, Event::SequenceEnd) {
+            break;
+        }
+        items.push(node(events, event, &span)?);
+    }
+    Ok(Kind::List(items))
+}
+
+fn map(events: &mut Events<'_>) -> Result<Kind, ScanError> {
+    let mut entries = Vec::new();
+    while let Some((event, span)) = next(events)? {
+        if matches!(event, Event::MappingEnd) {
+            break;
+        }
+        let key = match event {
+            Event::Scalar(ref text, ..) => text.to_string(),
+            _ => String::new(),
+        };
+        let place = node(events, event, &span)?.place;
+        let Some((event, span)) = next(events)? else { break };
+        let value = node(events, event, &span)?;
+        entries.push(Entry { key, place, value });
+    }
+    Ok(Kind::Map(entries))
+}
+
+impl Node {
+    /// The place that `path` names, or the nearest one above it.
+    pub(crate) fn locate(&self, path: &str) -> Place {
+        self.find(path).unwrap_or(self.place)
+    }
+
+    fn find(&self, path: &str) -> Option<Place> {
+        let Kind::Map(entries) = &self.kind else { return self.find_item(path) };
+        entries.iter().find_map(|entry| {
+            let rest = path.strip_prefix(entry.key.as_str())?;
+            if rest.is_empty() {
+                return Some(entry.place);
+            }
+            let inner = match rest.strip_prefix('.') {
+                Some(rest) => entry.value.find(rest),
+                None if rest.starts_with('[') => entry.value.find_item(rest),
+                None => return None,
+            };
+            // What is missing is reported at the object that lacks it.
+            Some(inner.unwrap_or(entry.place))
+        })
+    }
+
+    fn find_item(&self, path: &str) -> Option<Place> {
+        let Kind::List(items) = &self.kind else { return None };
+        let (index, rest) = path.strip_prefix('[')?.split_once(']')?;
+        let item = items.get(index.parse::<usize>().ok()?)?;
+        Some(item.locate(rest.trim_start_matches('.')))
+    }
+
+    /// Keys of the mapping that stands under `key`.
+    pub(crate) fn names(&self, key: &str) -> Vec<&str> {
+        let Kind::Map(entries) = &self.kind else { return Vec::new() };
+        let found = entries.iter().find(|entry| entry.key == key).map(|entry| &entry.value.kind);
+        match found {
+            Some(Kind::Map(entries)) => entries.iter().map(|entry| entry.key.as_str()).collect(),
+            _ => Vec::new(),
+        }
+    }
+}
--- a/crates/ibishill-config/src/yaml.rs
+++ b/crates/ibishill-config/src/yaml.rs
@@ -2,7 +2,7 @@
 
 use serde::de;
 
-use crate::finding;
+use crate::{finding, shape};
 
 /// Reads one document.
 ///
@@ -16,15 +16,13 @@
     serde_saphyr::from_str(text).map_err(|error| {
         let (line, column) =
             error.location().map_or((0, 0), |place| (place.line(), place.column()));
-        let message = error.to_string();
-        let first = message.lines().next().unwrap_or_default().to_owned();
         finding::Findings {
             findings: vec![finding::Finding {
                 file: file.to_owned(),
                 line,
                 column,
                 path: String::new(),
-                message: first,
+                message: shape::message(&error),
                 hint: None,
             }],
         }
--- a/crates/ibishill-operator/src/service.rs
+++ b/crates/ibishill-operator/src/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use ibishill_config::{change, check, declared, finding, in_force, key, settings, yaml};
+use ibishill_config::{change, declared, document, in_force, key, settings};
 use ibishill_core::{clock, event, id};
 use ibishill_state::{billing, error::StateError, log, refusal};
 use tonic::{Request, Response, Status};
@@ -138,25 +138,12 @@
     }
 }
 
-fn read_document(text: &str) -> Result<declared::Declared, Status> {
-    let declared: declared::Declared = yaml::read("document", text).map_err(invalid)?;
-    let findings = check::check("document", &declared);
-    if findings.is_empty() {
-        return Ok(declared);
-    }
-    Err(invalid(finding::Findings { findings }))
-}
-
-fn steps(
-    base: &in_force::InForce,
-    document: &str,
-    partial: bool,
-) -> Result<Vec<change::Step>, Status> {
+fn steps(base: &in_force::InForce, text: &str, partial: bool) -> Result<Vec<change::Step>, Status> {
     if !partial {
-        let next = read_document(document)?;
+        let next = document::declared("document", text).map_err(invalid)?;
         return Ok(change::diff(&base.declared, &next));
     }
-    let part: declared::Declared = yaml::read("document", document).map_err(invalid)?;
+    let part = document::part("document", text).map_err(invalid)?;
     let mut steps = change::diff(&declared::Declared::default(), &part);
     steps.retain(|step| !matches!(step, change::Step::Policy(_)));
     Ok(steps)
--- a/crates/ibishill/src/command/check.rs
+++ b/crates/ibishill/src/command/check.rs
@@ -1,6 +1,6 @@
 //! `ibishill check`: settings and declarations without a daemon.
 
-use ibishill_config::{check, declared, finding, settings, yaml};
+use ibishill_config::{document, finding};
 
 use crate::connect;
 use crate::error::CommandError;
@@ -27,14 +27,10 @@
 
 // Settings name the daemon's VM at the top; declarations do not.
 fn check_file(file: &str, text: &str) -> Vec<finding::Finding> {
-    if text.lines().any(|line| line.starts_with("vm:")) {
-        return match yaml::read::<settings::Settings>(file, text) {
-            Ok(_) => Vec::new(),
-            Err(found) => found.findings,
-        };
-    }
-    match yaml::read::<declared::Declared>(file, text) {
-        Ok(declared) => check::check(file, &declared),
-        Err(found) => found.findings,
-    }
+    let found = if text.lines().any(|line| line.starts_with("vm:")) {
+        document::settings(file, text).map(drop)
+    } else {
+        document::declared(file, text).map(drop)
+    };
+    found.map_or_else(|found| found.findings, |()| Vec::new())
 }
--- a/crates/ibishill/src/command/serve.rs
+++ b/crates/ibishill/src/command/serve.rs
@@ -1,6 +1,6 @@
 //! `ibishill serve`: one daemon until it is asked to stop.
 
-use ibishill_config::{settings, yaml};
+use ibishill_config::{document, settings};
 use ibishill_core::secret;
 use ibishill_daemon::start;
 use ibishill_peer::tls;
@@ -12,7 +12,7 @@
 /// Starts a daemon with the settings in a file, and stops it on SIGTERM or SIGINT.
 pub(crate) async fn run(words: &[String]) -> Result<(), CommandError> {
     let file = super::one(words, "settings file")?;
-    let settings: settings::Settings = yaml::read(file, &connect::read(file)?)?;
+    let settings = document::settings(file, &connect::read(file)?)?;
     log_to_stderr()?;
     start::check_security(&settings).map_err(|source| CommandError::Start { source })?;
     let platform = http::connect(&settings.platform)
