feat(operator): rights for each call, first results for repeated ids, states of roll-outs

A repeated change id was worked out from newer declarations and refused as a reused id. It is now looked up first and compared with the declarations before its change. Conflicts carry the winner, differences show old and new values, a withdrawal halts its roll-outs, partial documents keep their policy.

--- a/crates/ibishill-config/src/change.rs
+++ b/crates/ibishill-config/src/change.rs
@@ -72,26 +72,6 @@
     DropRollout(id::RolloutId),
 }
 
-impl fmt::Display for Step {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Policy(policy) => write!(f, "~ policy {policy:?}"),
-            Self::PutZone(name, _) => write!(f, "+ zone {name}"),
-            Self::DropZone(name) => write!(f, "- zone {name}"),
-            Self::PutVersion(name, _) => write!(f, "+ version {name}"),
-            Self::DropVersion(name) => write!(f, "- version {name}"),
-            Self::PutWorkspace(name, _) => write!(f, "+ workspace {name}"),
-            Self::DropWorkspace(name) => write!(f, "- workspace {name}"),
-            Self::PutEndpoint(name, _) => write!(f, "+ endpoint {name}"),
-            Self::DropEndpoint(name) => write!(f, "- endpoint {name}"),
-            Self::PutService(name, _) => write!(f, "+ service {name}"),
-            Self::DropService(name) => write!(f, "- service {name}"),
-            Self::PutRollout(name, _) => write!(f, "+ roll-out {name}"),
-            Self::DropRollout(name) => write!(f, "- roll-out {name}"),
-        }
-    }
-}
-
 /// An accepted change.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -165,3 +145,17 @@
         steps.push(remove(name.clone()));
     }
 }
+
+/// Puts the objects of `part` over those of `base`, which keeps all others.
+pub fn merge(base: &declared::Declared, part: declared::Part) -> declared::Declared {
+    let mut next = base.clone();
+    let declared::Part { policy, objects } = part;
+    next.policy = policy.unwrap_or(next.policy);
+    next.zones.extend(objects.zones);
+    next.versions.extend(objects.versions);
+    next.workspaces.extend(objects.workspaces);
+    next.endpoints.extend(objects.endpoints);
+    next.services.extend(objects.services);
+    next.rollouts.extend(objects.rollouts);
+    next
+}
--- a/crates/ibishill-config/src/check/settings.rs
+++ b/crates/ibishill-config/src/check/settings.rs
@@ -31,6 +31,12 @@
             report.add(name.into(), "the port is 0");
         }
     }
+    let plain = settings.security.operator_certificate.is_none();
+    if plain && !settings.security.insecure && !settings.operators.ip().is_loopback() {
+        let hint = "set security.operator-certificate and security.operator-key";
+        let message = "without TLS, operators' tokens would cross the network in the clear";
+        report.hint("security.operator-certificate".into(), message, Some(hint.into()));
+    }
     // Peers use UDP, so only the other two can clash.
     if settings.callers == settings.operators {
         report.add("operators".into(), "callers have the same address");
@@ -48,6 +54,14 @@
             let path = format!("security.tokens[{index}].hash");
             report.add(path, "another operator has the same token");
         }
+        if token.rights.is_empty() {
+            let path = format!("security.tokens[{index}].rights");
+            report.add(path, "an operator without rights can do nothing");
+        }
+    }
+    if security.operator_certificate.is_some() != security.operator_key.is_some() {
+        let message = "operator-certificate and operator-key stand together";
+        report.add("security.operator-certificate".into(), message);
     }
     for (index, key) in security.session_keys.iter().enumerate() {
         if key.expose().len() < MIN_SESSION_KEY_BYTES {
--- a/crates/ibishill-config/src/declared.rs
+++ b/crates/ibishill-config/src/declared.rs
@@ -1,6 +1,7 @@
 //! The declared objects: zones, models, workspaces, endpoints, services, roll-outs.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use ibishill_core::{cost, id, repeat, time};
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,15 @@
     pub rollouts: BTreeMap<id::RolloutId, Rollout>,
 }
 
+/// Declarations that add to others.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Part {
+    /// The policy, if the document names one.
+    pub policy: Option<Policy>,
+    /// The objects; their policy has no meaning.
+    pub objects: Declared,
+}
+
 /// Which measure decides where two of them pull apart.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -283,6 +293,17 @@
     Done,
 }
 
+impl fmt::Display for RolloutState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Running => "running",
+            Self::Paused => "paused",
+            Self::Halted => "halted",
+            Self::Done => "done",
+        })
+    }
+}
+
 impl Rollout {
     /// Share of sessions on the new version now, in percent.
     pub fn percent(&self) -> u8 {
--- /dev/null
+++ b/crates/ibishill-config/src/describe.rs
@@ -0,0 +1,102 @@
+//! Steps of a change as lines for operators.
+//!
+//! Against the declarations before the change, a line tells an addition from a
+//! change and names each field's old and new value.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{change, declared};
+
+impl fmt::Display for change::Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Policy(policy) => write!(f, "put policy {}", text(&value(policy))),
+            Self::PutZone(name, _) => write!(f, "put zone {name}"),
+            Self::DropZone(name) => write!(f, "drop zone {name}"),
+            Self::PutVersion(name, _) => write!(f, "put version {name}"),
+            Self::DropVersion(name) => write!(f, "drop version {name}"),
+            Self::PutWorkspace(name, _) => write!(f, "put workspace {name}"),
+            Self::DropWorkspace(name) => write!(f, "drop workspace {name}"),
+            Self::PutEndpoint(name, _) => write!(f, "put endpoint {name}"),
+            Self::DropEndpoint(name) => write!(f, "drop endpoint {name}"),
+            Self::PutService(name, _) => write!(f, "put service {name}"),
+            Self::DropService(name) => write!(f, "drop service {name}"),
+            Self::PutRollout(name, _) => write!(f, "put roll-out {name}"),
+            Self::DropRollout(name) => write!(f, "drop roll-out {name}"),
+        }
+    }
+}
+
+/// Describes steps that are taken one after another from `base`.
+pub fn steps(base: &declared::Declared, steps: &[change::Step]) -> Vec<String> {
+    let mut now = base.clone();
+    let mut lines = Vec::new();
+    for step in steps {
+        lines.push(line(&now, step));
+        change::apply(&mut now, step.clone());
+    }
+    lines
+}
+
+fn line(base: &declared::Declared, step: &change::Step) -> String {
+    use change::Step;
+    match step {
+        Step::Policy(policy) => {
+            format!("~ policy: {} -> {}", text(&value(&base.policy)), text(&value(policy)))
+        }
+        Step::PutZone(name, new) => put("zone", &base.zones, name, new),
+        Step::PutVersion(name, new) => put("version", &base.versions, name, new),
+        Step::PutWorkspace(name, new) => put("workspace", &base.workspaces, name, new),
+        Step::PutEndpoint(name, new) => put("endpoint", &base.endpoints, name, new),
+        Step::PutService(name, new) => put("service", &base.services, name, new),
+        Step::PutRollout(name, new) => put("roll-out", &base.rollouts, name, new),
+        Step::DropZone(_)
+        | Step::DropVersion(_)
+        | Step::DropWorkspace(_)
+        | Step::DropEndpoint(_)
+        | Step::DropService(_)
+        | Step::DropRollout(_) => step.to_string().replacen("drop", "-", 1),
+    }
+}
+
+fn put<K, V>(kind: &str, old: &BTreeMap<K, V>, name: &K, new: &V) -> String
+where
+    K: Ord + fmt::Display,
+    V: Serialize + PartialEq,
+{
+    match old.get(name) {
+        None => format!("+ {kind} {name}"),
+        Some(old) if old == new => format!("= {kind} {name}"),
+        Some(old) => format!("~ {kind} {name}: {}", fields(&value(old), &value(new))),
+    }
+}
+
+fn fields(old: &Value, new: &Value) -> String {
+    let empty = serde_json::Map::new();
+    let (old, new) = (old.as_object().unwrap_or(&empty), new.as_object().unwrap_or(&empty));
+    let keys: BTreeSet<_> = old.keys().chain(new.keys()).collect();
+    let changed = keys.into_iter().filter(|key| old.get(*key) != new.get(*key));
+    let side = |value: Option<&Value>| value.map_or_else(|| "none".to_owned(), text);
+    let shown =
+        changed.map(|key| format!("{key} {} -> {}", side(old.get(key)), side(new.get(key))));
+    shown.collect::<Vec<_>>().join(", ")
+}
+
+fn value<T>(object: &T) -> Value
+where
+    T: Serialize,
+{
+    serde_json::to_value(object).unwrap_or_default()
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "none".to_owned(),
+        other => other.to_string(),
+    }
+}
--- a/crates/ibishill-config/src/document.rs
+++ b/crates/ibishill-config/src/document.rs
@@ -31,8 +31,10 @@
 /// # Errors
 ///
 /// Returns every finding, in the order of the document.
-pub fn part(file: &str, text: &str) -> Result<declared::Declared, finding::Findings> {
-    read(file, text, &schema::DECLARED, |_, _| Vec::new())
+pub fn part(file: &str, text: &str) -> Result<declared::Part, finding::Findings> {
+    let objects: declared::Declared = read(file, text, &schema::DECLARED, |_, _| Vec::new())?;
+    let named = tree::parse(file, text).is_ok_and(|root| root.has("policy"));
+    Ok(declared::Part { policy: named.then_some(objects.policy), objects })
 }
 
 fn whole(file: &str, declared: &declared::Declared) -> Vec<finding::Finding> {
@@ -48,36 +50,34 @@
     let root =
         tree::parse(file, text).map_err(|finding| finding::Findings { findings: vec![finding] })?;
     let mut walk = Walk { file, findings: Vec::new() };
-    let partial = walk.node(shape, &root, "");
-    let clean = walk.findings.is_empty();
-    let value: Option<T> = if clean {
-        Some(yaml::read(file, text)?)
-    } else {
-        partial.and_then(|value| serde_json::from_value(value).ok())
-    };
+    let part = walk.node(shape, &root, "").unwrap_or_default();
     let mut findings = walk.findings;
-    if let Some(value) = &value {
-        let found = check(file, value);
-        findings.extend(found.into_iter().filter(|f| !follows(f, &root, clean)));
+    if findings.is_empty() {
+        let value = yaml::read(file, text)?;
+        findings = check(file, &value);
+        if findings.is_empty() {
+            return Ok(value);
+        }
+    } else if let Ok(value) = serde_json::from_value(part.clone()) {
+        let found = check(file, &value).into_iter();
+        findings.extend(found.filter(|finding| !follows(finding, &root, &part)));
     }
     locate(&mut findings, &root);
-    match value {
-        Some(value) if findings.is_empty() => Ok(value),
-        _ => Err(finding::Findings { findings }),
-    }
+    Err(finding::Findings { findings })
 }
 
-// A name may only be missing because its own object has a finding and was left out.
-fn follows(finding: &finding::Finding, root: &tree::Node, clean: bool) -> bool {
-    let kinds = ["zones", "versions", "services", "endpoints", "workspaces"];
-    let declared = |name: &str| {
-        kinds.iter().any(|kind| {
-            root.names(kind).iter().any(|key| *key == name || key.starts_with(&format!("{name}@")))
-        })
+// Whether a finding only stands because something with a mistake was left out.
+fn follows(finding: &finding::Finding, root: &tree::Node, part: &serde_json::Value) -> bool {
+    let section = finding.path.split('.').next().unwrap_or_default();
+    let left_out = root.has(section) && part.get(section).is_none();
+    let kinds = ["zones", "versions", "services"];
+    let stands = |name: &str| {
+        let fits = |key: &&str| *key == name || key.split('@').next() == Some(name);
+        kinds.iter().any(|kind| root.names(kind).iter().any(|key| fits(key)))
     };
     let missing = finding.message.strip_suffix(" is not declared");
     let name = missing.and_then(|text| text.rsplit(' ').next());
-    !clean && (name.is_some_and(declared) || finding.message.ends_with(check::NO_USE))
+    left_out || name.is_some_and(stands) || finding.message.ends_with(check::NO_USE)
 }
 
 fn locate(findings: &mut [finding::Finding], root: &tree::Node) {
--- a/crates/ibishill-config/src/lib.rs
+++ b/crates/ibishill-config/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod change;
 pub mod check;
 pub mod declared;
+pub mod describe;
 pub mod document;
 pub mod finding;
 pub mod in_force;
--- a/crates/ibishill-config/src/schema.rs
+++ b/crates/ibishill-config/src/schema.rs
@@ -121,7 +121,7 @@
     &[
         required("operator", Shape::Scalar(scalar::<id::OperatorId>)),
         required("hash", HASH),
-        optional("read-only", FLAG),
+        optional("rights", Shape::List(&Shape::Scalar(scalar::<settings::Right>))),
     ],
 );
 
@@ -134,6 +134,8 @@
         optional("authority", TEXT),
         optional("certificate", TEXT),
         optional("private-key", TEXT),
+        optional("operator-certificate", TEXT),
+        optional("operator-key", TEXT),
     ],
 );
 
--- a/crates/ibishill-config/src/settings.rs
+++ b/crates/ibishill-config/src/settings.rs
@@ -1,9 +1,13 @@
 //! Settings of one daemon.
 
+use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
+use std::str;
 
 use ibishill_core::{id, secret, time};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 
 /// What one daemon is told about itself.
 #[derive(Debug, Clone, Deserialize)]
@@ -48,6 +52,10 @@
     pub certificate: Option<String>,
     /// PEM file of this daemon's private key.
     pub private_key: Option<String>,
+    /// PEM file of the certificate that operators' clients see.
+    pub operator_certificate: Option<String>,
+    /// PEM file of the private key of `operator_certificate`.
+    pub operator_key: Option<String>,
 }
 
 /// An operator's token and rights.
@@ -58,9 +66,68 @@
     pub operator: id::OperatorId,
     /// SHA-256 of the token.
     pub hash: crate::key::KeyHash,
-    /// Whether the operator may only read.
-    #[serde(default)]
-    pub read_only: bool,
+    /// What the operator may do.
+    #[serde(default = "Right::all")]
+    pub rights: BTreeSet<Right>,
+}
+
+/// A kind of operators' calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Right {
+    /// Reads: status, differences, audit, refusals, billing, waiting.
+    Read,
+    /// Puts declarations in force.
+    Apply,
+    /// Steers roll-outs.
+    Rollout,
+    /// Withdraws versions.
+    Withdraw,
+    /// Takes availability zones out and brings them back.
+    Zone,
+    /// Takes endpoints out and brings them back.
+    Endpoint,
+}
+
+impl Right {
+    /// Every right.
+    pub const ALL: [Self; 6] =
+        [Self::Read, Self::Apply, Self::Rollout, Self::Withdraw, Self::Zone, Self::Endpoint];
+
+    /// The set of every right.
+    pub fn all() -> BTreeSet<Self> {
+        Self::ALL.into()
+    }
+}
+
+impl fmt::Display for Right {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Read => "read",
+            Self::Apply => "apply",
+            Self::Rollout => "rollout",
+            Self::Withdraw => "withdraw",
+            Self::Zone => "zone",
+            Self::Endpoint => "endpoint",
+        })
+    }
+}
+
+impl str::FromStr for Right {
+    type Err = RightError;
+
+    fn from_str(text: &str) -> Result<Self, RightError> {
+        let found = Self::ALL.into_iter().find(|right| right.to_string() == text);
+        found.ok_or_else(|| RightError { text: text.to_owned() })
+    }
+}
+
+/// The text names no right.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is no right"))]
+pub struct RightError {
+    /// The text.
+    pub text: String,
 }
 
 /// Limits towards callers.
--- a/crates/ibishill-config/src/tree.rs
+++ b/crates/ibishill-config/src/tree.rs
@@ -168,6 +168,11 @@
         Some(item.locate(rest.trim_start_matches('.')))
     }
 
+    /// Whether the mapping has `key`.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        matches!(&self.kind, Kind::Map(entries) if entries.iter().any(|entry| entry.key == key))
+    }
+
     /// Keys of the mapping that stands under `key`.
     pub(crate) fn names(&self, key: &str) -> Vec<&str> {
         let Kind::Map(entries) = &self.kind else { return Vec::new() };
--- a/crates/ibishill-config/tests/findings.rs
+++ b/crates/ibishill-config/tests/findings.rs
@@ -17,6 +17,8 @@
     Case { name: "settings-many", findings: 8 },
     Case { name: "settings-no-credential", findings: 2 },
     Case { name: "settings-security", findings: 8 },
+    Case { name: "settings-right-names", findings: 3 },
+    Case { name: "settings-rights", findings: 3 },
     Case { name: "syntax", findings: 1 },
 ];
 
--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -67,6 +67,7 @@
     ChangeAccepted = 1601, Info, "change accepted";
     ChangeRefused = 1602, Warn, "change refused";
     RolloutHalted = 1603, Warn, "roll-out halted";
+    OperatorRefused = 1604, Warn, "operator refused";
     BillingWritten = 1701, Info, "billing batch written";
     BillingDelayed = 1702, Warn, "billing batch could not be written yet";
     ClaimDelayed = 1703, Warn, "ending of a claim could not be recorded yet";
--- /dev/null
+++ b/crates/ibishill-operator/tests/calls/main.rs
@@ -0,0 +1,5 @@
+//! Operators' calls against a log in memory.
+
+mod orders;
+mod rights;
+mod setup;
--- a/crates/ibishill-state/src/log.rs
+++ b/crates/ibishill-state/src/log.rs
@@ -173,7 +173,12 @@
         self.table.commit(transaction).await
     }
 
-    async fn find(&self, id: &id::ChangeId) -> Result<Option<change::Change>, StateError> {
+    /// Finds the change that an id has made.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does or a row is malformed.
+    pub async fn find(&self, id: &id::ChangeId) -> Result<Option<change::Change>, StateError> {
         let row = self.table.row(id_row(id)).await.context(error::PlatformSnafu)?;
         match decode::<change::ConfigVersion>(&row)? {
             Some(version) => self.change(version).await,
