feat(operator): operators' link over TLS

With security.operator-certificate and operator-key the operators' side speaks TLS; the client checks it against an authority and may name the certificate's name.

--- a/crates/ibishill-config/src/document.rs
+++ b/crates/ibishill-config/src/document.rs
@@ -73,7 +73,7 @@
     let kinds = ["zones", "versions", "services"];
     let stands = |name: &str| {
         let fits = |key: &&str| *key == name || key.split('@').next() == Some(name);
-        kinds.iter().any(|kind| root.names(kind).iter().any(|key| fits(key)))
+        kinds.iter().any(|kind| root.names(kind).iter().any(fits))
     };
     let missing = finding.message.strip_suffix(" is not declared");
     let name = missing.and_then(|text| text.rsplit(' ').next());
--- a/crates/ibishill-daemon/src/error.rs
+++ b/crates/ibishill-daemon/src/error.rs
@@ -51,4 +51,12 @@
         /// The system's error.
         source: std::io::Error,
     },
+    /// A certificate of the settings can't be used.
+    #[snafu(display("{path} can't be used with its key: {detail}"))]
+    Certificate {
+        /// The certificate's file.
+        path: String,
+        /// What was seen.
+        detail: String,
+    },
 }
--- a/crates/ibishill-daemon/src/operators.rs
+++ b/crates/ibishill-daemon/src/operators.rs
@@ -1,11 +1,13 @@
 //! The operators' side: what their calls need to know of this daemon.
 
+use std::fs;
 use std::sync::Arc;
 
 use futures::FutureExt;
-use ibishill_config::declared;
+use ibishill_config::{declared, settings};
 use ibishill_core::id;
 use ibishill_decide::owner;
+use ibishill_operator::generated::operator_server::OperatorServer;
 use ibishill_operator::generated::{
     EndpointStatus, RolloutStatus, StatusReply, VersionStatus, ZoneStatus,
 };
@@ -13,7 +15,10 @@
 use ibishill_platform::Platform;
 use ibishill_state::{billing, log, refusal};
 
-use crate::{config_sync, context, router};
+use snafu::ResultExt;
+use tonic::transport;
+
+use crate::{config_sync, context, error, router};
 
 /// Builds the operators' service of a daemon.
 pub fn service(
@@ -43,6 +48,42 @@
     }
 }
 
+/// Sets up the operators' side, by TLS if the settings name a certificate.
+///
+/// # Errors
+///
+/// Fails if the certificate or its key can't be read or used.
+pub fn server(security: &settings::Security) -> Result<transport::Server, error::StartError> {
+    let server = transport::Server::builder();
+    let (Some(certificate), Some(key)) = (&security.operator_certificate, &security.operator_key)
+    else {
+        return Ok(server);
+    };
+    let read = |path: &String| fs::read(path).context(error::FileSnafu { path });
+    let identity = transport::Identity::from_pem(read(certificate)?, read(key)?);
+    let config = transport::ServerTlsConfig::new().identity(identity);
+    server.tls_config(config).map_err(|source| error::StartError::Certificate {
+        path: certificate.clone(),
+        detail: source.to_string(),
+    })
+}
+
+/// Serves operators' calls until the listener fails.
+///
+/// # Errors
+///
+/// Fails if the listener does.
+pub async fn serve(
+    listener: std::net::TcpListener,
+    mut server: transport::Server,
+    service: service::Service,
+) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let incoming = transport::server::TcpIncoming::from(listener);
+    let served = server.add_service(OperatorServer::new(service)).serve_with_incoming(incoming);
+    served.await.map_err(std::io::Error::other)
+}
+
 fn confirmed(context: &context::Context) -> Vec<service::Confirmed> {
     vec![service::Confirmed {
         vm: context.place.vm.clone(),
@@ -105,7 +146,7 @@
         from_version: rollout.from.to_string(),
         to_version: rollout.to.to_string(),
         percent: rollout.percent().into(),
-        state: format!("{:?}", rollout.state).to_lowercase(),
+        state: rollout.state.to_string(),
         reason: rollout.reason.clone().unwrap_or_default(),
     }
 }
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -10,7 +10,6 @@
 use ibishill_core::{event, view};
 use ibishill_decide::plan;
 use ibishill_endpoint::client;
-use ibishill_operator::generated::operator_server::OperatorServer;
 use ibishill_peer::{link, server, tls};
 use ibishill_platform::Platform;
 use ibishill_state::{lease, log};
@@ -140,20 +139,14 @@
     address: SocketAddr,
     service: ibishill_operator::service::Service,
 ) -> Result<(), StartError> {
+    let server = operators::server(&service.security)?;
     let runtime = duty_runtime("operators", 1).context(error::ThreadSnafu)?;
     let listener = listen(address)
         .map_err(|error| StartError::Listen { address, detail: error.to_string() })?;
     thread::Builder::new()
         .name("operators".into())
         .spawn(move || {
-            let serving = async {
-                let listener = tokio::net::TcpListener::from_std(listener)?;
-                let incoming = tonic::transport::server::TcpIncoming::from(listener);
-                let server = tonic::transport::Server::builder();
-                let server = { server }.add_service(OperatorServer::new(service));
-                let served = server.serve_with_incoming(incoming).await;
-                served.map_err(std::io::Error::other)
-            };
+            let serving = operators::serve(listener, server, service);
             let _ended = runtime.block_on(serving);
         })
         .context(error::ThreadSnafu)?;
--- a/crates/ibishill-operator/src/client.rs
+++ b/crates/ibishill-operator/src/client.rs
@@ -1,5 +1,6 @@
 //! The client that the operators' commands use.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use ibishill_core::secret;
@@ -27,6 +28,9 @@
     /// The token can't be sent.
     #[snafu(display("the token has characters that a header can't carry"))]
     Token,
+    /// The token would cross a network in the clear.
+    #[snafu(display("a token is sent by TLS or on loopback only; use https and --ca"))]
+    Clear,
     /// The daemon refused.
     #[snafu(display("{}: {}", status.code(), status.message()))]
     Refused {
@@ -41,6 +45,43 @@
     }
 }
 
+/// What a daemon's certificate is checked against.
+#[derive(Debug, Clone)]
+pub struct Trust {
+    /// PEM text of the certificate authority.
+    pub authority: String,
+    /// Name in the certificate, if it is not the address's host.
+    pub name: Option<String>,
+}
+
+impl Trust {
+    fn config(&self) -> transport::ClientTlsConfig {
+        let authority = transport::Certificate::from_pem(&self.authority);
+        let config = transport::ClientTlsConfig::new().ca_certificate(authority);
+        match &self.name {
+            Some(name) => config.domain_name(name),
+            None => config,
+        }
+    }
+}
+
+fn is_loopback(uri: &tonic::codegen::http::Uri) -> bool {
+    let host = uri.host().unwrap_or_default();
+    let address: Option<IpAddr> = host.trim_matches(['[', ']']).parse().ok();
+    host == "localhost" || address.is_some_and(|address| address.is_loopback())
+}
+
+// The transport's own text is short; its causes say what happened.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
+
 /// A connection to one daemon.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -57,14 +98,35 @@
     pub async fn connect(
         address: &str,
         token: Option<&secret::Secret>,
+    ) -> Result<Self, ClientError> {
+        Self::connect_with(address, token, None).await
+    }
+
+    /// Connects to the daemon at `address`, by TLS if `trust` is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer, its certificate is not trusted, the token
+    /// can't be sent, or would cross a network in the clear.
+    pub async fn connect_with(
+        address: &str,
+        token: Option<&secret::Secret>,
+        trust: Option<&Trust>,
     ) -> Result<Self, ClientError> {
         let unreachable =
             |detail: String| ClientError::Unreachable { address: address.to_owned(), detail };
-        let endpoint = transport::Endpoint::from_shared(address.to_owned())
+        let mut endpoint = transport::Endpoint::from_shared(address.to_owned())
             .map_err(|error| unreachable(error.to_string()))?
             .connect_timeout(CONNECT_TIMEOUT)
             .timeout(CALL_TIMEOUT);
-        let channel = endpoint.connect().await.map_err(|error| unreachable(error.to_string()))?;
+        if let Some(trust) = trust {
+            let config = trust.config();
+            endpoint =
+                endpoint.tls_config(config).map_err(|error| unreachable(error.to_string()))?;
+        } else if token.is_some() && !is_loopback(endpoint.uri()) {
+            return Err(ClientError::Clear);
+        }
+        let channel = endpoint.connect().await.map_err(|error| unreachable(chain(&error)))?;
         let token = match token {
             None => None,
             Some(token) => {
--- a/crates/ibishill-operator/src/service.rs
+++ b/crates/ibishill-operator/src/service.rs
@@ -17,10 +17,10 @@
 
 use crate::generated::operator_server::Operator;
 use crate::generated::{
-    ApplyReply, ApplyRequest, AuditEntry, AuditReply, AuditRequest, BillingLine, BillingReply,
-    BillingRequest, DiffReply, DiffRequest, EndpointRequest, RefusalMinute, RefusalsReply,
-    RefusalsRequest, RolloutRequest, StatusReply, StatusRequest, WaitReply, WaitRequest,
-    WithdrawRequest, ZoneRequest,
+    ApplyReply, ApplyRequest, AuditReply, AuditRequest, BillingLine, BillingReply, BillingRequest,
+    DiffReply, DiffRequest, EndpointRequest, RefusalMinute, RefusalsReply, RefusalsRequest,
+    RolloutRequest, StatusReply, StatusRequest, WaitReply, WaitRequest, WithdrawRequest,
+    ZoneRequest,
 };
 
 const WAIT_STEP: Duration = Duration::from_millis(100);
