feat(ibishill): commands from one table, completions, exit codes, examples

Options belonged to all commands at once, so a wrong one was swallowed. One table now gives parsing, help and completions; an unknown command or option is an error with a suggestion.

--- a/crates/ibishill/src/args.rs
+++ b/crates/ibishill/src/args.rs
@@ -1,13 +1,27 @@
 //! The command line.
 
-use std::ffi::OsString;
+use std::ffi::OsStr;
 
+use ibishill_config::finding;
 use lexopt::ValueExt;
 
 use crate::error::CommandError;
+use crate::table::{Opt, Spec, TABLE, Verb};
 
 /// What to do.
-pub(crate) struct Command {
+pub(crate) enum Command {
+    /// Print help on all commands.
+    Help,
+    /// Print the program's version.
+    Version,
+    /// Print help on one command.
+    HelpOn(Verb),
+    /// Run a command.
+    Run(Box<Call>),
+}
+
+/// A command with its words and options.
+pub(crate) struct Call {
     /// The command.
     pub(crate) verb: Verb,
     /// Words after the command.
@@ -16,49 +30,6 @@
     pub(crate) options: Options,
 }
 
-/// The commands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Verb {
-    Serve,
-    Check,
-    Apply,
-    Diff,
-    Rollout,
-    Withdraw,
-    Zone,
-    Endpoint,
-    Status,
-    Wait,
-    Audit,
-    Refusals,
-    Billing,
-    Certs,
-    KeyHash,
-    Try,
-    Help,
-    Version,
-}
-
-/// Every command with its name.
-pub(crate) const VERBS: &[(&str, Verb)] = &[
-    ("serve", Verb::Serve),
-    ("check", Verb::Check),
-    ("apply", Verb::Apply),
-    ("diff", Verb::Diff),
-    ("rollout", Verb::Rollout),
-    ("withdraw", Verb::Withdraw),
-    ("zone", Verb::Zone),
-    ("endpoint", Verb::Endpoint),
-    ("status", Verb::Status),
-    ("wait", Verb::Wait),
-    ("audit", Verb::Audit),
-    ("refusals", Verb::Refusals),
-    ("billing", Verb::Billing),
-    ("certs", Verb::Certs),
-    ("key-hash", Verb::KeyHash),
-    ("try", Verb::Try),
-];
-
 /// Options of all commands.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Options {
@@ -66,10 +37,18 @@
     pub(crate) daemon: Option<String>,
     /// File that holds the operator's token.
     pub(crate) token_file: Option<String>,
+    /// File of the certificate authority that the daemon's certificate is from.
+    pub(crate) ca: Option<String>,
+    /// Name in the daemon's certificate.
+    pub(crate) server_name: Option<String>,
     /// Id of the change, for a repeated call.
     pub(crate) change_id: Option<String>,
     /// Version that the order is based on.
     pub(crate) expect: Option<u64>,
+    /// Audit: version to start after.
+    pub(crate) after: Option<u64>,
+    /// Audit: most entries.
+    pub(crate) limit: Option<usize>,
     /// Whether objects that the document does not name are kept.
     pub(crate) partial: bool,
     /// Whether to print JSON.
@@ -88,54 +67,77 @@
     pub(crate) timeout_ms: Option<u64>,
     /// Directory to write to.
     pub(crate) out: Option<String>,
-    /// Whether help is wanted.
-    pub(crate) help: bool,
 }
 
 /// Reads the command line.
 pub(crate) fn parse(mut parser: lexopt::Parser) -> Result<Command, CommandError> {
-    let mut verb = None;
+    let spec = match parser.next()? {
+        None | Some(lexopt::Arg::Short('h') | lexopt::Arg::Long("help")) => {
+            return Ok(Command::Help);
+        }
+        Some(lexopt::Arg::Short('V') | lexopt::Arg::Long("version")) => {
+            return Ok(Command::Version);
+        }
+        Some(lexopt::Arg::Value(word)) => find(&word)?,
+        Some(other) => return Err(other.unexpected().into()),
+    };
     let mut words = Vec::new();
     let mut options = Options::default();
     while let Some(arg) = parser.next()? {
         match arg {
-            lexopt::Arg::Short('V') | lexopt::Arg::Long("version") => {
-                verb = Some(Verb::Version);
+            lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => {
+                return Ok(Command::HelpOn(spec.verb));
             }
-            lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => options.help = true,
-            lexopt::Arg::Value(word) if verb.is_none() => verb = Some(find(&word)?),
+            lexopt::Arg::Short('V') | lexopt::Arg::Long("version") => return Ok(Command::Version),
             lexopt::Arg::Value(word) => words.push(word.string()?),
             lexopt::Arg::Long(name) => {
-                let name = name.to_owned();
-                option(&mut parser, &mut options, &name)?;
+                let option = known(spec, name)?;
+                set(&mut parser, &mut options, option)?;
             }
             other => return Err(other.unexpected().into()),
         }
     }
-    let verb = verb.unwrap_or(Verb::Help);
-    Ok(Command { verb, words, options })
+    Ok(Command::Run(Box::new(Call { verb: spec.verb, words, options })))
 }
 
-fn find(word: &OsString) -> Result<Verb, CommandError> {
+fn find(word: &OsStr) -> Result<&'static Spec, CommandError> {
     let word = word.to_string_lossy();
-    let found = VERBS.iter().find(|(name, _)| *name == word);
-    found
-        .map(|(_, verb)| *verb)
-        .ok_or_else(|| CommandError::Usage { detail: format!("{word:?} is no command") })
+    if let Some(found) = TABLE.iter().find(|spec| spec.name == word) {
+        return Ok(found);
+    }
+    let names: Vec<_> = TABLE.iter().map(|spec| spec.name).collect();
+    let hint = finding::suggest(&word, &names);
+    Err(CommandError::Usage { detail: format!("{word:?} is no command"), hint })
+}
+
+fn known(spec: &'static Spec, name: &str) -> Result<&'static Opt, CommandError> {
+    if let Some(found) = spec.options().find(|option| option.name == name) {
+        return Ok(found);
+    }
+    let names: Vec<_> = spec.options().map(|option| format!("--{}", option.name)).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let hint = finding::suggest(&format!("--{name}"), &names);
+    let hint = hint.unwrap_or_else(|| format!("see 'ibishill {} --help'", spec.name));
+    let detail = format!("--{name} is no option of 'ibishill {}'", spec.name);
+    Err(CommandError::Usage { detail, hint: Some(hint) })
 }
 
-fn option(
+fn set(
     parser: &mut lexopt::Parser,
     options: &mut Options,
-    name: &str,
+    option: &Opt,
 ) -> Result<(), CommandError> {
-    match name {
+    match option.name {
+        "partial" => options.partial = true,
+        "json" => options.json = true,
         "daemon" => options.daemon = Some(parser.value()?.string()?),
         "token-file" => options.token_file = Some(parser.value()?.string()?),
+        "ca" => options.ca = Some(parser.value()?.string()?),
+        "server-name" => options.server_name = Some(parser.value()?.string()?),
         "change-id" => options.change_id = Some(parser.value()?.string()?),
         "expect" => options.expect = Some(parser.value()?.parse()?),
-        "partial" => options.partial = true,
-        "json" => options.json = true,
+        "after" => options.after = Some(parser.value()?.parse()?),
+        "limit" => options.limit = Some(parser.value()?.parse()?),
         "workspace" => options.workspace = Some(parser.value()?.string()?),
         "from" => options.from = Some(parser.value()?.string()?),
         "to" => options.to = Some(parser.value()?.string()?),
@@ -143,8 +145,9 @@
         "reason" => options.reason = Some(parser.value()?.string()?),
         "timeout-ms" => options.timeout_ms = Some(parser.value()?.parse()?),
         "out" => options.out = Some(parser.value()?.string()?),
-        _ => {
-            return Err(CommandError::Usage { detail: format!("--{name} is no option") });
+        name => {
+            let detail = format!("--{name} is not read by this version");
+            return Err(CommandError::Usage { detail, hint: None });
         }
     }
     Ok(())
--- a/crates/ibishill/src/command/check.rs
+++ b/crates/ibishill/src/command/check.rs
@@ -1,34 +1,48 @@
 //! `ibishill check`: settings and declarations without a daemon.
 
 use ibishill_config::{document, finding};
+use serde_json::{Value, json};
 
-use crate::connect;
+use crate::args::Options;
 use crate::error::CommandError;
+use crate::{connect, output};
 
 /// Checks every file and reports all findings together.
-pub(crate) fn run(files: &[String]) -> Result<(), CommandError> {
+pub(crate) fn run(files: &[String], options: &Options) -> Result<(), CommandError> {
     if files.is_empty() {
-        return Err(CommandError::Usage { detail: "at least one file is needed".into() });
+        return Err(CommandError::usage("at least one file is needed"));
     }
     let mut findings = Vec::new();
     for file in files {
         let text = connect::read(file)?;
-        let found = check_file(file, &text);
-        if found.is_empty() {
-            println!("{file}: ok");
+        let found = check_file(file, &text, options.partial);
+        if found.is_empty() && !options.json {
+            output::text(&format!("{file}: ok\n"));
         }
         findings.extend(found);
     }
+    if options.json {
+        let shown: Vec<_> = findings.iter().map(json).collect();
+        output::print(true, &shown.into(), &[]);
+    }
     if findings.is_empty() {
         return Ok(());
     }
     Err(finding::Findings { findings }.into())
 }
 
+fn json(finding: &finding::Finding) -> Value {
+    let finding::Finding { file, line, column, path, message, hint } = finding;
+    json!({"file": file, "line": line, "column": column, "path": path, "message": message,
+        "hint": hint})
+}
+
 // Settings name the daemon's VM at the top; declarations do not.
-fn check_file(file: &str, text: &str) -> Vec<finding::Finding> {
+fn check_file(file: &str, text: &str, partial: bool) -> Vec<finding::Finding> {
     let found = if text.lines().any(|line| line.starts_with("vm:")) {
         document::settings(file, text).map(drop)
+    } else if partial {
+        document::part(file, text).map(drop)
     } else {
         document::declared(file, text).map(drop)
     };
--- a/crates/ibishill/src/command/show.rs
+++ b/crates/ibishill/src/command/show.rs
@@ -1,119 +1,23 @@
 //! Commands that only read.
 
 use ibishill_operator::generated;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::args::Options;
 use crate::error::CommandError;
 use crate::{connect, output};
 
-const WAIT_MS: u64 = 8_000;
-
-/// Shows what a daemon knows.
-pub(crate) async fn status(options: &Options) -> Result<(), CommandError> {
-    let reply = connect::connect(options).await?.status(generated::StatusRequest {}).await?;
-    let mut lines = vec![format!(
-        "daemon {} in {}: {}, configuration {}",
-        reply.vm,
-        reply.zone,
-        if reply.ready { "ready" } else { "not ready" },
-        reply.version
-    )];
-    lines.extend(reply.zones.iter().map(|zone| {
-        let state = if zone.in_service { "in" } else { "out" };
-        format!("zone {} {state}, view {}: {}", zone.zone, zone.view, zone.vms.join(" "))
-    }));
-    lines.extend(reply.versions.iter().map(|v| format!("version {} {}", v.version, v.state)));
-    lines.extend(reply.rollouts.iter().map(rollout_line));
-    lines.extend(reply.endpoints.iter().map(endpoint_line));
-    output::print(options.json, &status_json(&reply), &lines);
-    Ok(())
-}
-
-fn rollout_line(rollout: &generated::RolloutStatus) -> String {
-    let generated::RolloutStatus { rollout, from_version, to_version, percent, state, reason } =
-        rollout;
-    format!("roll-out {rollout} {from_version} -> {to_version}: {percent} % {state} {reason}")
-        .trim_end()
-        .to_owned()
-}
-
-fn endpoint_line(endpoint: &generated::EndpointStatus) -> String {
-    let state = if endpoint.in_service { "in" } else { "out" };
-    let load = match (endpoint.running, endpoint.limit) {
-        (Some(running), Some(limit)) => format!(", {running} of {limit}"),
-        _ => String::new(),
-    };
-    let generated::EndpointStatus { endpoint, zone, owner, .. } = endpoint;
-    format!("endpoint {endpoint} in {zone} {state}, owner {owner}{load}")
-}
-
-fn status_json(reply: &generated::StatusReply) -> Value {
-    let zones: Vec<_> = reply
-        .zones
-        .iter()
-        .map(|z| json!({"zone": z.zone, "in-service": z.in_service, "view": z.view, "vms": z.vms}))
-        .collect();
-    let endpoints: Vec<_> = reply
-        .endpoints
-        .iter()
-        .map(|e| {
-            json!({"endpoint": e.endpoint, "zone": e.zone, "in-service": e.in_service,
-            "owner": e.owner, "running": e.running, "limit": e.limit})
-        })
-        .collect();
-    let rollouts: Vec<_> = reply
-        .rollouts
-        .iter()
-        .map(|r| {
-            json!({"rollout": r.rollout, "from": r.from_version, "to": r.to_version,
-            "percent": r.percent, "state": r.state, "reason": r.reason})
-        })
-        .collect();
-    let versions: Vec<_> =
-        reply.versions.iter().map(|v| json!({"version": v.version, "state": v.state})).collect();
-    json!({"vm": reply.vm, "zone": reply.zone, "ready": reply.ready, "version": reply.version,
-        "zones": zones, "endpoints": endpoints, "rollouts": rollouts, "versions": versions})
-}
-
-/// Waits until a configuration version is in force everywhere.
-pub(crate) async fn wait(words: &[String], options: &Options) -> Result<(), CommandError> {
-    let word = super::one(words, "configuration version")?;
-    let version = word.parse().map_err(|_| CommandError::Usage {
-        detail: format!("{word:?} is no configuration version"),
-    })?;
-    let timeout_ms = options.timeout_ms.unwrap_or(WAIT_MS);
-    let message = generated::WaitRequest { version, timeout_ms };
-    let reply = connect::connect(options).await?.wait_in_force(message).await?;
-    let value = json!({"in-force": reply.in_force, "confirmed": reply.confirmed,
-        "missing": reply.missing, "cut-zones": reply.cut_zones});
-    let line = format!(
-        "confirmed: {}; missing: {}; zones cut off: {}",
-        reply.confirmed.join(" "),
-        reply.missing.join(" "),
-        reply.cut_zones.join(" ")
-    );
-    output::print(options.json, &value, &[line]);
-    if reply.in_force {
-        return Ok(());
-    }
-    Err(CommandError::Timeout { detail: format!("version {version} is not in force everywhere") })
-}
-
 /// Lists accepted changes.
 pub(crate) async fn audit(options: &Options) -> Result<(), CommandError> {
-    let message = generated::AuditRequest { after: options.expect.unwrap_or(0), limit: 0 };
-    let reply = connect::connect(options).await?.audit(message).await?;
-    let entries: Vec<_> = reply
-        .entries
+    let found = entries(options).await?;
+    let entries: Vec<_> = found
         .iter()
         .map(|e| {
             json!({"version": e.version, "change-id": e.change_id, "author": e.author,
             "action": e.action, "at-ms": e.at_ms, "steps": e.steps})
         })
         .collect();
-    let lines: Vec<_> = reply
-        .entries
+    let lines: Vec<_> = found
         .iter()
         .map(|e| {
             let (version, author, action) = (e.version, &e.author, &e.action);
@@ -124,6 +28,23 @@
     Ok(())
 }
 
+// A daemon gives a page at a time.
+async fn entries(options: &Options) -> Result<Vec<generated::AuditEntry>, CommandError> {
+    let mut client = connect::connect(options).await?;
+    let limit = options.limit.unwrap_or(usize::MAX);
+    let mut after = options.after.unwrap_or(0);
+    let mut found = Vec::new();
+    while found.len() < limit {
+        let message = generated::AuditRequest { after, limit: 0 };
+        let page = client.audit(message).await?.entries;
+        let Some(last) = page.last() else { break };
+        after = last.version;
+        found.extend(page);
+    }
+    found.truncate(limit);
+    Ok(found)
+}
+
 /// Lists minutes with a refusal.
 pub(crate) async fn refusals(options: &Options) -> Result<(), CommandError> {
     let workspace = options.workspace.clone().unwrap_or_default();
--- a/crates/ibishill/src/connect.rs
+++ b/crates/ibishill/src/connect.rs
@@ -15,7 +15,13 @@
 pub(crate) async fn connect(options: &Options) -> Result<client::Client, CommandError> {
     let address = options.daemon.as_deref().unwrap_or(DEFAULT_DAEMON);
     let token = options.token_file.as_deref().map(read_token).transpose()?;
-    Ok(client::Client::connect(address, token.as_ref()).await?)
+    let trust = match &options.ca {
+        None => None,
+        Some(file) => {
+            Some(client::Trust { authority: read(file)?, name: options.server_name.clone() })
+        }
+    };
+    Ok(client::Client::connect_with(address, token.as_ref(), trust.as_ref()).await?)
 }
 
 fn read_token(path: &str) -> Result<secret::Secret, CommandError> {
@@ -36,3 +42,12 @@
         expected_version: options.expect,
     }
 }
+
+/// Keeps the id of an order with its error, so that it can be ordered again.
+pub(crate) fn failed<F>(order: &generated::Order) -> impl Fn(F) -> CommandError + use<F>
+where
+    F: Into<client::ClientError>,
+{
+    let id = order.change_id.clone();
+    move |error| CommandError::Order { id: id.clone(), source: error.into() }
+}
--- a/crates/ibishill/src/main.rs
+++ b/crates/ibishill/src/main.rs
@@ -2,10 +2,12 @@
 
 mod args;
 mod command;
+mod complete;
 mod connect;
 mod error;
 mod help;
 mod output;
+mod table;
 
 use std::process::ExitCode;
 
--- a/crates/ibishill/tests/processes/main.rs
+++ b/crates/ibishill/tests/processes/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the whole system as separate processes on loopback.
 
 mod deployment;
+mod operators_side;
 mod whole_path;
