--- a/crates/ibishill-daemon/src/metrics.rs
+++ b/crates/ibishill-daemon/src/metrics.rs
@@ -13,6 +13,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     first_byte: Histogram<f64>,
+    operators_refused: Counter<u64>,
 }
 
 impl Metrics {
@@ -38,7 +39,11 @@
             .with_unit("s")
             .with_description("Time from a request's arrival to the start of its answer")
             .build();
-        Ok(Self { registry, _provider: provider, requests, first_byte })
+        let operators_refused = meter
+            .u64_counter("ibishill_operators_refused")
+            .with_description("Operators' calls refused for their credentials, by call")
+            .build();
+        Ok(Self { registry, _provider: provider, requests, first_byte, operators_refused })
     }
 
     /// Counts a request that has ended.
@@ -49,6 +54,11 @@
         self.requests.add(1, &labels);
     }
 
+    /// Counts an operator's call that was refused for its credentials.
+    pub fn operator_refused(&self, call: &'static str) {
+        self.operators_refused.add(1, &[KeyValue::new("call", call)]);
+    }
+
     /// Records the time to the start of an answer.
     pub fn first_byte(&self, seconds: f64) {
         self.first_byte.record(seconds, &[]);
--- a/crates/ibishill-daemon/src/operators.rs
+++ b/crates/ibishill-daemon/src/operators.rs
@@ -27,6 +27,7 @@
     refresh: config_sync::Refresh,
 ) -> service::Service {
     let (known, asked) = (Arc::clone(context), Arc::clone(context));
+    let metrics = context.metrics.clone();
     service::Service {
         log: log::Log::new(platform.table.clone()),
         billing: billing::Billing::new(platform.objects.clone()),
@@ -41,6 +42,7 @@
             let context = Arc::clone(&asked);
             async move { confirmed(&context) }.boxed()
         }),
+        denied: Arc::new(move |call| metrics.operator_refused(call)),
         refresh: Arc::new(move || {
             refresh.ask();
             async {}.boxed()
--- a/crates/ibishill-operator/src/client.rs
+++ b/crates/ibishill-operator/src/client.rs
@@ -32,13 +32,20 @@
     #[snafu(display("a token is sent by TLS or on loopback only; use https and --ca"))]
     Clear,
     /// The daemon refused.
-    #[snafu(display("{}: {}", status.code(), status.message()))]
+    #[snafu(display("{}", answer(status)))]
     Refused {
         /// The daemon's answer.
         status: Box<tonic::Status>,
     },
 }
 
+fn answer(status: &tonic::Status) -> String {
+    if status.message().is_empty() {
+        return status.code().to_string();
+    }
+    status.message().to_owned()
+}
+
 impl From<tonic::Status> for ClientError {
     fn from(status: tonic::Status) -> Self {
         Self::Refused { status: Box::new(status) }
--- a/crates/ibishill-operator/src/service.rs
+++ b/crates/ibishill-operator/src/service.rs
@@ -44,6 +44,8 @@
     pub status: Ask<StatusReply>,
     /// Tells which version each daemon has in force.
     pub confirmed: Ask<Vec<Confirmed>>,
+    /// Counts a call that was refused for its credentials.
+    pub denied: Arc<dyn Fn(&'static str) + Send + Sync>,
     /// Makes the daemon read the log at once.
     pub refresh: Ask<()>,
 }
@@ -60,6 +62,16 @@
 }
 
 impl Service {
+    fn check<T>(
+        &self,
+        request: &Request<T>,
+        call: &'static str,
+        right: Right,
+    ) -> Result<id::OperatorId, Status> {
+        let checked = right::check(&self.security, request, call, right);
+        checked.inspect_err(|_| (self.denied)(call))
+    }
+
     async fn newest(&self) -> Result<in_force::InForce, Status> {
         let current = self.cell.get();
         self.log.catch_up(&current).await.map_err(|error| order::refused(&error))
@@ -69,7 +81,7 @@
 #[tonic::async_trait]
 impl Operator for Service {
     async fn apply(&self, request: Request<ApplyRequest>) -> Result<Response<ApplyReply>, Status> {
-        let author = right::check(&self.security, &request, "apply", Right::Apply)?;
+        let author = self.check(&request, "apply", Right::Apply)?;
         let message = request.into_inner();
         let steps = |base: &in_force::InForce| {
             steps::document(&base.declared, &message.document, message.partial)
@@ -79,7 +91,7 @@
     }
 
     async fn diff(&self, request: Request<DiffRequest>) -> Result<Response<DiffReply>, Status> {
-        right::check(&self.security, &request, "diff", Right::Read)?;
+        self.check(&request, "diff", Right::Read)?;
         let message = request.into_inner();
         let base = self.newest().await?;
         let steps = steps::document(&base.declared, &message.document, message.partial)?;
@@ -91,7 +103,7 @@
         &self,
         request: Request<RolloutRequest>,
     ) -> Result<Response<ApplyReply>, Status> {
-        let author = right::check(&self.security, &request, "rollout", Right::Rollout)?;
+        let author = self.check(&request, "rollout", Right::Rollout)?;
         let message = request.into_inner();
         let name = message.action().as_str_name().to_ascii_lowercase();
         let action = name.replace("rollout_action_", "rollout ");
@@ -104,7 +116,7 @@
         &self,
         request: Request<WithdrawRequest>,
     ) -> Result<Response<ApplyReply>, Status> {
-        let author = right::check(&self.security, &request, "withdraw", Right::Withdraw)?;
+        let author = self.check(&request, "withdraw", Right::Withdraw)?;
         let message = request.into_inner();
         let steps = |base: &in_force::InForce| steps::withdraw(&base.declared, &message.version);
         let call = order::Call::new(message.order.as_ref(), author, "withdraw".into())?;
@@ -112,7 +124,7 @@
     }
 
     async fn zone(&self, request: Request<ZoneRequest>) -> Result<Response<ApplyReply>, Status> {
-        let author = right::check(&self.security, &request, "zone", Right::Zone)?;
+        let author = self.check(&request, "zone", Right::Zone)?;
         let message = request.into_inner();
         let wanted = message.in_service;
         let steps = |base: &in_force::InForce| steps::zone(&base.declared, &message.zone, wanted);
@@ -125,7 +137,7 @@
         &self,
         request: Request<EndpointRequest>,
     ) -> Result<Response<ApplyReply>, Status> {
-        let author = right::check(&self.security, &request, "endpoint", Right::Endpoint)?;
+        let author = self.check(&request, "endpoint", Right::Endpoint)?;
         let message = request.into_inner();
         let wanted = message.in_service;
         let steps =
@@ -139,7 +151,7 @@
         &self,
         request: Request<StatusRequest>,
     ) -> Result<Response<StatusReply>, Status> {
-        right::check(&self.security, &request, "status", Right::Read)?;
+        self.check(&request, "status", Right::Read)?;
         Ok(Response::new((self.status)().await))
     }
 
@@ -147,7 +159,7 @@
         &self,
         request: Request<WaitRequest>,
     ) -> Result<Response<WaitReply>, Status> {
-        right::check(&self.security, &request, "wait_in_force", Right::Read)?;
+        self.check(&request, "wait_in_force", Right::Read)?;
         let message = request.into_inner();
         let end = tokio::time::Instant::now() + Duration::from_millis(message.timeout_ms);
         loop {
@@ -160,7 +172,7 @@
     }
 
     async fn audit(&self, request: Request<AuditRequest>) -> Result<Response<AuditReply>, Status> {
-        right::check(&self.security, &request, "audit", Right::Read)?;
+        self.check(&request, "audit", Right::Read)?;
         let message = request.into_inner();
         let after = change::ConfigVersion(message.after);
         let tail = self.log.tail(after).await.map_err(|error| order::refused(&error))?;
@@ -173,7 +185,7 @@
         &self,
         request: Request<RefusalsRequest>,
     ) -> Result<Response<RefusalsReply>, Status> {
-        right::check(&self.security, &request, "refusals", Right::Read)?;
+        self.check(&request, "refusals", Right::Read)?;
         let wanted = request.into_inner().workspace;
         let cells = self.refusals.read().await.map_err(|error| order::refused(&error))?;
         let minutes = cells
@@ -193,7 +205,7 @@
         &self,
         request: Request<BillingRequest>,
     ) -> Result<Response<BillingReply>, Status> {
-        right::check(&self.security, &request, "billing", Right::Read)?;
+        self.check(&request, "billing", Right::Read)?;
         let wanted = request.into_inner().workspace;
         let totals = self.billing.totals().await.map_err(|error| order::refused(&error))?;
         let lines = totals
--- a/crates/ibishill-operator/tests/calls/rights.rs
+++ b/crates/ibishill-operator/tests/calls/rights.rs
@@ -1,6 +1,7 @@
 //! Every call needs its right.
 
 use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
 
 use ibishill_config::key;
 use ibishill_config::settings::{Right, Security, Token};
@@ -84,6 +85,25 @@
     }
 }
 
+#[tokio::test]
+async fn refused_calls_are_counted() {
+    let counted = Arc::new(Mutex::new(Vec::new()));
+    let mut service = setup::service(Security {
+        tokens: vec![token("read", [Right::Read].into())],
+        ..Security::default()
+    });
+    let noted = Arc::clone(&counted);
+    service.denied = Arc::new(move |call| noted.lock().unwrap().push(call));
+    for (name, token) in [
+        ("status", "Bearer read-token"),
+        ("status", "Bearer unknown"),
+        ("zone", "Bearer read-token"),
+    ] {
+        call(&service, name, Some(token)).await;
+    }
+    assert_eq!(*counted.lock().unwrap(), ["status", "zone"]);
+}
+
 #[tokio::test]
 async fn without_tokens_only_an_insecure_daemon_answers() {
     let closed = setup::service(Security::default());
--- a/crates/ibishill-operator/tests/calls/setup.rs
+++ b/crates/ibishill-operator/tests/calls/setup.rs
@@ -31,6 +31,7 @@
         security,
         status: Arc::new(|| async { generated::StatusReply::default() }.boxed()),
         confirmed: Arc::new(|| async { Vec::new() }.boxed()),
+        denied: Arc::new(|_| {}),
         refresh: Arc::new(|| async {}.boxed()),
     }
 }
--- a/crates/ibishill/tests/processes/operators_side.rs
+++ b/crates/ibishill/tests/processes/operators_side.rs
@@ -155,6 +155,15 @@
     let wanted = ["apply", "zone out", "zone in", "rollout start", "withdraw", "endpoint out"];
     assert_eq!(actions, wanted);
 
+    let metrics = reqwest::Client::builder().no_proxy().build().unwrap();
+    let metrics = metrics.get(format!("http://{}/metrics", side.daemon.callers)).send();
+    let text = metrics.await.unwrap().text().await.unwrap();
+    let refused = text.lines().filter(|line| line.starts_with("ibishill_operators_refused"));
+    assert!(
+        refused.clone().any(|line| line.contains("call=\"zone\"") && line.ends_with(" 1")),
+        "{text}"
+    );
+
     side.memory.set_faults(memory::Faults { outage: true, ..memory::Faults::default() });
     let words = ["zone", "out", "zone-a", "--change-id", "during-outage"];
     let done = side.run(Some("ana"), "authority.pem", &words);
