test: one place for free ports, below those of outgoing connections

Cause: tests bound port 0, closed it, and opened a server there later; an outgoing connection of another test could take the port in between (seen 1 time in 6 runs of the callers' tests alone). What: ibishill_standin::port, taken from the process tests, now serves every test.

--- a/crates/ibishill-daemon/tests/http_callers/deployment.rs
+++ b/crates/ibishill-daemon/tests/http_callers/deployment.rs
@@ -1,6 +1,6 @@
 //! Support: daemons, a platform in memory, and endpoints on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ibishill_config::{change, declared, key, settings, yaml};
@@ -8,6 +8,7 @@
 use ibishill_daemon::start;
 use ibishill_peer::tls;
 use ibishill_platform::Platform;
+pub(crate) use ibishill_standin::port::free_address;
 use ibishill_standin::{engine, memory};
 use ibishill_state::{log, refusal};
 
@@ -17,11 +18,6 @@
 /// Longer than a test takes.
 const TEST_TIME: time::Millis = time::Millis::from_secs(600);
 
-/// A free loopback address.
-pub(crate) fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// An engine's stand-in at a new address.
 pub(crate) fn engine(behaviour: engine::Behaviour) -> (engine::Engine, SocketAddr) {
     let engine = engine::Engine::new(behaviour);
--- a/crates/ibishill-endpoint/tests/engine.rs
+++ b/crates/ibishill-endpoint/tests/engine.rs
@@ -1,7 +1,7 @@
 //! The client against the engine's stand-in.
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use ibishill_core::{header, id, repeat, time, view};
@@ -10,7 +10,7 @@
 use ibishill_standin::engine::model;
 
 async fn start(engine: &engine::Engine) -> SocketAddr {
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let address = ibishill_standin::port::free_address();
     tokio::spawn(engine::server(engine.clone(), address).launch());
     let client = client::Client::new().unwrap();
     while asked::Engine::new(&client, address, TIMEOUT).health().await.is_err() {
--- a/crates/ibishill-standin/src/lib.rs
+++ b/crates/ibishill-standin/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod engine;
 pub mod memory;
 pub mod platform;
+pub mod port;
--- a/crates/ibishill/tests/processes/deployment.rs
+++ b/crates/ibishill/tests/processes/deployment.rs
@@ -1,39 +1,19 @@
 //! Support of the process tests: a platform, engines and daemons on loopback.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use ibishill_config::key;
 use ibishill_peer::tls;
+pub(crate) use ibishill_standin::port::free_address;
 use ibishill_standin::{engine, memory, platform};
 
 /// The key of the workspace that the tests declare.
 pub(crate) const KEY: &str = "demo-key";
 
-// Below the ports that the system gives to outgoing connections: one of those could
-// take a free port before the daemon opens it.
-const PORTS: std::ops::Range<u32> = 12_000..32_000;
-const PORTS_PER_PROCESS: u32 = 100;
-
-static TAKEN: AtomicU32 = AtomicU32::new(0);
-
-/// A free loopback address, given once only.
-pub(crate) fn free_address() -> SocketAddr {
-    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-    loop {
-        let number = first.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
-        let port = PORTS.start + number % (PORTS.end - PORTS.start);
-        let address = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).unwrap()));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// One daemon as a process; it is killed when dropped.
 pub(crate) struct Daemon {
     /// The process.
