--- a/crates/ibishill-config/src/settings.rs
+++ b/crates/ibishill-config/src/settings.rs
@@ -187,8 +187,8 @@
     fn default() -> Self {
         Self {
             poll: time::Millis(2_000),
-            renew: time::Millis(2_000),
-            lease: time::Millis(10_000),
+            renew: time::Millis(4_000),
+            lease: time::Millis(12_000),
             billing: time::Millis(2_000),
             drain: time::Millis(3_000),
         }
--- a/crates/ibishill-daemon/src/config_sync.rs
+++ b/crates/ibishill-daemon/src/config_sync.rs
@@ -6,7 +6,7 @@
 
 use ibishill_config::in_force;
 use ibishill_core::{event, time};
-use ibishill_state::log;
+use ibishill_state::{error::StateError, log};
 use rand::RngExt;
 use tokio::sync::Notify;
 
@@ -61,17 +61,25 @@
 }
 
 async fn read(log: &log::Log, cell: &in_force::Cell, life: &context::Life) {
-    match log.catch_up(&cell.get()).await {
+    match log.poll(&cell.get()).await {
         Ok(next) => {
-            let version = next.version;
-            if cell.raise(next) {
-                let fields = [event::field("version", &version)];
-                event::emit(event::Event::ConfigApplied, &fields);
+            if let Some(next) = next {
+                raise(cell, next);
             }
             life.set_configured();
         }
+        Err(error @ StateError::Malformed { .. }) => {
+            event::emit(event::Event::ConfigInvalid, &[event::field("error", &error)]);
+        }
         Err(error) => {
             event::emit(event::Event::ConfigUnreachable, &[event::field("error", &error)]);
         }
     }
 }
+
+fn raise(cell: &in_force::Cell, next: in_force::InForce) {
+    let version = next.version;
+    if cell.raise(next) {
+        event::emit(event::Event::ConfigApplied, &[event::field("version", &version)]);
+    }
+}
--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -9,7 +9,9 @@
 use ibishill_endpoint::client;
 use ibishill_peer::link;
 
-use crate::{ledger, metrics, router};
+use ibishill_state::{lease::standing, log};
+
+use crate::{heartbeat, lease_clock, ledger, metrics, router};
 
 /// The views in force; they are replaced as a whole.
 #[derive(Debug, Clone, Default)]
@@ -65,9 +67,10 @@
         self.inner.configured.store(true, Ordering::Release);
     }
 
-    /// Notes whether the daemon is a member of its zone's view.
-    pub fn set_member(&self, member: bool) {
-        self.inner.member.store(member, Ordering::Release);
+    /// Notes whether the daemon is a member of its zone's view with a valid lease;
+    /// returns whether that is new.
+    pub fn set_member(&self, member: bool) -> bool {
+        self.inner.member.swap(member, Ordering::AcqRel) != member
     }
 
     /// Begins the shutdown: readiness fails.
@@ -121,6 +124,14 @@
     pub cell: in_force::Cell,
     /// The views in force.
     pub views: ViewCell,
+    /// What the daemon may admit.
+    pub standing: standing::Standing,
+    /// When its lease lapses.
+    pub lease: lease_clock::LeaseClock,
+    /// The configuration log.
+    pub log: log::Log,
+    /// What is known of other daemons.
+    pub peers: heartbeat::Peers,
     /// How far the daemon's life has come.
     pub life: Life,
     /// The router thread.
--- /dev/null
+++ b/crates/ibishill-daemon/src/heartbeat.rs
@@ -0,0 +1,214 @@
+//! Heartbeats within the zone and, to one daemon of each other zone, across zones.
+//!
+//! They carry views and configuration versions, so that a zone that is cut off from
+//! the platform still spreads what one of its daemons knows.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use ibishill_config::{change, declared, in_force};
+use ibishill_core::{clock, event, id, time, view};
+use ibishill_operator::service;
+use ibishill_peer::frame;
+use rand::RngExt;
+use tokio::sync::Notify;
+
+use crate::{context, membership};
+
+const PERIOD: time::Millis = time::Millis(1_000);
+
+/// Age after which a daemon's version counts as not known.
+const KNOWN_FOR: time::Millis = time::Millis(5_000);
+
+#[derive(Debug, Clone)]
+struct Heard {
+    zone: id::ZoneId,
+    config: change::ConfigVersion,
+    at: time::Tick,
+}
+
+/// What is known of other daemons; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    heard: Arc<Mutex<BTreeMap<id::VmId, Heard>>>,
+    /// Wakes the membership duty.
+    pub wake: Arc<Notify>,
+}
+
+impl Peers {
+    fn hear(&self, zone: &id::ZoneId, known: &frame::Known) {
+        let config = change::ConfigVersion(known.config);
+        let heard = Heard { zone: zone.clone(), config, at: clock::boot_now() };
+        let mut all = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        all.insert(known.vm.clone(), heard);
+    }
+
+    /// The version of a daemon, if it was heard lately.
+    fn version(&self, vm: &id::VmId, now: time::Tick) -> Option<change::ConfigVersion> {
+        let all = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        all.get(vm).filter(|heard| now.since(heard.at) < KNOWN_FOR).map(|heard| heard.config)
+    }
+
+    fn within(&self, zone: &id::ZoneId, now: time::Tick) -> Vec<frame::Known> {
+        let all = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh =
+            all.iter().filter(|(_, heard)| heard.zone == *zone && now.since(heard.at) < KNOWN_FOR);
+        fresh.map(|(vm, heard)| frame::Known { vm: vm.clone(), config: heard.config.0 }).collect()
+    }
+}
+
+/// What each daemon of the views has in force, none where it was not heard lately.
+pub fn confirmed(context: &context::Context) -> Vec<service::Confirmed> {
+    let now = clock::boot_now();
+    let mut all = vec![service::Confirmed {
+        vm: context.place.vm.clone(),
+        zone: context.place.zone.clone(),
+        version: Some(context.cell.get().version),
+    }];
+    for (zone, view) in &context.views.get().zones {
+        for member in view.members.iter().filter(|member| member.vm != context.place.vm) {
+            all.push(service::Confirmed {
+                vm: member.vm.clone(),
+                zone: zone.clone(),
+                version: context.peers.version(&member.vm, now),
+            });
+        }
+    }
+    all
+}
+
+/// Answers another daemon.
+pub fn reply(context: &context::Context, ask: frame::Ask) -> frame::Reply {
+    match ask {
+        frame::Ask::Beat(beat) => frame::Reply::Echo(echo(context, &beat)),
+        frame::Ask::Pull(from) => give(context, change::ConfigVersion(from)),
+    }
+}
+
+fn echo(context: &context::Context, beat: &frame::Beat) -> frame::Echo {
+    let now = clock::boot_now();
+    let config = context.cell.get().version.0;
+    let known = frame::Known { vm: beat.vm.clone(), config: beat.config };
+    context.peers.hear(&beat.zone, &known);
+    let view = context.standing.view().number;
+    let near = beat.zone == context.place.zone;
+    if near {
+        context.standing.hear(beat.vm.clone(), now);
+        if beat.view > view {
+            context.peers.wake.notify_one();
+        }
+    }
+    let granted = near && beat.grant && context.standing.promise(beat.view, now);
+    let mut known = Vec::new();
+    if !near {
+        known = context.peers.within(&context.place.zone, now);
+        known.push(frame::Known { vm: context.place.vm.clone(), config });
+    }
+    frame::Echo { view, config, granted, known }
+}
+
+fn give(context: &context::Context, from: change::ConfigVersion) -> frame::Reply {
+    if let Some(changes) = context.log.delta(from) {
+        let text = serde_json::to_vec(&changes).expect("changes always encode");
+        return frame::Reply::Changes(Bytes::from(text));
+    }
+    let config = context.cell.get();
+    let whole = (config.version, &config.declared);
+    let text = serde_json::to_vec(&whole).expect("declarations always encode");
+    frame::Reply::Whole(Bytes::from(text))
+}
+
+/// Sends heartbeats until the daemon has closed.
+pub async fn run(context: Arc<context::Context>) {
+    while !context.life.closed() || context.life.running() > 0 {
+        for (zone, member) in targets(&context) {
+            tokio::spawn(beat(Arc::clone(&context), zone, member));
+        }
+        membership::publish(&context.standing, &context.lease, &context.life);
+        let wait = rand::rng().random_range(PERIOD.0 / 2..=PERIOD.0);
+        tokio::time::sleep(time::Millis(wait).to_std()).await;
+    }
+}
+
+fn targets(context: &context::Context) -> Vec<(id::ZoneId, view::Member)> {
+    let mut targets = Vec::new();
+    for (zone, view) in &context.views.get().zones {
+        if *zone == context.place.zone {
+            let others = view.members.iter().filter(|member| member.vm != context.place.vm);
+            targets.extend(others.map(|member| (zone.clone(), member.clone())));
+        } else if !view.members.is_empty() {
+            let any = rand::rng().random_range(0..view.members.len());
+            targets.push((zone.clone(), view.members[any].clone()));
+        }
+    }
+    targets
+}
+
+async fn beat(context: Arc<context::Context>, zone: id::ZoneId, member: view::Member) {
+    let start = clock::boot_now();
+    let number = context.standing.view().number;
+    let near = zone == context.place.zone;
+    let beat = frame::Beat {
+        vm: context.place.vm.clone(),
+        zone: context.place.zone.clone(),
+        view: number,
+        config: context.cell.get().version.0,
+        grant: near && context.standing.wants_grants(start),
+    };
+    let reply = context.link.ask(&zone, &member, frame::Ask::Beat(beat)).await;
+    let Ok(frame::Reply::Echo(echo)) = reply else { return };
+    let known = frame::Known { vm: member.vm.clone(), config: echo.config };
+    context.peers.hear(&zone, &known);
+    for known in &echo.known {
+        context.peers.hear(&zone, known);
+    }
+    if near {
+        context.standing.hear(member.vm.clone(), clock::boot_now());
+        if echo.granted {
+            context.standing.grant(member.vm.clone(), number, start);
+            membership::publish(&context.standing, &context.lease, &context.life);
+        }
+        if echo.view > number {
+            context.peers.wake.notify_one();
+        }
+    }
+    if echo.config > context.cell.get().version.0 {
+        pull(&context, &zone, &member).await;
+    }
+}
+
+async fn pull(context: &context::Context, zone: &id::ZoneId, member: &view::Member) {
+    let current = context.cell.get();
+    let asked = context.link.ask(zone, member, frame::Ask::Pull(current.version.0)).await;
+    let next = match asked {
+        Ok(frame::Reply::Changes(text)) => follow(context, &current, &text),
+        Ok(frame::Reply::Whole(text)) => whole(&text),
+        _ => return,
+    };
+    let Some(next) = next else {
+        event::emit(event::Event::ConfigInvalid, &[event::field("peer", &member.vm)]);
+        return;
+    };
+    let version = next.version;
+    if context.cell.raise(next) {
+        let fields = [event::field("version", &version), event::field("peer", &member.vm)];
+        event::emit(event::Event::ConfigApplied, &fields);
+        context.life.set_configured();
+    }
+}
+
+fn follow(
+    context: &context::Context,
+    current: &in_force::InForce,
+    text: &Bytes,
+) -> Option<in_force::InForce> {
+    let changes: Vec<change::Change> = serde_json::from_slice(text).ok()?;
+    context.log.absorb(current, changes).ok()
+}
+
+fn whole(text: &Bytes) -> Option<in_force::InForce> {
+    let (version, declared): (change::ConfigVersion, declared::Declared) =
+        serde_json::from_slice(text).ok()?;
+    Some(in_force::InForce { version, declared })
+}
--- a/crates/ibishill-daemon/src/membership.rs
+++ b/crates/ibishill-daemon/src/membership.rs
@@ -1,22 +1,27 @@
-//! Keeps this daemon's lease and reads the zone views.
+//! Keeps this daemon's lease and the zone views.
 
+use std::sync::Arc;
 use std::thread;
 
-use ibishill_core::{clock, event, view};
-use ibishill_state::lease;
+use ibishill_core::{clock, event, time};
+use ibishill_state::lease::{keeper, standing};
+use tokio::sync::Notify;
 
-use crate::context;
+use crate::{context, lease_clock};
+
+const LEAVE_TRIES: u32 = 3;
+const JOIN_PERIOD: time::Millis = time::Millis(500);
 
 /// Where the duty reads and writes.
 pub struct Duty {
-    /// The lease rows.
-    pub leases: lease::Leases,
-    /// How others reach this daemon.
-    pub member: view::Member,
-    /// Its zone.
-    pub zone: ibishill_core::id::ZoneId,
+    /// The daemon's share in membership.
+    pub keeper: keeper::Keeper,
     /// The views in force.
     pub views: context::ViewCell,
+    /// When the lease lapses.
+    pub clock: lease_clock::LeaseClock,
+    /// Wakes the duty when a peer knows a newer view.
+    pub wake: Arc<Notify>,
     /// How far the daemon's life has come.
     pub life: context::Life,
     /// The daemon's periods.
@@ -34,38 +39,64 @@
 }
 
 impl Duty {
-    async fn run(self) {
+    async fn run(mut self) {
         while !self.life.stopping() {
-            self.renew().await;
-            self.read().await;
-            tokio::time::sleep(self.periods.renew.to_std()).await;
+            self.step().await;
+            self.wait().await;
+        }
+        for _ in 0..LEAVE_TRIES {
+            let left = self.keeper.leave().await;
+            self.publish();
+            if left.is_ok() {
+                break;
+            }
         }
-        let _lapses = self.leases.release(&self.zone, &self.member.vm).await;
         while !self.life.closed() || self.life.running() > 0 {
-            self.read().await;
-            tokio::time::sleep(self.periods.renew.to_std()).await;
+            self.step().await;
+            self.wait().await;
+        }
+    }
+
+    async fn wait(&self) {
+        // A daemon that is no member yet, or leaves, is in a hurry.
+        let settled = self.keeper.standing.joined() && !self.keeper.transient();
+        let period = if settled { self.periods.renew } else { self.periods.renew.min(JOIN_PERIOD) };
+        tokio::select! {
+            () = tokio::time::sleep(period.to_std()) => {}
+            () = self.wake.notified() => {}
         }
     }
 
-    async fn renew(&self) {
-        let lease = lease::Lease {
-            zone: self.zone.clone(),
-            member: self.member.clone(),
-            expires: clock::wall_now() + self.periods.lease,
-        };
-        if let Err(error) = self.leases.renew(&lease).await {
+    async fn step(&mut self) {
+        let joined = self.keeper.standing.joined();
+        if let Err(error) = self.keeper.step().await {
             event::emit(event::Event::LeaseRenewFailed, &[event::field("error", &error)]);
         }
+        if self.keeper.standing.joined() && !joined {
+            event::emit(event::Event::LeaseAcquired, &[]);
+        }
+        self.publish();
     }
 
-    async fn read(&self) {
-        // While the platform is away, the last views stay in force.
-        let Ok(views) = self.leases.views(clock::wall_now()).await else { return };
-        let own = views.zones.get(&self.zone);
-        let member = own.is_some_and(|view| view.member(&self.member.vm).is_some());
-        self.life.set_member(member);
-        if self.views.set(views) {
-            event::emit(event::Event::ViewChanged, &[event::field("zone", &self.zone)]);
+    fn publish(&self) {
+        publish(&self.keeper.standing, &self.clock, &self.life);
+        if self.views.set(self.keeper.views.clone()) {
+            let number = self.keeper.standing.view().number;
+            event::emit(event::Event::ViewChanged, &[event::field("view", &number)]);
         }
     }
 }
+
+/// Shows the daemon's standing to admission and to the readiness page.
+pub fn publish(
+    standing: &standing::Standing,
+    lease: &lease_clock::LeaseClock,
+    life: &context::Life,
+) {
+    let until = standing.until();
+    lease.set(until);
+    let valid = clock::boot_now() < until;
+    if life.set_member(valid) && !valid && !life.stopping() {
+        event::emit(event::Event::LeaseLost, &[event::field("view", &standing.view().number)]);
+    }
+}
--- a/crates/ibishill-daemon/src/operators.rs
+++ b/crates/ibishill-daemon/src/operators.rs
@@ -13,12 +13,12 @@
 };
 use ibishill_operator::service;
 use ibishill_platform::Platform;
-use ibishill_state::{billing, log, refusal};
+use ibishill_state::{billing, refusal};
 
 use snafu::ResultExt;
 use tonic::transport;
 
-use crate::{config_sync, context, error, router};
+use crate::{config_sync, context, error, heartbeat, router};
 
 /// Builds the operators' service of a daemon.
 pub fn service(
@@ -29,7 +29,7 @@
     let (known, asked) = (Arc::clone(context), Arc::clone(context));
     let metrics = context.metrics.clone();
     service::Service {
-        log: log::Log::new(platform.table.clone()),
+        log: context.log.clone(),
         billing: billing::Billing::new(platform.objects.clone()),
         refusals: refusal::Refusals::new(platform.objects.clone()),
         cell: context.cell.clone(),
@@ -40,7 +40,7 @@
         }),
         confirmed: Arc::new(move || {
             let context = Arc::clone(&asked);
-            async move { confirmed(&context) }.boxed()
+            async move { heartbeat::confirmed(&context) }.boxed()
         }),
         denied: Arc::new(move |call| metrics.operator_refused(call)),
         refresh: Arc::new(move || {
@@ -86,14 +86,6 @@
     served.await.map_err(std::io::Error::other)
 }
 
-fn confirmed(context: &context::Context) -> Vec<service::Confirmed> {
-    vec![service::Confirmed {
-        vm: context.place.vm.clone(),
-        zone: context.place.zone.clone(),
-        version: Some(context.cell.get().version),
-    }]
-}
-
 async fn status(context: &context::Context) -> StatusReply {
     let gates = context.router.status().await;
     let config = context.cell.get();
--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ibishill_core::{clock, event, header, id, outcome, time};
-use ibishill_decide::admit;
+use ibishill_core::{clock, event, header, id, outcome, time, view};
+use ibishill_decide::{admit, owner};
 use ibishill_endpoint::{call, client, failure, sse};
 use ibishill_peer::frame;
 use tokio::sync::mpsc;
@@ -67,6 +67,7 @@
         target: work.target.clone(),
     };
     let mut permit = context.router.admit(job).await?;
+    check_standing(context, permit.admission())?;
     let address = permit.admission().address;
     let left = work.left.less(clock::boot_now().since(arrived));
     if left == time::Millis(0) {
@@ -107,6 +108,23 @@
     Ok(())
 }
 
+// The last check before dispatch: a daemon that was paused, or whose zone's view has
+// moved, may own the endpoint no more or not yet.
+fn check_standing(
+    context: &context::Context,
+    admission: &admit::Admission,
+) -> Result<(), outcome::Refusal> {
+    let owns = |view: &view::View| {
+        owner::owner(view, &admission.endpoint).is_none_or(|owner| owner.vm == context.place.vm)
+    };
+    if context.standing.admits(clock::boot_now(), owns) {
+        return Ok(());
+    }
+    let detail = format!("ownership of endpoint {} is changing hands", admission.endpoint);
+    Err(outcome::Refusal::not_run(outcome::Reason::NotReady, detail)
+        .retry_after(time::Millis::from_secs(1)))
+}
+
 fn call(work: &frame::Work, left: time::Millis, idle: time::Millis) -> call::Call {
     let mut headers = work.headers.clone();
     let kind = match work.target {
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -7,16 +7,20 @@
 use std::time::Duration;
 
 use ibishill_config::{in_force, settings};
-use ibishill_core::{event, view};
+use ibishill_core::{clock, event, view};
 use ibishill_decide::plan;
 use ibishill_endpoint::client;
 use ibishill_peer::{link, server, tls};
 use ibishill_platform::Platform;
-use ibishill_state::{lease, log};
+use ibishill_state::lease::{self, keeper};
+use ibishill_state::log;
 use snafu::ResultExt;
 
 use crate::error::{self, StartError};
-use crate::{config_sync, context, http, ledger, membership, metrics, operators, router, run};
+use crate::{
+    config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics, operators,
+    router, run,
+};
 
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -79,12 +83,18 @@
         let link = link::Link::new(socket.clone(), identity).context(error::LinkSnafu)?;
         (socket, link)
     };
+    let keeper = keeper(&settings, platform);
+    let lease = lease_clock::LeaseClock::default();
     let metrics = metrics::Metrics::new().map_err(|detail| StartError::Client { detail })?;
     let context = Arc::new(context::Context {
         settings: settings.clone(),
         place,
         cell: cell.clone(),
         views: views.clone(),
+        standing: keeper.standing.clone(),
+        lease: lease.clone(),
+        log: log::Log::new(platform),
+        peers: heartbeat::Peers::default(),
         life: life.clone(),
         router,
         ledger,
@@ -93,18 +103,14 @@
         metrics,
     });
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
-    let refresh = config_sync::spawn(
-        log::Log::new(platform.table.clone()),
-        cell,
-        life.clone(),
-        settings.periods.poll,
-    )
-    .context(error::ThreadSnafu)?;
+    let refresh =
+        config_sync::spawn(log::Log::new(platform), cell, life.clone(), settings.periods.poll)
+            .context(error::ThreadSnafu)?;
     let membership = membership::spawn(membership::Duty {
-        leases: lease::Leases::new(platform.table.clone()),
-        member: view::Member { vm: settings.vm.clone(), peers: settings.peers },
-        zone: settings.zone.clone(),
+        keeper,
         views,
+        clock: lease,
+        wake: Arc::clone(&context.peers.wake),
         life,
         periods: settings.periods.clone(),
     })
@@ -114,6 +120,18 @@
     Ok(Daemon { context, callers, socket, membership })
 }
 
+fn keeper(settings: &settings::Settings, platform: &Platform) -> keeper::Keeper {
+    keeper::Keeper::new(keeper::Place {
+        rows: lease::Rows::new(platform.table.clone()),
+        vms: platform.vms.clone(),
+        zone: settings.zone.clone(),
+        member: view::Member { vm: settings.vm.clone(), peers: settings.peers },
+        process: rand::random(),
+        lease: settings.periods.lease,
+        clock: Arc::new(clock::boot_now),
+    })
+}
+
 fn duty_runtime(name: &str, threads: usize) -> std::io::Result<tokio::runtime::Runtime> {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
@@ -129,7 +147,13 @@
 ) -> std::io::Result<()> {
     let context = Arc::clone(context);
     thread::Builder::new().name("peers".into()).spawn(move || {
-        let accepting = server::accept(socket, move |work| run::run(&context, work));
+        let asked = Arc::clone(&context);
+        runtime.spawn(heartbeat::run(Arc::clone(&context)));
+        let accepting = server::accept(
+            socket,
+            move |work| run::run(&context, work),
+            move |ask| heartbeat::reply(&asked, ask),
+        );
         runtime.block_on(accepting);
     })?;
     Ok(())
--- a/crates/ibishill-operator/src/service/order.rs
+++ b/crates/ibishill-operator/src/service/order.rs
@@ -62,6 +62,7 @@
             let details = Conflict { expected_version: expected.0, winner };
             Status::with_details(Code::Aborted, text, details.encode_to_vec().into())
         }
+        StateError::Ahead { .. } => Status::failed_precondition(text),
         StateError::IdReused { .. } => Status::already_exists(text),
         StateError::Invalid { .. } => Status::invalid_argument(text),
         StateError::Undecided => Status::unknown(text),
--- a/crates/ibishill-operator/tests/calls/setup.rs
+++ b/crates/ibishill-operator/tests/calls/setup.rs
@@ -24,7 +24,7 @@
 pub(crate) fn service(security: settings::Security) -> service::Service {
     let platform = memory::Memory::new(1).platform();
     service::Service {
-        log: log::Log::new(platform.table.clone()),
+        log: log::Log::new(&platform),
         billing: billing::Billing::new(platform.objects.clone()),
         refusals: refusal::Refusals::new(platform.objects),
         cell: in_force::Cell::default(),
--- a/crates/ibishill-peer/src/frame.rs
+++ b/crates/ibishill-peer/src/frame.rs
@@ -1,7 +1,7 @@
-//! Frames of a request's stream.
+//! Frames of a stream: requests with their answers, heartbeats, configuration.
 
 use bytes::Bytes;
-use ibishill_core::{cost, header, id, outcome, priority, repeat, time};
+use ibishill_core::{cost, header, id, outcome, priority, repeat, time, view};
 use serde::{Deserialize, Serialize};
 
 /// A request on its way from the entry daemon to the owner.
@@ -75,3 +75,69 @@
     /// The request was given up, with what is known.
     Failed(outcome::Refusal),
 }
+
+/// First frame of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Open {
+    /// A request; frames of its answer follow.
+    Work(Work),
+    /// A question between daemons; one reply follows.
+    Ask(Ask),
+}
+
+/// A question between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// A heartbeat.
+    Beat(Beat),
+    /// The configuration after a version.
+    Pull(u64),
+}
+
+/// A daemon's sign of life.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub vm: id::VmId,
+    /// Its zone.
+    pub zone: id::ZoneId,
+    /// Its view of its zone.
+    pub view: view::ViewNumber,
+    /// Its configuration version.
+    pub config: u64,
+    /// Whether it asks the receiver not to move the view.
+    pub grant: bool,
+}
+
+/// What a daemon knows of another one's configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The daemon.
+    pub vm: id::VmId,
+    /// Its configuration version.
+    pub config: u64,
+}
+
+/// The reply to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The replier's view of its zone.
+    pub view: view::ViewNumber,
+    /// The replier's configuration version.
+    pub config: u64,
+    /// Whether the view is kept for a lease.
+    pub granted: bool,
+    /// For a sender of another zone: what is known within the replier's zone.
+    pub known: Vec<Known>,
+}
+
+/// A reply between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// To a heartbeat.
+    Echo(Echo),
+    /// Changes, as JSON, because declarations have no fixed layout.
+    Changes(Bytes),
+    /// The whole configuration, as JSON.
+    Whole(Bytes),
+}
--- a/crates/ibishill-peer/src/link.rs
+++ b/crates/ibishill-peer/src/link.rs
@@ -18,6 +18,7 @@
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
 const IDLE_TIMEOUT_MS: u32 = 5_000;
 
@@ -101,6 +102,38 @@
         zone: &id::ZoneId,
         member: &view::Member,
         work: &frame::Work,
+    ) -> Result<Call, LinkError> {
+        self.open(zone, member, &frame::Open::Work(work.clone())).await
+    }
+
+    /// Asks the daemon `member` in `zone`.
+    ///
+    /// # Errors
+    ///
+    /// Any error means that nothing was learnt.
+    pub async fn ask(
+        &self,
+        zone: &id::ZoneId,
+        member: &view::Member,
+        ask: frame::Ask,
+    ) -> Result<frame::Reply, LinkError> {
+        let asked = async {
+            let mut call = self.open(zone, member, &frame::Open::Ask(ask)).await?;
+            match call.reader.next().await {
+                Some(Ok(bytes)) => postcard::from_bytes(&bytes).context(error::FrameSnafu),
+                Some(Err(error)) => Err(LinkError::Broken { detail: error.to_string() }),
+                None => Err(LinkError::Broken { detail: "no reply".into() }),
+            }
+        };
+        let waited = tokio::time::timeout(ASK_TIMEOUT, asked).await;
+        waited.unwrap_or_else(|_| Err(LinkError::Broken { detail: "timeout".into() }))
+    }
+
+    async fn open(
+        &self,
+        zone: &id::ZoneId,
+        member: &view::Member,
+        first: &frame::Open,
     ) -> Result<Call, LinkError> {
         let connection = self.connect(zone, member).await?;
         let opened = connection.open_bi().await;
@@ -109,7 +142,7 @@
             detail: error.to_string(),
         })?;
         let mut writer = codec::FramedWrite::new(send, codec());
-        let text = postcard::to_stdvec(work).context(error::FrameSnafu)?;
+        let text = postcard::to_stdvec(first).context(error::FrameSnafu)?;
         let sent = writer.send(Bytes::from(text)).await;
         sent.map_err(|error| LinkError::Broken { detail: error.to_string() })?;
         let reader = codec::FramedRead::new(receive, codec());
--- a/crates/ibishill-peer/src/server.rs
+++ b/crates/ibishill-peer/src/server.rs
@@ -24,16 +24,18 @@
         .map_err(|error| LinkError::Tls { detail: format!("{address}: {error}") })
 }
 
-/// Accepts requests until the endpoint is closed; `run` starts each one.
-pub async fn accept<R>(endpoint: quinn::Endpoint, run: R)
+/// Accepts streams until the endpoint is closed; `run` starts each request, `reply`
+/// answers each question.
+pub async fn accept<R, A>(endpoint: quinn::Endpoint, run: R, reply: A)
 where
+    A: Fn(frame::Ask) -> frame::Reply + Clone + Send + Sync + 'static,
     R: Fn(frame::Work) -> mpsc::Receiver<frame::Frame> + Clone + Send + Sync + 'static,
 {
     while let Some(incoming) = endpoint.accept().await {
-        let run = run.clone();
+        let (run, reply) = (run.clone(), reply.clone());
         tokio::spawn(async move {
             match incoming.await {
-                Ok(connection) => serve(connection, run).await,
+                Ok(connection) => serve(connection, run, reply).await,
                 Err(error) => {
                     let fields = [event::field("error", &error)];
                     event::emit(event::Event::PeerRejected, &fields);
@@ -43,24 +45,36 @@
     }
 }
 
-async fn serve<R>(connection: quinn::Connection, run: R)
+async fn serve<R, A>(connection: quinn::Connection, run: R, reply: A)
 where
+    A: Fn(frame::Ask) -> frame::Reply + Clone + Send + Sync + 'static,
     R: Fn(frame::Work) -> mpsc::Receiver<frame::Frame> + Clone + Send + Sync + 'static,
 {
     while let Ok((send, receive)) = connection.accept_bi().await {
-        let run = run.clone();
-        tokio::spawn(answer(send, receive, run));
+        let (run, reply) = (run.clone(), reply.clone());
+        tokio::spawn(answer(send, receive, run, reply));
     }
 }
 
-async fn answer<R>(send: quinn::SendStream, receive: quinn::RecvStream, run: R)
+async fn answer<R, A>(send: quinn::SendStream, receive: quinn::RecvStream, run: R, reply: A)
 where
+    A: Fn(frame::Ask) -> frame::Reply,
     R: Fn(frame::Work) -> mpsc::Receiver<frame::Frame>,
 {
     let mut reader: link::Reader = codec::FramedRead::new(receive, link::codec());
     let mut writer: link::Writer = codec::FramedWrite::new(send, link::codec());
     let Some(Ok(first)) = reader.next().await else { return };
-    let Ok(work) = postcard::from_bytes::<frame::Work>(&first) else { return };
+    let Ok(open) = postcard::from_bytes::<frame::Open>(&first) else { return };
+    let work = match open {
+        frame::Open::Work(work) => work,
+        frame::Open::Ask(ask) => {
+            let Ok(text) = postcard::to_stdvec(&reply(ask)) else { return };
+            if writer.send(Bytes::from(text)).await.is_ok() {
+                finish(writer).await;
+            }
+            return;
+        }
+    };
     let mut frames = run(work);
     loop {
         // The caller has left when its side of the stream ends.
@@ -75,6 +89,10 @@
             return;
         }
     }
+    finish(writer).await;
+}
+
+async fn finish(writer: link::Writer) {
     let mut send = writer.into_inner();
     if send.finish().is_ok() {
         let _stopped = send.stopped().await;
--- a/crates/ibishill-standin/src/memory.rs
+++ b/crates/ibishill-standin/src/memory.rs
@@ -21,11 +21,16 @@
     pub lose_before: f64,
     /// Longest delay of a call, in milliseconds.
     pub delay_ms: u64,
+    /// Most transactions that a read lags behind.
+    pub lag: u64,
 }
 
+/// Transactions that a row's older values are kept for.
+const LAG_MAX: u64 = 64;
+
 #[derive(Debug)]
 struct Data {
-    rows: BTreeMap<table::RowKey, (u64, String)>,
+    rows: BTreeMap<table::RowKey, Vec<(u64, Option<String>)>>,
     revision: u64,
     objects: BTreeMap<String, String>,
     vms: Vec<vm::Vm>,
@@ -91,6 +96,14 @@
         self.lock().vms = vms;
     }
 
+    /// How many rows of `table` have a key that starts with `prefix`.
+    pub fn rows(&self, table: &str, prefix: &str) -> usize {
+        let data = self.lock();
+        let named = data.rows.keys().filter(|name| name.table == table);
+        let named = named.filter(|name| name.key.starts_with(prefix));
+        named.filter(|name| data.row(name, u64::MAX).value.is_some()).count()
+    }
+
     /// How many calls were served.
     pub fn counts(&self) -> Counts {
         let data = self.lock();
@@ -272,42 +285,57 @@
 }
 
 impl Data {
-    fn row(&self, name: &table::RowKey) -> table::Row {
-        match self.rows.get(name) {
-            Some((revision, value)) => {
+    // The row as it was after transaction `at`.
+    fn row(&self, name: &table::RowKey, at: u64) -> table::Row {
+        let values = self.rows.get(name).map(Vec::as_slice).unwrap_or_default();
+        let found = values.iter().rev().find(|(revision, _)| *revision <= at);
+        match found {
+            Some((revision, Some(value))) => {
                 table::Row { name: name.clone(), revision: *revision, value: Some(value.clone()) }
             }
-            None => table::Row { name: name.clone(), revision: 0, value: None },
+            _ => table::Row { name: name.clone(), revision: 0, value: None },
         }
     }
 
+    fn write(&mut self, write: table::Write) {
+        let (revision, oldest) = (self.revision, self.revision.saturating_sub(LAG_MAX));
+        let values = self.rows.entry(write.name.clone()).or_default();
+        values.push((revision, write.value));
+        // The newest value that is old enough for every lagging read stays, too.
+        let seen = values.partition_point(|(revision, _)| *revision <= oldest);
+        values.drain(..seen.saturating_sub(1));
+    }
+
     fn commit(&mut self, transaction: table::Transaction) -> Result<(), failure::Failure> {
-        let stale = |check: &&table::Check| self.row(&check.name).revision != check.revision;
-        let rows: Vec<_> =
-            transaction.checks.iter().filter(stale).map(|check| self.row(&check.name)).collect();
+        let now = |name| self.row(name, u64::MAX);
+        let stale = transaction.checks.iter().map(|check| (check, now(&check.name)));
+        let rows: Vec<_> = stale
+            .filter(|(check, row)| row.revision != check.revision)
+            .map(|(_, row)| row)
+            .collect();
         if !rows.is_empty() {
             return Err(failure::Failure::Conflict { rows });
         }
+        self.revision += 1;
         for write in transaction.writes {
-            self.revision += 1;
-            match write.value {
-                Some(value) => drop(self.rows.insert(write.name, (self.revision, value))),
-                None => drop(self.rows.remove(&write.name)),
-            }
+            self.write(write);
         }
         Ok(())
     }
 
-    fn read(&self, query: table::Query) -> Vec<table::Row> {
+    fn read(&mut self, query: table::Query) -> Vec<table::Row> {
+        let longest = self.faults.lag.min(LAG_MAX).min(self.revision);
+        let at = self.revision - self.rng.random_range(0..=longest);
         match query {
-            table::Query::Rows(names) => names.iter().map(|name| self.row(name)).collect(),
+            table::Query::Rows(names) => names.iter().map(|name| self.row(name, at)).collect(),
             table::Query::Scan(scan) => self
                 .rows
                 .keys()
                 .filter(|name| name.table == scan.table && name.key.starts_with(&scan.prefix))
                 .filter(|name| name.key > scan.after)
+                .map(|name| self.row(name, at))
+                .filter(|row| row.value.is_some())
                 .take(scan.limit)
-                .map(|name| self.row(name))
                 .collect(),
         }
     }
--- a/crates/ibishill-state/src/error.rs
+++ b/crates/ibishill-state/src/error.rs
@@ -34,6 +34,14 @@
         /// The change that is in force instead.
         winner: Box<change::Change>,
     },
+    /// The order expects a version that was not seen yet.
+    #[snafu(display("expected version {expected}, but the newest one is {newest}"))]
+    Ahead {
+        /// The version that the order expected.
+        expected: change::ConfigVersion,
+        /// The newest version that was read.
+        newest: change::ConfigVersion,
+    },
     /// The change id was used for another change.
     #[snafu(display("change id {id} was used before for another change"))]
     IdReused {
--- a/crates/ibishill-state/src/lease.rs
+++ b/crates/ibishill-state/src/lease.rs
@@ -1,87 +1,148 @@
-//! One lease row per daemon, and the zone views that follow from them.
+//! One lease row per daemon and one view row per zone, moved by compare-and-set.
+//!
+//! No wall clock is written or compared: others see that a lease was not renewed by
+//! its row's revision, which stays the same for a lease on their own clock.
 
-use ibishill_core::{id, time, view};
-use ibishill_platform::table;
+use ibishill_core::{id, view};
+use ibishill_platform::{failure, table};
 use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
 
-use crate::error::{self, StateError};
+pub mod keeper;
+pub mod standing;
 
-const TABLE: &str = "lease";
+const LEASES: &str = "lease";
+const VIEWS: &str = "view";
 const SCAN_LIMIT: usize = 4_096;
 
 /// The row of one daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lease {
-    /// The zone.
-    pub zone: id::ZoneId,
     /// How others reach the daemon.
     pub member: view::Member,
-    /// Wall-clock time at which the lease lapses.
-    pub expires: time::Tick,
+    /// Random number of the process, so that a restarted one is told apart.
+    pub process: u64,
+    /// The lease's number, raised by each renewal.
+    pub number: u64,
+    /// The view that the daemon follows.
+    pub view: view::ViewNumber,
 }
 
-/// The lease rows in the platform's table.
+/// The row of one zone.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneRow {
+    /// The view.
+    pub view: view::View,
+    /// The view that it replaced.
+    pub before: view::View,
+}
+
+/// A value as read, with the revision to check when it is replaced.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Seen<T> {
+    /// The revision; 0 if the row is absent.
+    pub revision: u64,
+    /// The value.
+    pub value: Option<T>,
+}
+
+/// The lease and view rows in the platform's table.
 #[derive(Clone)]
-pub struct Leases {
+pub struct Rows {
     table: table::Table,
 }
 
-fn row(zone: &id::ZoneId, vm: &id::VmId) -> table::RowKey {
-    table::RowKey::new(TABLE, format!("{zone}/{vm}"))
+/// Name of a daemon's lease row.
+pub fn lease_row(zone: &id::ZoneId, vm: &id::VmId) -> table::RowKey {
+    table::RowKey::new(LEASES, format!("{zone}/{vm}"))
+}
+
+/// Name of a zone's view row.
+pub fn view_row(zone: &id::ZoneId) -> table::RowKey {
+    table::RowKey::new(VIEWS, zone.to_string())
+}
+
+fn seen<T>(row: &table::Row) -> Result<Seen<T>, failure::Failure>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let value = row.value.as_deref().map(serde_json::from_str).transpose();
+    let value = value.map_err(|error| failure::Failure::NotDone {
+        detail: format!("row {} can't be read: {error}", row.name.key),
+    })?;
+    Ok(Seen { revision: row.revision, value })
+}
+
+pub(crate) fn encode<T>(value: &T) -> String
+where
+    T: Serialize,
+{
+    serde_json::to_string(value).expect("rows have text keys and always encode")
 }
 
-impl Leases {
-    /// Opens the leases.
+impl Rows {
+    /// Opens the rows.
     pub fn new(table: table::Table) -> Self {
         Self { table }
     }
 
-    /// Writes a daemon's lease.
+    /// Reads the view rows of all zones in one call.
     ///
     /// # Errors
     ///
     /// Fails if the platform does.
-    pub async fn renew(&self, lease: &Lease) -> Result<(), StateError> {
-        let value = serde_json::to_string(lease).expect("a lease always encodes");
-        let name = row(&lease.zone, &lease.member.vm);
-        let transaction = table::Transaction::default().put(name, value);
-        self.table.commit(transaction).await.context(error::PlatformSnafu)
+    pub async fn views(&self) -> Result<Vec<(id::ZoneId, Seen<ZoneRow>)>, failure::Failure> {
+        let rows = self.scan(VIEWS, String::new()).await?;
+        let named = rows.iter().filter_map(|row| Some((row.name.key.parse().ok()?, row)));
+        named.map(|(zone, row)| Ok((zone, seen(row)?))).collect()
     }
 
-    /// Removes a daemon's lease.
+    /// Reads the leases of one zone in one call.
     ///
     /// # Errors
     ///
-    /// Fails if the platform does; the lease then lapses by itself.
-    pub async fn release(&self, zone: &id::ZoneId, vm: &id::VmId) -> Result<(), StateError> {
-        let transaction = table::Transaction::default().remove(row(zone, vm));
-        self.table.commit(transaction).await.context(error::PlatformSnafu)
+    /// Fails if the platform does.
+    pub async fn leases(
+        &self,
+        zone: &id::ZoneId,
+    ) -> Result<Vec<(id::VmId, Seen<Lease>)>, failure::Failure> {
+        let prefix = format!("{zone}/");
+        let rows = self.scan(LEASES, prefix.clone()).await?;
+        let named = rows
+            .iter()
+            .filter_map(|row| Some((row.name.key.strip_prefix(&prefix)?.parse().ok()?, row)));
+        named.map(|(vm, row)| Ok((vm, seen(row)?))).collect()
     }
 
-    /// Reads the views of all zones as of `now` on the wall clock.
+    /// Reads one daemon's lease and its zone's view in one call.
     ///
     /// # Errors
     ///
-    /// Fails if the platform does or a row is malformed.
-    pub async fn views(&self, now: time::Tick) -> Result<view::Views, StateError> {
-        let scan = table::Scan {
-            table: TABLE.into(),
-            prefix: String::new(),
-            after: String::new(),
-            limit: SCAN_LIMIT,
+    /// Fails if the platform does.
+    pub async fn own(
+        &self,
+        zone: &id::ZoneId,
+        vm: &id::VmId,
+    ) -> Result<(Seen<Lease>, Seen<ZoneRow>), failure::Failure> {
+        let names = vec![lease_row(zone, vm), view_row(zone)];
+        let rows = self.table.read(table::Query::Rows(names)).await?;
+        let [lease, view] = rows.as_slice() else {
+            return Err(failure::Failure::NotDone { detail: "rows are missing".into() });
         };
-        let rows = self.table.read(table::Query::Scan(scan)).await;
-        let mut views = view::Views::default();
-        for row in rows.context(error::PlatformSnafu)? {
-            let value = row.value.unwrap_or_default();
-            let lease: Lease = serde_json::from_str(&value).map_err(|error| {
-                StateError::Malformed { name: row.name.key.clone(), detail: error.to_string() }
-            })?;
-            if lease.expires > now {
-                views.zones.entry(lease.zone).or_default().members.push(lease.member);
-            }
-        }
-        Ok(views)
+        Ok((seen(lease)?, seen(view)?))
+    }
+
+    async fn scan(&self, table: &str, prefix: String) -> Result<Vec<table::Row>, failure::Failure> {
+        let scan =
+            table::Scan { table: table.into(), prefix, after: String::new(), limit: SCAN_LIMIT };
+        self.table.read(table::Query::Scan(scan)).await
+    }
+
+    /// Commits a transaction over the rows.
+    ///
+    /// # Errors
+    ///
+    /// As the platform's table does.
+    pub async fn commit(&self, transaction: table::Transaction) -> Result<(), failure::Failure> {
+        self.table.commit(transaction).await
     }
 }
--- /dev/null
+++ b/crates/ibishill-state/src/lease/standing.rs
@@ -0,0 +1,157 @@
+//! A daemon's standing in its zone, shared by its duties; no lock is held over a call.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use ibishill_core::{id, time, view as core_view};
+
+use crate::view;
+
+#[derive(Default)]
+struct Inner {
+    guard: view::Guard,
+    detector: view::Detector,
+    promised: time::Tick,
+    moving: Option<core_view::ViewNumber>,
+    left: bool,
+}
+
+/// What a daemon may admit and what it has promised to peers; clones share it.
+#[derive(Clone)]
+pub struct Standing {
+    own: id::VmId,
+    lease: time::Millis,
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Standing {
+    /// Makes the standing of a daemon that is no member yet.
+    pub fn new(own: id::VmId, lease: time::Millis) -> Self {
+        Self { own, lease, inner: Arc::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The view in force at this daemon.
+    pub fn view(&self) -> core_view::View {
+        self.lock().guard.view().clone()
+    }
+
+    /// When the lease lapses that the platform has recorded.
+    pub fn leased(&self) -> time::Tick {
+        self.lock().guard.leased()
+    }
+
+    /// Whether this process has held a lease and has not left.
+    pub fn joined(&self) -> bool {
+        self.leased() > time::Tick::default()
+    }
+
+    /// When the right to admit lapses, by lease or by grants.
+    pub fn until(&self) -> time::Tick {
+        self.lock().guard.until(&self.own)
+    }
+
+    /// Whether this daemon alone may admit to an endpoint; `owns` tells whether it owns
+    /// the endpoint in a view, or nobody does.
+    pub fn admits<O>(&self, now: time::Tick, owns: O) -> bool
+    where
+        O: Fn(&core_view::View) -> bool,
+    {
+        self.lock().guard.admits(&self.own, now, owns)
+    }
+
+    /// Notes a sign of life of a peer.
+    pub fn hear(&self, peer: id::VmId, now: time::Tick) {
+        self.lock().detector.hear(peer, now);
+    }
+
+    /// Whether a peer has been silent for too long.
+    pub fn suspects(&self, peer: &id::VmId, now: time::Tick) -> bool {
+        self.lock().detector.suspects(peer, now)
+    }
+
+    /// Whether this daemon should ask its peers for grants: half of its lease has gone.
+    pub fn wants_grants(&self, now: time::Tick) -> bool {
+        self.joined() && now + time::Millis(self.lease.0 / 2) > self.leased()
+    }
+
+    /// Notes the grant of a peer that was asked at `start` about view `number`.
+    pub fn grant(&self, peer: id::VmId, number: core_view::ViewNumber, start: time::Tick) {
+        let mut inner = self.lock();
+        if inner.guard.view().number == number {
+            inner.guard.grant(peer, start, self.lease);
+        }
+    }
+
+    /// Promises a peer that can't renew not to move view `number` for a lease; returns
+    /// whether it may rely on that.
+    pub fn promise(&self, number: core_view::ViewNumber, now: time::Tick) -> bool {
+        let mut inner = self.lock();
+        let view = inner.guard.view();
+        let member = view.number == number && view.member(&self.own).is_some();
+        let joined = inner.guard.leased() > time::Tick::default();
+        if !member || !joined || inner.moving.is_some() || inner.left {
+            return false;
+        }
+        let until = now + time::Millis(self.lease.0 + view::MARGIN.0);
+        inner.promised = inner.promised.max(until);
+        true
+    }
+
+    /// Begins to move view `number`: from now on nothing is promised about it.
+    ///
+    /// Returns false while a promise stands.
+    pub(crate) fn begin_move(&self, number: core_view::ViewNumber, now: time::Tick) -> bool {
+        let mut inner = self.lock();
+        if now < inner.promised {
+            return false;
+        }
+        inner.moving = Some(number);
+        true
+    }
+
+    /// Notes that the move is known not to have taken effect.
+    pub(crate) fn end_move(&self) {
+        self.lock().moving = None;
+    }
+
+    pub(crate) fn adopt(
+        &self,
+        next: &core_view::View,
+        before: &core_view::View,
+        now: time::Tick,
+    ) -> bool {
+        let mut inner = self.lock();
+        if !inner.guard.adopt(next, before, self.lease, now) {
+            return false;
+        }
+        inner.moving = inner.moving.filter(|number| *number >= next.number);
+        true
+    }
+
+    pub(crate) fn renew(&self, start: time::Tick) {
+        let mut inner = self.lock();
+        if !inner.left {
+            inner.guard.renew(start, self.lease);
+        }
+    }
+
+    pub(crate) fn awaited(&self, now: time::Tick) -> Vec<id::VmId> {
+        self.lock().guard.awaited(&self.own, now)
+    }
+
+    pub(crate) fn settle(&self, number: core_view::ViewNumber) {
+        let mut inner = self.lock();
+        if inner.guard.view().number == number {
+            inner.guard.settle();
+        }
+    }
+
+    pub(crate) fn leave(&self) {
+        let mut inner = self.lock();
+        inner.guard.release();
+        inner.left = true;
+    }
+}
--- a/crates/ibishill-state/src/lib.rs
+++ b/crates/ibishill-state/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod lease;
 pub mod log;
 pub mod refusal;
+pub mod snapshot;
+pub mod view;
--- a/crates/ibishill-state/src/log.rs
+++ b/crates/ibishill-state/src/log.rs
@@ -1,19 +1,28 @@
 //! The configuration log: a head moved by compare-and-set, one row per change.
 //!
+//! Reads of the platform may lag; only the checks of a transaction decide. The newest
+//! state that was read is kept, so that an order costs the changes since then.
+//!
 //! The row of a change is its audit row too, so that no change can be in force
 //! without its entry in the audit trail.
 
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
 use ibishill_config::{change, check, declared, finding, in_force};
 use ibishill_core::{id, time};
-use ibishill_platform::{failure, table};
+use ibishill_platform::{Platform, failure, table};
 use snafu::ResultExt;
 
 use crate::error::{self, StateError};
+use crate::snapshot;
 
-const TABLE: &str = "config";
+pub(crate) const TABLE: &str = "config";
 const HEAD: &str = "head";
-const TAIL_LIMIT: usize = 256;
-const READ_BACK_TRIES: u32 = 5;
+pub(crate) const TAIL_LIMIT: usize = 256;
+const READ_BACK_TRIES: u32 = 6;
+const FIRST_BACKOFF: Duration = Duration::from_millis(5);
 
 /// An order to change the declarations.
 #[derive(Debug, Clone, PartialEq)]
@@ -34,13 +43,16 @@
 #[derive(Clone)]
 pub struct Log {
     table: table::Table,
+    snapshots: snapshot::Snapshots,
+    newest: in_force::Cell,
+    recent: Arc<Mutex<VecDeque<change::Change>>>,
 }
 
 fn head_row() -> table::RowKey {
     table::RowKey::new(TABLE, HEAD)
 }
 
-fn change_row(version: change::ConfigVersion) -> table::RowKey {
+pub(crate) fn change_row(version: change::ConfigVersion) -> table::RowKey {
     table::RowKey::new(TABLE, format!("change/{:020}", version.0))
 }
 
@@ -48,7 +60,7 @@
     table::RowKey::new(TABLE, format!("id/{id}"))
 }
 
-fn decode<T>(row: &table::Row) -> Result<Option<T>, StateError>
+pub(crate) fn decode<T>(row: &table::Row) -> Result<Option<T>, StateError>
 where
     T: serde::de::DeserializeOwned,
 {
@@ -59,7 +71,7 @@
     })
 }
 
-fn encode<T>(value: &T) -> String
+pub(crate) fn encode<T>(value: &T) -> String
 where
     T: serde::Serialize,
 {
@@ -68,8 +80,10 @@
 
 impl Log {
     /// Opens the log.
-    pub fn new(table: table::Table) -> Self {
-        Self { table }
+    pub fn new(platform: &Platform) -> Self {
+        let (table, objects) = (platform.table.clone(), platform.objects.clone());
+        let snapshots = snapshot::Snapshots::new(table.clone(), objects);
+        Self { table, snapshots, newest: in_force::Cell::default(), recent: Arc::default() }
     }
 
     /// Reads the version of the newest change.
@@ -82,7 +96,8 @@
         Ok(decode(&row)?.unwrap_or_default())
     }
 
-    /// Reads changes after `version`, oldest first, at most a page of them.
+    /// Reads changes after `version`, oldest first, at most a page of them; old ones
+    /// come from the archive.
     ///
     /// # Errors
     ///
@@ -90,6 +105,19 @@
     pub async fn tail(
         &self,
         version: change::ConfigVersion,
+    ) -> Result<Vec<change::Change>, StateError> {
+        let rows = self.rows(version).await?;
+        let follows = |change: &change::Change| change.version == version.next();
+        if rows.first().is_none_or(follows) {
+            return Ok(rows);
+        }
+        let archived = self.snapshots.archived(version).await?;
+        Ok(if archived.first().is_some_and(follows) { archived } else { rows })
+    }
+
+    async fn rows(
+        &self,
+        version: change::ConfigVersion,
     ) -> Result<Vec<change::Change>, StateError> {
         let scan = table::Scan {
             table: TABLE.into(),
@@ -102,7 +130,8 @@
         rows.iter().filter_map(|row| decode(row).transpose()).collect()
     }
 
-    /// Brings `current` up to the newest change.
+    /// Brings `current` up to the newest change, over the newest snapshot if the
+    /// changes in between are archived.
     ///
     /// # Errors
     ///
@@ -113,17 +142,89 @@
     ) -> Result<in_force::InForce, StateError> {
         let mut next = current.clone();
         loop {
-            let tail = self.tail(next.version).await?;
+            let tail = self.rows(next.version).await?;
+            if tail.first().is_some_and(|change| change.version > next.version.next()) {
+                next = self.skip_gap(&next).await?;
+                continue;
+            }
             let last = tail.len() < TAIL_LIMIT;
             for change in tail {
-                follow(&mut next, change)?;
+                follow(&mut next, change.clone())?;
+                self.remember(change);
             }
             if last {
+                let _newer = self.newest.raise(next.clone());
                 return Ok(next);
             }
         }
     }
 
+    async fn skip_gap(&self, from: &in_force::InForce) -> Result<in_force::InForce, StateError> {
+        let snapshot = self.snapshots.newest().await?;
+        let newer = snapshot.filter(|snapshot| snapshot.version > from.version);
+        newer.ok_or_else(|| StateError::Malformed {
+            name: change_row(from.version.next()).key,
+            detail: "the row is missing and no snapshot covers it".into(),
+        })
+    }
+
+    // Keeps the newest changes without a gap, for peers that are behind.
+    fn remember(&self, change: change::Change) {
+        let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+        match recent.back().map(|last| last.version.next()) {
+            Some(next) if change.version < next => return,
+            Some(next) if change.version > next => recent.clear(),
+            _ => {}
+        }
+        if recent.len() == TAIL_LIMIT {
+            recent.pop_front();
+        }
+        recent.push_back(change);
+    }
+
+    /// The changes after `version` from memory, for a peer; none if they are not kept.
+    pub fn delta(&self, version: change::ConfigVersion) -> Option<Vec<change::Change>> {
+        let recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+        let later = recent.iter().filter(|change| change.version > version);
+        let changes: Vec<_> = later.cloned().collect();
+        changes.first().is_some_and(|change| change.version == version.next()).then_some(changes)
+    }
+
+    /// Follows the changes of a peer from `current`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they have a gap.
+    pub fn absorb(
+        &self,
+        current: &in_force::InForce,
+        changes: Vec<change::Change>,
+    ) -> Result<in_force::InForce, StateError> {
+        let mut next = current.clone();
+        for change in changes.into_iter().filter(|change| change.version > current.version) {
+            follow(&mut next, change.clone())?;
+            self.remember(change);
+        }
+        let _newer = self.newest.raise(next.clone());
+        Ok(next)
+    }
+
+    /// Reads the head only, and the changes only if it has moved past `current`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does or the log has a gap.
+    pub async fn poll(
+        &self,
+        current: &in_force::InForce,
+    ) -> Result<Option<in_force::InForce>, StateError> {
+        if self.head().await? <= current.version {
+            return Ok(None);
+        }
+        let next = self.catch_up(current).await?;
+        Ok(Some(next).filter(|next| next.version > current.version))
+    }
+
     /// Accepts an order: returns only once the change is known to have taken effect.
     ///
     /// # Errors
@@ -135,23 +236,78 @@
         order: &Order,
         now: time::Tick,
     ) -> Result<change::Change, StateError> {
+        let mut doubt = false;
+        let mut ahead = None;
+        let mut backoff = FIRST_BACKOFF;
         for _ in 0..READ_BACK_TRIES {
-            if let Some(done) = self.find(&order.id).await? {
-                return same_order(done, order);
+            match self.try_accept(order, now, &mut doubt).await {
+                Ok(Some(change)) => return Ok(change),
+                Ok(None) => {}
+                // An earlier write may still have taken effect, whatever failed now.
+                Err(StateError::Platform { .. }) if doubt => {}
+                // The read may have lagged behind what the operator has seen.
+                Err(error @ StateError::Ahead { .. }) => ahead = Some(error),
+                Err(error) => return Err(error),
+            }
+            tokio::time::sleep(backoff).await;
+            backoff *= 2;
+        }
+        Err(ahead.filter(|_| !doubt).unwrap_or(StateError::Undecided))
+    }
+
+    async fn try_accept(
+        &self,
+        order: &Order,
+        now: time::Tick,
+        doubt: &mut bool,
+    ) -> Result<Option<change::Change>, StateError> {
+        if let Some(done) = self.find(&order.id).await? {
+            return same_order(done, order).map(Some);
+        }
+        let current = self.catch_up(&self.newest.get()).await?;
+        if let Some(expected) = order.expected.filter(|e| *e != current.version) {
+            if expected > current.version {
+                return Err(StateError::Ahead { expected, newest: current.version });
             }
-            let current = self.catch_up(&in_force::InForce::default()).await?;
-            if let Some(expected) = order.expected.filter(|e| *e != current.version) {
-                return Err(self.conflict(expected, current.version).await?);
+            if let Some(done) = self.find_after(expected, &order.id).await? {
+                return same_order(done, order).map(Some);
+            }
+            return Err(self.conflict(expected, current.version).await?);
+        }
+        let change = prepare(&current, order, now)?;
+        match self.append(&change, &current).await {
+            Ok(()) => {
+                self.maintain(&current, &change).await;
+                Ok(Some(change))
             }
-            let change = prepare(&current, order, now)?;
-            match self.append(&change, &current).await {
-                Ok(()) => return Ok(change),
-                // The next round reads back what happened.
-                Err(failure::Failure::Conflict { .. } | failure::Failure::Unknown { .. }) => {}
-                Err(source) => return Err(StateError::Platform { source }),
+            Err(failure::Failure::Conflict { .. }) => Ok(None),
+            Err(failure::Failure::Unknown { .. }) => {
+                *doubt = true;
+                Ok(None)
+            }
+            Err(source) => Err(StateError::Platform { source }),
+        }
+    }
+
+    // The change is accepted whatever becomes of the snapshot: a later one makes up.
+    async fn maintain(&self, before: &in_force::InForce, change: &change::Change) {
+        let mut current = before.clone();
+        if follow(&mut current, change.clone()).is_ok() {
+            let _newer = self.newest.raise(current.clone());
+            if change.version.0.is_multiple_of(snapshot::INTERVAL_CHANGES / 8) {
+                let _later = self.snapshots.maintain(&current).await;
             }
         }
-        Err(StateError::Undecided)
+    }
+
+    // The row of the id may lag behind the change itself.
+    async fn find_after(
+        &self,
+        version: change::ConfigVersion,
+        id: &id::ChangeId,
+    ) -> Result<Option<change::Change>, StateError> {
+        let tail = self.tail(version).await?;
+        Ok(tail.into_iter().find(|change| change.id == *id))
     }
 
     async fn append(
@@ -191,7 +347,12 @@
         version: change::ConfigVersion,
     ) -> Result<Option<change::Change>, StateError> {
         let row = self.table.row(change_row(version)).await.context(error::PlatformSnafu)?;
-        decode(&row)
+        if let Some(change) = decode(&row)? {
+            return Ok(Some(change));
+        }
+        let before = change::ConfigVersion(version.0.saturating_sub(1));
+        let archived = self.snapshots.archived(before).await?;
+        Ok(archived.into_iter().find(|change| change.version == version))
     }
 
     async fn conflict(
--- /dev/null
+++ b/crates/ibishill-state/src/view.rs
@@ -0,0 +1,160 @@
+//! What a daemon may admit, as a pure function of its lease, the views that it has
+//! seen and the given boot-clock time.
+//!
+//! A successor in a new view waits for the owners of the views before it; see
+//! docs/design/membership.md for the argument.
+
+use std::collections::BTreeMap;
+
+use ibishill_core::{id, time, view};
+
+/// Allowance for clocks that run at different rates, in milliseconds.
+pub const MARGIN: time::Millis = time::Millis(1_000);
+
+/// Silence after which a member is suspected, in milliseconds.
+pub const SUSPECT_AFTER: time::Millis = time::Millis(3_000);
+
+const FOREVER: time::Tick = time::Tick(u64::MAX);
+
+/// A view whose owners may still admit work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Pending {
+    /// The view; none if it was never seen.
+    view: Option<view::View>,
+    /// When its last lease has lapsed.
+    lapses: time::Tick,
+}
+
+/// What one daemon holds: its lease, its grants and the views before its own.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Guard {
+    view: view::View,
+    leased: time::Tick,
+    granted: BTreeMap<id::VmId, time::Tick>,
+    pending: Vec<Pending>,
+}
+
+impl Guard {
+    /// The view in force at this daemon.
+    pub fn view(&self) -> &view::View {
+        &self.view
+    }
+
+    /// Adopts a newer view; `before` is the one that it replaced.
+    ///
+    /// Returns whether it was newer.
+    pub fn adopt(
+        &mut self,
+        next: &view::View,
+        before: &view::View,
+        lease: time::Millis,
+        now: time::Tick,
+    ) -> bool {
+        if next.number <= self.view.number {
+            return false;
+        }
+        self.pending.retain(|pending| pending.lapses > now);
+        let lapses = now + lease + MARGIN;
+        let known = self.view.number.0;
+        if known > 0 {
+            self.pending.push(Pending { view: Some(self.view.clone()), lapses });
+        }
+        if known > 0 && before.number.0 > known + 1 {
+            self.pending.push(Pending { view: None, lapses });
+        }
+        if before.number.0 > known {
+            self.pending.push(Pending { view: Some(before.clone()), lapses });
+        }
+        self.view = next.clone();
+        self.granted.clear();
+        true
+    }
+
+    /// Notes a renewal of the lease whose call began at `start`.
+    pub fn renew(&mut self, start: time::Tick, lease: time::Millis) {
+        self.leased = self.leased.max(start + lease);
+    }
+
+    /// Notes that `peer` keeps this view for a lease from `start`, when it was asked.
+    pub fn grant(&mut self, peer: id::VmId, start: time::Tick, lease: time::Millis) {
+        self.granted.insert(peer, start + lease);
+    }
+
+    /// Gives up the lease and all grants.
+    pub fn release(&mut self) {
+        self.leased = time::Tick::default();
+        self.granted.clear();
+    }
+
+    /// When the lease lapses that the platform has recorded.
+    pub fn leased(&self) -> time::Tick {
+        self.leased
+    }
+
+    /// When the right to admit lapses: the lease, or else the grants of all other members.
+    pub fn until(&self, own: &id::VmId) -> time::Tick {
+        if self.view.member(own).is_none() {
+            return time::Tick::default();
+        }
+        let others = self.view.members.iter().filter(|member| member.vm != *own);
+        let grants = others.map(|member| self.granted.get(&member.vm).copied());
+        let granted = match grants.min() {
+            Some(earliest) => earliest.unwrap_or_default(),
+            // Nobody moves the view of a lone member while its VM is listed.
+            None if self.leased > time::Tick::default() => FOREVER,
+            None => time::Tick::default(),
+        };
+        self.leased.max(granted)
+    }
+
+    /// Whether this daemon alone may admit to an endpoint; `owns` tells whether it owns
+    /// the endpoint in a view, or nobody does.
+    pub fn admits<O>(&self, own: &id::VmId, now: time::Tick, owns: O) -> bool
+    where
+        O: Fn(&view::View) -> bool,
+    {
+        now < self.until(own)
+            && owns(&self.view)
+            && self
+                .pending
+                .iter()
+                .all(|pending| pending.lapses <= now || pending.view.as_ref().is_some_and(&owns))
+    }
+
+    /// Members of earlier views whose word is awaited.
+    pub fn awaited(&self, own: &id::VmId, now: time::Tick) -> Vec<id::VmId> {
+        let live = self.pending.iter().filter(|pending| pending.lapses > now);
+        let members = live.filter_map(|pending| pending.view.as_ref());
+        let mut names: Vec<_> = members
+            .flat_map(|view| view.members.iter().map(|member| member.vm.clone()))
+            .filter(|vm| vm != own)
+            .collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// Notes that every awaited member follows a view at least as new as this one.
+    pub fn settle(&mut self) {
+        self.pending.clear();
+    }
+}
+
+/// When each peer was heard last.
+#[derive(Debug, Clone, Default)]
+pub struct Detector {
+    heard: BTreeMap<id::VmId, time::Tick>,
+}
+
+impl Detector {
+    /// Notes a sign of life.
+    pub fn hear(&mut self, peer: id::VmId, now: time::Tick) {
+        self.heard.insert(peer, now);
+    }
+
+    /// Whether `peer` has been silent for too long; a new peer begins as heard.
+    pub fn suspects(&mut self, peer: &id::VmId, now: time::Tick) -> bool {
+        let heard = self.heard.entry(peer.clone()).or_insert(now);
+        now.since(*heard) >= SUSPECT_AFTER
+    }
+}
--- a/crates/ibishill/src/command/trial.rs
+++ b/crates/ibishill/src/command/trial.rs
@@ -72,7 +72,7 @@
         expected: None,
         steps,
     };
-    let log = log::Log::new(platform.table.clone());
+    let log = log::Log::new(platform);
     log.accept(&order, clock::wall_now()).await.map(drop).map_err(other)
 }
 
