feat(bench): histories of configuration and ownership with a checker per promise

Cause: nothing showed that head, versions and ownership hold under overlapping faults.

What: daemons with the real log, keeper and standing, operators and seeded faults on a virtual clock; the head goes through a linearizability checker, the rest through stated invariants; each checker has a run without its mechanism, which it must catch. The stand-in's lag is bounded in time.

--- a/crates/ibishill-bench/src/lib.rs
+++ b/crates/ibishill-bench/src/lib.rs
@@ -2,5 +2,6 @@
 //! side by side from one run.
 
 pub mod experiment;
+pub mod history;
 pub mod plot;
 pub mod report;
--- a/crates/ibishill-bench/src/main.rs
+++ b/crates/ibishill-bench/src/main.rs
@@ -1,12 +1,14 @@
 //! Runs experiments from the command line.
 
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use ibishill_bench::{experiment, plot};
+use ibishill_bench::{experiment, history, plot};
 
 const USAGE: &str = "\
 Usage: ibishill-bench NAME... | all [--seed N] [--json] [--plot DIR]
+       ibishill-bench history --seeds A..B [--json]
        ibishill-bench --list
 ";
 
@@ -15,6 +17,7 @@
     seed: u64,
     json: bool,
     list: bool,
+    seeds: Range<u64>,
     folder: Option<PathBuf>,
 }
 
@@ -22,11 +25,18 @@
     use lexopt::ValueExt;
 
     let mut parser = lexopt::Parser::from_env();
-    let mut options =
-        Options { names: Vec::new(), seed: 1, json: false, list: false, folder: None };
+    let mut options = Options {
+        names: Vec::new(),
+        seed: 1,
+        json: false,
+        list: false,
+        seeds: 0..20,
+        folder: None,
+    };
     while let Some(arg) = parser.next()? {
         match arg {
             lexopt::Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            lexopt::Arg::Long("seeds") => options.seeds = parser.value()?.parse_with(seeds)?,
             lexopt::Arg::Long("json") => options.json = true,
             lexopt::Arg::Long("list") => options.list = true,
             lexopt::Arg::Long("plot") => options.folder = Some(parser.value()?.into()),
@@ -37,6 +47,26 @@
     Ok(options)
 }
 
+fn seeds(text: &str) -> Result<Range<u64>, String> {
+    let (from, until) = text.split_once("..").ok_or("seeds have the form A..B")?;
+    let number = |part: &str| part.parse::<u64>().map_err(|error| error.to_string());
+    Ok(number(from)?..number(until)?)
+}
+
+/// Runs the histories of the seeds; tells whether nothing was violated.
+fn histories(options: &Options) -> Result<bool, String> {
+    let mut summary = history::Summary::default();
+    for seed in options.seeds.clone() {
+        summary.add(seed, &history::run::run(seed, history::Breakage::None));
+    }
+    if options.json {
+        println!("{}", serde_json::to_string(&summary).map_err(|error| error.to_string())?);
+    } else {
+        print!("{summary}");
+    }
+    Ok(summary.violations.is_empty())
+}
+
 fn main() -> ExitCode {
     let options = match parse() {
         Ok(options) if options.list || !options.names.is_empty() => options,
@@ -65,6 +95,10 @@
 fn run(options: &Options) -> Result<bool, String> {
     let mut kept = true;
     for name in &options.names {
+        if name == "history" {
+            kept &= histories(options)?;
+            continue;
+        }
         let known = |found: &&experiment::Experiment| name == "all" || found.name == name;
         let chosen: Vec<_> = experiment::ALL.iter().filter(known).collect();
         if chosen.is_empty() {
--- a/crates/ibishill-standin/src/memory.rs
+++ b/crates/ibishill-standin/src/memory.rs
@@ -1,6 +1,6 @@
 //! The platform's tables, objects and lists in memory, with injectable faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use ibishill_platform::{Platform, failure, object, rating, table, vm};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tokio::time;
 
 /// What goes wrong at the stand-in.
 #[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -21,17 +22,18 @@
     pub lose_before: f64,
     /// Longest delay of a call, in milliseconds.
     pub delay_ms: u64,
-    /// Most transactions that a read lags behind.
-    pub lag: u64,
+    /// Longest time that a read of rows lags behind, in milliseconds.
+    pub lag_ms: u64,
 }
 
-/// Transactions that a row's older values are kept for.
-const LAG_MAX: u64 = 64;
+/// Time that a row's older values are kept for, which bounds the lag.
+const LAG_MAX: Duration = Duration::from_secs(10);
 
 #[derive(Debug)]
 struct Data {
     rows: BTreeMap<table::RowKey, Vec<(u64, Option<String>)>>,
     revision: u64,
+    commits: VecDeque<(time::Instant, u64)>,
     objects: BTreeMap<String, String>,
     vms: Vec<vm::Vm>,
     faults: Faults,
@@ -67,6 +69,7 @@
         let data = Data {
             rows: BTreeMap::new(),
             revision: 0,
+            commits: VecDeque::new(),
             objects: BTreeMap::new(),
             vms: Vec::new(),
             faults: Faults::default(),
@@ -132,7 +135,7 @@
             (delay, fate)
         };
         if delay > 0 {
-            tokio::time::sleep(Duration::from_millis(delay)).await;
+            time::sleep(Duration::from_millis(delay)).await;
         }
         if self.lock().faults.outage {
             return Err(failure::Failure::NotDone { detail: "outage".into() });
@@ -298,7 +301,8 @@
     }
 
     fn write(&mut self, write: table::Write) {
-        let (revision, oldest) = (self.revision, self.revision.saturating_sub(LAG_MAX));
+        let oldest = self.commits.front().map_or(self.revision, |(_, revision)| *revision);
+        let revision = self.revision;
         let values = self.rows.entry(write.name.clone()).or_default();
         values.push((revision, write.value));
         // The newest value that is old enough for every lagging read stays, too.
@@ -317,15 +321,33 @@
             return Err(failure::Failure::Conflict { rows });
         }
         self.revision += 1;
+        let now = time::Instant::now();
+        self.commits.push_back((now, self.revision));
+        // The last commit before the longest lag stays.
+        while self.commits.get(1).is_some_and(|(at, _)| now.duration_since(*at) > LAG_MAX) {
+            self.commits.pop_front();
+        }
         for write in transaction.writes {
             self.write(write);
         }
         Ok(())
     }
 
+    // The newest transaction that a read sees.
+    fn shown(&mut self) -> u64 {
+        let lag = Duration::from_millis(self.rng.random_range(0..=self.faults.lag_ms));
+        let now = time::Instant::now();
+        let mut newest = self.commits.iter().rev();
+        let seen = newest.find(|(at, _)| now.duration_since(*at) >= lag.min(LAG_MAX));
+        match (seen, self.commits.front()) {
+            (Some((_, revision)), _) => *revision,
+            (None, Some((_, first))) => first - 1,
+            (None, None) => 0,
+        }
+    }
+
     fn read(&mut self, query: table::Query) -> Vec<table::Row> {
-        let longest = self.faults.lag.min(LAG_MAX).min(self.revision);
-        let at = self.revision - self.rng.random_range(0..=longest);
+        let at = self.shown();
         match query {
             table::Query::Rows(names) => names.iter().map(|name| self.row(name, at)).collect(),
             table::Query::Scan(scan) => self
--- a/crates/ibishill-state/src/lease/keeper.rs
+++ b/crates/ibishill-state/src/lease/keeper.rs
@@ -280,14 +280,13 @@
         let number = core_view::ViewNumber(old.number.0 + 1);
         let row = lease::ZoneRow { view: core_view::View { number, members }, before: old };
         let transaction = transaction.put(lease::view_row(&self.place.zone), lease::encode(&row));
-        if !self.standing.begin_move(row.before.number, self.now()) {
+        if !self.standing.begin_move(self.now()) {
             return Ok(());
         }
         let done = self.place.rows.commit(transaction).await;
         match &done {
             Ok(()) => self.adopt(&lease::Seen { revision: 0, value: Some(row) }),
-            // The write may still take effect, so that no peer may be granted this view.
-            Err(failure::Failure::Unknown { .. }) => {}
+            Err(failure::Failure::Unknown { .. }) => self.standing.doubt_move(),
             Err(_) => self.standing.end_move(),
         }
         done
--- a/crates/ibishill-state/src/lease/standing.rs
+++ b/crates/ibishill-state/src/lease/standing.rs
@@ -11,7 +11,7 @@
     guard: view::Guard,
     detector: view::Detector,
     promised: time::Tick,
-    moving: Option<core_view::ViewNumber>,
+    doubt: bool,
     left: bool,
 }
 
@@ -80,7 +80,7 @@
     /// Notes the grant of a peer that was asked at `start` about view `number`.
     pub fn grant(&self, peer: id::VmId, number: core_view::ViewNumber, start: time::Tick) {
         let mut inner = self.lock();
-        if inner.guard.view().number == number {
+        if inner.guard.view().number == number && !inner.guard.moving() {
             inner.guard.grant(peer, start, self.lease);
         }
     }
@@ -92,7 +92,7 @@
         let view = inner.guard.view();
         let member = view.number == number && view.member(&self.own).is_some();
         let joined = inner.guard.leased() > time::Tick::default();
-        if !member || !joined || inner.moving.is_some() || inner.left {
+        if !member || !joined || inner.guard.moving() || inner.left {
             return false;
         }
         let until = now + time::Millis(self.lease.0 + view::MARGIN.0);
@@ -100,21 +100,28 @@
         true
     }
 
-    /// Begins to move view `number`: from now on nothing is promised about it.
+    /// Begins to move the view: from now on nothing is promised or relied on about it.
     ///
     /// Returns false while a promise stands.
-    pub(crate) fn begin_move(&self, number: core_view::ViewNumber, now: time::Tick) -> bool {
+    pub(crate) fn begin_move(&self, now: time::Tick) -> bool {
         let mut inner = self.lock();
         if now < inner.promised {
             return false;
         }
-        inner.moving = Some(number);
+        inner.guard.set_moving(true);
         true
     }
 
-    /// Notes that the move is known not to have taken effect.
+    /// Notes that the move has no answer: it may take effect at any time.
+    pub(crate) fn doubt_move(&self) {
+        self.lock().doubt = true;
+    }
+
+    /// Notes that the move has not taken effect.
     pub(crate) fn end_move(&self) {
-        self.lock().moving = None;
+        let mut inner = self.lock();
+        let doubt = inner.doubt;
+        inner.guard.set_moving(doubt);
     }
 
     pub(crate) fn adopt(
@@ -127,7 +134,7 @@
         if !inner.guard.adopt(next, before, self.lease, now) {
             return false;
         }
-        inner.moving = inner.moving.filter(|number| *number >= next.number);
+        inner.doubt = false;
         true
     }
 
--- a/crates/ibishill-state/src/log.rs
+++ b/crates/ibishill-state/src/log.rs
@@ -244,7 +244,7 @@
                 Ok(Some(change)) => return Ok(change),
                 Ok(None) => {}
                 // An earlier write may still have taken effect, whatever failed now.
-                Err(StateError::Platform { .. }) if doubt => {}
+                Err(StateError::Platform { .. } | StateError::Malformed { .. }) if doubt => {}
                 // The read may have lagged behind what the operator has seen.
                 Err(error @ StateError::Ahead { .. }) => ahead = Some(error),
                 Err(error) => return Err(error),
@@ -269,10 +269,7 @@
             if expected > current.version {
                 return Err(StateError::Ahead { expected, newest: current.version });
             }
-            if let Some(done) = self.find_after(expected, &order.id).await? {
-                return same_order(done, order).map(Some);
-            }
-            return Err(self.conflict(expected, current.version).await?);
+            return self.lost(order, expected, current.version).await;
         }
         let change = prepare(&current, order, now)?;
         match self.append(&change, &current).await {
@@ -300,14 +297,21 @@
         }
     }
 
-    // The row of the id may lag behind the change itself.
-    async fn find_after(
+    // The order lost, unless the change after the expected version is its own; reads
+    // may lag, so that a row that is missing means another try.
+    async fn lost(
         &self,
-        version: change::ConfigVersion,
-        id: &id::ChangeId,
+        order: &Order,
+        expected: change::ConfigVersion,
+        newest: change::ConfigVersion,
     ) -> Result<Option<change::Change>, StateError> {
-        let tail = self.tail(version).await?;
-        Ok(tail.into_iter().find(|change| change.id == *id))
+        match self.change(expected.next()).await? {
+            Some(first) if first.id == order.id => return same_order(first, order).map(Some),
+            Some(_) => {}
+            None => return Ok(None),
+        }
+        let Some(winner) = self.change(newest).await? else { return Ok(None) };
+        Err(StateError::Conflict { expected, winner: Box::new(winner) })
     }
 
     async fn append(
@@ -354,20 +358,6 @@
         let archived = self.snapshots.archived(before).await?;
         Ok(archived.into_iter().find(|change| change.version == version))
     }
-
-    async fn conflict(
-        &self,
-        expected: change::ConfigVersion,
-        newest: change::ConfigVersion,
-    ) -> Result<StateError, StateError> {
-        let winner = self.change(newest).await?;
-        let malformed = || StateError::Malformed {
-            name: change_row(newest).key,
-            detail: "the row is missing".into(),
-        };
-        let winner = Box::new(winner.ok_or_else(malformed)?);
-        Ok(StateError::Conflict { expected, winner })
-    }
 }
 
 fn same_order(done: change::Change, order: &Order) -> Result<change::Change, StateError> {
--- a/crates/ibishill-state/src/view.rs
+++ b/crates/ibishill-state/src/view.rs
@@ -32,6 +32,7 @@
     leased: time::Tick,
     granted: BTreeMap<id::VmId, time::Tick>,
     pending: Vec<Pending>,
+    moving: bool,
 }
 
 impl Guard {
@@ -67,9 +68,22 @@
         }
         self.view = next.clone();
         self.granted.clear();
+        self.moving = false;
         true
     }
 
+    /// Notes whether a move of the view by this daemon may be under way: without its
+    /// answer the view in force may be an old one, and only the lease counts.
+    pub fn set_moving(&mut self, moving: bool) {
+        self.moving = moving;
+        self.granted.clear();
+    }
+
+    /// Whether a move of the view by this daemon may be under way.
+    pub fn moving(&self) -> bool {
+        self.moving
+    }
+
     /// Notes a renewal of the lease whose call began at `start`.
     pub fn renew(&mut self, start: time::Tick, lease: time::Millis) {
         self.leased = self.leased.max(start + lease);
@@ -96,6 +110,9 @@
         if self.view.member(own).is_none() {
             return time::Tick::default();
         }
+        if self.moving {
+            return self.leased;
+        }
         let others = self.view.members.iter().filter(|member| member.vm != *own);
         let grants = others.map(|member| self.granted.get(&member.vm).copied());
         let granted = match grants.min() {
