--- a/crates/ibishill-daemon/tests/http_callers/deployment.rs
+++ b/crates/ibishill-daemon/tests/http_callers/deployment.rs
@@ -91,7 +91,7 @@
             expected: None,
             steps: change::diff(&declared::Declared::default(), &declared),
         };
-        let log = log::Log::new(platform.table.clone());
+        let log = log::Log::new(&platform);
         log.accept(&order, clock::wall_now()).await.unwrap();
         let authority = tls::Authority::generate().unwrap();
         let mut places = vec![("vm-a", "zone-a")];
