--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -11,7 +11,7 @@
 use ibishill_decide::plan;
 use ibishill_endpoint::client;
 use ibishill_peer::{link, server, tls};
-use ibishill_platform::Platform;
+use ibishill_platform::{Platform, budget};
 use ibishill_state::lease::{self, keeper};
 use ibishill_state::log;
 use snafu::ResultExt;
@@ -64,6 +64,7 @@
     identity: &tls::Identity,
 ) -> Result<Daemon, StartError> {
     check_security(&settings)?;
+    let platform = &budget::limit(platform, budget::Rates::default(), clock::boot_now);
     let fields = [event::field("vm", &settings.vm), event::field("zone", &settings.zone)];
     event::emit(event::Event::DaemonStarted, &fields);
     let place = plan::Place { vm: settings.vm.clone(), zone: settings.zone.clone() };
@@ -104,7 +105,7 @@
     });
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
     let refresh =
-        config_sync::spawn(log::Log::new(platform), cell, life.clone(), settings.periods.poll)
+        config_sync::spawn(context.log.clone(), cell, life.clone(), settings.periods.poll)
             .context(error::ThreadSnafu)?;
     let membership = membership::spawn(membership::Duty {
         keeper,
--- /dev/null
+++ b/crates/ibishill-daemon/tests/zone_cut.rs
@@ -0,0 +1,123 @@
+//! Two daemons of one zone over the real link; one of them loses the platform.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use futures::FutureExt;
+use ibishill_config::{change, declared, settings};
+use ibishill_core::{clock, id, time};
+use ibishill_daemon::{heartbeat, start};
+use ibishill_peer::tls;
+use ibishill_platform::{Platform, failure, table};
+use ibishill_standin::memory;
+use ibishill_state::log;
+
+const LONGEST: Duration = Duration::from_secs(60);
+
+fn free_address() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn cuttable(platform: Platform, cut: Arc<AtomicBool>) -> Platform {
+    let lost = || failure::Failure::Unknown { detail: "cut off".into() };
+    let (commit, read, other) = (platform.table.clone(), platform.table.clone(), Arc::clone(&cut));
+    let table = table::Table::new(
+        move |transaction| match cut.load(Ordering::Relaxed) {
+            true => async move { Err(lost()) }.boxed(),
+            false => {
+                let table = commit.clone();
+                async move { table.commit(transaction).await }.boxed()
+            }
+        },
+        move |query| match other.load(Ordering::Relaxed) {
+            true => async move { Err(lost()) }.boxed(),
+            false => {
+                let table = read.clone();
+                async move { table.read(query).await }.boxed()
+            }
+        },
+    );
+    Platform { table, ..platform }
+}
+
+fn settings(vm: &str) -> settings::Settings {
+    settings::Settings {
+        vm: vm.parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+        callers: free_address(),
+        operators: free_address(),
+        peers: free_address(),
+        platform: "in-memory".into(),
+        security: settings::Security { insecure: true, ..Default::default() },
+        limits: Default::default(),
+        periods: settings::Periods {
+            poll: time::Millis(200),
+            renew: time::Millis(200),
+            lease: time::Millis(3_000),
+            ..Default::default()
+        },
+    }
+}
+
+async fn until<F>(what: &str, holds: F)
+where
+    F: Fn() -> bool,
+{
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(LONGEST, waiting).await.unwrap_or_else(|_| panic!("never: {what}"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_without_the_platform_follows_its_peer_and_goes_on() {
+    let platform = memory::Memory::new(1).platform();
+    let cut = Arc::new(AtomicBool::new(false));
+    let authority = tls::Authority::generate().unwrap();
+    let mut daemons = Vec::new();
+    for vm in ["vm-a", "vm-b"] {
+        let settings = settings(vm);
+        let identity = authority.sign(&settings.vm, &settings.zone).unwrap();
+        let own = if vm == "vm-b" {
+            cuttable(platform.clone(), Arc::clone(&cut))
+        } else {
+            platform.clone()
+        };
+        let starting = move || start::start(settings, &own, &identity);
+        daemons.push(tokio::task::spawn_blocking(starting).await.unwrap().unwrap());
+    }
+    let members = |index: usize| {
+        let daemon: &start::Daemon = &daemons[index];
+        daemon.context.standing.view().members.len()
+    };
+    until("both are members", || members(0) == 2 && members(1) == 2).await;
+    cut.store(true, Ordering::Relaxed);
+    let far = &daemons[1].context;
+    // Half of the lease has gone, so that no renewal is under way any more.
+    until("renewals end", || far.standing.wants_grants(clock::boot_now())).await;
+    let lapsed = far.standing.leased();
+    let zone = declared::Zone { region: "r".parse().unwrap(), state: Default::default() };
+    let order = log::Order {
+        id: "first".parse().unwrap(),
+        author: "test".parse().unwrap(),
+        action: "apply".into(),
+        expected: None,
+        steps: vec![change::Step::PutZone("zone-a".parse().unwrap(), zone)],
+    };
+    daemons[0].context.log.accept(&order, time::Tick(0)).await.unwrap();
+    until("the change arrives by the peer", || far.cell.get().version.0 == 1).await;
+    let vm: id::VmId = "vm-b".parse().unwrap();
+    let confirmed = || {
+        let all = heartbeat::confirmed(&daemons[0].context);
+        all.iter().any(|known| known.vm == vm && known.version.is_some_and(|v| v.0 == 1))
+    };
+    until("the peer's confirmation", confirmed).await;
+    // The grant of its peer carries it past the end of its lease.
+    until("a grant", || far.standing.until() > lapsed + time::Millis(1_000)).await;
+    assert_eq!(far.standing.leased(), lapsed);
+    assert_eq!(members(0), 2);
+}
--- a/crates/ibishill-platform/src/lib.rs
+++ b/crates/ibishill-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each part is a plain struct of closures, so that tests put an in-memory
 //! stand-in where production puts HTTP. docs/PLATFORM.md describes the calls.
 
+pub mod budget;
 pub mod failure;
 pub mod http;
 pub mod object;
--- a/crates/ibishill-state/src/log.rs
+++ b/crates/ibishill-state/src/log.rs
@@ -6,8 +6,6 @@
 //! The row of a change is its audit row too, so that no change can be in force
 //! without its entry in the audit trail.
 
-use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use ibishill_config::{change, check, declared, finding, in_force};
@@ -18,6 +16,8 @@
 use crate::error::{self, StateError};
 use crate::snapshot;
 
+mod recent;
+
 pub(crate) const TABLE: &str = "config";
 const HEAD: &str = "head";
 pub(crate) const TAIL_LIMIT: usize = 256;
@@ -45,7 +45,7 @@
     table: table::Table,
     snapshots: snapshot::Snapshots,
     newest: in_force::Cell,
-    recent: Arc<Mutex<VecDeque<change::Change>>>,
+    recent: recent::Recent,
 }
 
 fn head_row() -> table::RowKey {
@@ -83,7 +83,12 @@
     pub fn new(platform: &Platform) -> Self {
         let (table, objects) = (platform.table.clone(), platform.objects.clone());
         let snapshots = snapshot::Snapshots::new(table.clone(), objects);
-        Self { table, snapshots, newest: in_force::Cell::default(), recent: Arc::default() }
+        Self {
+            table,
+            snapshots,
+            newest: in_force::Cell::default(),
+            recent: recent::Recent::default(),
+        }
     }
 
     /// Reads the version of the newest change.
@@ -150,7 +155,7 @@
             let last = tail.len() < TAIL_LIMIT;
             for change in tail {
                 follow(&mut next, change.clone())?;
-                self.remember(change);
+                self.recent.push(change);
             }
             if last {
                 let _newer = self.newest.raise(next.clone());
@@ -168,26 +173,9 @@
         })
     }
 
-    // Keeps the newest changes without a gap, for peers that are behind.
-    fn remember(&self, change: change::Change) {
-        let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
-        match recent.back().map(|last| last.version.next()) {
-            Some(next) if change.version < next => return,
-            Some(next) if change.version > next => recent.clear(),
-            _ => {}
-        }
-        if recent.len() == TAIL_LIMIT {
-            recent.pop_front();
-        }
-        recent.push_back(change);
-    }
-
     /// The changes after `version` from memory, for a peer; none if they are not kept.
     pub fn delta(&self, version: change::ConfigVersion) -> Option<Vec<change::Change>> {
-        let recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
-        let later = recent.iter().filter(|change| change.version > version);
-        let changes: Vec<_> = later.cloned().collect();
-        changes.first().is_some_and(|change| change.version == version.next()).then_some(changes)
+        self.recent.after(version)
     }
 
     /// Follows the changes of a peer from `current`.
@@ -203,7 +191,7 @@
         let mut next = current.clone();
         for change in changes.into_iter().filter(|change| change.version > current.version) {
             follow(&mut next, change.clone())?;
-            self.remember(change);
+            self.recent.push(change);
         }
         let _newer = self.newest.raise(next.clone());
         Ok(next)
--- /dev/null
+++ b/crates/ibishill-state/src/log/recent.rs
@@ -0,0 +1,42 @@
+//! The newest changes in memory, from which peers that are behind are served.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use ibishill_config::change;
+
+const KEPT_CHANGES: usize = 256;
+
+/// A window of changes without a gap; clones share it.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Recent {
+    changes: Arc<Mutex<VecDeque<change::Change>>>,
+}
+
+impl Recent {
+    fn lock(&self) -> MutexGuard<'_, VecDeque<change::Change>> {
+        self.changes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a change; one after a gap begins a new window.
+    pub(super) fn push(&self, change: change::Change) {
+        let mut changes = self.lock();
+        match changes.back().map(|last| last.version.next()) {
+            Some(next) if change.version < next => return,
+            Some(next) if change.version > next => changes.clear(),
+            _ => {}
+        }
+        if changes.len() == KEPT_CHANGES {
+            changes.pop_front();
+        }
+        changes.push_back(change);
+    }
+
+    /// The changes after `version`; none if the first of them is not kept.
+    pub(super) fn after(&self, version: change::ConfigVersion) -> Option<Vec<change::Change>> {
+        let changes = self.lock();
+        let later: Vec<_> =
+            changes.iter().filter(|change| change.version > version).cloned().collect();
+        later.first().is_some_and(|change| change.version == version.next()).then_some(later)
+    }
+}
