feat(decide): cascade that escalates by learnt accept probabilities

Cause: the choice went by declared quality alone, so a workspace paid the costly version for easy requests, or got the cheap one where it fails.

--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -2,6 +2,8 @@
 
 use crate::report;
 
+pub mod cascade;
+
 /// An experiment.
 #[derive(Clone, Copy)]
 pub struct Experiment {
@@ -14,4 +16,8 @@
 }
 
 /// Every experiment, in order.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "cascade",
+    purpose: "cost at the quality target of the choice between cheap and costly versions",
+    run: cascade::run,
+}];
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! drive the same code as the daemon.
 
 pub mod admit;
+pub mod cascade;
 pub mod choose;
 pub mod cold;
 pub mod owner;
