--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -3,6 +3,8 @@
 use crate::report;
 
 pub mod cascade;
+pub mod rollout;
+pub mod session;
 
 /// An experiment.
 #[derive(Clone, Copy)]
@@ -16,8 +18,20 @@
 }
 
 /// Every experiment, in order.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: "cascade",
-    purpose: "cost at the quality target of the choice between cheap and costly versions",
-    run: cascade::run,
-}];
+pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "cascade",
+        purpose: "cost at the quality target of the choice between cheap and costly versions",
+        run: cascade::run,
+    },
+    Experiment {
+        name: "rollout",
+        purpose: "requests exposed to a bad version before its roll-out halts",
+        run: rollout::run,
+    },
+    Experiment {
+        name: "session",
+        purpose: "version changes of sessions over a roll-out, zone loss and VM replacement",
+        run: session::run,
+    },
+];
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -6,6 +6,9 @@
 pub mod admit;
 pub mod cascade;
 pub mod choose;
+pub mod cohort;
 pub mod cold;
 pub mod owner;
 pub mod plan;
+pub mod rollout;
+pub mod session;
--- a/crates/ibishill-decide/src/plan.rs
+++ b/crates/ibishill-decide/src/plan.rs
@@ -6,7 +6,7 @@
 use ibishill_core::{id, outcome, view};
 use xxhash_rust::xxh3;
 
-use crate::owner;
+use crate::{cohort, owner};
 
 /// What the caller asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -103,7 +103,7 @@
     space: &declared::Workspace,
     ask: &Ask,
 ) -> Result<id::VersionRef, outcome::Refusal> {
-    if let Some(pinned) = &ask.pinned
+    if let Some(pinned) = pin(ask)
         && check_version(declared, space, pinned).is_ok()
     {
         return Ok(pinned.clone());
@@ -119,6 +119,15 @@
     Ok(cohort(declared, space, ask, version))
 }
 
+// A pin holds for its own model, and where the choice is the router's.
+fn pin(ask: &Ask) -> Option<&id::VersionRef> {
+    ask.pinned.as_ref().filter(|pinned| match &ask.wanted {
+        Wanted::Auto => true,
+        Wanted::Model(model) => pinned.model == *model,
+        Wanted::Version(_) | Wanted::Service(_) => false,
+    })
+}
+
 /// Checks that a workspace may use a version now.
 ///
 /// # Errors
@@ -149,10 +158,20 @@
     space: &'a declared::Workspace,
 ) -> impl Iterator<Item = (&'a id::VersionRef, &'a declared::Version)> {
     declared.versions.iter().filter(|(name, version)| {
-        version.state == declared::VersionState::Serving && space.allows(name)
+        let serves = match version.state {
+            declared::VersionState::Serving => true,
+            declared::VersionState::Candidate => rolled_out(declared, name),
+            declared::VersionState::Withdrawn => false,
+        };
+        serves && space.allows(name)
     })
 }
 
+// A candidate that has got everything serves also when its predecessor is withdrawn.
+fn rolled_out(declared: &declared::Declared, version: &id::VersionRef) -> bool {
+    declared.rollouts.values().any(|rollout| rollout.to == *version && rollout.percent() == 100)
+}
+
 fn model_version(
     declared: &declared::Declared,
     space: &declared::Workspace,
@@ -193,7 +212,7 @@
     }
 }
 
-// The session's hash decides its cohort, so that a session keeps its version within a stage.
+// Follows roll-outs one after another, as the new version of one may be the old one of the next.
 fn cohort(
     declared: &declared::Declared,
     space: &declared::Workspace,
@@ -201,17 +220,44 @@
     version: id::VersionRef,
 ) -> id::VersionRef {
     let key = ask.session.as_ref().map_or(ask.request.as_str(), id::SessionId::as_str);
-    for (name, rollout) in declared.rollouts.iter().filter(|(_, r)| r.from == version) {
-        let seed = xxh3::xxh3_64(name.as_str().as_bytes());
-        let slot = xxh3::xxh3_64_with_seed(key.as_bytes(), seed) % 100;
-        let chosen = slot < u64::from(rollout.percent());
-        if chosen && check_version(declared, space, &rollout.to).is_ok() {
-            return rollout.to.clone();
-        }
+    let mut version = version;
+    // Each round follows one roll-out, so that a circle of them ends.
+    for _ in 0..declared.rollouts.len() {
+        let next = declared.rollouts.iter().find(|(name, rollout)| {
+            rollout.from == version
+                && cohort::contains(name, rollout, key)
+                && check_version(declared, space, &rollout.to).is_ok()
+        });
+        let Some((_, rollout)) = next else { break };
+        version = rollout.to.clone();
     }
     version
 }
 
+/// The versions that may answer a request without a session, each in place of the one
+/// that a roll-out has moved the request from.
+pub fn candidates(
+    declared: &declared::Declared,
+    ask: &Ask,
+) -> Vec<(id::VersionRef, declared::Version)> {
+    let Some(space) = declared.workspaces.get(&ask.workspace) else { return Vec::new() };
+    let placed: BTreeSet<_> = serving(declared, space)
+        .map(|(name, _)| cohort(declared, space, ask, name.clone()))
+        .filter(|name| served(declared, name))
+        .collect();
+    let known = |name: id::VersionRef| Some((name.clone(), declared.versions.get(&name)?.clone()));
+    placed.into_iter().filter_map(known).collect()
+}
+
+fn served(declared: &declared::Declared, version: &id::VersionRef) -> bool {
+    let target = id::Target::Version(version.clone());
+    declared.endpoints.values().any(|endpoint| {
+        let zone = declared.zones.get(&endpoint.zone);
+        let open = zone.is_some_and(|zone| zone.state == declared::ServiceState::In);
+        open && endpoint.state == declared::ServiceState::In && endpoint.serves(&target)
+    })
+}
+
 fn routes(
     declared: &declared::Declared,
     views: &view::Views,
--- /dev/null
+++ b/crates/ibishill-decide/src/rollout.rs
@@ -0,0 +1,173 @@
+//! Whether a roll-out advances, stays or halts: a sequential test of the new version
+//! against the stable one on errors, ratings and latency.
+
+pub mod counts;
+pub mod sequential;
+
+use std::fmt;
+
+use ibishill_config::declared;
+use ibishill_core::time;
+
+const MEASURES: f64 = 3.0;
+const STABLE_MIN: u64 = 50;
+const CANDIDATE_MIN: u64 = 50;
+// Natural logarithm of a likelihood ratio of two.
+const DOUBT: f64 = std::f64::consts::LN_2;
+const SLOW_SHARE: f64 = 0.25;
+
+/// How the deployment's policy steers roll-outs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tuning {
+    /// Chance that a clean roll-out is halted, over all its stages.
+    pub alpha: f64,
+    /// Whether a halt withdraws the new version, which ends the pins of sessions.
+    pub withdraws: bool,
+    /// Whether a stage is left only with enough ratings of the new version.
+    pub needs_ratings: bool,
+}
+
+impl Tuning {
+    /// The tuning of a policy.
+    pub const fn of(policy: declared::Policy) -> Self {
+        match policy {
+            declared::Policy::Latency => {
+                Self { alpha: 0.001, withdraws: false, needs_ratings: false }
+            }
+            declared::Policy::Cost => Self { alpha: 0.01, withdraws: true, needs_ratings: true },
+        }
+    }
+}
+
+/// What is compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Measure {
+    /// Share of failed requests.
+    Errors,
+    /// Share of rated answers that were not accepted.
+    LowRatings,
+    /// Share of requests slower than most of the stable version's.
+    Slow,
+}
+
+impl Measure {
+    /// Every measure.
+    pub const ALL: [Self; 3] = [Self::Errors, Self::LowRatings, Self::Slow];
+
+    // A worse share by no more than this is no reason to halt.
+    const fn tolerance(self) -> f64 {
+        match self {
+            Self::Errors => 0.005,
+            Self::LowRatings => 0.005,
+            Self::Slow => 0.05,
+        }
+    }
+}
+
+impl fmt::Display for Measure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Errors => "errors",
+            Self::LowRatings => "low ratings",
+            Self::Slow => "slow answers",
+        })
+    }
+}
+
+/// Why a roll-out was halted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reason {
+    /// The measure that decided.
+    pub measure: Measure,
+    /// Share at the stable version.
+    pub stable: f64,
+    /// Share at the new version.
+    pub candidate: f64,
+    /// Requests of the new version that were compared.
+    pub samples: u64,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: {:.3} of {} on the new version against {:.3} on the stable one",
+            self.measure, self.candidate, self.samples, self.stable
+        )
+    }
+}
+
+/// What is known of a roll-out.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stand {
+    /// The stable version, over the whole roll-out.
+    pub stable: counts::Counts,
+    /// The new version, in this stage.
+    pub candidate: counts::Counts,
+    /// Time since the stage began.
+    pub dwelt: time::Millis,
+}
+
+/// What happens next.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// The stage goes on.
+    Stay,
+    /// The next stage begins, or the roll-out is done.
+    Advance,
+    /// The roll-out ends.
+    Halt(Reason),
+}
+
+/// Judges a running roll-out.
+///
+/// The chance of a false halt is split over measures, and halved with each stage, as a bad
+/// version is mostly found early. The test may be looked at any number of times.
+pub fn judge(rollout: &declared::Rollout, tuning: Tuning, stand: &Stand) -> Verdict {
+    let alpha = tuning.alpha / MEASURES / 2_f64.powi(rollout.stage as i32 + 1);
+    let looks = Measure::ALL.map(|measure| Look::of(measure, stand));
+    let worst = looks.iter().max_by(|a, b| a.evidence.total_cmp(&b.evidence));
+    if let Some(worst) = worst.filter(|worst| worst.evidence >= (1.0 / alpha).ln()) {
+        return Verdict::Halt(worst.reason);
+    }
+    // A stage is not left while the evidence points at a worse version.
+    if looks.iter().any(|look| look.evidence > DOUBT) {
+        return Verdict::Stay;
+    }
+    let paused = rollout.state != declared::RolloutState::Running;
+    if paused || stand.dwelt < rollout.dwell || stand.candidate.requests < CANDIDATE_MIN {
+        return Verdict::Stay;
+    }
+    if tuning.needs_ratings && stand.candidate.rated < CANDIDATE_MIN {
+        return Verdict::Stay;
+    }
+    Verdict::Advance
+}
+
+// One measure's evidence, and the reason that it would give.
+struct Look {
+    evidence: f64,
+    reason: Reason,
+}
+
+impl Look {
+    fn of(measure: Measure, stand: &Stand) -> Self {
+        let (stable, candidate) = match measure {
+            Measure::Errors => (stand.stable.errors(), stand.candidate.errors()),
+            Measure::LowRatings => (stand.stable.low_ratings(), stand.candidate.low_ratings()),
+            Measure::Slow => {
+                let edge = stand.stable.slow_edge(SLOW_SHARE);
+                (stand.stable.slower(edge), stand.candidate.slower(edge))
+            }
+        };
+        let known = stable.all >= STABLE_MIN && candidate.all > 0;
+        let evidence = || sequential::evidence(stable, candidate, measure.tolerance());
+        let reason = Reason {
+            measure,
+            stable: stable.share(),
+            candidate: candidate.share(),
+            samples: candidate.all,
+        };
+        Self { evidence: if known { evidence() } else { f64::NEG_INFINITY }, reason }
+    }
+}
--- /dev/null
+++ b/crates/ibishill-decide/src/rollout/counts.rs
@@ -0,0 +1,107 @@
+//! What finished requests of one version add up to; counts of several daemons are summed.
+
+use ibishill_core::time;
+use serde::{Deserialize, Serialize};
+
+const TIME_BUCKETS: usize = 40;
+const BUCKETS_PER_DOUBLING: f64 = 2.0;
+
+/// Hits among some trials.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Trials {
+    /// Trials that hit.
+    pub hits: u64,
+    /// All trials.
+    pub all: u64,
+}
+
+impl Trials {
+    /// Share of hits, zero without trials.
+    pub fn share(self) -> f64 {
+        self.hits as f64 / self.all.max(1) as f64
+    }
+}
+
+/// Counts of one version.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Counts {
+    /// Finished requests.
+    pub requests: u64,
+    /// Failed requests.
+    pub failed: u64,
+    /// Rated answers.
+    pub rated: u64,
+    /// Answers that were not accepted.
+    pub low: u64,
+    /// Requests by time to the first part of the answer, in half doublings of a millisecond.
+    pub times: Vec<u64>,
+}
+
+fn bucket(time: time::Millis) -> usize {
+    let doublings = (time.0.max(1) as f64).log2();
+    ((doublings * BUCKETS_PER_DOUBLING) as usize).min(TIME_BUCKETS - 1)
+}
+
+impl Counts {
+    /// Counts a request that was answered after `time`.
+    pub fn answered(&mut self, time: time::Millis) {
+        self.requests += 1;
+        self.times.resize(TIME_BUCKETS, 0);
+        self.times[bucket(time)] += 1;
+    }
+
+    /// Counts a request that the version failed.
+    pub fn failed(&mut self) {
+        self.requests += 1;
+        self.failed += 1;
+    }
+
+    /// Counts a rating.
+    pub fn rated(&mut self, accepted: bool) {
+        self.rated += 1;
+        self.low += u64::from(!accepted);
+    }
+
+    /// Adds the counts of another daemon.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.failed += other.failed;
+        self.rated += other.rated;
+        self.low += other.low;
+        self.times.resize(TIME_BUCKETS, 0);
+        for (sum, more) in self.times.iter_mut().zip(&other.times) {
+            *sum += more;
+        }
+    }
+
+    /// Failed requests among all.
+    pub fn errors(&self) -> Trials {
+        Trials { hits: self.failed, all: self.requests }
+    }
+
+    /// Answers that were not accepted among those rated.
+    pub fn low_ratings(&self) -> Trials {
+        Trials { hits: self.low, all: self.rated }
+    }
+
+    /// The lowest bucket above which at most `share` of the answers lie.
+    pub fn slow_edge(&self, share: f64) -> usize {
+        let all: u64 = self.times.iter().sum();
+        let most = (all as f64 * share) as u64;
+        let mut above = all;
+        for (index, count) in self.times.iter().enumerate() {
+            above -= count;
+            if above <= most {
+                return index + 1;
+            }
+        }
+        TIME_BUCKETS
+    }
+
+    /// Answers at or above a bucket among all.
+    pub fn slower(&self, edge: usize) -> Trials {
+        let hits = self.times.iter().skip(edge).sum();
+        Trials { hits, all: self.times.iter().sum() }
+    }
+}
