feat(daemon): cascade, roll-out duty and session tokens on the callers' path

Whole answers of model "auto" are rated in line and escalated; streams are chosen once and rated afterwards. An escalated request stays one billing record, with its earlier runs as parts. Counts of versions under a roll-out go to the platform's table, one daemon judges them and orders through the configuration log. Answers carry a session token and what became of the pin.

--- a/crates/ibishill-config/src/settings.rs
+++ b/crates/ibishill-config/src/settings.rs
@@ -179,6 +179,8 @@
     pub lease: time::Millis,
     /// Longest wait of a billing record before it is written.
     pub billing: time::Millis,
+    /// Time between two judgements of a roll-out.
+    pub rollout: time::Millis,
     /// Wait between failing readiness and refusing new connections.
     pub drain: time::Millis,
 }
@@ -190,6 +192,7 @@
             renew: time::Millis(2_000),
             lease: time::Millis(10_000),
             billing: time::Millis(2_000),
+            rollout: time::Millis(5_000),
             drain: time::Millis(3_000),
         }
     }
--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -62,12 +62,14 @@
     CallerLeft = 1310, Info, "caller left before the end";
     EndpointFailed = 1401, Warn, "endpoint failed";
     EndpointState = 1402, Info, "endpoint changed state";
+    RatingMissing = 1411, Debug, "rating service gave no rating in time";
     PeerUnreachable = 1501, Warn, "peer could not be reached";
     PeerRejected = 1502, Warn, "peer was rejected";
     ChangeAccepted = 1601, Info, "change accepted";
     ChangeRefused = 1602, Warn, "change refused";
     RolloutHalted = 1603, Warn, "roll-out halted";
     OperatorRefused = 1604, Warn, "operator refused";
+    RolloutAdvanced = 1611, Info, "roll-out advanced";
     BillingWritten = 1701, Info, "billing batch written";
     BillingDelayed = 1702, Warn, "billing batch could not be written yet";
     ClaimDelayed = 1703, Warn, "ending of a claim could not be recorded yet";
--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -5,11 +5,11 @@
 
 use ibishill_config::{in_force, settings};
 use ibishill_core::{id, view};
-use ibishill_decide::plan;
+use ibishill_decide::{plan, session};
 use ibishill_endpoint::client;
 use ibishill_peer::link;
 
-use crate::{ledger, metrics, router};
+use crate::{ledger, metrics, ratings, rollouts, router};
 
 /// The views in force; they are replaced as a whole.
 #[derive(Debug, Clone, Default)]
@@ -131,6 +131,12 @@
     pub endpoints: client::Client,
     /// Connections to other daemons.
     pub link: link::Link,
+    /// Ratings and what they have shown.
+    pub ratings: ratings::Handle,
+    /// Counts of versions under a roll-out.
+    pub rollouts: rollouts::Counters,
+    /// Keys of session tokens.
+    pub sessions: session::Keys,
     /// Metrics.
     pub metrics: metrics::Metrics,
 }
--- a/crates/ibishill-daemon/src/entry.rs
+++ b/crates/ibishill-daemon/src/entry.rs
@@ -9,7 +9,9 @@
 use ibishill_peer::{error::LinkError, frame, link};
 use tokio::sync::mpsc;
 
-use crate::{context, run};
+use crate::{context, rollouts, run};
+
+pub mod cascade;
 
 const TRIES_MAX: usize = 3;
 
@@ -24,6 +26,8 @@
     pub wanted: plan::Wanted,
     /// The caller's session.
     pub session: Option<id::SessionId>,
+    /// The version that the session is pinned to.
+    pub pinned: Option<id::VersionRef>,
     /// Time left until the deadline.
     pub left: time::Millis,
     /// Whether the call may be sent twice.
@@ -46,6 +50,19 @@
     pub show_usage: bool,
 }
 
+impl Asked {
+    /// The request as the plan sees it.
+    pub fn ask(&self) -> plan::Ask {
+        plan::Ask {
+            request: self.request.clone(),
+            workspace: self.workspace.clone(),
+            wanted: self.wanted.clone(),
+            session: self.session.clone(),
+            pinned: self.pinned.clone(),
+        }
+    }
+}
+
 /// An answer that has begun.
 pub struct Answer {
     /// Start of the answer.
@@ -56,6 +73,8 @@
     pub attempts: u32,
     source: Source,
     bytes: u64,
+    counters: rollouts::Counters,
+    first: time::Millis,
 }
 
 /// What comes after an answer's start.
@@ -106,14 +125,7 @@
     B: Fn(&id::Target) -> Bytes,
 {
     let begun = clock::boot_now();
-    let ask = plan::Ask {
-        request: asked.request.clone(),
-        workspace: asked.workspace.clone(),
-        wanted: asked.wanted.clone(),
-        session: asked.session.clone(),
-        pinned: None,
-    };
-    let planned = context.router.plan(ask).await;
+    let planned = context.router.plan(asked.ask()).await;
     let plan = planned.map_err(|refusal| GivenUp { refusal, attempts: 0 })?;
     let mut work = work(context, asked, &plan, body(&plan.target));
     let mut attempts = 0;
@@ -128,9 +140,20 @@
         attempts += 1;
         match attempt(context, route, &work).await {
             Ok((head, source)) => {
-                return Ok(Answer { head, target: plan.target, attempts, source, bytes: 0 });
+                return Ok(Answer {
+                    head,
+                    target: plan.target,
+                    attempts,
+                    source,
+                    bytes: 0,
+                    counters: context.rollouts.clone(),
+                    first: clock::boot_now().since(begun),
+                });
             }
             Err(refusal) => {
+                if refusal.reason == outcome::Reason::EndpointFailed {
+                    context.rollouts.failed(&plan.target);
+                }
                 let again = refusal.outcome == outcome::Outcome::NotRun;
                 last = Some(refusal);
                 if !again {
@@ -208,8 +231,16 @@
             Ok(Some(frame::Frame::End(end))) if end.bytes != self.bytes => {
                 Next::Failed(broken("the owner's answer lacks bytes"))
             }
-            Ok(Some(frame::Frame::End(end))) => Next::End(end.usage),
-            Ok(Some(frame::Frame::Failed(refusal))) => Next::Failed(as_unknown(refusal)),
+            Ok(Some(frame::Frame::End(end))) => {
+                self.counters.answered(&self.target, self.first);
+                Next::End(end.usage)
+            }
+            Ok(Some(frame::Frame::Failed(refusal))) => {
+                if refusal.reason == outcome::Reason::EndpointFailed {
+                    self.counters.failed(&self.target);
+                }
+                Next::Failed(as_unknown(refusal))
+            }
             Ok(Some(frame::Frame::Head(_)) | None) => {
                 Next::Failed(broken("the owner's answer was cut"))
             }
--- a/crates/ibishill-daemon/src/http/auth.rs
+++ b/crates/ibishill-daemon/src/http/auth.rs
@@ -2,6 +2,7 @@
 
 use ibishill_config::{in_force, key};
 use ibishill_core::{clock, id, outcome, priority, time};
+use ibishill_decide::session;
 use rocket::request::{FromRequest, Outcome, Request};
 
 use super::{Shared, reply};
@@ -9,6 +10,8 @@
 /// Most headers of one name that a request may carry: one.
 const ONE: usize = 1;
 
+const SESSION: &str = "x-ibishill-session";
+
 /// What the headers of a request say.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller {
@@ -18,6 +21,8 @@
     pub(crate) workspace: id::WorkspaceId,
     /// The session.
     pub(crate) session: Option<id::SessionId>,
+    /// The version that the session's token pins.
+    pub(crate) pinned: Option<id::VersionRef>,
     /// Key that marks copies of the same request.
     pub(crate) key: Option<id::IdempotencyKey>,
     /// Priority among other requests.
@@ -94,6 +99,27 @@
     })
 }
 
+fn presented(
+    context: &Shared,
+    request: &Request<'_>,
+    workspace: &id::WorkspaceId,
+) -> Result<(Option<id::SessionId>, Option<id::VersionRef>), outcome::Refusal> {
+    let Some(text) = single(request, SESSION)? else { return Ok((None, None)) };
+    match context.sessions.read(workspace, text) {
+        Ok(session::Presented::Plain(session)) => Ok((Some(session), None)),
+        Ok(session::Presented::Token(token)) => Ok((Some(token.session), Some(token.version))),
+        Err(error) => {
+            let reason = match error {
+                session::TokenError::Malformed => outcome::Reason::BadRequest,
+                session::TokenError::Signature | session::TokenError::Workspace => {
+                    outcome::Reason::NotAllowed
+                }
+            };
+            Err(outcome::Refusal::not_run(reason, format!("header {SESSION}: {error}")))
+        }
+    }
+}
+
 fn read(context: &Shared, request: &Request<'_>) -> Result<Caller, reply::Refused> {
     let arrived = clock::boot_now();
     let name = context.new_request();
@@ -111,13 +137,14 @@
     };
     let limits = &context.settings.limits;
     single(request, "content-type").map_err(refuse)?;
-    let session = parse(request, "x-ibishill-session").map_err(refuse)?;
+    let (session, pinned) = presented(context, request, &workspace).map_err(refuse)?;
     let key = parse(request, "idempotency-key").map_err(refuse)?;
     let priority: Option<_> = parse(request, "x-ibishill-priority").map_err(refuse)?;
     let deadline: Option<_> = parse(request, "x-ibishill-deadline-ms").map_err(refuse)?;
     Ok(Caller {
         request: name.clone(),
         session,
+        pinned,
         key,
         priority: priority.unwrap_or_default(),
         deadline: deadline.unwrap_or(limits.deadline).min(limits.longest),
--- a/crates/ibishill-daemon/src/http/chat.rs
+++ b/crates/ibishill-daemon/src/http/chat.rs
@@ -1,11 +1,11 @@
 //! Chat completions, streamed and whole.
 
-use ibishill_core::{outcome, repeat};
+use ibishill_core::{id, outcome, repeat};
 use rocket::data::Data;
 use rocket::{State, post};
 
 use super::{Shared, auth, body, form, reply, run, stream};
-use crate::entry;
+use crate::entry::{self, cascade};
 
 const PATH: &str = "/v1/chat/completions";
 
@@ -20,13 +20,20 @@
     let mut run = run::Run::begin(context, &caller).map_err(refuse)?;
     let asked = ask(context, &caller, data).await;
     let (body, asked) = asked.map_err(|refusal| run.refused(refusal, 0))?;
-    let started = entry::start(context, &asked, |target| body.for_engine(target)).await;
-    let mut answer =
+    run.wants(&asked.wanted);
+    let engine = |target: &id::Target| body.for_engine(target);
+    if !asked.stream {
+        let whole = cascade::whole(context, &asked, body.messages(), engine).await;
+        let whole = whole.map_err(|given_up| run.refused(given_up.refusal, given_up.attempts))?;
+        return Ok(give(run, whole));
+    }
+    let started = cascade::stream(context, &asked, body.messages(), engine).await;
+    let (mut answer, listener) =
         started.map_err(|given_up| run.refused(given_up.refusal, given_up.attempts))?;
     run.answered();
-    let facts = run.facts(&answer);
-    if asked.stream && answer.head.status == 200 {
-        let chunks = stream::pass(run, answer, stream::Cut::Event);
+    let facts = run.facts(&answer.head, &answer.target, answer.attempts);
+    if answer.head.status == 200 {
+        let chunks = stream::pass(run, answer, stream::Cut::Event, Some(listener));
         return Ok(reply::Reply::Stream(facts, chunks));
     }
     match stream::collect(&mut run, &mut answer).await {
@@ -35,6 +42,14 @@
     }
 }
 
+fn give(mut run: run::Run, whole: cascade::Whole) -> reply::Reply {
+    run.answered();
+    let facts = run.facts(&whole.head, &whole.target, whole.attempts);
+    run.spent(whole.earlier);
+    run.ran(&whole.target, whole.usage);
+    reply::Reply::Whole(facts, reply::Held::new(whole.body, run))
+}
+
 async fn ask(
     context: &Shared,
     caller: &auth::Caller,
@@ -49,6 +64,7 @@
         workspace: caller.workspace.clone(),
         wanted,
         session: caller.session.clone(),
+        pinned: caller.pinned.clone(),
         left: caller.left()?,
         repeat: repeat::Repeat::Safe,
         method: "POST".into(),
--- a/crates/ibishill-daemon/src/http/form.rs
+++ b/crates/ibishill-daemon/src/http/form.rs
@@ -65,6 +65,11 @@
         Ok(Self { fields, known })
     }
 
+    /// The caller's messages as JSON, as they were written.
+    pub fn messages(&self) -> &str {
+        self.fields.get("messages").map_or("", |messages| messages.get())
+    }
+
     /// The body as the engine gets it: the version's full name, the usage of a stream,
     /// and every other field as the caller wrote it.
     pub fn for_engine(&self, target: &id::Target) -> Bytes {
--- a/crates/ibishill-daemon/src/http/reply.rs
+++ b/crates/ibishill-daemon/src/http/reply.rs
@@ -8,7 +8,7 @@
 use rocket::serde::json::json;
 use rocket::{Request, Response};
 
-use super::{Shared, run};
+use super::{Shared, pin, run};
 
 const REQUEST_ID: &str = "x-ibishill-request-id";
 
@@ -157,6 +157,8 @@
     pub(crate) status: u16,
     /// Content type.
     pub(crate) content: String,
+    /// The session's token and what became of its pin.
+    pub(crate) session: Option<pin::Pin>,
     /// Length of a streamed body in bytes, if it is known.
     pub(crate) length: Option<u64>,
     /// Headers of the endpoint that pass to the caller.
@@ -166,13 +168,13 @@
 /// A whole body; its request counts as running until the body is dropped.
 pub(crate) struct Held {
     body: Bytes,
-    _run: run::Run,
+    _run: Box<run::Run>,
 }
 
 impl Held {
     /// Holds `run` as long as `body`.
     pub(crate) fn new(body: Bytes, run: run::Run) -> Self {
-        Self { body, _run: run }
+        Self { body, _run: Box::new(run) }
     }
 }
 
@@ -212,6 +214,10 @@
         response.set_header(Header::new(REQUEST_ID, facts.request.to_string()));
         response.set_header(Header::new("x-ibishill-zone", facts.zone.to_string()));
         response.set_header(Header::new("x-ibishill-attempts", facts.attempts.to_string()));
+        if let Some(pin) = facts.session {
+            response.set_header(Header::new("x-ibishill-session-token", pin.token));
+            response.set_header(Header::new("x-ibishill-session-pin", pin.state.to_string()));
+        }
         match facts.target {
             id::Target::Version(version) => {
                 response.set_header(Header::new("x-ibishill-model", version.model.to_string()));
--- a/crates/ibishill-daemon/src/http/run.rs
+++ b/crates/ibishill-daemon/src/http/run.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 
 use ibishill_core::{clock, cost, event, id, outcome, time};
+use ibishill_decide::plan;
+use ibishill_peer::frame;
 use ibishill_state::billing;
 
-use super::{Shared, auth, reply};
-use crate::{context, entry, ledger};
+use super::{Shared, auth, pin, reply};
+use crate::entry::cascade;
+use crate::{context, ledger};
 
 const TOKENS_PER_PRICE: u64 = 1_000;
 const RETRY_WHEN_FULL: time::Millis = time::Millis::from_secs(1);
@@ -15,6 +18,8 @@
 pub(crate) struct Run {
     context: Shared,
     caller: auth::Caller,
+    wanted: Option<plan::Wanted>,
+    earlier: Vec<cascade::Spent>,
     slot: Option<ledger::Slot>,
     has_begun: bool,
     has_ended: bool,
@@ -42,6 +47,8 @@
         Ok(Self {
             context: Arc::clone(context),
             caller: caller.clone(),
+            wanted: None,
+            earlier: Vec::new(),
             slot: Some(slot),
             has_begun: false,
             has_ended: false,
@@ -55,6 +62,16 @@
         self.context.metrics.first_byte(reply::seconds_since(self.caller.arrived));
     }
 
+    /// Notes what the caller asked for, which decides on the session's pin.
+    pub(crate) fn wants(&mut self, wanted: &plan::Wanted) {
+        self.wanted = Some(wanted.clone());
+    }
+
+    /// Notes earlier runs, which are billed with the last one.
+    pub(crate) fn spent(&mut self, earlier: Vec<cascade::Spent>) {
+        self.earlier = earlier;
+    }
+
     /// Bills a request that ran.
     pub(crate) fn ran(&mut self, target: &id::Target, usage: cost::Usage) {
         self.has_ended = true;
@@ -66,6 +83,7 @@
             usage,
             price: price(&self.context, target, usage),
             at: clock::wall_now(),
+            earlier: self.earlier.iter().map(|spent| part(&self.context, spent)).collect(),
         };
         if let Some(slot) = self.slot.take() {
             slot.bill(record);
@@ -81,16 +99,23 @@
     }
 
     /// What the answer's headers tell.
-    pub(crate) fn facts(&self, answer: &entry::Answer) -> reply::Facts {
+    pub(crate) fn facts(
+        &self,
+        head: &frame::Head,
+        target: &id::Target,
+        attempts: u32,
+    ) -> reply::Facts {
+        let pin = |wanted| pin::pin(&self.context.sessions, &self.caller, wanted, target);
         reply::Facts {
             request: self.caller.request.clone(),
-            target: answer.target.clone(),
-            zone: answer.head.zone.clone(),
-            attempts: answer.attempts,
-            status: answer.head.status,
-            content: answer.head.content.clone(),
+            target: target.clone(),
+            zone: head.zone.clone(),
+            attempts,
+            status: head.status,
+            content: head.content.clone(),
+            session: self.wanted.as_ref().and_then(pin),
             length: None,
-            headers: answer.head.headers.clone(),
+            headers: head.headers.clone(),
         }
     }
 
@@ -110,6 +135,14 @@
     }
 }
 
+fn part(context: &context::Context, spent: &cascade::Spent) -> billing::Part {
+    billing::Part {
+        target: spent.target.to_string(),
+        usage: spent.usage,
+        price: price(context, &spent.target, spent.usage),
+    }
+}
+
 fn price(context: &context::Context, target: &id::Target, usage: cost::Usage) -> cost::Micros {
     let config = context.cell.get();
     let id::Target::Version(version) = target else { return cost::Micros::default() };
--- a/crates/ibishill-daemon/src/http/service.rs
+++ b/crates/ibishill-daemon/src/http/service.rs
@@ -79,15 +79,15 @@
     mut run: run::Run,
     mut answer: entry::Answer,
 ) -> Result<reply::Reply, reply::Refused> {
-    let mut facts = run.facts(&answer);
+    let mut facts = run.facts(&answer.head, &answer.target, answer.attempts);
     let is_empty = method == Method::Head || NO_BODY.contains(&facts.status);
     if !is_empty && facts.content.starts_with(EVENTS) {
-        let chunks = stream::pass(run, answer, stream::Cut::Event);
+        let chunks = stream::pass(run, answer, stream::Cut::Event, None);
         return Ok(reply::Reply::Stream(facts, chunks));
     }
     facts.length = answer.head.length.filter(|length| *length > 0);
     if !is_empty && facts.length.is_some() {
-        let chunks = stream::pass(run, answer, stream::Cut::Length);
+        let chunks = stream::pass(run, answer, stream::Cut::Length, None);
         return Ok(reply::Reply::Stream(facts, chunks));
     }
     match stream::collect(&mut run, &mut answer).await {
@@ -125,6 +125,7 @@
         workspace: caller.workspace.clone(),
         wanted: plan::Wanted::Service(service),
         session: caller.session.clone(),
+        pinned: None,
         left: caller.left()?,
         repeat,
         method: request.method().to_string(),
--- a/crates/ibishill-daemon/src/http/stream.rs
+++ b/crates/ibishill-daemon/src/http/stream.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::{reply, run};
-use crate::entry;
+use crate::entry::{self, cascade};
 
 const PART_SLOTS: usize = 16;
 
@@ -30,9 +30,15 @@
 /// Passes an answer on until it ends, is cut, or its caller leaves or stalls.
 ///
 /// The request stays counted as running until the caller has taken all of it.
-pub(crate) fn pass(run: run::Run, answer: entry::Answer, cut: Cut) -> BoxStream<'static, Bytes> {
+/// A listener hears what the caller gets, so that it can be rated afterwards.
+pub(crate) fn pass(
+    run: run::Run,
+    answer: entry::Answer,
+    cut: Cut,
+    listener: Option<cascade::Listener>,
+) -> BoxStream<'static, Bytes> {
     let (sender, mut receiver) = mpsc::channel(PART_SLOTS);
-    tokio::spawn(pump(run, answer, cut, sender));
+    tokio::spawn(pump(run, answer, cut, listener, sender));
     let chunks = rocket::async_stream::stream! {
         while let Some(Part::Chunk(chunk)) = receiver.recv().await {
             yield chunk;
@@ -41,7 +47,13 @@
     chunks.boxed()
 }
 
-async fn pump(mut run: run::Run, mut answer: entry::Answer, cut: Cut, sender: mpsc::Sender<Part>) {
+async fn pump(
+    mut run: run::Run,
+    mut answer: entry::Answer,
+    cut: Cut,
+    mut listener: Option<cascade::Listener>,
+    sender: mpsc::Sender<Part>,
+) {
     let idle = run.context().settings.limits.idle.to_std();
     let target = answer.target.clone();
     loop {
@@ -52,11 +64,17 @@
         };
         match next {
             entry::Next::Chunk(chunk) => {
+                if let Some(listener) = &mut listener {
+                    listener.hear(&chunk);
+                }
                 if !send(&sender, Part::Chunk(chunk), idle).await {
                     return;
                 }
             }
             entry::Next::End(usage) => {
+                if let Some(listener) = &listener {
+                    listener.end(&run.context().ratings);
+                }
                 run.ran(&target, usage);
                 break;
             }
--- a/crates/ibishill-daemon/src/lib.rs
+++ b/crates/ibishill-daemon/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod membership;
 pub mod metrics;
 pub mod operators;
+pub mod ratings;
+pub mod rollouts;
 pub mod router;
 pub mod run;
 pub mod start;
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -8,7 +8,7 @@
 
 use ibishill_config::{in_force, settings};
 use ibishill_core::{event, view};
-use ibishill_decide::plan;
+use ibishill_decide::{plan, session};
 use ibishill_endpoint::client;
 use ibishill_peer::{link, server, tls};
 use ibishill_platform::Platform;
@@ -16,7 +16,10 @@
 use snafu::ResultExt;
 
 use crate::error::{self, StartError};
-use crate::{config_sync, context, http, ledger, membership, metrics, operators, router, run};
+use crate::{
+    config_sync, context, http, ledger, membership, metrics, operators, ratings, rollouts, router,
+    run,
+};
 
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -80,6 +83,9 @@
         (socket, link)
     };
     let metrics = metrics::Metrics::new().map_err(|detail| StartError::Client { detail })?;
+    let counters = rollouts::Counters::new(cell.clone());
+    let ratings =
+        ratings::spawn(platform.ratings.clone(), counters.clone()).context(error::ThreadSnafu)?;
     let context = Arc::new(context::Context {
         settings: settings.clone(),
         place,
@@ -90,6 +96,9 @@
         ledger,
         endpoints,
         link,
+        ratings,
+        rollouts: counters.clone(),
+        sessions: session::Keys::new(settings.security.session_keys.clone()),
         metrics,
     });
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
@@ -109,6 +118,18 @@
         periods: settings.periods.clone(),
     })
     .context(error::ThreadSnafu)?;
+    rollouts::spawn(rollouts::Duty {
+        counters,
+        table: platform.table.clone(),
+        log: log::Log::new(platform.table.clone()),
+        cell: context.cell.clone(),
+        views: context.views.clone(),
+        place: context.place.clone(),
+        life: context.life.clone(),
+        refresh: refresh.clone(),
+        period: settings.periods.rollout,
+    })
+    .context(error::ThreadSnafu)?;
     spawn_operators(settings.operators, operators::service(&context, platform, refresh))?;
     let callers = spawn_callers(&context)?;
     Ok(Daemon { context, callers, socket, membership })
--- a/crates/ibishill-decide/src/plan.rs
+++ b/crates/ibishill-decide/src/plan.rs
@@ -103,7 +103,7 @@
     space: &declared::Workspace,
     ask: &Ask,
 ) -> Result<id::VersionRef, outcome::Refusal> {
-    if let Some(pinned) = pin(ask)
+    if let Some(pinned) = ask.pinned.as_ref().filter(|pinned| ask.wanted.follows(pinned))
         && check_version(declared, space, pinned).is_ok()
     {
         return Ok(pinned.clone());
@@ -119,13 +119,15 @@
     Ok(cohort(declared, space, ask, version))
 }
 
-// A pin holds for its own model, and where the choice is the router's.
-fn pin(ask: &Ask) -> Option<&id::VersionRef> {
-    ask.pinned.as_ref().filter(|pinned| match &ask.wanted {
-        Wanted::Auto => true,
-        Wanted::Model(model) => pinned.model == *model,
-        Wanted::Version(_) | Wanted::Service(_) => false,
-    })
+impl Wanted {
+    /// Whether a pin decides: within its own model, and where the choice is the router's.
+    pub fn follows(&self, pinned: &id::VersionRef) -> bool {
+        match self {
+            Self::Auto => true,
+            Self::Model(model) => pinned.model == *model,
+            Self::Version(_) | Self::Service(_) => false,
+        }
+    }
 }
 
 /// Checks that a workspace may use a version now.
--- a/crates/ibishill-state/src/billing.rs
+++ b/crates/ibishill-state/src/billing.rs
@@ -26,6 +26,20 @@
     pub price: cost::Micros,
     /// Wall-clock time of the end.
     pub at: time::Tick,
+    /// Earlier runs of the same request whose answers were rated low.
+    #[serde(default)]
+    pub earlier: Vec<Part>,
+}
+
+/// One more run of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// What ran.
+    pub target: String,
+    /// Tokens.
+    pub usage: cost::Usage,
+    /// Price.
+    pub price: cost::Micros,
 }
 
 /// Sum of some records.
@@ -104,12 +118,21 @@
 {
     let mut totals: BTreeMap<Line, Total> = BTreeMap::new();
     for record in records {
-        let line = Line { workspace: record.workspace, target: record.target };
-        let total = totals.entry(line).or_default();
-        total.requests += 1;
-        total.prompt += record.usage.prompt;
-        total.output += record.usage.output;
-        total.price = total.price + record.price;
+        let last = Part { target: record.target, usage: record.usage, price: record.price };
+        // A request counts once, at the version whose answer the caller got.
+        add(&mut totals, &record.workspace, last, 1);
+        for part in record.earlier {
+            add(&mut totals, &record.workspace, part, 0);
+        }
     }
     totals
 }
+
+fn add(totals: &mut BTreeMap<Line, Total>, workspace: &id::WorkspaceId, part: Part, requests: u64) {
+    let line = Line { workspace: workspace.clone(), target: part.target };
+    let total = totals.entry(line).or_default();
+    total.requests += requests;
+    total.prompt += part.usage.prompt;
+    total.output += part.usage.output;
+    total.price = total.price + part.price;
+}
