--- /dev/null
+++ b/crates/ibishill-daemon/tests/rollouts.rs
@@ -0,0 +1,197 @@
+//! The roll-out duty: another daemon takes over, lost answers do no harm, operators go first.
+
+use std::time::Duration;
+
+use ibishill_config::{change, declared, in_force};
+use ibishill_core::{clock, id, time, view};
+use ibishill_daemon::{config_sync, context, rollouts};
+use ibishill_decide::plan;
+use ibishill_platform::table;
+use ibishill_standin::memory;
+use ibishill_state::log;
+
+const ZONE: &str = "zone-a";
+
+fn rollout() -> declared::Rollout {
+    declared::Rollout {
+        from: "m@v1".parse().unwrap(),
+        to: "m@v2".parse().unwrap(),
+        stages: vec![50, 100],
+        stage: 0,
+        dwell: time::Millis(0),
+        state: declared::RolloutState::Running,
+        reason: None,
+    }
+}
+
+fn name() -> id::RolloutId {
+    "roll-1".parse().unwrap()
+}
+
+async fn order(log: &log::Log, number: u32, steps: Vec<change::Step>) {
+    let order = log::Order {
+        id: format!("change-{number}").parse().unwrap(),
+        author: "tester".parse().unwrap(),
+        action: "apply".into(),
+        expected: None,
+        steps,
+    };
+    log.accept(&order, clock::wall_now()).await.unwrap();
+}
+
+async fn declare(log: &log::Log) {
+    let version = |state| declared::Version {
+        prompt_price: Default::default(),
+        output_price: Default::default(),
+        quality: 0.9,
+        state,
+    };
+    let steps = vec![
+        change::Step::PutVersion("m@v1".parse().unwrap(), version(declared::VersionState::Serving)),
+        change::Step::PutVersion(
+            "m@v2".parse().unwrap(),
+            version(declared::VersionState::Candidate),
+        ),
+        change::Step::PutRollout(name(), rollout()),
+    ];
+    order(log, 1, steps).await;
+}
+
+struct Node {
+    cell: in_force::Cell,
+    life: context::Life,
+    counters: rollouts::Counters,
+    log: log::Log,
+}
+
+impl Node {
+    async fn start(vm: &str, memory: &memory::Memory) -> Self {
+        let table = memory.platform().table;
+        let log = log::Log::new(table.clone());
+        let cell = in_force::Cell::default();
+        cell.raise(log.catch_up(&cell.get()).await.unwrap());
+        let counters = rollouts::Counters::new(cell.clone());
+        let life = context::Life::default();
+        let views = context::ViewCell::default();
+        let member =
+            view::Member { vm: vm.parse().unwrap(), peers: "127.0.0.1:9".parse().unwrap() };
+        let zone = view::View { number: view::ViewNumber(1), members: vec![member] };
+        views.set(view::Views { zones: [(ZONE.parse().unwrap(), zone)].into() });
+        rollouts::spawn(rollouts::Duty {
+            counters: counters.clone(),
+            table,
+            log: log.clone(),
+            cell: cell.clone(),
+            views,
+            place: plan::Place { vm: vm.parse().unwrap(), zone: ZONE.parse().unwrap() },
+            life: life.clone(),
+            refresh: config_sync::Refresh::default(),
+            period: time::Millis(10),
+        })
+        .unwrap();
+        Self { cell, life, counters, log }
+    }
+
+    // Counts requests of both versions; every third of the new one fails.
+    fn count(&self, requests: u32) {
+        let target = |text: &str| id::Target::Version(text.parse().unwrap());
+        for number in 0..requests {
+            self.counters.answered(&target("m@v1"), time::Millis(100));
+            match number % 3 {
+                0 => self.counters.failed(&target("m@v2")),
+                _ => self.counters.answered(&target("m@v2"), time::Millis(100)),
+            }
+        }
+    }
+
+    async fn rollout(&self) -> declared::Rollout {
+        // A lost answer teaches nothing; the next read does.
+        loop {
+            if let Ok(now) = self.log.catch_up(&self.cell.get()).await {
+                return now.declared.rollouts[&name()].clone();
+            }
+        }
+    }
+
+    async fn halted(&self) -> declared::Rollout {
+        for _ in 0..1_000 {
+            let found = self.rollout().await;
+            if found.state == declared::RolloutState::Halted {
+                return found;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the roll-out was not halted");
+    }
+
+    async fn halts(&self) -> usize {
+        let changes = self.log.tail(change::ConfigVersion(0)).await.unwrap();
+        changes.iter().filter(|change| change.action == "rollout-halt").count()
+    }
+}
+
+// Whether a row tells so many requests of both versions.
+async fn written(memory: &memory::Memory, requests: u64) -> bool {
+    let scan = table::Scan {
+        table: "rollout-counts".into(),
+        prefix: String::new(),
+        after: String::new(),
+        limit: 10,
+    };
+    let rows = memory.platform().table.read(table::Query::Scan(scan)).await.unwrap();
+    let wanted = format!("\"requests\":{requests},");
+    rows.iter().any(|row| row.value.as_ref().is_some_and(|v| v.matches(&wanted).count() == 2))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_daemon_judges_what_a_lost_one_has_counted() {
+    let memory = memory::Memory::new(1);
+    declare(&log::Log::new(memory.platform().table)).await;
+    let first = Node::start("vm-1", &memory).await;
+    // Too little of the stable version for a verdict.
+    first.count(40);
+    while !written(&memory, 40).await {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    first.life.close();
+    assert_eq!(first.rollout().await, rollout());
+
+    let second = Node::start("vm-2", &memory).await;
+    second.count(15);
+    let halted = second.halted().await;
+    assert!(halted.reason.unwrap().starts_with("errors: 0.345 of 55 "));
+    assert_eq!(second.halts().await, 1);
+    second.life.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_neither_stop_nor_double_a_halt() {
+    let memory = memory::Memory::new(2);
+    declare(&log::Log::new(memory.platform().table)).await;
+    let node = Node::start("vm-1", &memory).await;
+    let faults = memory::Faults { lose_after: 0.3, lose_before: 0.2, ..Default::default() };
+    memory.set_faults(faults);
+    node.count(200);
+    node.halted().await;
+    memory.set_faults(memory::Faults::default());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(node.halts().await, 1);
+    node.life.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_of_an_operator_is_not_overwritten() {
+    let memory = memory::Memory::new(3);
+    let log = log::Log::new(memory.platform().table);
+    declare(&log).await;
+    // The daemon still has the roll-out as running when the operator has ended it.
+    let node = Node::start("vm-1", &memory).await;
+    let state = declared::RolloutState::Done;
+    let done = declared::Rollout { state, ..rollout() };
+    order(&log, 2, vec![change::Step::PutRollout(name(), done.clone())]).await;
+    node.count(200);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(node.rollout().await, done);
+    assert_eq!(node.halts().await, 0);
+    node.life.close();
+}
