perf(decide): explore harder while a version's verdict is open

Cause: in the phase without ratings the medium version stayed unproven, so its class fell back to the costly one.

--- a/crates/ibishill-decide/src/cascade.rs
+++ b/crates/ibishill-decide/src/cascade.rs
@@ -7,7 +7,7 @@
 use ibishill_core::{cost, id, time};
 
 const CHAIN_MAX: usize = 3;
-const OPEN_FACTOR: f64 = 4.0;
+const OPEN_FACTOR: f64 = 8.0;
 const OPEN_DEVIATIONS: f64 = 2.0;
 const DRAW_SCALE: f64 = 1_000_000.0;
 
