--- a/crates/ibishill-daemon/src/entry/cascade.rs
+++ b/crates/ibishill-daemon/src/entry/cascade.rs
@@ -125,8 +125,7 @@
     let mut attempts = 0;
     for (step, wanted) in chain.iter().enumerate() {
         let last = step + 1 == chain.len();
-        let spent = clock::boot_now().since(began);
-        let left = time::Millis(asked.left.0.saturating_sub(spent.0));
+        let left = self::left(asked, began);
         let run = Asked { wanted: wanted.clone(), left, ..asked.clone() };
         let done = match once(context, &run, &body).await {
             Ok(done) => done,
@@ -149,7 +148,12 @@
             context.ratings.later(ratings::Job { delivered: true, ..job });
             return Ok(next);
         }
-        match context.ratings.rate(&job).await {
+        match context.ratings.rate(&job, self::left(asked, began)).await {
+            // Without time for another run the low answer is all there is.
+            Some(false) if is_short(context, asked, began, &chain[step + 1]) => {
+                context.ratings.delivered(&job, false);
+                return Ok(next);
+            }
             Some(false) => best = Some(next),
             Some(true) => {
                 context.ratings.delivered(&job, true);
@@ -164,6 +168,21 @@
     })
 }
 
+fn left(asked: &Asked, began: time::Tick) -> time::Millis {
+    time::Millis(asked.left.0.saturating_sub(clock::boot_now().since(began).0))
+}
+
+fn is_short(
+    context: &context::Context,
+    asked: &Asked,
+    began: time::Tick,
+    next: &plan::Wanted,
+) -> bool {
+    let plan::Wanted::Version(version) = next else { return false };
+    let needed = context.ratings.known(|known| known.run_time(version));
+    (left(asked, began).0 as f64) < needed
+}
+
 fn follow(before: Option<Whole>, mut next: Whole) -> Whole {
     if let Some(before) = before {
         next.earlier = before.earlier;
--- a/crates/ibishill-daemon/src/ratings.rs
+++ b/crates/ibishill-daemon/src/ratings.rs
@@ -46,10 +46,11 @@
         act(&mut self.known.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Rates an answer now; none if the service gave no rating in time or the budget is spent.
-    pub async fn rate(&self, job: &Job) -> Option<bool> {
+    /// Rates an answer now; none if the service gave no rating within `left` or the budget
+    /// is spent.
+    pub async fn rate(&self, job: &Job, left: time::Millis) -> Option<bool> {
         let Ok(_permit) = self.calls.try_acquire() else { return None };
-        self.ask(job).await
+        self.ask(job, left).await
     }
 
     /// Rates an answer later; a full ring drops it and says so.
@@ -65,10 +66,10 @@
         self.known(|known| known.delivered(&job.cell.workspace, accepted, now));
     }
 
-    async fn ask(&self, job: &Job) -> Option<bool> {
+    async fn ask(&self, job: &Job, left: time::Millis) -> Option<bool> {
         let began = clock::boot_now();
         let asked = self.service.rate(job.question.clone());
-        let answered = tokio::time::timeout(TIMEOUT.to_std(), asked).await;
+        let answered = tokio::time::timeout(left.min(TIMEOUT).to_std(), asked).await;
         let rating = answered.ok().and_then(Result::ok);
         let now = clock::boot_now();
         self.known(|known| known.asked(rating.as_ref().map(|_| now.since(began))));
@@ -106,7 +107,7 @@
         let asking = &asking;
         let jobs = futures::stream::poll_fn(move |waker| inbox.poll_recv(waker));
         let rating = jobs.for_each_concurrent(LATE_CALLS_MAX, |job| async move {
-            let _rated = asking.ask(&job).await;
+            let _rated = asking.ask(&job, TIMEOUT).await;
         });
         runtime.block_on(rating);
     })?;
