--- a/crates/ibishill-bench/src/experiment/rollout.rs
+++ b/crates/ibishill-bench/src/experiment/rollout.rs
@@ -16,12 +16,13 @@
 // Reports and the halt's way to every daemon.
 const LAG_PERIODS: usize = 2;
 const RATED_SHARE: f64 = 0.5;
-const STABLE: Kind = Kind { name: "clean", errors: 0.01, low: 0.1, factor: 1.0 };
-const BAD: [Kind; 4] = [
+const STABLE: Kind = Kind { name: "clean", errors: 0.01, low: 0.1, factor: 1.0, turns: None };
+const BAD: [Kind; 5] = [
     Kind { name: "errors 0.2", errors: 0.2, ..STABLE },
     Kind { name: "quality drop 0.3", low: 0.4, ..STABLE },
     Kind { name: "quality drop 0.1", low: 0.2, ..STABLE },
     Kind { name: "latency times 2", factor: 2.0, ..STABLE },
+    Kind { name: "quality drop 0.3 late in stage 2", low: 0.4, turns: Some(1), ..STABLE },
 ];
 
 #[derive(Clone, Copy)]
@@ -30,6 +31,8 @@
     errors: f64,
     low: f64,
     factor: f64,
+    // The stage in whose middle the version turns bad; none means from the start.
+    turns: Option<usize>,
 }
 
 #[derive(Clone, Copy)]
@@ -42,6 +45,7 @@
 struct End {
     exposed: f64,
     halted: bool,
+    done: bool,
 }
 
 fn declared_rollout() -> declared::Rollout {
@@ -79,7 +83,9 @@
         let percent = f64::from(rollout.percent()) / 100.0;
         for _ in 0..PERIOD_REQUESTS {
             if rng.random_bool(percent) {
-                exposed += 1;
+                let bad = is_bad(kind, &rollout, &stand);
+                exposed += u32::from(bad);
+                let kind = if bad { kind } else { STABLE };
                 finish(&mut rng, kind, &mut stand.candidate);
             } else {
                 finish(&mut rng, STABLE, &mut stand.stable);
@@ -90,18 +96,23 @@
             rollout::Verdict::Stay => {}
             rollout::Verdict::Halt(_) => {
                 let late = LAG_PERIODS as f64 * PERIOD_REQUESTS as f64 * percent;
-                return End { exposed: f64::from(exposed) + late, halted: true };
+                return End { exposed: f64::from(exposed) + late, halted: true, done: false };
             }
             rollout::Verdict::Advance => {
                 rollout.stage += 1;
                 stand = fresh(&stand.stable);
                 if rollout.stage == rollout.stages.len() {
-                    break;
+                    return End { exposed: f64::from(exposed), halted: false, done: true };
                 }
             }
         }
     }
-    End { exposed: f64::from(exposed), halted: false }
+    End { exposed: f64::from(exposed), halted: false, done: false }
+}
+
+fn is_bad(kind: Kind, rollout: &declared::Rollout, stand: &rollout::Stand) -> bool {
+    let Some(stage) = kind.turns else { return true };
+    rollout.stage > stage || (rollout.stage == stage && stand.dwelt.0 >= rollout.dwell.0 / 2)
 }
 
 fn fresh(stable: &counts::Counts) -> rollout::Stand {
@@ -159,11 +170,19 @@
     let ours = Way::Ours(declared::Policy::Cost);
     let other = Way::Ours(declared::Policy::Latency);
     let clean = |way| halted(&runs(seed, CLEAN_RUNS, STABLE, way));
+    let done = |way| {
+        let ends = runs(seed, CLEAN_RUNS, STABLE, way);
+        ends.iter().filter(|end| end.done).count() as f64
+    };
     let mut figures = vec![
         Figure::new("false halts of 100 clean roll-outs, policy cost", "roll-outs", clean(ours))
             .bound(Bound::AtMost(1.0))
             .baseline("policy latency", clean(other))
             .baseline("threshold on the mean", clean(Way::Mean)),
+        Figure::new("clean roll-outs done, policy cost", "of 100", done(ours))
+            .bound(Bound::AtLeast(CLEAN_RUNS as f64 - 1.0))
+            .baseline("policy latency", done(other))
+            .baseline("threshold on the mean", done(Way::Mean)),
     ];
     let mut points = Vec::new();
     for (index, kind) in BAD.into_iter().enumerate() {
