--- a/crates/ibishill-daemon/tests/decisions.rs
+++ b/crates/ibishill-daemon/tests/decisions.rs
@@ -1,6 +1,7 @@
 //! Cascade, roll-out and session through a whole daemon with stand-ins on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use ibishill_config::{change, declared, key, settings};
@@ -20,8 +21,20 @@
   costly@v1: {prompt-price: 2000, output-price: 2000, quality: 0.97}
 ";
 
+// Ports below the ephemeral range, as another socket could be given one of those between
+// this check and its use.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 16_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST + (std::process::id().wrapping_mul(97).wrapping_add(step)) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 struct World {
