--- a/crates/ibishill-daemon/tests/decisions.rs
+++ b/crates/ibishill-daemon/tests/decisions.rs
@@ -1,14 +1,13 @@
 //! Cascade, roll-out and session through a whole daemon with stand-ins on loopback.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ibishill_config::{change, declared, key, settings};
 use ibishill_core::{clock, id, secret};
 use ibishill_daemon::start;
 use ibishill_peer::tls;
-use ibishill_standin::{engine, memory};
+use ibishill_standin::{engine, memory, port};
 use ibishill_state::{billing, log};
 use serde_json::json;
 
@@ -21,22 +20,6 @@
   costly@v1: {prompt-price: 2000, output-price: 2000, quality: 0.97}
 ";
 
-// Ports below the ephemeral range, as another socket could be given one of those between
-// this check and its use.
-fn free_address() -> SocketAddr {
-    const FIRST: u32 = 12_000;
-    const COUNT: u32 = 16_000;
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST + (std::process::id().wrapping_mul(97).wrapping_add(step)) % COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 struct World {
     daemon: Option<start::Daemon>,
     memory: memory::Memory,
@@ -52,8 +35,8 @@
         vm: "vm-1".parse().unwrap(),
         zone: "zone-a".parse().unwrap(),
         callers,
-        operators: free_address(),
-        peers: free_address(),
+        operators: port::free_address(),
+        peers: port::free_address(),
         platform: String::new(),
         security: settings::Security {
             insecure: true,
@@ -74,7 +57,7 @@
 impl World {
     async fn start() -> Self {
         let memory = memory::Memory::new(1);
-        let callers = free_address();
+        let callers = port::free_address();
         let identity = tls::Authority::generate()
             .unwrap()
             .sign(&"vm-1".parse().unwrap(), &"zone-a".parse().unwrap())
@@ -104,7 +87,7 @@
         document += "endpoints:\n";
         for (number, version) in ["m@v1", "m@v2", "costly@v1"].iter().enumerate() {
             let behaviour = engine::Behaviour { first_ms: 1, token_ms: 0, ..Default::default() };
-            let (engine, address) = (engine::Engine::new(behaviour), free_address());
+            let (engine, address) = (engine::Engine::new(behaviour), port::free_address());
             tokio::spawn(engine::server(engine.clone(), address).launch());
             self.engines.push(engine);
             document += &format!(
