--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -8,7 +8,7 @@
 
 use ibishill_config::{in_force, settings};
 use ibishill_core::{clock, event, view};
-use ibishill_decide::plan;
+use ibishill_decide::{plan, session};
 use ibishill_endpoint::client;
 use ibishill_peer::{link, server, tls};
 use ibishill_platform::{Platform, budget};
@@ -19,7 +19,7 @@
 use crate::error::{self, StartError};
 use crate::{
     config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics, operators,
-    router, run,
+    ratings, rollouts, router, run,
 };
 
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -87,6 +87,9 @@
     let keeper = keeper(&settings, platform);
     let lease = lease_clock::LeaseClock::default();
     let metrics = metrics::Metrics::new().map_err(|detail| StartError::Client { detail })?;
+    let counters = rollouts::Counters::new(cell.clone());
+    let ratings =
+        ratings::spawn(platform.ratings.clone(), counters.clone()).context(error::ThreadSnafu)?;
     let context = Arc::new(context::Context {
         settings: settings.clone(),
         place,
@@ -101,6 +104,9 @@
         ledger,
         endpoints,
         link,
+        ratings,
+        rollouts: counters.clone(),
+        sessions: session::Keys::new(settings.security.session_keys.clone()),
         metrics,
     });
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
@@ -116,6 +122,18 @@
         periods: settings.periods.clone(),
     })
     .context(error::ThreadSnafu)?;
+    rollouts::spawn(rollouts::Duty {
+        counters,
+        table: platform.table.clone(),
+        log: context.log.clone(),
+        cell: context.cell.clone(),
+        views: context.views.clone(),
+        place: context.place.clone(),
+        life: context.life.clone(),
+        refresh: refresh.clone(),
+        period: settings.periods.rollout,
+    })
+    .context(error::ThreadSnafu)?;
     spawn_operators(settings.operators, operators::service(&context, platform, refresh))?;
     let callers = spawn_callers(&context)?;
     Ok(Daemon { context, callers, socket, membership })
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -4,7 +4,11 @@
 //! drive the same code as the daemon.
 
 pub mod admit;
+pub mod cascade;
 pub mod choose;
+pub mod cohort;
 pub mod cold;
 pub mod owner;
 pub mod plan;
+pub mod rollout;
+pub mod session;
