--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod repeat;
 pub mod secret;
 pub mod time;
+pub mod urgency;
 pub mod view;
--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -9,7 +9,7 @@
 use ibishill_endpoint::client;
 use ibishill_peer::link;
 
-use crate::{ledger, metrics, router};
+use crate::{lease_clock, ledger, metrics, router};
 
 /// The views in force; they are replaced as a whole.
 #[derive(Debug, Clone, Default)]
@@ -123,6 +123,8 @@
     pub views: ViewCell,
     /// How far the daemon's life has come.
     pub life: Life,
+    /// The daemon's lease.
+    pub lease: lease_clock::LeaseClock,
     /// The router thread.
     pub router: router::Handle,
     /// Billing and refusals.
--- a/crates/ibishill-daemon/src/entry.rs
+++ b/crates/ibishill-daemon/src/entry.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ibishill_core::{cost, event, id, outcome, repeat, time};
-use ibishill_decide::plan;
+use ibishill_core::{cost, event, id, outcome, repeat, time, urgency};
+use ibishill_decide::{plan, prefix};
 use ibishill_peer::{error::LinkError, frame, link};
 use tokio::sync::mpsc;
 
@@ -136,6 +136,8 @@
         request: asked.request.clone(),
         workspace: asked.workspace.clone(),
         target: plan.target.clone(),
+        prefix: prefix(&body),
+        priority: urgency::Priority::Normal,
         config: context.cell.get().version.0,
         left: asked.left,
         repeat: asked.repeat,
@@ -148,6 +150,13 @@
     }
 }
 
+// The key of a chat request's messages; a plain service's body has none.
+fn prefix(body: &[u8]) -> Option<urgency::PrefixKey> {
+    const MESSAGES: &[u8] = b"\"messages\"";
+    let at = body.windows(MESSAGES.len()).position(|window| window == MESSAGES)?;
+    Some(prefix::key(&body[at..]))
+}
+
 async fn attempt(
     context: &Arc<context::Context>,
     route: &plan::Route,
--- a/crates/ibishill-daemon/src/membership.rs
+++ b/crates/ibishill-daemon/src/membership.rs
@@ -5,7 +5,7 @@
 use ibishill_core::{clock, event, view};
 use ibishill_state::lease;
 
-use crate::context;
+use crate::{context, lease_clock};
 
 /// Where the duty reads and writes.
 pub struct Duty {
@@ -15,6 +15,8 @@
     pub member: view::Member,
     /// Its zone.
     pub zone: ibishill_core::id::ZoneId,
+    /// The lease as admissions see it.
+    pub lease: lease_clock::LeaseClock,
     /// The views in force.
     pub views: context::ViewCell,
     /// How far the daemon's life has come.
@@ -36,10 +38,13 @@
 impl Duty {
     async fn run(self) {
         while !self.life.stopping() {
-            self.renew().await;
-            self.read().await;
+            let began = clock::boot_now();
+            if self.renew().await && self.read().await {
+                self.lease.extend(began + self.periods.lease);
+            }
             tokio::time::sleep(self.periods.renew.to_std()).await;
         }
+        self.lease.end();
         let _lapses = self.leases.release(&self.zone, &self.member.vm).await;
         while !self.life.closed() || self.life.running() > 0 {
             self.read().await;
@@ -47,25 +52,28 @@
         }
     }
 
-    async fn renew(&self) {
+    async fn renew(&self) -> bool {
         let lease = lease::Lease {
             zone: self.zone.clone(),
             member: self.member.clone(),
             expires: clock::wall_now() + self.periods.lease,
         };
-        if let Err(error) = self.leases.renew(&lease).await {
-            event::emit(event::Event::LeaseRenewFailed, &[event::field("error", &error)]);
+        let renewed = self.leases.renew(&lease).await;
+        if let Err(error) = &renewed {
+            event::emit(event::Event::LeaseRenewFailed, &[event::field("error", error)]);
         }
+        renewed.is_ok()
     }
 
-    async fn read(&self) {
+    async fn read(&self) -> bool {
         // While the platform is away, the last views stay in force.
-        let Ok(views) = self.leases.views(clock::wall_now()).await else { return };
+        let Ok(views) = self.leases.views(clock::wall_now()).await else { return false };
         let own = views.zones.get(&self.zone);
         let member = own.is_some_and(|view| view.member(&self.member.vm).is_some());
         self.life.set_member(member);
         if self.views.set(views) {
             event::emit(event::Event::ViewChanged, &[event::field("zone", &self.zone)]);
         }
+        true
     }
 }
--- /dev/null
+++ b/crates/ibishill-daemon/src/reports.rs
@@ -0,0 +1,48 @@
+//! Asks the endpoints of this daemon what they hold.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use futures::future;
+use ibishill_core::{clock, id};
+use ibishill_decide::cold;
+
+use crate::{context, router};
+
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Period while an earlier owner's work may still run at an endpoint.
+const TAKEOVER_PERIOD: Duration = Duration::from_millis(100);
+
+/// Starts the thread.
+///
+/// # Errors
+///
+/// Fails if the system can't start a thread.
+pub fn spawn(context: Arc<context::Context>) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::Builder::new().name("reports".into()).spawn(move || runtime.block_on(run(&context)))?;
+    Ok(())
+}
+
+async fn run(context: &context::Context) {
+    while !context.life.closed() || context.life.running() > 0 {
+        let gates = context.router.status().await;
+        future::join_all(gates.iter().map(|gate| ask(context, gate))).await;
+        let unsettled = gates.iter().any(|gate| gate.unsettled) || gates.is_empty();
+        tokio::time::sleep(if unsettled { TAKEOVER_PERIOD } else { PERIOD }).await;
+    }
+}
+
+async fn ask(context: &context::Context, gate: &router::GateStatus) {
+    let name: &id::EndpointId = &gate.endpoint;
+    let config = context.cell.get();
+    let Some(endpoint) = config.declared.endpoints.get(name) else { return };
+    let asked = clock::boot_now();
+    // An endpoint without a report keeps what its owner already knows.
+    let Ok(load) = context.endpoints.load(endpoint.address).await else { return };
+    let taken = ibishill_core::time::Tick(asked.0.saturating_sub(load.age_ms));
+    let report = cold::Report { taken, running: load.running, cold: load.cold, start: load.start };
+    context.router.report(name.clone(), report);
+}
--- a/crates/ibishill-daemon/src/router.rs
+++ b/crates/ibishill-daemon/src/router.rs
@@ -1,20 +1,31 @@
 //! The router thread: it alone owns the state of planning and admission.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
 use std::thread;
+use std::time::Duration;
 
 use crossbeam_channel as ring;
 use ibishill_config::in_force;
-use ibishill_core::{clock, event, id, outcome};
-use ibishill_decide::{admit, cold, plan};
+use ibishill_core::{clock, event, id, outcome, time, urgency, view};
+use ibishill_decide::{admit, cold, dispatch, plan, prefix, queue};
 use tokio::sync::oneshot;
 
-use crate::context;
+use crate::{context, lease_clock};
+
+pub use permit::Permit;
+
+mod permit;
 
 const ASK_SLOTS: usize = 1_024;
 
-/// Most requests admitted at once by one daemon; the ring of releases has as many slots.
-const ADMITTED_MAX: usize = 16_384;
+/// Most requests admitted or waiting at once at one daemon.
+const HELD_MAX: usize = 16_384;
+
+/// Longest wait for a message while requests are queued, so that a changed
+/// configuration, view or lease is seen.
+const TURN_PERIOD: Duration = Duration::from_millis(50);
+
+const IDLE_PERIOD: Duration = Duration::from_secs(1);
 
 /// What the router thread knows of one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,46 +36,21 @@
     pub running: u32,
     /// Requests that may run there.
     pub limit: u32,
+    /// How warm it is.
+    pub warmth: cold::Warmth,
+    /// Whether an earlier owner's work may still run there.
+    pub unsettled: bool,
 }
 
 enum Ask {
     Plan(plan::Ask, oneshot::Sender<Result<plan::Plan, outcome::Refusal>>),
-    Admit(admit::Job, oneshot::Sender<Result<Permit, outcome::Refusal>>),
+    Admit(admit::Job, Reply),
+    Report(id::EndpointId, cold::Report),
+    Cached(id::EndpointId, urgency::PrefixKey, prefix::Event),
     Status(oneshot::Sender<Vec<GateStatus>>),
 }
 
-struct Release {
-    endpoint: id::EndpointId,
-    answer: cold::Answer,
-}
-
-/// The right to run one request at an endpoint; dropping it gives the right back.
-#[derive(Debug)]
-pub struct Permit {
-    admission: admit::Admission,
-    answer: cold::Answer,
-    releases: ring::Sender<Release>,
-}
-
-impl Permit {
-    /// Where the request runs.
-    pub fn admission(&self) -> &admit::Admission {
-        &self.admission
-    }
-
-    /// Notes that the answer was whole and in time.
-    pub fn good(&mut self) {
-        self.answer = cold::Answer::Good;
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let release = Release { endpoint: self.admission.endpoint.clone(), answer: self.answer };
-        // The ring has a slot for every admitted request, so it is never full.
-        let _stopped = self.releases.try_send(release);
-    }
-}
+type Reply = oneshot::Sender<Result<Permit, outcome::Refusal>>;
 
 /// The way to the router thread.
 #[derive(Clone)]
@@ -75,7 +61,7 @@
 fn ring_full() -> outcome::Refusal {
     event::emit(event::Event::RingFull, &[event::field("ring", &"router")]);
     outcome::Refusal::not_run(outcome::Reason::Overloaded, "the router has no room")
-        .retry_after(ibishill_core::time::Millis::from_secs(1))
+        .retry_after(time::Millis::from_secs(1))
 }
 
 fn stopped() -> outcome::Refusal {
@@ -94,17 +80,29 @@
         receiver.await.map_err(|_| stopped())?
     }
 
-    /// Admits a request to an endpoint of this daemon.
+    /// Admits a request to an endpoint of this daemon once its turn has come.
     ///
     /// # Errors
     ///
-    /// A refusal of a request that has not run.
+    /// A refusal of a request that has not run, as soon as it is certain.
     pub async fn admit(&self, job: admit::Job) -> Result<Permit, outcome::Refusal> {
         let (sender, receiver) = oneshot::channel();
         self.asks.try_send(Ask::Admit(job, sender)).map_err(|_| ring_full())?;
         receiver.await.map_err(|_| stopped())?
     }
 
+    /// Passes on what an endpoint says of itself; a full ring drops it and counts.
+    pub fn report(&self, endpoint: id::EndpointId, report: cold::Report) {
+        if self.asks.try_send(Ask::Report(endpoint, report)).is_err() {
+            event::emit(event::Event::RingFull, &[event::field("ring", &"router")]);
+        }
+    }
+
+    /// Passes on an event of an endpoint's prefix cache; a full ring drops it.
+    pub fn cached(&self, endpoint: id::EndpointId, key: urgency::PrefixKey, event: prefix::Event) {
+        let _dropped = self.asks.try_send(Ask::Cached(endpoint, key, event));
+    }
+
     /// What is known of the endpoints of this daemon.
     pub async fn status(&self) -> Vec<GateStatus> {
         let (sender, receiver) = oneshot::channel();
@@ -115,71 +113,100 @@
     }
 }
 
+/// What the thread reads besides its rings.
+pub struct Sources {
+    /// Where the daemon stands.
+    pub place: plan::Place,
+    /// The configuration in force.
+    pub cell: in_force::Cell,
+    /// The views in force.
+    pub views: context::ViewCell,
+    /// The daemon's lease.
+    pub lease: lease_clock::LeaseClock,
+    /// Longest effects of an earlier owner.
+    pub periods: admit::Periods,
+}
+
 /// Starts the thread; it ends when the last handle is dropped.
 ///
 /// # Errors
 ///
 /// Fails if the system can't start a thread.
-pub fn spawn(
-    place: plan::Place,
-    cell: in_force::Cell,
-    views: context::ViewCell,
-) -> std::io::Result<Handle> {
+pub fn spawn(sources: Sources) -> std::io::Result<Handle> {
     let (asks, inbox) = ring::bounded(ASK_SLOTS);
-    let (sender, releases) = ring::bounded(ADMITTED_MAX);
-    let router = Router { place, cell, views, owner: admit::Owner::default(), admitted: 0 };
-    thread::Builder::new()
-        .name("router".into())
-        .spawn(move || router.run(&inbox, &sender, &releases))?;
+    let (sender, progress) = ring::bounded(HELD_MAX * permit::MESSAGES_MAX);
+    let dispatcher = dispatch::Dispatcher::new(admit::Owner::new(sources.periods));
+    let router = Router { sources, dispatcher, waiting: BTreeMap::new(), admitted: 0, sender };
+    thread::Builder::new().name("router".into()).spawn(move || router.run(&inbox, &progress))?;
     Ok(Handle { asks })
 }
 
+struct Waiting {
+    target: id::Target,
+    reply: Reply,
+}
+
 struct Router {
-    place: plan::Place,
-    cell: in_force::Cell,
-    views: context::ViewCell,
-    owner: admit::Owner,
+    sources: Sources,
+    dispatcher: dispatch::Dispatcher,
+    waiting: BTreeMap<queue::Ticket, Waiting>,
     admitted: usize,
+    sender: ring::Sender<permit::Progress>,
 }
 
 impl Router {
-    fn run(
-        mut self,
-        inbox: &ring::Receiver<Ask>,
-        sender: &ring::Sender<Release>,
-        releases: &ring::Receiver<Release>,
-    ) {
+    fn run(mut self, inbox: &ring::Receiver<Ask>, progress: &ring::Receiver<permit::Progress>) {
         loop {
             ring::select! {
-                recv(releases) -> release => if let Ok(release) = release {
-                    self.release(&release);
+                recv(progress) -> message => if let Ok(message) = message {
+                    self.progress(message);
                 },
                 recv(inbox) -> ask => match ask {
                     Ok(ask) => {
-                        // Releases come first, so that room that is free is seen.
-                        releases.try_iter().for_each(|release| self.release(&release));
-                        self.answer(ask, sender);
+                        // Progress comes first, so that room that is free is seen.
+                        progress.try_iter().for_each(|message| self.progress(message));
+                        self.answer(ask);
                     }
                     Err(ring::RecvError) => return,
                 },
+                default(self.pause()) => {}
+            }
+            if !self.waiting.is_empty() {
+                self.turn();
             }
         }
     }
 
-    fn release(&mut self, release: &Release) {
-        self.admitted -= 1;
-        self.owner.finish(&release.endpoint, release.answer, clock::boot_now());
+    fn pause(&self) -> Duration {
+        if self.waiting.is_empty() {
+            return IDLE_PERIOD;
+        }
+        let next = self.dispatcher.next_expiry();
+        next.map_or(TURN_PERIOD, |at| at.since(clock::boot_now()).to_std().min(TURN_PERIOD))
+    }
+
+    fn progress(&mut self, message: permit::Progress) {
+        let now = clock::boot_now();
+        match message {
+            permit::Progress::First(admission) => self.dispatcher.owner.first(&admission, now),
+            permit::Progress::End(target, admission, answer) => {
+                self.admitted -= 1;
+                self.dispatcher.finish(&target, &admission, answer, now);
+            }
+        }
     }
 
-    fn answer(&mut self, ask: Ask, sender: &ring::Sender<Release>) {
+    fn answer(&mut self, ask: Ask) {
         match ask {
             Ask::Plan(ask, reply) => {
-                let plan = plan::plan(&self.cell.get(), &self.views.get(), &self.place, &ask);
+                let Sources { cell, views, place, .. } = &self.sources;
+                let plan = plan::plan(&cell.get(), &views.get(), place, &ask);
                 let _left = reply.send(plan);
             }
-            Ask::Admit(job, reply) => {
-                let permit = self.admit(&job, sender);
-                let _left = reply.send(permit);
+            Ask::Admit(job, reply) => self.offer(job, reply),
+            Ask::Report(endpoint, report) => self.dispatcher.owner.report(&endpoint, report),
+            Ask::Cached(endpoint, key, event) => {
+                self.dispatcher.owner.cached(&endpoint, key, event, clock::boot_now());
             }
             Ask::Status(reply) => {
                 let _left = reply.send(self.status());
@@ -187,29 +214,59 @@
         }
     }
 
-    fn admit(
-        &mut self,
-        job: &admit::Job,
-        sender: &ring::Sender<Release>,
-    ) -> Result<Permit, outcome::Refusal> {
-        if self.admitted >= ADMITTED_MAX {
-            return Err(ring_full());
+    fn with_facts<R, F>(&mut self, decide: F) -> R
+    where
+        F: FnOnce(&mut dispatch::Dispatcher, &admit::Facts<'_>) -> R,
+    {
+        let config = self.sources.cell.get();
+        let views = self.sources.views.get();
+        let empty = view::View::default();
+        let facts = admit::Facts {
+            config: &config,
+            view: views.zones.get(&self.sources.place.zone).unwrap_or(&empty),
+            place: &self.sources.place,
+            guard: self.sources.lease.guard(),
+            now: clock::boot_now(),
+        };
+        decide(&mut self.dispatcher, &facts)
+    }
+
+    fn offer(&mut self, job: admit::Job, reply: Reply) {
+        if self.admitted + self.waiting.len() >= HELD_MAX {
+            let _left = reply.send(Err(ring_full()));
+            return;
         }
-        let config: Arc<in_force::InForce> = self.cell.get();
-        let views = self.views.get();
-        let view = views.zones.get(&self.place.zone).cloned().unwrap_or_default();
-        let admission = self.owner.admit(&config, &view, &self.place, job, clock::boot_now())?;
-        self.admitted += 1;
-        Ok(Permit { admission, answer: cold::Answer::Bad, releases: sender.clone() })
+        let target = job.target.clone();
+        let (ticket, decisions) = self.with_facts(|dispatcher, facts| dispatcher.offer(facts, job));
+        self.waiting.insert(ticket, Waiting { target, reply });
+        decisions.into_iter().for_each(|decision| self.decided(decision));
+    }
+
+    fn turn(&mut self) {
+        let decisions = self.with_facts(dispatch::Dispatcher::turn);
+        decisions.into_iter().for_each(|decision| self.decided(decision));
+    }
+
+    fn decided(&mut self, decision: dispatch::Decision) {
+        let Some(waiting) = self.waiting.remove(&decision.ticket) else { return };
+        let permit = decision.result.map(|admission| {
+            self.admitted += 1;
+            Permit::new(waiting.target, admission, self.sender.clone())
+        });
+        // A caller that has left drops the permit, which gives the right back.
+        let _left = waiting.reply.send(permit);
     }
 
-    fn status(&self) -> Vec<GateStatus> {
-        let gates = self.owner.gates().iter();
+    fn status(&mut self) -> Vec<GateStatus> {
+        self.with_facts(|dispatcher, facts| dispatcher.owner.refresh(facts));
+        let gates = self.dispatcher.owner.gates().iter();
         gates
             .map(|(endpoint, gate)| GateStatus {
                 endpoint: endpoint.clone(),
                 running: gate.running(),
                 limit: gate.limit(),
+                warmth: gate.warmth(),
+                unsettled: gate.is_unsettled(),
             })
             .collect()
     }
--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ibishill_core::{event, id, outcome};
-use ibishill_decide::admit;
+use ibishill_core::{clock, event, id, outcome};
+use ibishill_decide::{admit, cold};
 use ibishill_endpoint::{call, client, failure, sse};
 use ibishill_peer::frame;
 use tokio::sync::mpsc;
@@ -41,12 +41,22 @@
     work: frame::Work,
     frames: &Frames,
 ) -> Result<(), outcome::Refusal> {
+    let is_chat = matches!(work.target, id::Target::Version(_));
+    // A successor counts on the end of all work after this time.
+    let left = work.left.min(context.settings.limits.deadline);
+    let deadline = clock::boot_now() + left;
     let job = admit::Job {
         request: work.request.clone(),
         workspace: work.workspace.clone(),
         target: work.target.clone(),
+        prefix: work.prefix,
+        priority: work.priority,
+        stream: is_chat && work.stream,
+        deadline,
     };
     let mut permit = context.router.admit(job).await?;
+    let now = clock::boot_now();
+    context.lease.guard().check(now)?;
     let address = permit.admission().address;
     let call = call::Call {
         request: work.request.clone(),
@@ -54,13 +64,15 @@
         path: work.path.clone(),
         content: work.content.clone(),
         body: work.body.clone(),
-        left: work.left,
+        left: deadline.since(now),
         idle: context.settings.limits.idle,
     };
     let endpoint = permit.admission().endpoint.clone();
     let sent = context.endpoints.send(address, call).await;
-    let answer = sent.map_err(|failure| failed(&endpoint, &failure))?;
+    let answer = sent.map_err(|failure| failed(&mut permit, &failure))?;
+    permit.first();
     if answer.status >= 500 {
+        permit.ended(cold::Answer::Bad);
         let detail = format!("endpoint {endpoint} answered with status {}", answer.status);
         return Err(outcome::Refusal::unknown(outcome::Reason::EndpointFailed, detail));
     }
@@ -73,23 +85,27 @@
     if frames.send(frame::Frame::Head(head)).await.is_err() {
         return Ok(());
     }
-    let is_chat = matches!(work.target, id::Target::Version(_));
     let passed = match (is_chat, work.stream && answer.status == 200) {
         (true, true) => pass_events(answer, work.show_usage, frames).await,
         (true, false) => pass_whole(answer, frames).await,
         (false, _) => pass_bytes(answer, frames).await,
     };
-    let end = passed.map_err(|failure| failed(&endpoint, &failure))?;
+    let end = passed.map_err(|failure| failed(&mut permit, &failure))?;
     finish(&mut permit, end, frames).await;
     Ok(())
 }
 
 async fn finish(permit: &mut router::Permit, end: frame::End, frames: &Frames) {
-    permit.good();
+    permit.ended(cold::Answer::Good);
     let _left = frames.send(frame::Frame::End(end)).await;
 }
 
-fn failed(endpoint: &id::EndpointId, failure: &failure::Failure) -> outcome::Refusal {
+fn failed(permit: &mut router::Permit, failure: &failure::Failure) -> outcome::Refusal {
+    permit.ended(match failure {
+        failure::Failure::Unreachable { .. } => cold::Answer::Refused,
+        failure::Failure::Cut { .. } | failure::Failure::Crossed { .. } => cold::Answer::Bad,
+    });
+    let endpoint = &permit.admission().endpoint;
     let fields = [event::field("endpoint", endpoint), event::field("error", failure)];
     event::emit(event::Event::EndpointFailed, &fields);
     let detail = format!("endpoint {endpoint}: {failure}");
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -8,7 +8,7 @@
 
 use ibishill_config::{in_force, settings};
 use ibishill_core::{event, view};
-use ibishill_decide::plan;
+use ibishill_decide::{admit, plan};
 use ibishill_endpoint::client;
 use ibishill_operator::generated::operator_server::OperatorServer;
 use ibishill_peer::{link, server, tls};
@@ -17,7 +17,10 @@
 use snafu::ResultExt;
 
 use crate::error::{self, StartError};
-use crate::{config_sync, context, http, ledger, membership, metrics, operators, router, run};
+use crate::{
+    config_sync, context, http, lease_clock, ledger, membership, metrics, operators, reports,
+    router, run,
+};
 
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -67,8 +70,15 @@
     let cell = in_force::Cell::default();
     let views = context::ViewCell::default();
     let life = context::Life::default();
-    let router =
-        router::spawn(place.clone(), cell.clone(), views.clone()).context(error::ThreadSnafu)?;
+    let lease = lease_clock::LeaseClock::default();
+    let router = router::spawn(router::Sources {
+        place: place.clone(),
+        cell: cell.clone(),
+        views: views.clone(),
+        lease: lease.clone(),
+        periods: admit::Periods { lease: settings.periods.lease, age: settings.limits.deadline },
+    })
+    .context(error::ThreadSnafu)?;
     let ledger = ledger::spawn(&settings.vm, &platform.objects, settings.periods.billing)
         .context(error::ThreadSnafu)?;
     let endpoints =
@@ -87,12 +97,14 @@
         cell: cell.clone(),
         views: views.clone(),
         life: life.clone(),
+        lease: lease.clone(),
         router,
         ledger,
         endpoints,
         link,
         metrics,
     });
+    reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
     let refresh = config_sync::spawn(
         log::Log::new(platform.table.clone()),
@@ -105,6 +117,7 @@
         leases: lease::Leases::new(platform.table.clone()),
         member: view::Member { vm: settings.vm.clone(), peers: settings.peers },
         zone: settings.zone.clone(),
+        lease,
         views,
         life,
         periods: settings.periods.clone(),
--- a/crates/ibishill-decide/src/admit.rs
+++ b/crates/ibishill-decide/src/admit.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use ibishill_config::{declared, in_force};
-use ibishill_core::{id, outcome, time, view};
+use ibishill_core::{id, outcome, time, urgency, view};
 
-use crate::{choose, cold, owner, plan};
+use crate::{choose, cold, index, plan, prefix};
 
 const RETRY_AFTER: time::Millis = time::Millis(1_000);
 
@@ -19,6 +19,37 @@
     pub workspace: id::WorkspaceId,
     /// What runs.
     pub target: id::Target,
+    /// Start of its messages, if it has any.
+    pub prefix: Option<urgency::PrefixKey>,
+    /// Its place within the workspace.
+    pub priority: urgency::Priority,
+    /// Whether its first token can be told from the end of its answer.
+    pub stream: bool,
+    /// When its answer is of no more use.
+    pub deadline: time::Tick,
+}
+
+/// The right to admit, until the owner's lease ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Guard {
+    /// End of the lease.
+    pub until: time::Tick,
+}
+
+impl Guard {
+    /// Checks that the lease is valid at `now`.
+    ///
+    /// # Errors
+    ///
+    /// A refusal of a request that has not run.
+    pub fn check(self, now: time::Tick) -> Result<(), outcome::Refusal> {
+        if now < self.until {
+            return Ok(());
+        }
+        let detail = "the daemon holds no valid lease";
+        let refusal = outcome::Refusal::not_run(outcome::Reason::NotReady, detail);
+        Err(refusal.retry_after(RETRY_AFTER))
+    }
 }
 
 /// Where an admitted request runs.
@@ -28,90 +59,222 @@
     pub endpoint: id::EndpointId,
     /// Its address.
     pub address: SocketAddr,
+    /// When it was admitted.
+    pub admitted: time::Tick,
+    /// Its mark at the endpoint's gate.
+    pub mark: cold::Mark,
+}
+
+/// What an admission depends on besides the owner's state.
+#[derive(Clone, Copy)]
+pub struct Facts<'a> {
+    /// The configuration in force.
+    pub config: &'a in_force::InForce,
+    /// The zone's view.
+    pub view: &'a view::View,
+    /// Where the daemon stands.
+    pub place: &'a plan::Place,
+    /// The daemon's lease.
+    pub guard: Guard,
+    /// The time.
+    pub now: time::Tick,
+}
+
+/// Longest effects of an earlier owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Periods {
+    /// Validity of a lease, and so of a member's knowledge of the view.
+    pub lease: time::Millis,
+    /// Longest run of a request.
+    pub age: time::Millis,
 }
 
 /// The owner's state: one gate per endpoint.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Owner {
+    periods: Periods,
+    // When another member last joined the view that this owner knows.
+    joined: Option<time::Tick>,
+    index: index::Index,
     gates: BTreeMap<id::EndpointId, cold::Gate>,
+    reports: BTreeMap<id::EndpointId, cold::Report>,
+    holders: prefix::Holders,
 }
 
 impl Owner {
+    /// Makes an owner that keeps to the same periods as all others.
+    pub fn new(periods: Periods) -> Self {
+        Self {
+            periods,
+            joined: None,
+            index: index::Index::default(),
+            gates: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            holders: prefix::Holders::default(),
+        }
+    }
+
     /// Admits a request to one of the endpoints that this daemon owns.
     ///
     /// # Errors
     ///
     /// A refusal of a request that has not run.
-    pub fn admit(
-        &mut self,
-        config: &in_force::InForce,
-        view: &view::View,
-        place: &plan::Place,
-        job: &Job,
-        now: time::Tick,
-    ) -> Result<Admission, outcome::Refusal> {
-        check_job(&config.declared, place, job)?;
-        let loads = self.loads(&config.declared, view, place, &job.target, now);
-        if loads.is_empty() {
-            let detail = format!("{} owns no endpoint of {}", place.vm, job.target);
-            return Err(outcome::Refusal::not_run(outcome::Reason::NoEndpoint, detail));
-        }
+    pub fn admit(&mut self, facts: &Facts<'_>, job: &Job) -> Result<Admission, outcome::Refusal> {
+        facts.guard.check(facts.now)?;
+        self.check(facts, job)?;
+        let loads = self.loads(job, facts.now);
         let Some(load) = choose::choose(&loads, &job.request) else {
-            let detail = format!("all endpoints of {} are at their limit", job.target);
-            let refusal = outcome::Refusal::not_run(outcome::Reason::Overloaded, detail);
-            return Err(refusal.retry_after(RETRY_AFTER));
+            return Err(overloaded(&job.target));
         };
         let endpoint = load.endpoint.clone();
-        if let Some(gate) = self.gates.get_mut(&endpoint) {
-            gate.admit();
+        let gate = self.gates.get_mut(&endpoint);
+        let mark = gate.and_then(|gate| gate.admit(job.stream, facts.now));
+        let mark = mark.ok_or_else(|| overloaded(&job.target))?;
+        if let Some(key) = job.prefix {
+            self.holders.note(key, &endpoint, prefix::Event::Stored, facts.now);
         }
-        let address = config.declared.endpoints[&endpoint].address;
-        Ok(Admission { endpoint, address })
+        let address = facts.config.declared.endpoints[&endpoint].address;
+        Ok(Admission { endpoint, address, admitted: facts.now, mark })
     }
 
-    fn loads(
-        &mut self,
-        declared: &declared::Declared,
-        view: &view::View,
-        place: &plan::Place,
-        target: &id::Target,
-        now: time::Tick,
-    ) -> Vec<choose::Load> {
-        let mut loads = Vec::new();
-        for (name, endpoint) in &declared.endpoints {
-            let usable = endpoint.zone == place.zone
-                && endpoint.state == declared::ServiceState::In
-                && endpoint.serves(target);
-            let mine = || owner::owner(view, name).is_some_and(|owner| owner.vm == place.vm);
-            if !usable || !mine() {
-                continue;
-            }
+    /// Checks that a request may run here at all, now or later.
+    ///
+    /// # Errors
+    ///
+    /// A refusal of a request that has not run.
+    pub fn check(&mut self, facts: &Facts<'_>, job: &Job) -> Result<(), outcome::Refusal> {
+        check_job(&facts.config.declared, facts.place, job)?;
+        self.refresh(facts);
+        if self.index.of(&job.target).is_empty() {
+            let detail = format!("{} owns no endpoint of {}", facts.place.vm, job.target);
+            return Err(outcome::Refusal::not_run(outcome::Reason::NoEndpoint, detail));
+        }
+        Ok(())
+    }
+
+    /// Follows a changed configuration or view; an endpoint that is new here starts cold.
+    pub fn refresh(&mut self, facts: &Facts<'_>) {
+        if self.index.is_current(facts.config, facts.view) {
+            return;
+        }
+        let before = self.index.mine().clone();
+        let joined = |member: &view::Member| {
+            let other = member.vm != facts.place.vm;
+            other && self.index.view().is_none_or(|view| view.member(&member.vm).is_none())
+        };
+        if facts.view.members.iter().any(joined) {
+            self.joined = Some(facts.now);
+        }
+        self.index.refresh(facts.config, facts.view, facts.place);
+        // A member that does not know of this one yet goes on as owner for one lease.
+        let fresh = self.joined.map_or(facts.now, |joined| joined + self.periods.lease);
+        let since = fresh.max(facts.now);
+        for name in self.index.mine() {
+            let endpoint = &facts.config.declared.endpoints[name];
             let limits = cold::Limits { cold: endpoint.cold_slots, warm: endpoint.slots };
-            let gate =
-                self.gates.entry(name.clone()).or_insert_with(|| cold::Gate::cold(limits, now));
+            let gate = self.gates.entry(name.clone()).or_insert_with(|| cold::Gate::cold(limits));
             gate.set_limits(limits);
+            if !before.contains(name) {
+                gate.take_over(since, self.periods.age);
+                self.holders.forget(name);
+            }
+        }
+        let mine = self.index.mine();
+        self.gates.retain(|name, gate| mine.contains(name) || gate.running() > 0);
+        self.reports.retain(|name, _| mine.contains(name));
+    }
+
+    fn loads(&mut self, job: &Job, now: time::Tick) -> Vec<choose::Load> {
+        let mut loads = Vec::new();
+        for name in self.index.of(&job.target) {
+            let Some(gate) = self.gates.get_mut(name) else { continue };
+            let room = gate.room(now);
+            let excess = self.reports.get(name).map(|report| choose::Excess {
+                running: report.running.saturating_sub(gate.running()),
+                age: now.since(report.taken),
+            });
+            let hit = job.prefix.map_or(0.0, |key| self.holders.hit(key, name, now));
             loads.push(choose::Load {
                 endpoint: name.clone(),
                 running: gate.running(),
+                waiting: gate.waiting(),
                 limit: gate.limit(),
+                room,
+                first_ms: gate.baseline().mean_ms(),
+                excess,
+                hit,
+                hop_ms: 0.0,
             });
         }
         loads
     }
 
-    /// Ends a request that ran at `endpoint`.
-    pub fn finish(&mut self, endpoint: &id::EndpointId, answer: cold::Answer, now: time::Tick) {
-        if let Some(gate) = self.gates.get_mut(endpoint) {
-            gate.finish(answer, now);
+    /// Notes the first token of an admitted request.
+    pub fn first(&mut self, admission: &Admission, now: time::Tick) {
+        if let Some(gate) = self.gates.get_mut(&admission.endpoint) {
+            gate.first(admission.mark, admission.admitted, now);
+        }
+    }
+
+    /// Ends an admitted request.
+    pub fn finish(&mut self, admission: &Admission, answer: cold::Answer) {
+        if let Some(gate) = self.gates.get_mut(&admission.endpoint) {
+            gate.finish(admission.mark, answer);
+        }
+    }
+
+    /// Takes in what an endpoint says of itself.
+    pub fn report(&mut self, endpoint: &id::EndpointId, report: cold::Report) {
+        let Some(gate) = self.gates.get_mut(endpoint) else { return };
+        gate.report(&report);
+        let before = self.reports.insert(endpoint.clone(), report);
+        if before.is_some_and(|before| before.start != report.start) {
+            self.holders.forget(endpoint);
+        }
+    }
+
+    /// Takes in an event of an endpoint's prefix cache.
+    pub fn cached(
+        &mut self,
+        endpoint: &id::EndpointId,
+        key: urgency::PrefixKey,
+        event: prefix::Event,
+        now: time::Tick,
+    ) {
+        if self.gates.contains_key(endpoint) {
+            self.holders.note(key, endpoint, event, now);
         }
     }
 
+    /// Requests of `target` that may run at once at this owner's endpoints.
+    pub fn slots(&self, target: &id::Target) -> u32 {
+        let gates = self.index.of(target).iter().filter_map(|name| self.gates.get(name));
+        gates.map(cold::Gate::limit).sum()
+    }
+
+    /// When an endpoint of `target` may admit at the earliest.
+    pub fn ready_at(&self, target: &id::Target) -> Option<time::Tick> {
+        let gates = self.index.of(target).iter().filter_map(|name| self.gates.get(name));
+        gates.map(cold::Gate::ready_at).min()
+    }
+
+    /// The endpoints that this daemon owns.
+    pub fn index(&self) -> &index::Index {
+        &self.index
+    }
+
     /// The gates by endpoint.
     pub fn gates(&self) -> &BTreeMap<id::EndpointId, cold::Gate> {
         &self.gates
     }
 }
 
+/// The refusal of a request that found all endpoints at their limit.
+pub fn overloaded(target: &id::Target) -> outcome::Refusal {
+    let detail = format!("all endpoints of {target} are at their limit");
+    outcome::Refusal::not_run(outcome::Reason::Overloaded, detail).retry_after(RETRY_AFTER)
+}
+
 fn check_job(
     declared: &declared::Declared,
     place: &plan::Place,
--- a/crates/ibishill-decide/src/choose.rs
+++ b/crates/ibishill-decide/src/choose.rs
@@ -1,35 +1,82 @@
-//! Choice between endpoints of equal right.
+//! Choice between endpoints of equal right, by expected time to the first token.
 
-use ibishill_core::id;
+use ibishill_core::{id, time};
 use xxhash_rust::xxh3;
 
+/// Share of the time to the first token that a sure cache hit saves.
+const HIT_SAVING: f64 = 0.8;
+
+/// Slowdown of an endpoint at its limit against an idle one, as a factor less one.
+const LOAD_SLOWDOWN: f64 = 1.0;
+
+/// Age at which a load report counts half.
+const REPORT_HALF_LIFE: time::Millis = time::Millis(1_000);
+
+/// Time to the first token that is assumed before one is known.
+const DEFAULT_FIRST_MS: f64 = 100.0;
+
+/// Work that an endpoint reports beyond what its owner knows, and the report's age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Excess {
+    /// Requests.
+    pub running: u32,
+    /// Age of the report.
+    pub age: time::Millis,
+}
+
 /// What is known of one endpoint when a request is placed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Load {
     /// The endpoint.
     pub endpoint: id::EndpointId,
-    /// Requests that run there.
+    /// Requests that run there, known exactly by the owner.
     pub running: u32,
+    /// Requests among them without a first token.
+    pub waiting: u32,
     /// Requests that may run there.
     pub limit: u32,
+    /// Requests that may still be admitted.
+    pub room: u32,
+    /// Learned time to the first token, in milliseconds.
+    pub first_ms: Option<f64>,
+    /// What its last report adds.
+    pub excess: Option<Excess>,
+    /// Probability that the prompt's prefix is cached there, 0 to 1.
+    pub hit: f64,
+    /// Cost of the way there, in milliseconds.
+    pub hop_ms: f64,
 }
 
 impl Load {
-    // Share of the limit in use after one more request, in thousandths.
-    fn share(&self) -> u64 {
-        u64::from(self.running + 1) * 1_000 / u64::from(self.limit.max(1))
+    /// Expected time to the first token of one more request, in milliseconds.
+    pub fn expected_ms(&self) -> f64 {
+        let excess = self.excess.map_or(0.0, |excess| {
+            let halves = excess.age.0 as f64 / REPORT_HALF_LIFE.0 as f64;
+            f64::from(excess.running) * 0.5_f64.powf(halves)
+        });
+        let running = f64::from(self.running) + excess;
+        let slowdown = 1.0 + LOAD_SLOWDOWN * running / f64::from(self.limit.max(1));
+        let first = self.first_ms.unwrap_or(DEFAULT_FIRST_MS);
+        let ahead = f64::from(self.waiting) * first;
+        self.hop_ms + ahead + first * slowdown * (1.0 - HIT_SAVING * self.hit)
     }
 }
 
-/// Picks one endpoint: the less loaded of two that the request's id selects.
+/// Picks the best of two endpoints that the request's id selects and, if there is one,
+/// the endpoint most likely to have the prefix cached.
 pub fn choose<'a>(loads: &'a [Load], request: &id::RequestId) -> Option<&'a Load> {
-    let free: Vec<_> = loads.iter().filter(|load| load.running < load.limit).collect();
+    let free: Vec<_> = loads.iter().filter(|load| load.room > 0).collect();
     let count = free.len() as u64;
     if count == 0 {
         return None;
     }
     let hash = xxh3::xxh3_64(request.as_str().as_bytes());
-    let first = free[(hash % count) as usize];
-    let second = free[((hash >> 32) % count) as usize];
-    Some(if second.share() < first.share() { second } else { first })
+    let first = (hash % count) as usize;
+    let step = if count > 1 { 1 + (hash >> 32) % (count - 1) } else { 0 };
+    let second = (first + step as usize) % free.len();
+    let cached = free.iter().filter(|load| load.hit > 0.0);
+    let cached = cached.max_by(|a, b| a.hit.total_cmp(&b.hit));
+    let candidates = [Some(free[first]), Some(free[second]), cached.copied()];
+    let candidates = candidates.into_iter().flatten();
+    candidates.min_by(|a, b| a.expected_ms().total_cmp(&b.expected_ms()))
 }
--- a/crates/ibishill-decide/src/cold.rs
+++ b/crates/ibishill-decide/src/cold.rs
@@ -1,7 +1,19 @@
 //! Admission to one endpoint: its own limit, lower while it is cold.
 
+use std::collections::BTreeMap;
+
 use ibishill_core::time;
 
+use crate::baseline;
+
+/// Time after a takeover until every dispatch of the earlier owner has arrived.
+///
+/// It is longer than the connect timeout of a dispatch.
+pub const SETTLE: time::Millis = time::Millis(600);
+
+/// Good answers that raise the limit by one slot, as a divisor of the limit.
+const GROWTH_DIVISOR: u32 = 4;
+
 /// How warm an endpoint is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Warmth {
@@ -29,22 +41,79 @@
     Good,
     /// Failed, cut or late.
     Bad,
+    /// No connection: the endpoint may have restarted.
+    Refused,
+    /// The caller left or the request was never sent.
+    Left,
+}
+
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// No later than when the endpoint counted.
+    pub taken: time::Tick,
+    /// Requests that it held then, from all owners.
+    pub running: u32,
+    /// Whether it says that it is cold.
+    pub cold: bool,
+    /// Identity of its process; a new one means a restart.
+    pub start: u64,
+}
+
+/// Marks an admission, so that an answer from before a restart does not count after it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mark {
+    epoch: u32,
+    number: u64,
+}
+
+// Work that an earlier owner may still run there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Inherited {
+    running: u32,
+    since: time::Tick,
+    until: time::Tick,
 }
 
 /// Counts what runs at one endpoint and bounds it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Gate {
     limits: Limits,
     limit: u32,
     running: u32,
     good: u32,
-    since: time::Tick,
+    epoch: u32,
+    admitted: u64,
+    start: Option<u64>,
+    inherited: Option<Inherited>,
+    waiting: BTreeMap<u64, time::Tick>,
+    baseline: baseline::Baseline,
 }
 
 impl Gate {
-    /// Makes the gate of an endpoint that counts as cold.
-    pub fn cold(limits: Limits, now: time::Tick) -> Self {
-        Self { limits, limit: limits.cold, running: 0, good: 0, since: now }
+    /// Makes the gate of an endpoint that counts as cold and idle.
+    pub fn cold(limits: Limits) -> Self {
+        Self {
+            limits,
+            limit: limits.cold,
+            running: 0,
+            good: 0,
+            epoch: 0,
+            admitted: 0,
+            start: None,
+            inherited: None,
+            waiting: BTreeMap::new(),
+            baseline: baseline::Baseline::default(),
+        }
+    }
+
+    /// Takes the endpoint over from an owner that admits nothing after `since` and whose
+    /// work runs no longer than `age`.
+    ///
+    /// Until a report shows what is left of that work, all slots count as taken.
+    pub fn take_over(&mut self, since: time::Tick, age: time::Millis) {
+        self.turn_cold();
+        self.inherited = Some(Inherited { running: u32::MAX, since, until: since + SETTLE + age });
     }
 
     /// How warm the endpoint is.
@@ -55,7 +124,7 @@
         if self.limit < self.limits.warm { Warmth::Warming } else { Warmth::Warm }
     }
 
-    /// Requests that run now.
+    /// Requests of this owner that run now.
     pub fn running(&self) -> u32 {
         self.running
     }
@@ -65,47 +134,138 @@
         self.limit
     }
 
+    /// Whether an earlier owner's work may still run there.
+    pub fn is_unsettled(&self) -> bool {
+        self.inherited.is_some()
+    }
+
+    /// When the gate may admit at the earliest.
+    pub fn ready_at(&self) -> time::Tick {
+        let unknown = self.inherited.filter(|work| work.running == u32::MAX);
+        unknown.map_or(time::Tick(0), |work| work.since + SETTLE)
+    }
+
+    /// Requests of this owner that have no first token yet.
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    /// The learned time to the first token.
+    pub fn baseline(&self) -> &baseline::Baseline {
+        &self.baseline
+    }
+
     /// Requests that may still be admitted now.
-    pub fn room(&self) -> u32 {
-        self.limit.saturating_sub(self.running)
+    pub fn room(&mut self, now: time::Tick) -> u32 {
+        if self.inherited.is_some_and(|work| now >= work.until) {
+            self.inherited = None;
+        }
+        // Silence is a sign before the late answer is.
+        let silent =
+            self.waiting.first_key_value().is_some_and(|(_, &since)| self.late(now.since(since)));
+        if silent && self.limit > self.limits.cold {
+            self.turn_cold();
+        }
+        let inherited = self.inherited.map_or(0, |work| work.running);
+        self.limit.saturating_sub(self.running.saturating_add(inherited))
     }
 
     /// Takes over changed limits.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
-        self.limit = self.limit.clamp(limits.cold, limits.warm);
+        self.limit = self.limit.clamp(limits.cold.min(limits.warm), limits.warm);
     }
 
     /// Admits one request if there is room.
-    pub fn admit(&mut self) -> bool {
-        if self.room() == 0 {
-            return false;
+    ///
+    /// The gate watches for the first token of a stream.
+    pub fn admit(&mut self, stream: bool, now: time::Tick) -> Option<Mark> {
+        if self.room(now) == 0 {
+            return None;
         }
         self.running += 1;
-        true
+        self.admitted += 1;
+        if stream {
+            self.waiting.insert(self.admitted, now);
+        }
+        Some(Mark { epoch: self.epoch, number: self.admitted })
+    }
+
+    /// Notes the first token of a request admitted at `admitted`.
+    pub fn first(&mut self, mark: Mark, admitted: time::Tick, now: time::Tick) {
+        // A stream from before the endpoint turned cold waits no more.
+        if self.waiting.remove(&mark.number).is_none() {
+            return;
+        }
+        let took = now.since(admitted);
+        if self.late(took) {
+            if self.limit > self.limits.cold {
+                self.turn_cold();
+            }
+            return;
+        }
+        self.baseline.learn(took);
     }
 
     /// Ends one request.
-    pub fn finish(&mut self, answer: Answer, now: time::Tick) {
+    pub fn finish(&mut self, mark: Mark, answer: Answer) {
+        // A slot is in use if it was before this request ended.
+        let used = self.running.saturating_mul(2) >= self.limit;
         self.running = self.running.saturating_sub(1);
+        self.waiting.remove(&mark.number);
+        if mark.epoch != self.epoch {
+            return;
+        }
         match answer {
-            Answer::Good => self.grow(),
-            Answer::Bad => self.shrink(now),
+            Answer::Good if used => self.grow(),
+            Answer::Good | Answer::Left => {}
+            Answer::Bad => self.shrink(),
+            Answer::Refused => self.turn_cold(),
+        }
+    }
+
+    /// Takes in what the endpoint says of itself.
+    pub fn report(&mut self, report: &Report) {
+        let restarted = self.start.is_some_and(|start| start != report.start);
+        self.start = Some(report.start);
+        if restarted || (report.cold && self.limit > self.limits.cold) {
+            self.turn_cold();
+        }
+        if let Some(work) = &mut self.inherited
+            && report.taken >= work.since + SETTLE
+        {
+            // The earlier owner admits nothing more, so its share only falls.
+            work.running = work.running.min(report.running);
+        }
+        if self.inherited.is_some_and(|work| work.running == 0) {
+            self.inherited = None;
         }
     }
 
-    // One more slot after as many good answers as there are slots: additive increase.
+    fn late(&self, took: time::Millis) -> bool {
+        self.baseline.is_late(took)
+    }
+
+    fn turn_cold(&mut self) {
+        self.limit = self.limits.cold.min(self.limits.warm);
+        self.good = 0;
+        self.epoch += 1;
+        self.waiting.clear();
+        self.baseline = baseline::Baseline::default();
+    }
+
+    // Additive increase: one slot for every share of the limit that was answered well.
     fn grow(&mut self) {
         self.good += 1;
-        if self.good >= self.limit && self.limit < self.limits.warm {
+        if self.good >= self.limit.div_ceil(GROWTH_DIVISOR) && self.limit < self.limits.warm {
             self.limit += 1;
             self.good = 0;
         }
     }
 
-    fn shrink(&mut self, now: time::Tick) {
+    // Multiplicative decrease.
+    fn shrink(&mut self) {
         self.good = 0;
-        self.limit = (self.limit / 2).max(self.limits.cold);
-        self.since = now;
+        self.limit = (self.limit / 2).max(self.limits.cold).min(self.limits.warm);
     }
 }
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -4,7 +4,12 @@
 //! drive the same code as the daemon.
 
 pub mod admit;
+pub mod baseline;
 pub mod choose;
 pub mod cold;
+pub mod dispatch;
+pub mod index;
 pub mod owner;
 pub mod plan;
+pub mod prefix;
+pub mod queue;
--- /dev/null
+++ b/crates/ibishill-decide/tests/owner/choose.rs
@@ -0,0 +1,104 @@
+//! Expected time to the first token, and what is remembered of prefix caches.
+
+use ibishill_core::{time, urgency};
+use ibishill_decide::{choose, prefix};
+
+use crate::support;
+
+fn load(endpoint: &str) -> choose::Load {
+    choose::Load {
+        endpoint: support::name(endpoint),
+        running: 4,
+        waiting: 0,
+        limit: 16,
+        room: 12,
+        first_ms: Some(100.0),
+        excess: None,
+        hit: 0.0,
+        hop_ms: 0.0,
+    }
+}
+
+struct Case {
+    name: &'static str,
+    better: fn(choose::Load) -> choose::Load,
+    worse: fn(choose::Load) -> choose::Load,
+}
+
+fn aged(mut load: choose::Load, age: u64) -> choose::Load {
+    load.excess = Some(choose::Excess { running: 8, age: time::Millis(age) });
+    load
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "fewer running",
+        better: |load| choose::Load { running: 1, ..load },
+        worse: |load| load,
+    },
+    Case {
+        name: "fewer without a first token",
+        better: |load| load,
+        worse: |load| choose::Load { waiting: 2, ..load },
+    },
+    Case {
+        name: "cached prefix",
+        better: |load| choose::Load { hit: 0.9, ..load },
+        worse: |load| load,
+    },
+    Case {
+        name: "a hit is not worth a long queue",
+        better: |load| load,
+        worse: |load| choose::Load { hit: 1.0, waiting: 3, ..load },
+    },
+    Case { name: "near", better: |load| load, worse: |load| choose::Load { hop_ms: 2.0, ..load } },
+    Case { name: "reported excess", better: |load| load, worse: |load| aged(load, 0) },
+    Case {
+        name: "an old report counts less",
+        better: |load| aged(load, 5_000),
+        worse: |load| aged(load, 0),
+    },
+    Case {
+        name: "slow endpoint",
+        better: |load| load,
+        worse: |load| choose::Load { first_ms: Some(300.0), ..load },
+    },
+];
+
+#[test]
+fn the_sooner_of_two() {
+    for case in CASES {
+        let loads = [(case.worse)(load("a")), (case.better)(load("b"))];
+        for n in 0..20 {
+            let request = support::name(&format!("req-{n}"));
+            let chosen = choose::choose(&loads, &request).unwrap();
+            assert_eq!(chosen.endpoint.as_str(), "b", "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn none_without_room() {
+    let loads = [choose::Load { room: 0, ..load("a") }];
+    assert!(choose::choose(&loads, &support::name("req-1")).is_none());
+}
+
+#[test]
+fn lost_evictions_fade_and_memory_is_bounded() {
+    let mut holders = prefix::Holders::default();
+    let (first, second) = (support::name("a"), support::name("b"));
+    let key = urgency::PrefixKey(1);
+    holders.note(key, &first, prefix::Event::Stored, time::Tick(0));
+    holders.note(key, &second, prefix::Event::Stored, time::Tick(0));
+    let fresh = holders.hit(key, &first, time::Tick(0));
+    assert!(fresh > 0.9);
+    assert!(holders.hit(key, &first, time::Tick(600_000)) < 0.01);
+    holders.note(key, &first, prefix::Event::Evicted, time::Tick(1));
+    assert!(holders.hit(key, &first, time::Tick(1)) < f64::EPSILON);
+    holders.forget(&second);
+    assert!(holders.hit(key, &second, time::Tick(1)) < f64::EPSILON);
+    for n in 0..40_000 {
+        holders.note(urgency::PrefixKey(n), &first, prefix::Event::Stored, time::Tick(n));
+    }
+    assert_eq!(holders.len(), prefix::PREFIXES_MAX);
+}
--- /dev/null
+++ b/crates/ibishill-decide/tests/owner/main.rs
@@ -0,0 +1,6 @@
+//! The owner's decisions: gates, choice, queues.
+
+mod choose;
+mod cold;
+mod queue;
+mod support;
--- /dev/null
+++ b/crates/ibishill-decide/tests/owner/queue.rs
@@ -0,0 +1,248 @@
+//! The owner's queues: fair share, priority, deadlines, and what changes while waiting.
+
+use std::collections::BTreeMap;
+
+use ibishill_config::declared;
+use ibishill_core::{outcome, time, urgency};
+use ibishill_decide::{admit, cold, dispatch, queue};
+
+use crate::support;
+
+const PACE: queue::Pace = queue::Pace { slots: 2, mean_ms: 100.0, most_ms: 200.0 };
+const FAR: u64 = 1_000_000;
+
+fn entry(n: u64, job: admit::Job) -> queue::Entry {
+    queue::Entry { ticket: queue::Ticket(n), job }
+}
+
+fn drain(queue: &mut queue::Queue, count: usize) -> Vec<queue::Entry> {
+    (0..count).filter_map(|_| queue.pop(true)).collect()
+}
+
+#[test]
+fn shares_follow_weights() {
+    struct Case {
+        weight: u32,
+        small: usize,
+    }
+    for case in [Case { weight: 1, small: 20 }, Case { weight: 3, small: 30 }] {
+        let mut queue = queue::Queue::default();
+        for n in 0..100 {
+            assert!(
+                queue.offer(entry(n, support::job(n, "w", FAR)), 1, None, time::Tick(0)).is_empty()
+            );
+        }
+        for n in 100..140 {
+            let small = entry(n, support::job(n, "small", FAR));
+            assert!(queue.offer(small, case.weight, None, time::Tick(0)).is_empty());
+        }
+        let first = drain(&mut queue, 40);
+        let small = first.iter().filter(|entry| entry.job.workspace.as_str() == "small").count();
+        assert!(small.abs_diff(case.small) <= 1, "weight {}: {small}", case.weight);
+    }
+}
+
+#[test]
+fn priority_orders_within_a_workspace_only() {
+    let mut queue = queue::Queue::default();
+    let ranks = [urgency::Priority::Low, urgency::Priority::Normal, urgency::Priority::High];
+    for n in 0..30 {
+        let mut job = support::job(n, "w", FAR);
+        job.priority = ranks[n as usize % 3];
+        queue.offer(entry(n, job), 1, None, time::Tick(0));
+    }
+    for n in 30..40 {
+        let mut job = support::job(n, "small", FAR);
+        job.priority = urgency::Priority::Low;
+        queue.offer(entry(n, job), 1, None, time::Tick(0));
+    }
+    let first = drain(&mut queue, 20);
+    let own = |space: &str| first.iter().filter(|e| e.job.workspace.as_str() == space).count();
+    assert_eq!((own("w"), own("small")), (10, 10));
+    let high = |e: &&queue::Entry| e.job.priority == urgency::Priority::High;
+    assert_eq!(first.iter().filter(high).count(), 10);
+}
+
+struct Early {
+    name: &'static str,
+    ahead: u64,
+    deadline: u64,
+    refused: Option<(outcome::Reason, u64)>,
+}
+
+// Each request ahead costs 50 ms; an answer takes up to 200 ms.
+const EARLY: &[Early] = &[
+    Early { name: "idle", ahead: 0, deadline: 250, refused: None },
+    Early {
+        name: "no answer in time",
+        ahead: 0,
+        deadline: 150,
+        refused: Some((outcome::Reason::Deadline, 100)),
+    },
+    Early { name: "short queue", ahead: 10, deadline: 800, refused: None },
+    Early {
+        name: "long queue",
+        ahead: 20,
+        deadline: 800,
+        refused: Some((outcome::Reason::Overloaded, 400)),
+    },
+    Early { name: "past", ahead: 0, deadline: 0, refused: Some((outcome::Reason::Deadline, 100)) },
+];
+
+#[test]
+fn early_refusals() {
+    for case in EARLY {
+        let mut queue = queue::Queue::default();
+        for n in 0..case.ahead {
+            queue.offer(entry(n, support::job(n, "w", FAR)), 1, Some(PACE), time::Tick(0));
+        }
+        let late = entry(99, support::job(99, "w", case.deadline));
+        let refused = queue.offer(late, 1, Some(PACE), time::Tick(0));
+        let found = refused.first().map(|refused| {
+            let refusal = &refused.refusal;
+            assert_eq!(refusal.outcome, outcome::Outcome::NotRun);
+            (refusal.reason, refusal.retry_after.unwrap().0)
+        });
+        assert_eq!(found, case.refused, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_full_queue_refuses_the_longest_line() {
+    let mut queue = queue::Queue::default();
+    let small = entry(0, support::job(0, "small", FAR));
+    queue.offer(small, 1, None, time::Tick(0));
+    let full = queue::ENTRIES_MAX as u64;
+    for n in 1..full {
+        assert!(
+            queue.offer(entry(n, support::job(n, "w", FAR)), 1, None, time::Tick(0)).is_empty()
+        );
+    }
+    let refused =
+        queue.offer(entry(full, support::job(full, "small", FAR)), 1, None, time::Tick(0));
+    assert_eq!(refused[0].ticket, queue::Ticket(full - 1));
+    assert_eq!(queue.len(), queue::ENTRIES_MAX);
+}
+
+#[test]
+fn a_deadline_ends_the_wait() {
+    let mut queue = queue::Queue::default();
+    queue.offer(entry(1, support::job(1, "w", 1_000)), 1, Some(PACE), time::Tick(0));
+    assert_eq!(queue.next_expiry(Some(PACE)), Some(time::Tick(800)));
+    assert!(queue.expire(Some(PACE), time::Tick(799)).is_empty());
+    let refused = queue.expire(Some(PACE), time::Tick(800));
+    assert_eq!(refused[0].refusal.reason, outcome::Reason::Deadline);
+    assert!(queue.is_empty());
+}
+
+fn dispatcher(world: &support::World) -> dispatch::Dispatcher {
+    let mut owner = admit::Owner::new(support::PERIODS);
+    support::settle(&mut owner, world, 0);
+    dispatch::Dispatcher::new(owner)
+}
+
+struct Change {
+    name: &'static str,
+    make: fn(&mut support::World),
+    reason: outcome::Reason,
+}
+
+const CHANGES: &[Change] = &[
+    Change {
+        name: "withdrawn version",
+        make: |world| {
+            let versions = &mut world.config.declared.versions;
+            versions.values_mut().for_each(|v| v.state = declared::VersionState::Withdrawn);
+        },
+        reason: outcome::Reason::Withdrawn,
+    },
+    Change {
+        name: "zone out",
+        make: |world| {
+            let zones = &mut world.config.declared.zones;
+            zones.values_mut().for_each(|zone| zone.state = declared::ServiceState::Out);
+        },
+        reason: outcome::Reason::NoEndpoint,
+    },
+    Change {
+        name: "endpoint out",
+        make: |world| {
+            let endpoints = &mut world.config.declared.endpoints;
+            endpoints.values_mut().for_each(|e| e.state = declared::ServiceState::Out);
+        },
+        reason: outcome::Reason::NoEndpoint,
+    },
+    Change {
+        name: "workspace may not",
+        make: |world| {
+            let spaces = &mut world.config.declared.workspaces;
+            spaces.values_mut().for_each(|space| space.models.clear());
+        },
+        reason: outcome::Reason::NotAllowed,
+    },
+    Change {
+        name: "view without this daemon",
+        make: |world| world.view.members.clear(),
+        reason: outcome::Reason::NoEndpoint,
+    },
+    Change {
+        name: "lapsed lease",
+        make: |world| world.until = time::Tick(0),
+        reason: outcome::Reason::NotReady,
+    },
+];
+
+#[test]
+fn a_change_ends_the_wait_without_a_run() {
+    for case in CHANGES {
+        let mut world = support::World::new(1, 1, 1);
+        let mut dispatcher = dispatcher(&world);
+        let (running, _) = dispatcher.offer(&world.facts(1_000), support::job(1, "w", FAR));
+        let (waiting, _) = dispatcher.offer(&world.facts(1_000), support::job(2, "w", FAR));
+        let first = dispatcher.turn(&world.facts(1_000));
+        assert_eq!(first.len(), 1);
+        assert_eq!(first[0].ticket, running);
+        let admission = first[0].result.clone().unwrap();
+        (case.make)(&mut world);
+        world.config.version.0 += 1;
+        // Room appears in the same instant: the change must be seen before dispatch.
+        let target = support::job(2, "w", FAR).target;
+        dispatcher.finish(&target, &admission, cold::Answer::Good, time::Tick(1_100));
+        let then = dispatcher.turn(&world.facts(1_100));
+        assert_eq!(then.len(), 1, "{}", case.name);
+        assert_eq!(then[0].ticket, waiting);
+        let refusal = then[0].result.clone().unwrap_err();
+        assert_eq!(refusal.reason, case.reason, "{}", case.name);
+        assert_eq!(refusal.outcome, outcome::Outcome::NotRun);
+        assert_eq!(dispatcher.waiting(), 0);
+    }
+}
+
+#[test]
+fn every_request_gets_one_decision() {
+    let world = support::World::new(2, 1, 4);
+    let mut dispatcher = dispatcher(&world);
+    let mut decided = BTreeMap::new();
+    let mut running = Vec::new();
+    for n in 0..500 {
+        let now = 1_000 + n * 10;
+        let space = if n % 7 == 0 { "small" } else { "w" };
+        let job = support::job(n, space, now + 300);
+        let target = job.target.clone();
+        let (_, mut decisions) = dispatcher.offer(&world.facts(now), job);
+        if n % 2 == 0 && !running.is_empty() {
+            let admission = running.remove(0);
+            dispatcher.finish(&target, &admission, cold::Answer::Good, time::Tick(now));
+        }
+        decisions.extend(dispatcher.turn(&world.facts(now)));
+        for decision in decisions {
+            running.extend(decision.result.clone().ok());
+            assert!(decided.insert(decision.ticket, decision.result).is_none());
+        }
+    }
+    for decision in dispatcher.turn(&world.facts(FAR)) {
+        assert!(decided.insert(decision.ticket, decision.result).is_none());
+    }
+    assert_eq!(decided.len(), 500);
+    assert!(decided.values().any(Result::is_ok) && decided.values().any(Result::is_err));
+}
--- /dev/null
+++ b/crates/ibishill-decide/tests/owner/support.rs
@@ -0,0 +1,85 @@
+//! Configurations and jobs for tests of the owner.
+
+use ibishill_config::{change, declared, in_force, yaml};
+use ibishill_core::{id, time, urgency, view};
+use ibishill_decide::{admit, cold, plan};
+
+pub(crate) const PERIODS: admit::Periods =
+    admit::Periods { lease: time::Millis(10_000), age: time::Millis(120_000) };
+
+pub(crate) struct World {
+    pub(crate) config: in_force::InForce,
+    pub(crate) view: view::View,
+    pub(crate) place: plan::Place,
+    pub(crate) until: time::Tick,
+}
+
+pub(crate) fn name<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+pub(crate) fn member(vm: &str) -> view::Member {
+    view::Member { vm: name(vm), peers: "127.0.0.1:7000".parse().unwrap() }
+}
+
+pub(crate) fn view(vms: &[&str]) -> view::View {
+    let members = vms.iter().map(|vm| member(vm)).collect();
+    view::View { number: view::ViewNumber(1), members }
+}
+
+impl World {
+    pub(crate) fn new(endpoints: usize, cold: u32, warm: u32) -> Self {
+        let mut text = String::from(
+            "zones: {z: {region: r}}\nversions:\n  m@v1: {prompt-price: 1, output-price: 1, quality: 0.9}\n\
+             workspaces:\n  w: {keys: [], models: [m]}\n  small: {keys: [], models: [m]}\nendpoints:\n",
+        );
+        for n in 0..endpoints {
+            text += &format!(
+                "  e{n}: {{zone: z, address: '127.0.0.1:8000', versions: [m@v1], slots: {warm}, cold-slots: {cold}}}\n"
+            );
+        }
+        let declared: declared::Declared = yaml::read("test", &text).unwrap();
+        let config = in_force::InForce { version: change::ConfigVersion(1), declared };
+        let place = plan::Place { vm: name("vm-a"), zone: name("z") };
+        Self { config, view: view(&["vm-a"]), place, until: time::Tick(u64::MAX) }
+    }
+
+    pub(crate) fn facts(&self, now: u64) -> admit::Facts<'_> {
+        admit::Facts {
+            config: &self.config,
+            view: &self.view,
+            place: &self.place,
+            guard: admit::Guard { until: self.until },
+            now: time::Tick(now),
+        }
+    }
+}
+
+pub(crate) fn job(n: u64, space: &str, deadline: u64) -> admit::Job {
+    admit::Job {
+        request: name(&format!("req-{n}")),
+        workspace: name(space),
+        target: id::Target::Version(name("m@v1")),
+        prefix: None,
+        priority: urgency::Priority::Normal,
+        stream: true,
+        deadline: time::Tick(deadline),
+    }
+}
+
+pub(crate) fn report(taken: u64, running: u32) -> cold::Report {
+    cold::Report { taken: time::Tick(taken), running, cold: false, start: 1 }
+}
+
+// Reports every endpoint of `owner` as idle, so that a takeover ends.
+pub(crate) fn settle(owner: &mut admit::Owner, world: &World, now: u64) {
+    owner.refresh(&world.facts(now));
+    let names: Vec<_> = owner.gates().keys().cloned().collect();
+    for endpoint in names {
+        owner.report(&endpoint, report(now + cold::SETTLE.0, 0));
+    }
+}
--- a/crates/ibishill-endpoint/src/client.rs
+++ b/crates/ibishill-endpoint/src/client.rs
@@ -17,7 +17,7 @@
 /// Client of all endpoints; clones share connections.
 #[derive(Debug, Clone)]
 pub struct Client {
-    http: reqwest::Client,
+    pub(crate) http: reqwest::Client,
 }
 
 /// Start of an answer, with the rest to be read.
--- a/crates/ibishill-endpoint/src/lib.rs
+++ b/crates/ibishill-endpoint/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod call;
 pub mod client;
 pub mod failure;
+pub mod load;
 pub mod sse;
--- a/crates/ibishill-peer/src/frame.rs
+++ b/crates/ibishill-peer/src/frame.rs
@@ -1,7 +1,7 @@
 //! Frames of a request's stream.
 
 use bytes::Bytes;
-use ibishill_core::{cost, id, outcome, repeat, time};
+use ibishill_core::{cost, id, outcome, repeat, time, urgency};
 use serde::{Deserialize, Serialize};
 
 /// A request on its way from the entry daemon to the owner.
@@ -13,6 +13,10 @@
     pub workspace: id::WorkspaceId,
     /// What runs.
     pub target: id::Target,
+    /// Start of the messages, if there are any.
+    pub prefix: Option<urgency::PrefixKey>,
+    /// Its place within the workspace.
+    pub priority: urgency::Priority,
     /// Configuration version that the entry daemon decided under.
     pub config: u64,
     /// Time left until the deadline.
--- a/crates/ibishill-standin/src/engine.rs
+++ b/crates/ibishill-standin/src/engine.rs
@@ -227,6 +227,12 @@
     "ok"
 }
 
+#[get("/load")]
+fn load(engine: &State<Engine>) -> Json<Value> {
+    let start = Arc::as_ptr(&engine.served).addr();
+    Json(json!({"running": engine.running(), "cold": false, "start": start, "age_ms": 0}))
+}
+
 #[put("/behaviour", data = "<behaviour>")]
 fn set_behaviour(engine: &State<Engine>, behaviour: Json<Behaviour>) -> Status {
     engine.set_behaviour(behaviour.into_inner());
@@ -236,5 +242,5 @@
 /// Builds the HTTP server of an engine at `address`.
 pub fn server(engine: Engine, address: SocketAddr) -> rocket::Rocket<rocket::Build> {
     let settings = platform::settings(address);
-    rocket::custom(settings).manage(engine).mount("/", routes![chat, health, set_behaviour])
+    rocket::custom(settings).manage(engine).mount("/", routes![chat, health, load, set_behaviour])
 }
