feat(bench): cold starts under restart, silent cold, owner change and pause

Cause: a limit that grew without feedback drove a warming endpoint into collapse, and a daemon's own joining did not start the takeover wait.

Missed: unannounced cold, since requests before the first late token can't be known to be too many.

--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -2,6 +2,8 @@
 
 use crate::report;
 
+pub mod cold;
+
 /// An experiment.
 #[derive(Clone, Copy)]
 pub struct Experiment {
@@ -14,4 +16,8 @@
 }
 
 /// Every experiment, in order.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "cold",
+    purpose: "cold starts: admissions over the limit, time to full service",
+    run: cold::run,
+}];
--- a/crates/ibishill-bench/src/lib.rs
+++ b/crates/ibishill-bench/src/lib.rs
@@ -2,5 +2,6 @@
 //! side by side from one run.
 
 pub mod experiment;
+pub mod model;
 pub mod plot;
 pub mod report;
--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -102,8 +102,8 @@
 
 fn failed(permit: &mut router::Permit, failure: &failure::Failure) -> outcome::Refusal {
     permit.ended(match failure {
-        failure::Failure::Unreachable { .. } => cold::Answer::Refused,
-        failure::Failure::Cut { .. } | failure::Failure::Crossed { .. } => cold::Answer::Bad,
+        failure::Failure::Unreachable { .. } | failure::Failure::Cut { .. } => cold::Answer::Cut,
+        failure::Failure::Crossed { .. } => cold::Answer::Bad,
     });
     let endpoint = &permit.admission().endpoint;
     let fields = [event::field("endpoint", endpoint), event::field("error", failure)];
--- a/crates/ibishill-decide/src/admit.rs
+++ b/crates/ibishill-decide/src/admit.rs
@@ -159,10 +159,10 @@
         }
         let before = self.index.mine().clone();
         let joined = |member: &view::Member| {
-            let other = member.vm != facts.place.vm;
-            other && self.index.view().is_none_or(|view| view.member(&member.vm).is_none())
+            self.index.view().is_none_or(|view| view.member(&member.vm).is_none())
         };
-        if facts.view.members.iter().any(joined) {
+        let alone = facts.view.members.iter().all(|member| member.vm == facts.place.vm);
+        if !alone && facts.view.members.iter().any(joined) {
             self.joined = Some(facts.now);
         }
         self.index.refresh(facts.config, facts.view, facts.place);
@@ -217,9 +217,9 @@
     }
 
     /// Ends an admitted request.
-    pub fn finish(&mut self, admission: &Admission, answer: cold::Answer) {
+    pub fn finish(&mut self, admission: &Admission, answer: cold::Answer, now: time::Tick) {
         if let Some(gate) = self.gates.get_mut(&admission.endpoint) {
-            gate.finish(admission.mark, answer);
+            gate.finish(admission.mark, answer, now);
         }
     }
 
--- a/crates/ibishill-decide/src/cold.rs
+++ b/crates/ibishill-decide/src/cold.rs
@@ -12,7 +12,19 @@
 pub const SETTLE: time::Millis = time::Millis(600);
 
 /// Good answers that raise the limit by one slot, as a divisor of the limit.
-const GROWTH_DIVISOR: u32 = 4;
+const GROWTH_DIVISOR: u32 = 2;
+
+/// First token against the usual one from before a cold start, at which it is over.
+const RECOVERED_FACTOR: f64 = 1.5;
+
+/// Rise of the first token up to which the limit still grows.
+const GROWTH_RISE: f64 = 1.25;
+
+/// Rise of the first token from which on the limit of a warming endpoint is cut.
+const OVERLOAD_RISE: f64 = 2.0;
+
+/// Slow first tokens in a row after which they are the usual ones.
+const SLOW_MAX: u32 = 256;
 
 /// How warm an endpoint is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,10 +51,10 @@
 pub enum Answer {
     /// Whole and in time.
     Good,
-    /// Failed, cut or late.
+    /// Failed or late.
     Bad,
-    /// No connection: the endpoint may have restarted.
-    Refused,
+    /// No connection, or one that was cut: the endpoint may have restarted.
+    Cut,
     /// The caller left or the request was never sent.
     Left,
 }
@@ -75,6 +87,21 @@
     until: time::Tick,
 }
 
+// What the endpoint was used to before it turned cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Before {
+    mean_ms: f64,
+    slow: u32,
+}
+
+// What is restored if a report shows that a cut connection was no restart.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Suspected {
+    limit: u32,
+    baseline: baseline::Baseline,
+    since: time::Tick,
+}
+
 /// Counts what runs at one endpoint and bounds it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Gate {
@@ -85,9 +112,12 @@
     epoch: u32,
     admitted: u64,
     start: Option<u64>,
+    told_cold: bool,
     inherited: Option<Inherited>,
     waiting: BTreeMap<u64, time::Tick>,
     baseline: baseline::Baseline,
+    before: Option<Before>,
+    suspected: Option<Suspected>,
 }
 
 impl Gate {
@@ -101,9 +131,12 @@
             epoch: 0,
             admitted: 0,
             start: None,
+            told_cold: false,
             inherited: None,
             waiting: BTreeMap::new(),
             baseline: baseline::Baseline::default(),
+            before: None,
+            suspected: None,
         }
     }
 
@@ -113,6 +146,7 @@
     /// Until a report shows what is left of that work, all slots count as taken.
     pub fn take_over(&mut self, since: time::Tick, age: time::Millis) {
         self.turn_cold();
+        self.before = None;
         self.inherited = Some(Inherited { running: u32::MAX, since, until: since + SETTLE + age });
     }
 
@@ -204,11 +238,16 @@
             }
             return;
         }
+        self.compare_with_before(took);
         self.baseline.learn(took);
+        if self.limit < self.limits.warm && self.baseline.rise() > OVERLOAD_RISE {
+            self.shrink();
+            self.baseline = baseline::Baseline::default();
+        }
     }
 
     /// Ends one request.
-    pub fn finish(&mut self, mark: Mark, answer: Answer) {
+    pub fn finish(&mut self, mark: Mark, answer: Answer, now: time::Tick) {
         // A slot is in use if it was before this request ended.
         let used = self.running.saturating_mul(2) >= self.limit;
         self.running = self.running.saturating_sub(1);
@@ -217,20 +256,23 @@
             return;
         }
         match answer {
-            Answer::Good if used => self.grow(),
+            Answer::Good if used && self.may_grow() => self.grow(),
             Answer::Good | Answer::Left => {}
             Answer::Bad => self.shrink(),
-            Answer::Refused => self.turn_cold(),
+            Answer::Cut => self.suspect(now),
         }
     }
 
     /// Takes in what the endpoint says of itself.
     pub fn report(&mut self, report: &Report) {
         let restarted = self.start.is_some_and(|start| start != report.start);
+        let same = self.start == Some(report.start);
         self.start = Some(report.start);
+        self.told_cold = report.cold;
         if restarted || (report.cold && self.limit > self.limits.cold) {
             self.turn_cold();
         }
+        self.clear_suspicion(report, same);
         if let Some(work) = &mut self.inherited
             && report.taken >= work.since + SETTLE
         {
@@ -246,7 +288,42 @@
         self.baseline.is_late(took)
     }
 
+    // While first tokens take longer than before the cold start, the limit does not rise.
+    fn compare_with_before(&mut self, took: time::Millis) {
+        let Some(before) = &mut self.before else { return };
+        if took.0 as f64 <= RECOVERED_FACTOR * before.mean_ms {
+            before.slow = 0;
+            return;
+        }
+        before.slow += 1;
+        self.good = 0;
+        if before.slow >= SLOW_MAX {
+            self.before = None;
+        }
+    }
+
+    fn suspect(&mut self, now: time::Tick) {
+        let (limit, baseline) = (self.limit, self.baseline);
+        self.turn_cold();
+        self.suspected = Some(Suspected { limit, baseline, since: now });
+    }
+
+    fn clear_suspicion(&mut self, report: &Report, same: bool) {
+        let Some(found) = self.suspected.filter(|found| report.taken >= found.since) else {
+            return;
+        };
+        self.suspected = None;
+        if same && !report.cold {
+            self.limit = found.limit.min(self.limits.warm);
+            self.baseline = found.baseline;
+            self.before = None;
+        }
+    }
+
     fn turn_cold(&mut self) {
+        let learned = self.baseline.learned_ms();
+        self.before = learned.map(|mean_ms| Before { mean_ms, slow: 1 }).or(self.before);
+        self.suspected = None;
         self.limit = self.limits.cold.min(self.limits.warm);
         self.good = 0;
         self.epoch += 1;
@@ -254,6 +331,15 @@
         self.baseline = baseline::Baseline::default();
     }
 
+    fn may_grow(&self) -> bool {
+        if self.baseline.rise() > GROWTH_RISE {
+            return false;
+        }
+        !self.told_cold
+            && self.suspected.is_none()
+            && self.before.is_none_or(|before| before.slow == 0)
+    }
+
     // Additive increase: one slot for every share of the limit that was answered well.
     fn grow(&mut self) {
         self.good += 1;
--- a/crates/ibishill-decide/src/dispatch.rs
+++ b/crates/ibishill-decide/src/dispatch.rs
@@ -146,7 +146,7 @@
         answer: cold::Answer,
         now: time::Tick,
     ) {
-        self.owner.finish(admission, answer);
+        self.owner.finish(admission, answer, now);
         if answer == cold::Answer::Good
             && let Some(lane) = self.lanes.get_mut(target)
         {
--- a/crates/ibishill-decide/tests/owner/cold.rs
+++ b/crates/ibishill-decide/tests/owner/cold.rs
@@ -16,7 +16,7 @@
         let marks: Vec<_> = (0..gate.limit()).map(|_| gate.admit(true, admitted)).collect();
         for mark in marks.into_iter().flatten() {
             gate.first(mark, admitted, admitted + time::Millis(50));
-            gate.finish(mark, cold::Answer::Good);
+            gate.finish(mark, cold::Answer::Good, time::Tick(50_000));
         }
     }
     assert_eq!(gate.warmth(), cold::Warmth::Warm);
@@ -49,7 +49,38 @@
         name: "connection refused",
         give: |gate| {
             let mark = gate.admit(true, time::Tick(50_000)).unwrap();
-            gate.finish(mark, cold::Answer::Refused);
+            gate.finish(mark, cold::Answer::Cut, time::Tick(50_000));
+        },
+        cold: true,
+    },
+    Sign {
+        name: "connection cut, same process",
+        give: |gate| {
+            gate.report(&support::report(1, 0));
+            let mark = gate.admit(true, time::Tick(50_000)).unwrap();
+            gate.finish(mark, cold::Answer::Cut, time::Tick(50_000));
+            gate.report(&support::report(50_001, 0));
+        },
+        cold: false,
+    },
+    Sign {
+        name: "connection cut, an older report",
+        give: |gate| {
+            let mark = gate.admit(true, time::Tick(50_000)).unwrap();
+            gate.finish(mark, cold::Answer::Cut, time::Tick(50_000));
+            gate.report(&support::report(49_999, 0));
+        },
+        cold: true,
+    },
+    Sign {
+        name: "still slow after a sudden rise",
+        give: |gate| {
+            stream(gate, 2_000);
+            for _ in 0..40 {
+                let mark = gate.admit(true, time::Tick(50_000)).unwrap();
+                gate.first(mark, time::Tick(50_000), time::Tick(50_300));
+                gate.finish(mark, cold::Answer::Good, time::Tick(50_300));
+            }
         },
         cold: true,
     },
@@ -70,7 +101,7 @@
         name: "caller left",
         give: |gate| {
             let mark = gate.admit(false, time::Tick(50_000)).unwrap();
-            gate.finish(mark, cold::Answer::Left);
+            gate.finish(mark, cold::Answer::Left, time::Tick(50_000));
         },
         cold: false,
     },
@@ -95,7 +126,7 @@
     assert_eq!(gate.room(now), 0);
     for mark in old {
         gate.first(mark, now, now + time::Millis(50));
-        gate.finish(mark, cold::Answer::Good);
+        gate.finish(mark, cold::Answer::Good, time::Tick(50_000));
     }
     assert_eq!(gate.limit(), LIMITS.cold);
 }
@@ -104,7 +135,7 @@
 fn bad_answers_halve_the_limit() {
     let mut gate = warm_gate();
     let mark = gate.admit(false, time::Tick(50_000)).unwrap();
-    gate.finish(mark, cold::Answer::Bad);
+    gate.finish(mark, cold::Answer::Bad, time::Tick(50_000));
     assert_eq!(gate.limit(), LIMITS.warm / 2);
 }
 
@@ -160,9 +191,20 @@
     });
     let vm = solo.expect("one of four owns e0 beside vm-x");
     world.place.vm = support::name(vm);
-    world.view = support::view(&["vm-x", vm]);
-    let mut owner = admit::Owner::new(support::PERIODS);
-    owner.refresh(&world.facts(0));
+    for known in [false, true] {
+        let mut owner = admit::Owner::new(support::PERIODS);
+        if known {
+            // It has seen the others before it is a member itself.
+            world.view = support::view(&["vm-x"]);
+            owner.refresh(&world.facts(0));
+        }
+        world.view = support::view(&["vm-x", vm]);
+        owner.refresh(&world.facts(0));
+        wait_for_knowledge(&mut owner, &world);
+    }
+}
+
+fn wait_for_knowledge(owner: &mut admit::Owner, world: &support::World) {
     let lease = support::PERIODS.lease.0;
     let target = support::job(1, "w", 1).target;
     assert_eq!(owner.ready_at(&target), Some(time::Tick(lease + cold::SETTLE.0)));
@@ -232,10 +274,10 @@
                 Step::Finish(way) => if let Some((mark, _)) = held.pop() {
                     gate.finish(mark, match way {
                         0 => cold::Answer::Bad,
-                        1 => cold::Answer::Refused,
+                        1 => cold::Answer::Cut,
                         2 => cold::Answer::Left,
                         _ => cold::Answer::Good,
-                    });
+                    }, now);
                 },
                 Step::Report(cold, start) => {
                     gate.report(&cold::Report { cold, start, ..support::report(now.0, 3) });
