feat(decide): time to the first token by prompt size

Cause: a short prompt on a cold endpoint was not late against the mean of all prompts, and waiting requests counted alike whatever their size.

--- a/crates/ibishill-bench/src/experiment/cold.rs
+++ b/crates/ibishill-bench/src/experiment/cold.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ibishill_core::{id, time, view};
-use ibishill_decide::{admit, cold, dispatch, plan};
+use ibishill_decide::{admit, cold, dispatch, plan, queue};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -101,6 +101,7 @@
     // First sign of cold that reached an owner, by endpoint.
     signs: BTreeMap<id::EndpointId, u64>,
     running: BTreeMap<u64, (usize, admit::Admission)>,
+    prompts: BTreeMap<(usize, queue::Ticket), model::Prompt>,
     requests: u64,
     count: Count,
 }
@@ -193,6 +194,7 @@
             down: BTreeMap::new(),
             signs: BTreeMap::new(),
             running: BTreeMap::new(),
+            prompts: BTreeMap::new(),
             requests: 0,
             count: Count::default(),
         }
@@ -255,9 +257,16 @@
         self.agenda.plan(now + gap, Event::Arrive);
         let changing = matches!(self.fault, Fault::OwnerChange | Fault::OwnerPaused);
         let index = usize::from(changing && now >= FAULT_MS && self.rng.random_bool(0.5));
-        let job = model::job(self.requests, "w", self.rng.random(), now + DEADLINE_MS);
+        let prompt = model::Prompt {
+            tokens: self.rng.random_range(200..800),
+            output: self.rng.random_range(20..120),
+            prefix: self.rng.random(),
+        };
+        let job = model::job(self.requests, "w", &prompt, now + DEADLINE_MS);
         if !self.daemons[index].paused {
-            self.decide(index, now, |dispatcher, facts| dispatcher.offer(facts, job));
+            let (ticket, _) =
+                self.decide(index, now, |dispatcher, facts| dispatcher.offer(facts, job));
+            self.prompts.insert((index, ticket), prompt);
         }
     }
 
@@ -282,28 +291,30 @@
             return;
         }
         for decision in self.decide(index, now, dispatch::Dispatcher::turn) {
-            if let Ok(admission) = decision.result {
-                self.begin(index, admission, now);
+            let prompt = self.prompts.remove(&(index, decision.ticket));
+            if let (Ok(admission), Some(prompt)) = (decision.result, prompt) {
+                self.begin(index, admission, &prompt, now);
             }
         }
     }
 
-    fn begin(&mut self, index: usize, admission: admit::Admission, now: u64) {
+    fn begin(
+        &mut self,
+        index: usize,
+        admission: admit::Admission,
+        prompt: &model::Prompt,
+        now: u64,
+    ) {
         let name = admission.endpoint.clone();
-        let target = model::job(0, "w", 0, 0).target;
+        let target = model::target();
         if self.down.get(&name).is_some_and(|&until| now < until) {
             self.signs.entry(name).or_insert(now);
             let dispatcher = &mut self.daemons[index].dispatcher;
             dispatcher.finish(&target, &admission, cold::Answer::Cut, time::Tick(now));
             return;
         }
-        let prompt = model::Prompt {
-            tokens: self.rng.random_range(200..800),
-            output: self.rng.random_range(20..120),
-            prefix: self.rng.random(),
-        };
         let Some(endpoint) = self.endpoints.get_mut(&name) else { return };
-        let times = endpoint.begin(&prompt, now as f64);
+        let times = endpoint.begin(prompt, now as f64);
         let over = endpoint.held() > endpoint.bears();
         let signed = self.signs.get(&name).is_some_and(|&at| at < now);
         match (over, endpoint.is_cold(), signed) {
@@ -334,7 +345,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(&admission.endpoint) {
             endpoint.end();
         }
-        let target = model::job(0, "w", 0, 0).target;
+        let target = model::target();
         let dispatcher = &mut self.daemons[index].dispatcher;
         dispatcher.finish(&target, &admission, cold::Answer::Good, time::Tick(now));
     }
@@ -346,7 +357,7 @@
         cut: &[id::EndpointId],
         now: u64,
     ) {
-        let target = model::job(0, "w", 0, 0).target;
+        let target = model::target();
         for (number, (index, admission)) in running {
             if !cut.contains(&admission.endpoint) {
                 self.running.insert(number, (index, admission));
--- a/crates/ibishill-bench/src/experiment/cold/ramp.rs
+++ b/crates/ibishill-bench/src/experiment/cold/ramp.rs
@@ -28,7 +28,7 @@
 ];
 
 enum Event {
-    First(cold::Mark, u64),
+    First(cold::Mark),
     End(cold::Mark),
     Report,
 }
@@ -73,9 +73,7 @@
             break;
         }
         match event {
-            Event::First(mark, admitted) => {
-                gate.first(mark, time::Tick(admitted), time::Tick(now));
-            }
+            Event::First(mark) => gate.first(mark, time::Tick(now)),
             Event::End(mark) => {
                 endpoint.end();
                 gate.finish(mark, cold::Answer::Good, time::Tick(now));
@@ -95,7 +93,7 @@
             let Some(mark) = admit(way, &mut gate, now) else { break };
             let times = endpoint.begin(&PROMPT, now as f64);
             let first = (times.first as u64).max(now + 1);
-            agenda.plan(first, Event::First(mark, now));
+            agenda.plan(first, Event::First(mark));
             agenda.plan((times.last as u64).max(first), Event::End(mark));
         }
     }
@@ -118,8 +116,8 @@
 // The other ways only need a mark, so they admit through a gate that is always open.
 fn admit(way: Way, gate: &mut cold::Gate, now: u64) -> Option<cold::Mark> {
     if way == Way::Ours {
-        return gate.admit(true, time::Tick(now));
+        return gate.admit(Some(cold::Prompt(400)), time::Tick(now));
     }
     let open = cold::Limits { cold: u32::MAX, warm: u32::MAX };
-    cold::Gate::cold(open).admit(true, time::Tick(now))
+    cold::Gate::cold(open).admit(None, time::Tick(now))
 }
--- a/crates/ibishill-bench/src/model.rs
+++ b/crates/ibishill-bench/src/model.rs
@@ -6,7 +6,7 @@
 
 use ibishill_config::{change, declared, in_force, yaml};
 use ibishill_core::{id, time, urgency, view};
-use ibishill_decide::{admit, plan};
+use ibishill_decide::{admit, cold, plan};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -122,6 +122,9 @@
     pub start: u64,
 }
 
+/// Bytes of a prompt token.
+const TOKEN_BYTES: u32 = 4;
+
 /// Share of a prefill that a cached prefix saves.
 const SAVED: f64 = 0.8;
 
@@ -242,18 +245,23 @@
 }
 
 /// A job for the owner.
-pub fn job(number: u64, space: &str, prefix: u64, deadline: u64) -> admit::Job {
+pub fn job(number: u64, space: &str, prompt: &Prompt, deadline: u64) -> admit::Job {
     admit::Job {
         request: name(&format!("req-{number}")),
         workspace: name(space),
-        target: id::Target::Version(name("m@v1")),
-        prefix: Some(urgency::PrefixKey(prefix)),
+        target: target(),
+        prefix: Some(urgency::PrefixKey(prompt.prefix)),
         priority: urgency::Priority::Normal,
-        stream: true,
+        prompt: Some(cold::Prompt(prompt.tokens * TOKEN_BYTES)),
         deadline: time::Tick(deadline),
     }
 }
 
+/// What every job runs.
+pub fn target() -> id::Target {
+    id::Target::Version(name("m@v1"))
+}
+
 /// Parses a name that is known to be valid.
 pub fn name<T>(text: &str) -> T
 where
--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -45,13 +45,14 @@
     // A successor counts on the end of all work after this time.
     let left = work.left.min(context.settings.limits.deadline);
     let deadline = clock::boot_now() + left;
+    let prompt = cold::Prompt(u32::try_from(work.body.len()).unwrap_or(u32::MAX));
     let job = admit::Job {
         request: work.request.clone(),
         workspace: work.workspace.clone(),
         target: work.target.clone(),
         prefix: work.prefix,
         priority: work.priority,
-        stream: is_chat && work.stream,
+        prompt: (is_chat && work.stream).then_some(prompt),
         deadline,
     };
     let mut permit = context.router.admit(job).await?;
--- a/crates/ibishill-decide/src/admit.rs
+++ b/crates/ibishill-decide/src/admit.rs
@@ -23,8 +23,8 @@
     pub prefix: Option<urgency::PrefixKey>,
     /// Its place within the workspace.
     pub priority: urgency::Priority,
-    /// Whether its first token can be told from the end of its answer.
-    pub stream: bool,
+    /// Its prompt, if its first token can be told from the end of its answer.
+    pub prompt: Option<cold::Prompt>,
     /// When its answer is of no more use.
     pub deadline: time::Tick,
 }
@@ -128,7 +128,7 @@
         };
         let endpoint = load.endpoint.clone();
         let gate = self.gates.get_mut(&endpoint);
-        let mark = gate.and_then(|gate| gate.admit(job.stream, facts.now));
+        let mark = gate.and_then(|gate| gate.admit(job.prompt, facts.now));
         let mark = mark.ok_or_else(|| overloaded(&job.target))?;
         if let Some(key) = job.prefix {
             self.holders.note(key, &endpoint, prefix::Event::Stored, facts.now);
@@ -197,10 +197,11 @@
             loads.push(choose::Load {
                 endpoint: name.clone(),
                 running: gate.running(),
-                waiting: gate.waiting(),
+                waiting: gate.work_waiting(),
+                prompt: u64::from(job.prompt.unwrap_or(cold::PROMPT_MIN).max(cold::PROMPT_MIN).0),
                 limit: gate.limit(),
                 room,
-                first_ms: gate.baseline().mean_ms(),
+                byte_ms: gate.baseline().mean(),
                 excess,
                 hit,
                 hop_ms: 0.0,
@@ -212,7 +213,7 @@
     /// Notes the first token of an admitted request.
     pub fn first(&mut self, admission: &Admission, now: time::Tick) {
         if let Some(gate) = self.gates.get_mut(&admission.endpoint) {
-            gate.first(admission.mark, admission.admitted, now);
+            gate.first(admission.mark, now);
         }
     }
 
--- a/crates/ibishill-decide/src/choose.rs
+++ b/crates/ibishill-decide/src/choose.rs
@@ -12,8 +12,8 @@
 /// Age at which a load report counts half.
 const REPORT_HALF_LIFE: time::Millis = time::Millis(1_000);
 
-/// Time to the first token that is assumed before one is known.
-const DEFAULT_FIRST_MS: f64 = 100.0;
+/// Time to the first token for one prompt byte that is assumed before one is known.
+const DEFAULT_BYTE_MS: f64 = 0.05;
 
 /// Work that an endpoint reports beyond what its owner knows, and the report's age.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,14 +31,16 @@
     pub endpoint: id::EndpointId,
     /// Requests that run there, known exactly by the owner.
     pub running: u32,
-    /// Requests among them without a first token.
-    pub waiting: u32,
+    /// Prompt bytes of those without a first token.
+    pub waiting: u64,
+    /// Prompt bytes of the request to place.
+    pub prompt: u64,
     /// Requests that may run there.
     pub limit: u32,
     /// Requests that may still be admitted.
     pub room: u32,
-    /// Learned time to the first token, in milliseconds.
-    pub first_ms: Option<f64>,
+    /// Learned time to the first token, in milliseconds for one prompt byte.
+    pub byte_ms: Option<f64>,
     /// What its last report adds.
     pub excess: Option<Excess>,
     /// Probability that the prompt's prefix is cached there, 0 to 1.
@@ -56,9 +58,9 @@
         });
         let running = f64::from(self.running) + excess;
         let slowdown = 1.0 + LOAD_SLOWDOWN * running / f64::from(self.limit.max(1));
-        let first = self.first_ms.unwrap_or(DEFAULT_FIRST_MS);
-        let ahead = f64::from(self.waiting) * first;
-        self.hop_ms + ahead + first * slowdown * (1.0 - HIT_SAVING * self.hit)
+        let byte = self.byte_ms.unwrap_or(DEFAULT_BYTE_MS);
+        let own = self.prompt as f64 * (1.0 - HIT_SAVING * self.hit);
+        self.hop_ms + byte * (self.waiting as f64 + own * slowdown)
     }
 }
 
--- a/crates/ibishill-decide/src/cold.rs
+++ b/crates/ibishill-decide/src/cold.rs
@@ -72,6 +72,31 @@
     pub start: u64,
 }
 
+/// Size of a prompt, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Prompt(pub u32);
+
+/// Below this a prompt's size does not matter.
+pub const PROMPT_MIN: Prompt = Prompt(256);
+
+/// A first token within this time is never late.
+const LATE_FLOOR: time::Millis = time::Millis(50);
+
+// A stream without a first token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Wait {
+    since: time::Tick,
+    work: u64,
+    ahead: u64,
+}
+
+impl Wait {
+    // Milliseconds for one byte of the prompts ahead and its own.
+    fn relative(&self, now: time::Tick) -> f64 {
+        now.since(self.since).0 as f64 / (self.ahead + self.work) as f64
+    }
+}
+
 /// Marks an admission, so that an answer from before a restart does not count after it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Mark {
@@ -90,7 +115,7 @@
 // What the endpoint was used to before it turned cold.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Before {
-    mean_ms: f64,
+    mean: f64,
     slow: u32,
 }
 
@@ -114,7 +139,7 @@
     start: Option<u64>,
     told_cold: bool,
     inherited: Option<Inherited>,
-    waiting: BTreeMap<u64, time::Tick>,
+    waiting: BTreeMap<u64, Wait>,
     baseline: baseline::Baseline,
     before: Option<Before>,
     suspected: Option<Suspected>,
@@ -179,12 +204,12 @@
         unknown.map_or(time::Tick(0), |work| work.since + SETTLE)
     }
 
-    /// Requests of this owner that have no first token yet.
-    pub fn waiting(&self) -> u32 {
-        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    /// Prompt bytes of this owner's requests that have no first token yet.
+    pub fn work_waiting(&self) -> u64 {
+        self.waiting.values().map(|wait| wait.work).sum()
     }
 
-    /// The learned time to the first token.
+    /// The learned time to the first token, in milliseconds for one prompt byte.
     pub fn baseline(&self) -> &baseline::Baseline {
         &self.baseline
     }
@@ -196,7 +221,7 @@
         }
         // Silence is a sign before the late answer is.
         let silent =
-            self.waiting.first_key_value().is_some_and(|(_, &since)| self.late(now.since(since)));
+            self.waiting.first_key_value().is_some_and(|(_, wait)| self.is_late(wait, now));
         if silent && self.limit > self.limits.cold {
             self.turn_cold();
         }
@@ -212,32 +237,32 @@
 
     /// Admits one request if there is room.
     ///
-    /// The gate watches for the first token of a stream.
-    pub fn admit(&mut self, stream: bool, now: time::Tick) -> Option<Mark> {
+    /// The gate watches for the first token if it is given the prompt of a stream.
+    pub fn admit(&mut self, prompt: Option<Prompt>, now: time::Tick) -> Option<Mark> {
         if self.room(now) == 0 {
             return None;
         }
         self.running += 1;
         self.admitted += 1;
-        if stream {
-            self.waiting.insert(self.admitted, now);
+        if let Some(prompt) = prompt {
+            let work = u64::from(prompt.0.max(PROMPT_MIN.0));
+            let ahead = self.work_waiting();
+            self.waiting.insert(self.admitted, Wait { since: now, work, ahead });
         }
         Some(Mark { epoch: self.epoch, number: self.admitted })
     }
 
-    /// Notes the first token of a request admitted at `admitted`.
-    pub fn first(&mut self, mark: Mark, admitted: time::Tick, now: time::Tick) {
+    /// Notes the first token of a request.
+    pub fn first(&mut self, mark: Mark, now: time::Tick) {
         // A stream from before the endpoint turned cold waits no more.
-        if self.waiting.remove(&mark.number).is_none() {
-            return;
-        }
-        let took = now.since(admitted);
-        if self.late(took) {
+        let Some(wait) = self.waiting.remove(&mark.number) else { return };
+        if self.is_late(&wait, now) {
             if self.limit > self.limits.cold {
                 self.turn_cold();
             }
             return;
         }
+        let took = wait.relative(now);
         self.compare_with_before(took);
         self.baseline.learn(took);
         if self.limit < self.limits.warm && self.baseline.rise() > OVERLOAD_RISE {
@@ -284,14 +309,14 @@
         }
     }
 
-    fn late(&self, took: time::Millis) -> bool {
-        self.baseline.is_late(took)
+    fn is_late(&self, wait: &Wait, now: time::Tick) -> bool {
+        now.since(wait.since) > LATE_FLOOR && self.baseline.is_late(wait.relative(now))
     }
 
     // While first tokens take longer than before the cold start, the limit does not rise.
-    fn compare_with_before(&mut self, took: time::Millis) {
+    fn compare_with_before(&mut self, took: f64) {
         let Some(before) = &mut self.before else { return };
-        if took.0 as f64 <= RECOVERED_FACTOR * before.mean_ms {
+        if took <= RECOVERED_FACTOR * before.mean {
             before.slow = 0;
             return;
         }
@@ -321,8 +346,8 @@
     }
 
     fn turn_cold(&mut self) {
-        let learned = self.baseline.learned_ms();
-        self.before = learned.map(|mean_ms| Before { mean_ms, slow: 1 }).or(self.before);
+        let learned = self.baseline.learned();
+        self.before = learned.map(|mean| Before { mean, slow: 1 }).or(self.before);
         self.suspected = None;
         self.limit = self.limits.cold.min(self.limits.warm);
         self.good = 0;
--- a/crates/ibishill-decide/src/dispatch.rs
+++ b/crates/ibishill-decide/src/dispatch.rs
@@ -150,7 +150,7 @@
         if answer == cold::Answer::Good
             && let Some(lane) = self.lanes.get_mut(target)
         {
-            lane.service.learn(now.since(admission.admitted));
+            lane.service.learn(now.since(admission.admitted).0 as f64);
         }
     }
 
@@ -169,8 +169,8 @@
         let service = &self.lanes.get(target)?.service;
         Some(queue::Pace {
             slots: self.owner.slots(target),
-            mean_ms: service.mean_ms()?,
-            most_ms: service.most_ms()?,
+            mean_ms: service.mean()?,
+            most_ms: service.most()?,
         })
     }
 }
--- a/crates/ibishill-decide/tests/owner/choose.rs
+++ b/crates/ibishill-decide/tests/owner/choose.rs
@@ -10,9 +10,10 @@
         endpoint: support::name(endpoint),
         running: 4,
         waiting: 0,
+        prompt: 1_000,
         limit: 16,
         room: 12,
-        first_ms: Some(100.0),
+        byte_ms: Some(0.1),
         excess: None,
         hit: 0.0,
         hop_ms: 0.0,
@@ -39,7 +40,7 @@
     Case {
         name: "fewer without a first token",
         better: |load| load,
-        worse: |load| choose::Load { waiting: 2, ..load },
+        worse: |load| choose::Load { waiting: 2_000, ..load },
     },
     Case {
         name: "cached prefix",
@@ -49,7 +50,7 @@
     Case {
         name: "a hit is not worth a long queue",
         better: |load| load,
-        worse: |load| choose::Load { hit: 1.0, waiting: 3, ..load },
+        worse: |load| choose::Load { hit: 1.0, waiting: 3_000, ..load },
     },
     Case { name: "near", better: |load| load, worse: |load| choose::Load { hop_ms: 2.0, ..load } },
     Case { name: "reported excess", better: |load| load, worse: |load| aged(load, 0) },
@@ -61,7 +62,7 @@
     Case {
         name: "slow endpoint",
         better: |load| load,
-        worse: |load| choose::Load { first_ms: Some(300.0), ..load },
+        worse: |load| choose::Load { byte_ms: Some(0.3), ..load },
     },
 ];
 
--- a/crates/ibishill-decide/tests/owner/cold.rs
+++ b/crates/ibishill-decide/tests/owner/cold.rs
@@ -7,15 +7,20 @@
 
 use crate::support;
 
+const PROMPT: Option<cold::Prompt> = Some(cold::Prompt(1_000));
 const LIMITS: cold::Limits = cold::Limits { cold: 2, warm: 16 };
 
 fn warm_gate() -> cold::Gate {
     let mut gate = cold::Gate::cold(LIMITS);
     for step in 0..400 {
         let admitted = time::Tick(step * 100);
-        let marks: Vec<_> = (0..gate.limit()).map(|_| gate.admit(true, admitted)).collect();
-        for mark in marks.into_iter().flatten() {
-            gate.first(mark, admitted, admitted + time::Millis(50));
+        let mut marks = Vec::new();
+        for _ in 0..gate.limit() {
+            let mark = gate.admit(PROMPT, admitted).unwrap();
+            gate.first(mark, admitted + time::Millis(50));
+            marks.push(mark);
+        }
+        for mark in marks {
             gate.finish(mark, cold::Answer::Good, time::Tick(50_000));
         }
     }
@@ -30,8 +35,8 @@
 }
 
 fn stream(gate: &mut cold::Gate, took: u64) {
-    let mark = gate.admit(true, time::Tick(50_000)).unwrap();
-    gate.first(mark, time::Tick(50_000), time::Tick(50_000 + took));
+    let mark = gate.admit(PROMPT, time::Tick(50_000)).unwrap();
+    gate.first(mark, time::Tick(50_000 + took));
 }
 
 const SIGNS: &[Sign] = &[
@@ -40,7 +45,7 @@
     Sign {
         name: "silence",
         give: |gate| {
-            gate.admit(true, time::Tick(50_000)).unwrap();
+            gate.admit(PROMPT, time::Tick(50_000)).unwrap();
             gate.room(time::Tick(52_000));
         },
         cold: true,
@@ -48,7 +53,7 @@
     Sign {
         name: "connection refused",
         give: |gate| {
-            let mark = gate.admit(true, time::Tick(50_000)).unwrap();
+            let mark = gate.admit(PROMPT, time::Tick(50_000)).unwrap();
             gate.finish(mark, cold::Answer::Cut, time::Tick(50_000));
         },
         cold: true,
@@ -57,7 +62,7 @@
         name: "connection cut, same process",
         give: |gate| {
             gate.report(&support::report(1, 0));
-            let mark = gate.admit(true, time::Tick(50_000)).unwrap();
+            let mark = gate.admit(PROMPT, time::Tick(50_000)).unwrap();
             gate.finish(mark, cold::Answer::Cut, time::Tick(50_000));
             gate.report(&support::report(50_001, 0));
         },
@@ -66,7 +71,7 @@
     Sign {
         name: "connection cut, an older report",
         give: |gate| {
-            let mark = gate.admit(true, time::Tick(50_000)).unwrap();
+            let mark = gate.admit(PROMPT, time::Tick(50_000)).unwrap();
             gate.finish(mark, cold::Answer::Cut, time::Tick(50_000));
             gate.report(&support::report(49_999, 0));
         },
@@ -77,8 +82,8 @@
         give: |gate| {
             stream(gate, 2_000);
             for _ in 0..40 {
-                let mark = gate.admit(true, time::Tick(50_000)).unwrap();
-                gate.first(mark, time::Tick(50_000), time::Tick(50_300));
+                let mark = gate.admit(PROMPT, time::Tick(50_000)).unwrap();
+                gate.first(mark, time::Tick(50_300));
                 gate.finish(mark, cold::Answer::Good, time::Tick(50_300));
             }
         },
@@ -100,7 +105,7 @@
     Sign {
         name: "caller left",
         give: |gate| {
-            let mark = gate.admit(false, time::Tick(50_000)).unwrap();
+            let mark = gate.admit(None, time::Tick(50_000)).unwrap();
             gate.finish(mark, cold::Answer::Left, time::Tick(50_000));
         },
         cold: false,
@@ -121,11 +126,11 @@
 fn answers_from_before_a_restart_do_not_warm() {
     let mut gate = warm_gate();
     let now = time::Tick(50_000);
-    let old: Vec<_> = (0..16).map(|_| gate.admit(true, now).unwrap()).collect();
+    let old: Vec<_> = (0..16).map(|_| gate.admit(PROMPT, now).unwrap()).collect();
     gate.report(&cold::Report { cold: true, ..support::report(1, 16) });
     assert_eq!(gate.room(now), 0);
     for mark in old {
-        gate.first(mark, now, now + time::Millis(50));
+        gate.first(mark, now + time::Millis(50));
         gate.finish(mark, cold::Answer::Good, time::Tick(50_000));
     }
     assert_eq!(gate.limit(), LIMITS.cold);
@@ -134,7 +139,7 @@
 #[test]
 fn bad_answers_halve_the_limit() {
     let mut gate = warm_gate();
-    let mark = gate.admit(false, time::Tick(50_000)).unwrap();
+    let mark = gate.admit(None, time::Tick(50_000)).unwrap();
     gate.finish(mark, cold::Answer::Bad, time::Tick(50_000));
     assert_eq!(gate.limit(), LIMITS.warm / 2);
 }
@@ -263,13 +268,13 @@
             let now = time::Tick(at as u64 * 40);
             match step {
                 Step::Admit => {
-                    if let Some(mark) = gate.admit(true, now) {
+                    if let Some(mark) = gate.admit(PROMPT, now) {
                         held.push((mark, now));
                         prop_assert!(held.len() as u32 <= gate.limit());
                     }
                 }
                 Step::First(took) => if let Some(&(mark, admitted)) = held.last() {
-                    gate.first(mark, admitted, admitted + time::Millis(took));
+                    gate.first(mark, admitted + time::Millis(took));
                 },
                 Step::Finish(way) => if let Some((mark, _)) = held.pop() {
                     gate.finish(mark, match way {
--- a/crates/ibishill-decide/tests/owner/support.rs
+++ b/crates/ibishill-decide/tests/owner/support.rs
@@ -66,7 +66,7 @@
         target: id::Target::Version(name("m@v1")),
         prefix: None,
         priority: urgency::Priority::Normal,
-        stream: true,
+        prompt: Some(ibishill_decide::cold::Prompt(1_000)),
         deadline: time::Tick(deadline),
     }
 }
