feat(bench): choice of an endpoint against ordinary baselines

Cause: the owner compared two endpoints although it knows all of its own exactly. Conclusion: all endpoints are compared.

--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -3,6 +3,7 @@
 use crate::report;
 
 pub mod cold;
+pub mod latency;
 
 /// An experiment.
 #[derive(Clone, Copy)]
@@ -16,8 +17,15 @@
 }
 
 /// Every experiment, in order.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: "cold",
-    purpose: "cold starts: admissions over the limit, time to full service",
-    run: cold::run,
-}];
+pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "cold",
+        purpose: "cold starts: admissions over the limit, time to full service",
+        run: cold::run,
+    },
+    Experiment {
+        name: "latency",
+        purpose: "time to the first token and between tokens by way of choosing",
+        run: latency::run,
+    },
+];
--- a/crates/ibishill-decide/src/choose.rs
+++ b/crates/ibishill-decide/src/choose.rs
@@ -64,21 +64,18 @@
     }
 }
 
-/// Picks the best of two endpoints that the request's id selects and, if there is one,
-/// the endpoint most likely to have the prefix cached.
+/// Picks the endpoint with the soonest first token; the request's id breaks ties.
+///
+/// The owner alone admits, so what it knows is exact and all may be compared: no other
+/// daemon runs after the same idle endpoint.
 pub fn choose<'a>(loads: &'a [Load], request: &id::RequestId) -> Option<&'a Load> {
     let free: Vec<_> = loads.iter().filter(|load| load.room > 0).collect();
-    let count = free.len() as u64;
-    if count == 0 {
+    if free.is_empty() {
         return None;
     }
     let hash = xxh3::xxh3_64(request.as_str().as_bytes());
-    let first = (hash % count) as usize;
-    let step = if count > 1 { 1 + (hash >> 32) % (count - 1) } else { 0 };
-    let second = (first + step as usize) % free.len();
-    let cached = free.iter().filter(|load| load.hit > 0.0);
-    let cached = cached.max_by(|a, b| a.hit.total_cmp(&b.hit));
-    let candidates = [Some(free[first]), Some(free[second]), cached.copied()];
-    let candidates = candidates.into_iter().flatten();
-    candidates.min_by(|a, b| a.expected_ms().total_cmp(&b.expected_ms()))
+    let start = (hash % free.len() as u64) as usize;
+    let (before, after) = free.split_at(start);
+    let turned = after.iter().chain(before).copied();
+    turned.min_by(|a, b| a.expected_ms().total_cmp(&b.expected_ms()))
 }
