--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -4,6 +4,7 @@
 
 pub mod cold;
 pub mod latency;
+pub mod overload;
 
 /// An experiment.
 #[derive(Clone, Copy)]
@@ -28,4 +29,9 @@
         purpose: "time to the first token and between tokens by way of choosing",
         run: latency::run,
     },
+    Experiment {
+        name: "overload",
+        purpose: "useful work, fair share and priority beyond capacity",
+        run: overload::run,
+    },
 ];
