feat(decide): credit for high priority, and time of one decision

Cause: high priority waited for its workspace's whole turn, and what a decision costs was not known.

--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -3,6 +3,7 @@
 use crate::report;
 
 pub mod cold;
+pub mod decide;
 pub mod latency;
 pub mod overload;
 
@@ -34,4 +35,5 @@
         purpose: "useful work, fair share and priority beyond capacity",
         run: overload::run,
     },
+    Experiment { name: "decide", purpose: "processor time of one decision", run: decide::run },
 ];
--- a/crates/ibishill-bench/src/experiment/overload.rs
+++ b/crates/ibishill-bench/src/experiment/overload.rs
@@ -49,6 +49,7 @@
 enum Way {
     Ours,
     Fifo,
+    FifoDeadline,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -103,6 +104,7 @@
     for load in [1.5, 3.0] {
         let mut ours = Run::new(Way::Ours, gap(load), seed).run();
         let mut fifo = Run::new(Way::Fifo, gap(load), seed).run();
+        let mut dropping = Run::new(Way::FifoDeadline, gap(load), seed).run();
         let useful = |result: &Result| result.useful as f64 / seconds() / capacity;
         let small = |result: &Result| result.small_useful as f64 / result.small_asked as f64;
         series[0].points.push((load, useful(&ours)));
@@ -111,7 +113,8 @@
             report::Figure::new(format!("at {load}: useful work"), "of capacity", useful(&ours))
                 .bound(report::Bound::AtLeast(0.95))
                 .optimum(1.0)
-                .baseline("FIFO", useful(&fifo)),
+                .baseline("FIFO", useful(&fifo))
+                .baseline("FIFO without expired", useful(&dropping)),
         );
         figures.push(
             report::Figure::new(
@@ -121,18 +124,22 @@
             )
             .bound(report::Bound::AtLeast(0.95))
             .optimum(1.0)
-            .baseline("FIFO", small(&fifo)),
+            .baseline("FIFO", small(&fifo))
+            .baseline("FIFO without expired", small(&dropping)),
         );
         let high = model::percentile(&mut ours.high, 0.95);
         figures.push(
             report::Figure::new(format!("at {load}: p95 of high priority"), "ms", high)
                 .bound(report::Bound::AtMost(calm_high * KEPT_FACTOR))
                 .baseline("at 0.8 of capacity", calm_high)
-                .baseline("FIFO", model::percentile(&mut fifo.high, 0.95)),
+                .baseline("FIFO", model::percentile(&mut fifo.high, 0.95))
+                .baseline("FIFO without expired", model::percentile(&mut dropping.high, 0.95)),
         );
-        let refusal = model::percentile(&mut ours.refusals, 0.95);
-        let name = format!("at {load}: p95 of the wait for a refusal");
-        figures.push(report::Figure::new(name, "ms", refusal));
+        for share in [0.5, 0.95] {
+            let refusal = model::percentile(&mut ours.refusals, share);
+            let name = format!("at {load}: p{} of the wait for a refusal", share * 100.0);
+            figures.push(report::Figure::new(name, "ms", refusal));
+        }
     }
     let axes = ("load against capacity".into(), "useful work against capacity".into());
     report::Report { name: "overload".into(), seed, figures, axes, series }
@@ -183,7 +190,7 @@
             }
             match self.way {
                 Way::Ours => self.turn(now),
-                Way::Fifo => self.turn_fifo(now),
+                Way::Fifo | Way::FifoDeadline => self.turn_fifo(now),
             }
         }
         self.result
@@ -210,7 +217,7 @@
             self.result.small_asked += u64::from(small);
         }
         match self.way {
-            Way::Fifo => self.fifo.push_back(asked),
+            Way::Fifo | Way::FifoDeadline => self.fifo.push_back(asked),
             Way::Ours => self.offer(asked, now),
         }
     }
@@ -267,6 +274,10 @@
             let least = free.min_by_key(|(_, found)| found.held());
             let Some(name) = least.map(|(name, _)| name.clone()) else { return };
             let Some(asked) = self.fifo.pop_front() else { return };
+            let past = now >= asked.at + DEADLINE_MS;
+            if past && self.way == Way::FifoDeadline {
+                continue;
+            }
             self.begin(&name, None, asked, now);
         }
     }
--- a/crates/ibishill-decide/src/queue.rs
+++ b/crates/ibishill-decide/src/queue.rs
@@ -11,6 +11,9 @@
 pub const ENTRIES_MAX: usize = 4_096;
 
 const PRIORITIES: usize = 3;
+/// Requests by which a workspace may overtake for one of high priority.
+const HIGH_CREDIT: f64 = 4.0;
+
 const RETRY_MIN: time::Millis = time::Millis(100);
 
 /// Number of a waiting request, unique within one owner.
@@ -182,17 +185,28 @@
 
     fn next_line(&self) -> Option<(&id::WorkspaceId, &Line)> {
         let busy = self.lines.iter().filter(|(_, line)| line.len() > 0);
-        busy.min_by(|(_, a), (_, b)| a.finish.total_cmp(&b.finish))
+        busy.min_by(|(_, a), (_, b)| self.turn_of(a).total_cmp(&self.turn_of(b)))
+    }
+
+    // Virtual time of a line's turn; a line that holds a request of high priority may
+    // overtake by a few requests, which it pays for later.
+    fn turn_of(&self, line: &Line) -> f64 {
+        let start = line.finish.max(self.virtual_time);
+        let high = !line.ranks[rank(urgency::Priority::High)].is_empty();
+        if high { start - HIGH_CREDIT / line.weight } else { start }
     }
 
     /// Takes the request whose turn it is; `charged` if it uses its workspace's share.
     pub fn pop(&mut self, charged: bool) -> Option<Entry> {
         let name = self.next_line()?.0.clone();
+        let busy = self.lines.values().filter(|line| line.len() > 0);
+        let starts = busy.map(|line| line.finish.max(self.virtual_time));
+        let least = starts.fold(f64::INFINITY, f64::min);
         let line = self.lines.get_mut(&name)?;
         let entry = line.pop()?;
         if charged {
             let start = line.finish.max(self.virtual_time);
-            self.virtual_time = start;
+            self.virtual_time = least.max(self.virtual_time);
             line.finish = start + 1.0 / line.weight;
         }
         self.deadlines.remove(&(entry.job.deadline, entry.ticket));
