feat(owner): merge callers; load reports, priorities and prefixes through the owner

Cause: callers' priority and the engines' load report now exist, so the owner's queue takes the one and its gates the other. An endpoint that bears its full limit when cold has no takeover to wait for.

--- a/crates/ibishill-bench/src/experiment/cold.rs
+++ b/crates/ibishill-bench/src/experiment/cold.rs
@@ -379,7 +379,7 @@
                 taken: time::Tick(now),
                 running: endpoint.held(),
                 cold: endpoint.is_cold() && !silent,
-                start: endpoint.start,
+                start: Some(endpoint.start),
             };
             self.agenda.plan(now + REPORT_LAG_MS, Event::Deliver(name.clone(), report));
         }
--- a/crates/ibishill-bench/src/experiment/cold/ramp.rs
+++ b/crates/ibishill-bench/src/experiment/cold/ramp.rs
@@ -85,7 +85,7 @@
                     taken: time::Tick(now),
                     running: endpoint.held(),
                     cold: endpoint.is_cold(),
-                    start: 1,
+                    start: Some(1),
                 });
             }
         }
--- a/crates/ibishill-bench/src/experiment/latency.rs
+++ b/crates/ibishill-bench/src/experiment/latency.rs
@@ -183,7 +183,7 @@
                 Event::Report => self.report(now),
                 Event::Deliver(held) => self.reports = held,
                 Event::Cached(name, key) => {
-                    let key = ibishill_core::urgency::PrefixKey(key);
+                    let key = ibishill_core::prefix::PrefixKey(key);
                     self.owner.cached(&name, key, prefix::Event::Stored, time::Tick(now));
                 }
             }
--- a/crates/ibishill-bench/src/experiment/overload.rs
+++ b/crates/ibishill-bench/src/experiment/overload.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ibishill_core::{id, time, urgency};
+use ibishill_core::{id, priority, time};
 use ibishill_decide::{admit, cold, dispatch, queue};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -227,7 +227,7 @@
         let (space, _) = SPACES[asked.space];
         let mut job = model::job(number, space, &asked.prompt, now + DEADLINE_MS);
         if asked.high {
-            job.priority = urgency::Priority::High;
+            job.priority = priority::Priority::High;
         }
         let offered = self.decide(now, |dispatcher, facts| dispatcher.offer(facts, job));
         self.asked.insert(offered.0, asked);
--- a/crates/ibishill-bench/src/model.rs
+++ b/crates/ibishill-bench/src/model.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 use ibishill_config::{change, declared, in_force, yaml};
-use ibishill_core::{id, time, urgency, view};
+use ibishill_core::prefix::PrefixKey;
+use ibishill_core::{id, priority, time, view};
 use ibishill_decide::{admit, cold, plan};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -250,8 +251,8 @@
         request: name(&format!("req-{number}")),
         workspace: name(space),
         target: target(),
-        prefix: Some(urgency::PrefixKey(prompt.prefix)),
-        priority: urgency::Priority::Normal,
+        prefix: Some(PrefixKey(prompt.prefix)),
+        priority: priority::Priority::Normal,
         prompt: Some(cold::Prompt(prompt.tokens * TOKEN_BYTES)),
         deadline: time::Tick(deadline),
     }
--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -14,10 +14,12 @@
 pub mod clock;
 pub mod cost;
 pub mod event;
+pub mod header;
 pub mod id;
 pub mod outcome;
+pub mod prefix;
+pub mod priority;
 pub mod repeat;
 pub mod secret;
 pub mod time;
-pub mod urgency;
 pub mod view;
--- a/crates/ibishill-daemon/src/entry.rs
+++ b/crates/ibishill-daemon/src/entry.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ibishill_core::{cost, event, id, outcome, repeat, time, urgency};
+use ibishill_core::prefix::PrefixKey;
+use ibishill_core::{clock, cost, event, header, id, outcome, priority, repeat, time};
 use ibishill_decide::{plan, prefix};
 use ibishill_peer::{error::LinkError, frame, link};
 use tokio::sync::mpsc;
@@ -34,6 +35,12 @@
     pub path: String,
     /// Content type of the body.
     pub content: String,
+    /// Further headers that pass to the endpoint.
+    pub headers: Vec<header::Header>,
+    /// Key that marks copies of the same request.
+    pub key: Option<id::IdempotencyKey>,
+    /// Priority among other requests.
+    pub priority: priority::Priority,
     /// Whether the caller wants a stream.
     pub stream: bool,
     /// Whether the caller wants the usage event of a stream.
@@ -49,6 +56,7 @@
     /// How many owners were asked.
     pub attempts: u32,
     source: Source,
+    bytes: u64,
 }
 
 /// What comes after an answer's start.
@@ -98,6 +106,7 @@
 where
     B: Fn(&id::Target) -> Bytes,
 {
+    let begun = clock::boot_now();
     let ask = plan::Ask {
         request: asked.request.clone(),
         workspace: asked.workspace.clone(),
@@ -107,14 +116,20 @@
     };
     let planned = context.router.plan(ask).await;
     let plan = planned.map_err(|refusal| GivenUp { refusal, attempts: 0 })?;
-    let work = work(context, asked, &plan, body(&plan.target));
+    let mut work = work(context, asked, &plan, body(&plan.target));
     let mut attempts = 0;
     let mut last = None;
     for route in plan.routes.iter().take(TRIES_MAX) {
+        work.left = asked.left.less(clock::boot_now().since(begun));
+        if work.left == time::Millis(0) {
+            let detail = "the deadline passed before the request was dispatched";
+            last = Some(outcome::Refusal::not_run(outcome::Reason::Deadline, detail));
+            break;
+        }
         attempts += 1;
         match attempt(context, route, &work).await {
             Ok((head, source)) => {
-                return Ok(Answer { head, target: plan.target, attempts, source });
+                return Ok(Answer { head, target: plan.target, attempts, source, bytes: 0 });
             }
             Err(refusal) => {
                 let again = refusal.outcome == outcome::Outcome::NotRun;
@@ -136,14 +151,15 @@
         request: asked.request.clone(),
         workspace: asked.workspace.clone(),
         target: plan.target.clone(),
-        prefix: prefix(&body),
-        priority: urgency::Priority::Normal,
         config: context.cell.get().version.0,
         left: asked.left,
         repeat: asked.repeat,
         method: asked.method.clone(),
         path: asked.path.clone(),
         content: asked.content.clone(),
+        headers: asked.headers.clone(),
+        prefix: prefix(&body),
+        priority: asked.priority,
         stream: asked.stream,
         show_usage: asked.show_usage,
         body,
@@ -151,7 +167,7 @@
 }
 
 // The key of a chat request's messages; a plain service's body has none.
-fn prefix(body: &[u8]) -> Option<urgency::PrefixKey> {
+fn prefix(body: &[u8]) -> Option<PrefixKey> {
     const MESSAGES: &[u8] = b"\"messages\"";
     let at = body.windows(MESSAGES.len()).position(|window| window == MESSAGES)?;
     Some(prefix::key(&body[at..]))
@@ -194,7 +210,13 @@
     /// What comes next; after an end or a failure nothing does.
     pub async fn next(&mut self) -> Next {
         match self.source.next().await {
-            Ok(Some(frame::Frame::Chunk(chunk))) => Next::Chunk(chunk),
+            Ok(Some(frame::Frame::Chunk(chunk))) => {
+                self.bytes += chunk.len() as u64;
+                Next::Chunk(chunk)
+            }
+            Ok(Some(frame::Frame::End(end))) if end.bytes != self.bytes => {
+                Next::Failed(broken("the owner's answer lacks bytes"))
+            }
             Ok(Some(frame::Frame::End(end))) => Next::End(end.usage),
             Ok(Some(frame::Frame::Failed(refusal))) => Next::Failed(as_unknown(refusal)),
             Ok(Some(frame::Frame::Head(_)) | None) => {
--- a/crates/ibishill-daemon/src/http.rs
+++ b/crates/ibishill-daemon/src/http.rs
@@ -1,11 +1,15 @@
 //! The callers' side, over HTTP.
 
 mod auth;
+mod body;
 mod chat;
+pub mod form;
 mod health;
 mod models;
 mod reply;
+mod run;
 mod service;
+mod stream;
 
 use std::sync::Arc;
 
@@ -26,8 +30,7 @@
         .merge(("log_level", "off"))
         .merge(("ident", "ibishill"))
         .merge(("shutdown.ctrlc", false))
-        .merge(("shutdown.signals", Vec::<String>::new()))
-        .merge(("limits.bytes", context.settings.limits.body));
+        .merge(("shutdown.signals", Vec::<String>::new()));
     rocket::custom(figment)
         .manage(context)
         .mount("/", routes![chat::completions, models::list])
--- a/crates/ibishill-daemon/src/reports.rs
+++ b/crates/ibishill-daemon/src/reports.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use futures::future;
-use ibishill_core::{clock, id};
+use ibishill_core::{clock, id, time};
 use ibishill_decide::cold;
+use ibishill_endpoint::engine;
 
 use crate::{context, router};
 
+const TIMEOUT: time::Millis = time::Millis(500);
+
 const PERIOD: Duration = Duration::from_secs(1);
 
 /// Period while an earlier owner's work may still run at an endpoint.
@@ -41,8 +44,10 @@
     let Some(endpoint) = config.declared.endpoints.get(name) else { return };
     let asked = clock::boot_now();
     // An endpoint without a report keeps what its owner already knows.
-    let Ok(load) = context.endpoints.load(endpoint.address).await else { return };
-    let taken = ibishill_core::time::Tick(asked.0.saturating_sub(load.age_ms));
-    let report = cold::Report { taken, running: load.running, cold: load.cold, start: load.start };
+    let engine = engine::Engine::new(&context.endpoints, endpoint.address, TIMEOUT);
+    let Ok(load) = engine.load().await else { return };
+    let taken = time::Tick(asked.0.saturating_sub(load.age_ms));
+    let running = load.running.saturating_add(load.waiting);
+    let report = cold::Report { taken, running, cold: load.cold, start: load.start };
     context.router.report(name.clone(), report);
 }
--- a/crates/ibishill-daemon/src/router.rs
+++ b/crates/ibishill-daemon/src/router.rs
@@ -6,7 +6,8 @@
 
 use crossbeam_channel as ring;
 use ibishill_config::in_force;
-use ibishill_core::{clock, event, id, outcome, time, urgency, view};
+use ibishill_core::prefix::PrefixKey;
+use ibishill_core::{clock, event, id, outcome, time, view};
 use ibishill_decide::{admit, cold, dispatch, plan, prefix, queue};
 use tokio::sync::oneshot;
 
@@ -46,7 +47,7 @@
     Plan(plan::Ask, oneshot::Sender<Result<plan::Plan, outcome::Refusal>>),
     Admit(admit::Job, Reply),
     Report(id::EndpointId, cold::Report),
-    Cached(id::EndpointId, urgency::PrefixKey, prefix::Event),
+    Cached(id::EndpointId, PrefixKey, prefix::Event),
     Status(oneshot::Sender<Vec<GateStatus>>),
 }
 
@@ -99,7 +100,7 @@
     }
 
     /// Passes on an event of an endpoint's prefix cache; a full ring drops it.
-    pub fn cached(&self, endpoint: id::EndpointId, key: urgency::PrefixKey, event: prefix::Event) {
+    pub fn cached(&self, endpoint: id::EndpointId, key: PrefixKey, event: prefix::Event) {
         let _dropped = self.asks.try_send(Ask::Cached(endpoint, key, event));
     }
 
--- a/crates/ibishill-decide/src/admit.rs
+++ b/crates/ibishill-decide/src/admit.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use ibishill_config::{declared, in_force};
-use ibishill_core::{id, outcome, time, urgency, view};
+use ibishill_core::prefix::PrefixKey;
+use ibishill_core::{id, outcome, priority, time, view};
 
 use crate::{choose, cold, index, plan, prefix};
 
@@ -20,9 +21,9 @@
     /// What runs.
     pub target: id::Target,
     /// Start of its messages, if it has any.
-    pub prefix: Option<urgency::PrefixKey>,
+    pub prefix: Option<PrefixKey>,
     /// Its place within the workspace.
-    pub priority: urgency::Priority,
+    pub priority: priority::Priority,
     /// Its prompt, if its first token can be told from the end of its answer.
     pub prompt: Option<cold::Prompt>,
     /// When its answer is of no more use.
@@ -238,7 +239,7 @@
     pub fn cached(
         &mut self,
         endpoint: &id::EndpointId,
-        key: urgency::PrefixKey,
+        key: PrefixKey,
         event: prefix::Event,
         now: time::Tick,
     ) {
--- a/crates/ibishill-decide/src/cold.rs
+++ b/crates/ibishill-decide/src/cold.rs
@@ -68,8 +68,8 @@
     pub running: u32,
     /// Whether it says that it is cold.
     pub cold: bool,
-    /// Identity of its process; a new one means a restart.
-    pub start: u64,
+    /// Identity of its process, if it tells; a new one means a restart.
+    pub start: Option<u64>,
 }
 
 /// Size of a prompt, in bytes.
@@ -168,10 +168,15 @@
     /// Takes the endpoint over from an owner that admits nothing after `since` and whose
     /// work runs no longer than `age`.
     ///
-    /// Until a report shows what is left of that work, all slots count as taken.
+    /// Until a report shows what is left of that work, all slots count as taken. An
+    /// endpoint that bears its full limit when cold has nothing to wait for.
     pub fn take_over(&mut self, since: time::Tick, age: time::Millis) {
         self.turn_cold();
         self.before = None;
+        if self.limits.cold >= self.limits.warm {
+            self.inherited = None;
+            return;
+        }
         self.inherited = Some(Inherited { running: u32::MAX, since, until: since + SETTLE + age });
     }
 
@@ -290,9 +295,9 @@
 
     /// Takes in what the endpoint says of itself.
     pub fn report(&mut self, report: &Report) {
-        let restarted = self.start.is_some_and(|start| start != report.start);
-        let same = self.start == Some(report.start);
-        self.start = Some(report.start);
+        let restarted = self.start.is_some() && self.start != report.start;
+        let same = report.start.is_some() && self.start == report.start;
+        self.start = report.start;
         self.told_cold = report.cold;
         if restarted || (report.cold && self.limit > self.limits.cold) {
             self.turn_cold();
--- a/crates/ibishill-decide/src/prefix.rs
+++ b/crates/ibishill-decide/src/prefix.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ibishill_core::urgency::PrefixKey;
+use ibishill_core::prefix::PrefixKey;
 use ibishill_core::{id, time};
 
 /// Prefixes kept by one owner.
--- a/crates/ibishill-decide/src/queue.rs
+++ b/crates/ibishill-decide/src/queue.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ibishill_core::{id, outcome, time, urgency};
+use ibishill_core::{id, outcome, priority, time};
 
 use crate::admit;
 
@@ -73,22 +73,22 @@
         self.ranks.iter_mut().rev().find_map(VecDeque::pop_back)
     }
 
-    fn ahead(&self, priority: urgency::Priority) -> usize {
+    fn ahead(&self, priority: priority::Priority) -> usize {
         self.ranks[..=rank(priority)].iter().map(VecDeque::len).sum()
     }
 
-    fn remove(&mut self, priority: urgency::Priority, ticket: Ticket) -> Option<Entry> {
+    fn remove(&mut self, priority: priority::Priority, ticket: Ticket) -> Option<Entry> {
         let line = &mut self.ranks[rank(priority)];
         let at = line.iter().position(|entry| entry.ticket == ticket)?;
         line.remove(at)
     }
 }
 
-fn rank(priority: urgency::Priority) -> usize {
+fn rank(priority: priority::Priority) -> usize {
     match priority {
-        urgency::Priority::High => 0,
-        urgency::Priority::Normal => 1,
-        urgency::Priority::Low => 2,
+        priority::Priority::High => 0,
+        priority::Priority::Normal => 1,
+        priority::Priority::Low => 2,
     }
 }
 
@@ -97,7 +97,7 @@
 pub struct Queue {
     virtual_time: f64,
     lines: BTreeMap<id::WorkspaceId, Line>,
-    deadlines: BTreeMap<(time::Tick, Ticket), (id::WorkspaceId, urgency::Priority)>,
+    deadlines: BTreeMap<(time::Tick, Ticket), (id::WorkspaceId, priority::Priority)>,
 }
 
 impl Queue {
@@ -192,7 +192,7 @@
     // overtake by a few requests, which it pays for later.
     fn turn_of(&self, line: &Line) -> f64 {
         let start = line.finish.max(self.virtual_time);
-        let high = !line.ranks[rank(urgency::Priority::High)].is_empty();
+        let high = !line.ranks[rank(priority::Priority::High)].is_empty();
         if high { start - HIGH_CREDIT / line.weight } else { start }
     }
 
--- a/crates/ibishill-decide/tests/owner/choose.rs
+++ b/crates/ibishill-decide/tests/owner/choose.rs
@@ -1,6 +1,7 @@
 //! Expected time to the first token, and what is remembered of prefix caches.
 
-use ibishill_core::{time, urgency};
+use ibishill_core::prefix::PrefixKey;
+use ibishill_core::time;
 use ibishill_decide::{choose, prefix};
 
 use crate::support;
@@ -88,7 +89,7 @@
 fn lost_evictions_fade_and_memory_is_bounded() {
     let mut holders = prefix::Holders::default();
     let (first, second) = (support::name("a"), support::name("b"));
-    let key = urgency::PrefixKey(1);
+    let key = PrefixKey(1);
     holders.note(key, &first, prefix::Event::Stored, time::Tick(0));
     holders.note(key, &second, prefix::Event::Stored, time::Tick(0));
     let fresh = holders.hit(key, &first, time::Tick(0));
@@ -99,7 +100,7 @@
     holders.forget(&second);
     assert!(holders.hit(key, &second, time::Tick(1)) < f64::EPSILON);
     for n in 0..40_000 {
-        holders.note(urgency::PrefixKey(n), &first, prefix::Event::Stored, time::Tick(n));
+        holders.note(PrefixKey(n), &first, prefix::Event::Stored, time::Tick(n));
     }
     assert_eq!(holders.len(), prefix::PREFIXES_MAX);
 }
--- a/crates/ibishill-decide/tests/owner/cold.rs
+++ b/crates/ibishill-decide/tests/owner/cold.rs
@@ -98,7 +98,7 @@
         name: "new process",
         give: |gate| {
             gate.report(&support::report(1, 0));
-            gate.report(&cold::Report { start: 2, ..support::report(2, 0) });
+            gate.report(&cold::Report { start: Some(2), ..support::report(2, 0) });
         },
         cold: true,
     },
@@ -285,7 +285,7 @@
                     }, now);
                 },
                 Step::Report(cold, start) => {
-                    gate.report(&cold::Report { cold, start, ..support::report(now.0, 3) });
+                    gate.report(&cold::Report { cold, start: Some(start), ..support::report(now.0, 3) });
                 }
                 Step::TakeOver => gate.take_over(now, time::Millis(500)),
             }
--- a/crates/ibishill-decide/tests/owner/queue.rs
+++ b/crates/ibishill-decide/tests/owner/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ibishill_config::declared;
-use ibishill_core::{outcome, time, urgency};
+use ibishill_core::{outcome, priority, time};
 use ibishill_decide::{admit, cold, dispatch, queue};
 
 use crate::support;
@@ -45,7 +45,7 @@
 #[test]
 fn priority_orders_within_a_workspace_only() {
     let mut queue = queue::Queue::default();
-    let ranks = [urgency::Priority::Low, urgency::Priority::Normal, urgency::Priority::High];
+    let ranks = [priority::Priority::Low, priority::Priority::Normal, priority::Priority::High];
     for n in 0..30 {
         let mut job = support::job(n, "w", FAR);
         job.priority = ranks[n as usize % 3];
@@ -53,13 +53,13 @@
     }
     for n in 30..40 {
         let mut job = support::job(n, "small", FAR);
-        job.priority = urgency::Priority::Low;
+        job.priority = priority::Priority::Low;
         queue.offer(entry(n, job), 1, None, time::Tick(0));
     }
     let first = drain(&mut queue, 20);
     let own = |space: &str| first.iter().filter(|e| e.job.workspace.as_str() == space).count();
     assert_eq!((own("w"), own("small")), (10, 10));
-    let high = |e: &&queue::Entry| e.job.priority == urgency::Priority::High;
+    let high = |e: &&queue::Entry| e.job.priority == priority::Priority::High;
     assert_eq!(first.iter().filter(high).count(), 10);
 }
 
--- a/crates/ibishill-decide/tests/owner/support.rs
+++ b/crates/ibishill-decide/tests/owner/support.rs
@@ -1,7 +1,7 @@
 //! Configurations and jobs for tests of the owner.
 
 use ibishill_config::{change, declared, in_force, yaml};
-use ibishill_core::{id, time, urgency, view};
+use ibishill_core::{id, priority, time, view};
 use ibishill_decide::{admit, cold, plan};
 
 pub(crate) const PERIODS: admit::Periods =
@@ -65,14 +65,14 @@
         workspace: name(space),
         target: id::Target::Version(name("m@v1")),
         prefix: None,
-        priority: urgency::Priority::Normal,
+        priority: priority::Priority::Normal,
         prompt: Some(ibishill_decide::cold::Prompt(1_000)),
         deadline: time::Tick(deadline),
     }
 }
 
 pub(crate) fn report(taken: u64, running: u32) -> cold::Report {
-    cold::Report { taken: time::Tick(taken), running, cold: false, start: 1 }
+    cold::Report { taken: time::Tick(taken), running, cold: false, start: Some(1) }
 }
 
 // Reports every endpoint of `owner` as idle, so that a takeover ends.
--- a/crates/ibishill-peer/src/frame.rs
+++ b/crates/ibishill-peer/src/frame.rs
@@ -1,7 +1,7 @@
 //! Frames of a request's stream.
 
 use bytes::Bytes;
-use ibishill_core::{cost, id, outcome, repeat, time, urgency};
+use ibishill_core::{cost, header, id, outcome, prefix, priority, repeat, time};
 use serde::{Deserialize, Serialize};
 
 /// A request on its way from the entry daemon to the owner.
@@ -13,10 +13,6 @@
     pub workspace: id::WorkspaceId,
     /// What runs.
     pub target: id::Target,
-    /// Start of the messages, if there are any.
-    pub prefix: Option<urgency::PrefixKey>,
-    /// Its place within the workspace.
-    pub priority: urgency::Priority,
     /// Configuration version that the entry daemon decided under.
     pub config: u64,
     /// Time left until the deadline.
@@ -29,6 +25,12 @@
     pub path: String,
     /// Content type of the body.
     pub content: String,
+    /// Further headers that pass to the endpoint.
+    pub headers: Vec<header::Header>,
+    /// Start of the messages, if there are any.
+    pub prefix: Option<prefix::PrefixKey>,
+    /// Priority among other requests.
+    pub priority: priority::Priority,
     /// Whether the caller wants a stream.
     pub stream: bool,
     /// Whether the caller wants the usage event of a stream.
@@ -44,6 +46,10 @@
     pub status: u16,
     /// Content type.
     pub content: String,
+    /// Length of the body in bytes, if the endpoint told it.
+    pub length: Option<u64>,
+    /// Further headers that pass to the caller.
+    pub headers: Vec<header::Header>,
     /// The endpoint that answers.
     pub endpoint: id::EndpointId,
     /// The endpoint's zone.
