--- a/crates/ibishill/tests/processes/deployment.rs
+++ b/crates/ibishill/tests/processes/deployment.rs
@@ -1,23 +1,19 @@
 //! Support of the process tests: a platform, engines and daemons on loopback.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use ibishill_config::key;
 use ibishill_peer::tls;
+pub(crate) use ibishill_standin::port::free_address;
 use ibishill_standin::{engine, memory, platform};
 
 /// The key of the workspace that the tests declare.
 pub(crate) const KEY: &str = "demo-key";
 
-/// A free loopback address.
-pub(crate) fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// One daemon as a process; it is killed when dropped.
 pub(crate) struct Daemon {
     /// The process.
