--- /dev/null
+++ b/crates/ibishill-daemon/tests/router.rs
@@ -0,0 +1,94 @@
+//! The router thread: permits, the queue and the lease.
+
+use ibishill_config::{change, declared, in_force, yaml};
+use ibishill_core::{id, outcome, priority, time, view};
+use ibishill_daemon::{context, lease_clock, router};
+use ibishill_decide::{admit, plan};
+
+const DECLARED: &str = "
+zones: {z: {region: r}}
+versions: {m@v1: {prompt-price: 1, output-price: 1, quality: 0.9}}
+workspaces: {w: {keys: [], models: [m]}}
+endpoints:
+  e: {zone: z, address: '127.0.0.1:8000', versions: [m@v1], slots: 1, cold-slots: 1}
+";
+
+const FAR: time::Tick = time::Tick(u64::MAX);
+
+struct World {
+    cell: in_force::Cell,
+    lease: lease_clock::LeaseClock,
+    router: router::Handle,
+}
+
+fn world() -> World {
+    let cell = in_force::Cell::default();
+    let declared: declared::Declared = yaml::read("test", DECLARED).unwrap();
+    cell.raise(in_force::InForce { version: change::ConfigVersion(1), declared });
+    let views = context::ViewCell::default();
+    let peers = "127.0.0.1:7000".parse().unwrap();
+    let member = view::Member { vm: "vm".parse().unwrap(), peers };
+    let own = view::View { number: view::ViewNumber(1), members: vec![member] };
+    views.set(view::Views { zones: [("z".parse().unwrap(), own)].into() });
+    let lease = lease_clock::LeaseClock::default();
+    let periods = admit::Periods { lease: time::Millis(1_000), age: time::Millis(1_000) };
+    let place = plan::Place { vm: "vm".parse().unwrap(), zone: "z".parse().unwrap() };
+    let sources =
+        router::Sources { place, cell: cell.clone(), views, lease: lease.clone(), periods };
+    World { cell, lease, router: router::spawn(sources).unwrap() }
+}
+
+fn job(n: u32) -> admit::Job {
+    admit::Job {
+        request: format!("req-{n}").parse().unwrap(),
+        workspace: "w".parse().unwrap(),
+        target: id::Target::Version("m@v1".parse().unwrap()),
+        prefix: None,
+        priority: priority::Priority::Normal,
+        prompt: None,
+        deadline: FAR,
+    }
+}
+
+#[tokio::test]
+async fn without_a_lease_nothing_is_admitted() {
+    let world = world();
+    let refusal = world.router.admit(job(1)).await.unwrap_err();
+    assert_eq!(refusal.reason, outcome::Reason::NotReady);
+    world.lease.extend(FAR);
+    assert!(world.router.admit(job(2)).await.is_ok());
+    world.lease.end();
+    assert!(world.router.admit(job(3)).await.is_err());
+}
+
+#[tokio::test]
+async fn a_dropped_permit_lets_the_next_run() {
+    let world = world();
+    world.lease.extend(FAR);
+    let mut held = world.router.admit(job(0)).await.unwrap();
+    for n in 1..200 {
+        let next = world.router.admit(job(n));
+        tokio::pin!(next);
+        assert!(futures::poll!(&mut next).is_pending());
+        assert_eq!(world.router.status().await[0].running, 1);
+        drop(held);
+        held = next.await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn a_withdrawal_ends_the_wait() {
+    let world = world();
+    world.lease.extend(FAR);
+    let _held = world.router.admit(job(1)).await.unwrap();
+    let next = world.router.admit(job(2));
+    tokio::pin!(next);
+    assert!(futures::poll!(&mut next).is_pending());
+    let mut declared = world.cell.get().declared.clone();
+    let versions = declared.versions.values_mut();
+    versions.for_each(|version| version.state = declared::VersionState::Withdrawn);
+    world.cell.raise(in_force::InForce { version: change::ConfigVersion(2), declared });
+    let refusal = next.await.unwrap_err();
+    assert_eq!(refusal.reason, outcome::Reason::Withdrawn);
+    assert_eq!(refusal.outcome, outcome::Outcome::NotRun);
+}
