--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -3,6 +3,10 @@
 use crate::report;
 
 pub mod cascade;
+pub mod cold;
+pub mod decide;
+pub mod latency;
+pub mod overload;
 pub mod rollout;
 pub mod session;
 
@@ -19,6 +23,21 @@
 
 /// Every experiment, in order.
 pub const ALL: &[Experiment] = &[
+    Experiment {
+        name: "cold",
+        purpose: "cold starts: admissions over the limit, time to full service",
+        run: cold::run,
+    },
+    Experiment {
+        name: "latency",
+        purpose: "time to the first token and between tokens by way of choosing",
+        run: latency::run,
+    },
+    Experiment {
+        name: "overload",
+        purpose: "useful work, fair share and priority beyond capacity",
+        run: overload::run,
+    },
     Experiment {
         name: "cascade",
         purpose: "cost at the quality target of the choice between cheap and costly versions",
@@ -34,4 +53,5 @@
         purpose: "version changes of sessions over a roll-out, zone loss and VM replacement",
         run: session::run,
     },
+    Experiment { name: "decide", purpose: "processor time of one decision", run: decide::run },
 ];
--- a/crates/ibishill-bench/src/lib.rs
+++ b/crates/ibishill-bench/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod experiment;
 pub mod history;
+pub mod model;
 pub mod plot;
 pub mod report;
--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod header;
 pub mod id;
 pub mod outcome;
+pub mod prefix;
 pub mod priority;
 pub mod repeat;
 pub mod secret;
--- a/crates/ibishill-daemon/src/entry.rs
+++ b/crates/ibishill-daemon/src/entry.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use ibishill_core::prefix::PrefixKey;
 use ibishill_core::{clock, cost, event, header, id, outcome, priority, repeat, time};
-use ibishill_decide::plan;
+use ibishill_decide::{plan, prefix};
 use ibishill_peer::{error::LinkError, frame, link};
 use tokio::sync::mpsc;
 
@@ -180,6 +181,7 @@
         path: asked.path.clone(),
         content: asked.content.clone(),
         headers: asked.headers.clone(),
+        prefix: prefix(&body),
         priority: asked.priority,
         stream: asked.stream,
         show_usage: asked.show_usage,
@@ -187,6 +189,13 @@
     }
 }
 
+// The key of a chat request's messages; a plain service's body has none.
+fn prefix(body: &[u8]) -> Option<PrefixKey> {
+    const MESSAGES: &[u8] = b"\"messages\"";
+    let at = body.windows(MESSAGES.len()).position(|window| window == MESSAGES)?;
+    Some(prefix::key(&body[at..]))
+}
+
 async fn attempt(
     context: &Arc<context::Context>,
     route: &plan::Route,
--- a/crates/ibishill-daemon/src/lease_clock.rs
+++ b/crates/ibishill-daemon/src/lease_clock.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use ibishill_core::time;
+use ibishill_decide::admit;
 
 /// A shared place that holds the end of the lease; clones share it.
 #[derive(Debug, Clone, Default)]
@@ -21,4 +22,9 @@
     pub fn until(&self) -> time::Tick {
         time::Tick(self.until.load(Ordering::Acquire))
     }
+
+    /// The right to admit that the lease gives.
+    pub fn guard(&self) -> admit::Guard {
+        admit::Guard { until: self.until() }
+    }
 }
--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -1,15 +1,16 @@
 //! The owner's side of a request: admission, dispatch, and a verified answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use ibishill_core::{clock, event, header, id, outcome, time, view};
-use ibishill_decide::{admit, owner};
+use ibishill_decide::{admit, cold, owner};
 use ibishill_endpoint::{call, client, failure, sse};
 use ibishill_peer::frame;
 use tokio::sync::mpsc;
 
-use crate::context;
+use crate::{context, router};
 
 const FRAME_SLOTS: usize = 64;
 
@@ -22,13 +23,19 @@
 struct Frames {
     sender: mpsc::Sender<frame::Frame>,
     idle: time::Millis,
+    // Whether a frame was not taken.
+    lost: AtomicBool,
 }
 
 impl Frames {
     /// Sends a frame; returns whether it was taken in time.
     async fn send(&self, frame: frame::Frame) -> bool {
         let sent = tokio::time::timeout(self.idle.to_std(), self.sender.send(frame)).await;
-        matches!(sent, Ok(Ok(())))
+        let taken = matches!(sent, Ok(Ok(())));
+        if !taken {
+            self.lost.store(true, Ordering::Relaxed);
+        }
+        taken
     }
 }
 
@@ -38,7 +45,11 @@
 pub fn run(context: &Arc<context::Context>, work: frame::Work) -> mpsc::Receiver<frame::Frame> {
     let (sender, receiver) = mpsc::channel(FRAME_SLOTS);
     let context = Arc::clone(context);
-    let frames = Frames { sender: sender.clone(), idle: context.settings.limits.idle };
+    let frames = Frames {
+        sender: sender.clone(),
+        idle: context.settings.limits.idle,
+        lost: AtomicBool::new(false),
+    };
     let arrived = clock::boot_now();
     tokio::spawn(async move {
         // A receiver that is gone ends the work, and with it the endpoint's connection.
@@ -61,15 +72,25 @@
     arrived: time::Tick,
     frames: &Frames,
 ) -> Result<(), outcome::Refusal> {
+    let is_chat = matches!(work.target, id::Target::Version(_));
+    // A successor counts on the end of all work after this time.
+    let deadline = arrived + work.left.min(context.settings.limits.deadline);
+    let prompt = cold::Prompt(u32::try_from(work.body.len()).unwrap_or(u32::MAX));
     let job = admit::Job {
         request: work.request.clone(),
         workspace: work.workspace.clone(),
         target: work.target.clone(),
+        prefix: work.prefix,
+        priority: work.priority,
+        prompt: (is_chat && work.stream).then_some(prompt),
+        deadline,
     };
     let mut permit = context.router.admit(job).await?;
     check_standing(context, permit.admission())?;
     let address = permit.admission().address;
-    let left = work.left.less(clock::boot_now().since(arrived));
+    let now = clock::boot_now();
+    context.lease.guard().check(now)?;
+    let left = deadline.since(now);
     if left == time::Millis(0) {
         let detail = "the deadline passed before the request was dispatched";
         return Err(outcome::Refusal::not_run(outcome::Reason::Deadline, detail));
@@ -77,9 +98,10 @@
     let call = call(&work, left, context.settings.limits.idle);
     let endpoint = permit.admission().endpoint.clone();
     let sent = context.endpoints.send(address, call).await;
-    let answer = sent.map_err(|failure| failed(&endpoint, &failure))?;
-    let is_chat = matches!(work.target, id::Target::Version(_));
+    let answer = sent.map_err(|failure| failed(&mut permit, &failure))?;
+    permit.first();
     if is_chat && answer.status >= 500 {
+        permit.ended(cold::Answer::Bad);
         let detail = format!("endpoint {endpoint} answered with status {}", answer.status);
         return Err(outcome::Refusal::unknown(outcome::Reason::EndpointFailed, detail));
     }
@@ -100,10 +122,15 @@
         (true, false) => pass_whole(answer, context.settings.limits.answer, frames).await,
         (false, _) => pass_bytes(answer, frames).await,
     };
-    let end = passed.map_err(|failure| failed(&endpoint, &failure))?;
-    if is_good {
-        permit.good();
-    }
+    let end = passed.map_err(|failure| {
+        let refusal = failed(&mut permit, &failure);
+        // A receiver that left or stalls says nothing about the endpoint.
+        if frames.lost.load(Ordering::Relaxed) {
+            permit.ended(cold::Answer::Left);
+        }
+        refusal
+    })?;
+    permit.ended(if is_good { cold::Answer::Good } else { cold::Answer::Bad });
     let _taken = frames.send(frame::Frame::End(end)).await;
     Ok(())
 }
@@ -148,7 +175,15 @@
     }
 }
 
-fn failed(endpoint: &id::EndpointId, failure: &failure::Failure) -> outcome::Refusal {
+fn failed(permit: &mut router::Permit, failure: &failure::Failure) -> outcome::Refusal {
+    permit.ended(match failure {
+        failure::Failure::Unreachable { .. } | failure::Failure::Cut { .. } => cold::Answer::Cut,
+        failure::Failure::Late
+        | failure::Failure::Crossed { .. }
+        | failure::Failure::Unmarked
+        | failure::Failure::Fenced { .. } => cold::Answer::Bad,
+    });
+    let endpoint = &permit.admission().endpoint;
     let fields = [event::field("endpoint", endpoint), event::field("error", failure)];
     event::emit(event::Event::EndpointFailed, &fields);
     let detail = format!("endpoint {endpoint}: {failure}");
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -8,7 +8,7 @@
 
 use ibishill_config::{in_force, settings};
 use ibishill_core::{clock, event, view};
-use ibishill_decide::{plan, session};
+use ibishill_decide::{admit, plan, session};
 use ibishill_endpoint::client;
 use ibishill_peer::{link, server, tls};
 use ibishill_platform::{Platform, budget};
@@ -19,7 +19,7 @@
 use crate::error::{self, StartError};
 use crate::{
     config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics, operators,
-    ratings, rollouts, router, run,
+    ratings, reports, rollouts, router, run,
 };
 
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -71,8 +71,15 @@
     let cell = in_force::Cell::default();
     let views = context::ViewCell::default();
     let life = context::Life::default();
-    let router =
-        router::spawn(place.clone(), cell.clone(), views.clone()).context(error::ThreadSnafu)?;
+    let lease = lease_clock::LeaseClock::default();
+    let router = router::spawn(router::Sources {
+        place: place.clone(),
+        cell: cell.clone(),
+        views: views.clone(),
+        lease: lease.clone(),
+        periods: admit::Periods { lease: settings.periods.lease, age: settings.limits.deadline },
+    })
+    .context(error::ThreadSnafu)?;
     let ledger = ledger::spawn(&settings.vm, &platform.objects, settings.periods.billing)
         .context(error::ThreadSnafu)?;
     let endpoints =
@@ -85,7 +92,6 @@
         (socket, link)
     };
     let keeper = keeper(&settings, platform);
-    let lease = lease_clock::LeaseClock::default();
     let metrics = metrics::Metrics::new().map_err(|detail| StartError::Client { detail })?;
     let counters = rollouts::Counters::new(cell.clone());
     let ratings =
@@ -109,6 +115,7 @@
         sessions: session::Keys::new(settings.security.session_keys.clone()),
         metrics,
     });
+    reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
     let refresh =
         config_sync::spawn(context.log.clone(), cell, life.clone(), settings.periods.poll)
--- a/crates/ibishill-daemon/tests/decisions.rs
+++ b/crates/ibishill-daemon/tests/decisions.rs
@@ -63,7 +63,7 @@
             .sign(&"vm-1".parse().unwrap(), &"zone-a".parse().unwrap())
             .unwrap();
         let platform = memory.platform();
-        let log = log::Log::new(platform.table.clone());
+        let log = log::Log::new(&platform);
         let starting = move || start::start(settings(callers), &platform, &identity).unwrap();
         let daemon = tokio::task::spawn_blocking(starting).await.unwrap();
         let mut world = Self {
--- a/crates/ibishill-daemon/tests/http_callers/raw.rs
+++ b/crates/ibishill-daemon/tests/http_callers/raw.rs
@@ -35,13 +35,22 @@
     (address, seen)
 }
 
-/// Reads one request with a body of declared length.
+const LOAD: &str = "GET /v1/load ";
+
+/// Reads one request of a caller with a body of declared length; the owner's reads of the
+/// load are answered here and are no request.
 pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut text = Vec::new();
     loop {
         let shown = String::from_utf8_lossy(&text).into_owned();
         if let Some((head, body)) = shown.split_once("\r\n\r\n") {
             let length = header(head, "content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+            if shown.starts_with(LOAD) {
+                let none =
+                    b"HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+                let _sent = stream.write_all(none).await;
+                return None;
+            }
             if body.len() >= length {
                 return Some(shown);
             }
--- a/crates/ibishill-daemon/tests/http_callers/service.rs
+++ b/crates/ibishill-daemon/tests/http_callers/service.rs
@@ -171,10 +171,13 @@
     let accepted = Arc::clone(&opened);
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            accepted.fetch_add(1, Ordering::SeqCst);
-            let counted = Arc::clone(&counted);
+            let (accepted, counted) = (Arc::clone(&accepted), Arc::clone(&counted));
             tokio::spawn(async move {
+                let mut is_new = true;
                 while raw::read_request(&mut stream).await.is_some() {
+                    // Connections that carry a call.
+                    accepted.fetch_add(usize::from(is_new), Ordering::SeqCst);
+                    is_new = false;
                     if counted.fetch_add(1, Ordering::SeqCst) > 0 {
                         return;
                     }
--- a/crates/ibishill-daemon/tests/rollouts.rs
+++ b/crates/ibishill-daemon/tests/rollouts.rs
@@ -67,7 +67,7 @@
 impl Node {
     async fn start(vm: &str, memory: &memory::Memory) -> Self {
         let table = memory.platform().table;
-        let log = log::Log::new(table.clone());
+        let log = log::Log::new(&memory.platform());
         let cell = in_force::Cell::default();
         cell.raise(log.catch_up(&cell.get()).await.unwrap());
         let counters = rollouts::Counters::new(cell.clone());
@@ -146,7 +146,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn another_daemon_judges_what_a_lost_one_has_counted() {
     let memory = memory::Memory::new(1);
-    declare(&log::Log::new(memory.platform().table)).await;
+    declare(&log::Log::new(&memory.platform())).await;
     let first = Node::start("vm-1", &memory).await;
     // Too little of the stable version for a verdict.
     first.count(40);
@@ -167,7 +167,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answers_neither_stop_nor_double_a_halt() {
     let memory = memory::Memory::new(2);
-    declare(&log::Log::new(memory.platform().table)).await;
+    declare(&log::Log::new(&memory.platform())).await;
     let node = Node::start("vm-1", &memory).await;
     let faults = memory::Faults { lose_after: 0.3, lose_before: 0.2, ..Default::default() };
     memory.set_faults(faults);
@@ -182,7 +182,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_of_an_operator_is_not_overwritten() {
     let memory = memory::Memory::new(3);
-    let log = log::Log::new(memory.platform().table);
+    let log = log::Log::new(&memory.platform());
     declare(&log).await;
     // The daemon still has the roll-out as running when the operator has ended it.
     let node = Node::start("vm-1", &memory).await;
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -4,11 +4,16 @@
 //! drive the same code as the daemon.
 
 pub mod admit;
+pub mod baseline;
 pub mod cascade;
 pub mod choose;
 pub mod cohort;
 pub mod cold;
+pub mod dispatch;
+pub mod index;
 pub mod owner;
 pub mod plan;
+pub mod prefix;
+pub mod queue;
 pub mod rollout;
 pub mod session;
--- a/crates/ibishill-endpoint/src/wire.rs
+++ b/crates/ibishill-endpoint/src/wire.rs
@@ -56,6 +56,9 @@
     pub waiting: u32,
     /// Whether the engine is in a cold start.
     pub cold: bool,
+    /// Identity of the engine's process, if it tells.
+    #[serde(default)]
+    pub start: Option<u64>,
 }
 
 /// Hash of a block of a prompt together with all blocks before it.
--- a/crates/ibishill-peer/src/frame.rs
+++ b/crates/ibishill-peer/src/frame.rs
@@ -1,7 +1,7 @@
 //! Frames of a stream: requests with their answers, heartbeats, configuration.
 
 use bytes::Bytes;
-use ibishill_core::{cost, header, id, outcome, priority, repeat, time, view};
+use ibishill_core::{cost, header, id, outcome, prefix, priority, repeat, time, view};
 use serde::{Deserialize, Serialize};
 
 /// A request on its way from the entry daemon to the owner.
@@ -27,6 +27,8 @@
     pub content: String,
     /// Further headers that pass to the endpoint.
     pub headers: Vec<header::Header>,
+    /// Start of the messages, if there are any.
+    pub prefix: Option<prefix::PrefixKey>,
     /// Priority among other requests.
     pub priority: priority::Priority,
     /// Whether the caller wants a stream.
--- a/crates/ibishill-standin/src/engine/model.rs
+++ b/crates/ibishill-standin/src/engine/model.rs
@@ -364,6 +364,7 @@
             running: small(self.batch.len() as u64),
             waiting: small(self.waiting.len() as u64),
             cold: self.cold,
+            start: Some(0),
         };
         self.reports.push_back((now, report));
         let seen = now.saturating_sub(self.settings.report_lag);
