feat(callers): claims before dispatch, replays to later copies, stops that flush

Claims and the ledger stood beside the callers' path: a booking sent twice ran twice, and a stop during an outage lost billing records and refusal counts.

Calls with an idempotency key that are not declared safe, and chat, are claimed before dispatch; copies get the kept answer, or a true statement of what is known. The ticket travels with the question, so a claim won for a caller that has left is given back. Reasons already-ran and copy-unknown are new. A stop retries endings, records and counts for up to 10 s each.

--- a/crates/ibishill-core/src/outcome.rs
+++ b/crates/ibishill-core/src/outcome.rs
@@ -64,6 +64,10 @@
     InProgress,
     /// The idempotency key was used with a different request.
     KeyReused,
+    /// Another copy with the same idempotency key ran, and its answer is not kept.
+    AlreadyRan,
+    /// Another copy with the same idempotency key may have run.
+    CopyUnknown,
     /// The retry budget is spent.
     RetryBudget,
 }
@@ -88,6 +92,8 @@
             Self::ClaimUnavailable => "claim-unavailable",
             Self::InProgress => "in-progress",
             Self::KeyReused => "key-reused",
+            Self::AlreadyRan => "already-ran",
+            Self::CopyUnknown => "copy-unknown",
             Self::RetryBudget => "retry-budget",
         })
     }
@@ -115,6 +121,14 @@
         Self { outcome: Outcome::NotRun, reason, retry_after: None, detail: detail.into() }
     }
 
+    /// Makes a refusal of a request that a copy of it has run.
+    pub fn ran<D>(reason: Reason, detail: D) -> Self
+    where
+        D: Into<String>,
+    {
+        Self { outcome: Outcome::Ran, reason, retry_after: None, detail: detail.into() }
+    }
+
     /// Makes a refusal of a request that may have run.
     pub fn unknown<D>(reason: Reason, detail: D) -> Self
     where
--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -11,7 +11,7 @@
 
 use ibishill_state::{lease::standing, log};
 
-use crate::{heartbeat, lease_clock, ledger, metrics, ratings, rollouts, router};
+use crate::{claims, heartbeat, lease_clock, ledger, metrics, ratings, rollouts, router};
 
 /// The views in force; they are replaced as a whole.
 #[derive(Debug, Clone, Default)]
@@ -136,6 +136,8 @@
     pub life: Life,
     /// The router thread.
     pub router: router::Handle,
+    /// Claims of calls that may not be repeated.
+    pub claims: claims::Handle,
     /// Billing and refusals.
     pub ledger: ledger::Handle,
     /// Client of endpoints.
--- a/crates/ibishill-daemon/src/http.rs
+++ b/crates/ibishill-daemon/src/http.rs
@@ -6,6 +6,7 @@
 pub mod form;
 mod health;
 mod models;
+mod once;
 mod pin;
 mod reply;
 mod run;
--- a/crates/ibishill-daemon/src/http/chat.rs
+++ b/crates/ibishill-daemon/src/http/chat.rs
@@ -1,5 +1,6 @@
 //! Chat completions, streamed and whole.
 
+use bytes::Bytes;
 use ibishill_core::{id, outcome, repeat};
 use rocket::data::Data;
 use rocket::{State, post};
@@ -19,7 +20,11 @@
     let refuse = |refusal| caller.refused(context, refusal);
     let mut run = run::Run::begin(context, &caller).map_err(refuse)?;
     let asked = ask(context, &caller, data).await;
-    let (body, asked) = asked.map_err(|refusal| run.refused(refusal, 0))?;
+    let (body, bytes, mut asked) = asked.map_err(|refusal| run.refused(refusal, 0))?;
+    if let Err(stop) = run.claim(&asked, &bytes).await {
+        return run.stop(stop);
+    }
+    asked.left = caller.left().map_err(|refusal| run.refused(refusal, 0))?;
     run.wants(&asked.wanted);
     let engine = |target: &id::Target| body.for_engine(target);
     if !asked.stream {
@@ -30,7 +35,7 @@
     let started = cascade::stream(context, &asked, body.messages(), engine).await;
     let (mut answer, listener) =
         started.map_err(|given_up| run.refused(given_up.refusal, given_up.attempts))?;
-    run.answered();
+    run.answered(&answer.head, &answer.target);
     let facts = run.facts(&answer.head, &answer.target, answer.attempts);
     if answer.head.status == 200 {
         let chunks = stream::pass(run, answer, stream::Cut::Event, Some(listener));
@@ -43,7 +48,8 @@
 }
 
 fn give(mut run: run::Run, whole: cascade::Whole) -> reply::Reply {
-    run.answered();
+    run.answered(&whole.head, &whole.target);
+    run.heard(&whole.body);
     let facts = run.facts(&whole.head, &whole.target, whole.attempts);
     run.spent(whole.earlier);
     run.ran(&whole.target, whole.usage);
@@ -54,7 +60,7 @@
     context: &Shared,
     caller: &auth::Caller,
     data: Data<'_>,
-) -> Result<(form::Body, entry::Asked), outcome::Refusal> {
+) -> Result<(form::Body, Bytes, entry::Asked), outcome::Refusal> {
     let bytes = body::read(context, caller, data).await?;
     let body = form::Body::read(&bytes)?;
     let wanted = form::wanted(&body.known.model)?;
@@ -76,5 +82,5 @@
         stream: body.known.stream,
         show_usage: options.is_some_and(|options| options.include_usage),
     };
-    Ok((body, asked))
+    Ok((body, bytes, asked))
 }
--- a/crates/ibishill-daemon/src/http/reply.rs
+++ b/crates/ibishill-daemon/src/http/reply.rs
@@ -81,6 +81,8 @@
 // A client may repeat what other statuses refuse, so an unknown outcome never shows them.
 fn status(refusal: &outcome::Refusal) -> Status {
     match (refusal.outcome, refusal.reason) {
+        // A repeat under the same key can't run twice.
+        (outcome::Outcome::Unknown, outcome::Reason::InProgress) => Status::Conflict,
         (outcome::Outcome::Unknown, outcome::Reason::Deadline) => Status::GatewayTimeout,
         (outcome::Outcome::Unknown, _) => Status::BadGateway,
         (_, reason) => refused_status(reason),
@@ -97,11 +99,11 @@
         Reason::NotAllowed => Status::Forbidden,
         Reason::NotFound => Status::NotFound,
         Reason::Withdrawn => Status::Gone,
-        Reason::InProgress => Status::Conflict,
+        Reason::InProgress | Reason::AlreadyRan => Status::Conflict,
         Reason::KeyReused => Status::UnprocessableEntity,
         Reason::Overloaded | Reason::RetryBudget => Status::TooManyRequests,
         Reason::Deadline => Status::GatewayTimeout,
-        Reason::EndpointFailed | Reason::PeerLost => Status::BadGateway,
+        Reason::EndpointFailed | Reason::PeerLost | Reason::CopyUnknown => Status::BadGateway,
         Reason::NoEndpoint | Reason::Stopping | Reason::NotReady | Reason::ClaimUnavailable => {
             Status::ServiceUnavailable
         }
@@ -163,6 +165,8 @@
     pub(crate) length: Option<u64>,
     /// Headers of the endpoint that pass to the caller.
     pub(crate) headers: Vec<header::Header>,
+    /// The earlier copy whose answer this is.
+    pub(crate) replayed: Option<id::RequestId>,
 }
 
 /// A whole body; its request counts as running until the body is dropped.
@@ -218,6 +222,10 @@
             response.set_header(Header::new("x-ibishill-session-token", pin.token));
             response.set_header(Header::new("x-ibishill-session-pin", pin.state.to_string()));
         }
+        if let Some(earlier) = facts.replayed {
+            response.set_header(Header::new("x-ibishill-replayed", "true"));
+            response.set_header(Header::new("x-ibishill-replayed-request", earlier.to_string()));
+        }
         match facts.target {
             id::Target::Version(version) => {
                 response.set_header(Header::new("x-ibishill-model", version.model.to_string()));
--- a/crates/ibishill-daemon/src/http/run.rs
+++ b/crates/ibishill-daemon/src/http/run.rs
@@ -7,9 +7,9 @@
 use ibishill_peer::frame;
 use ibishill_state::billing;
 
-use super::{Shared, auth, pin, reply};
+use super::{Shared, auth, once, pin, reply};
 use crate::entry::cascade;
-use crate::{context, ledger};
+use crate::{context, entry, ledger};
 
 const TOKENS_PER_PRICE: u64 = 1_000;
 const RETRY_WHEN_FULL: time::Millis = time::Millis::from_secs(1);
@@ -21,6 +21,7 @@
     wanted: Option<plan::Wanted>,
     earlier: Vec<cascade::Spent>,
     slot: Option<ledger::Slot>,
+    once: Option<Box<once::Once>>,
     has_begun: bool,
     has_ended: bool,
     _running: context::Running,
@@ -50,14 +51,64 @@
             wanted: None,
             earlier: Vec::new(),
             slot: Some(slot),
+            once: None,
             has_begun: false,
             has_ended: false,
             _running: running,
         })
     }
 
+    /// Claims a call that must not run twice, if it is one.
+    ///
+    /// # Errors
+    ///
+    /// The call must not be dispatched: a copy of it has run, runs or may have run, or
+    /// that is not known.
+    pub(crate) async fn claim(
+        &mut self,
+        asked: &entry::Asked,
+        body: &[u8],
+    ) -> Result<(), once::Stop> {
+        self.once = once::claim(&self.context, asked, body).await?.map(Box::new);
+        Ok(())
+    }
+
+    /// Answers a copy with the answer of the call that ran, or refuses it.
+    pub(crate) fn stop(mut self, stop: once::Stop) -> Result<reply::Reply, reply::Refused> {
+        let replay = match stop {
+            once::Stop::Refused(refusal) => return Err(self.refused(refusal, 0)),
+            once::Stop::Replay(replay) => replay,
+        };
+        self.has_ended = true;
+        self.context.metrics.ended(outcome::Outcome::Ran, None);
+        let request = self.caller.request.clone();
+        let facts = reply::Facts {
+            request,
+            target: replay.answer.target,
+            zone: replay.answer.zone,
+            attempts: 0,
+            status: replay.answer.status,
+            content: replay.answer.content,
+            length: None,
+            headers: replay.answer.headers,
+            session: None,
+            replayed: Some(replay.request),
+        };
+        Ok(reply::Reply::Whole(facts, reply::Held::new(replay.body, self)))
+    }
+
+    /// Notes a part of the answer.
+    pub(crate) fn heard(&mut self, chunk: &[u8]) {
+        if let Some(once) = &mut self.once {
+            once.heard(chunk);
+        }
+    }
+
     /// Notes that the answer has begun: from now on the request's end is counted here.
-    pub(crate) fn answered(&mut self) {
+    pub(crate) fn answered(&mut self, head: &frame::Head, target: &id::Target) {
+        if let Some(once) = &mut self.once {
+            once.answered(head, target);
+        }
         self.has_begun = true;
         self.context.metrics.first_byte(reply::seconds_since(self.caller.arrived));
     }
@@ -75,6 +126,9 @@
     /// Bills a request that ran.
     pub(crate) fn ran(&mut self, target: &id::Target, usage: cost::Usage) {
         self.has_ended = true;
+        if let Some(once) = self.once.take() {
+            once.ran();
+        }
         self.context.metrics.ended(outcome::Outcome::Ran, None);
         let record = billing::Record {
             request: self.caller.request.clone(),
@@ -93,6 +147,9 @@
     /// Counts a request that was given up.
     pub(crate) fn refused(&mut self, refusal: outcome::Refusal, attempts: u32) -> reply::Refused {
         self.has_ended = true;
+        if let Some(once) = self.once.take() {
+            once.refused(&refusal);
+        }
         let workspace = Some(self.caller.workspace.clone());
         let refused = reply::Refused::new(&self.context, &self.caller.request, workspace, refusal);
         refused.attempts(attempts)
@@ -116,6 +173,7 @@
             session: self.wanted.as_ref().and_then(pin),
             length: None,
             headers: head.headers.clone(),
+            replayed: None,
         }
     }
 
--- a/crates/ibishill-daemon/src/http/service.rs
+++ b/crates/ibishill-daemon/src/http/service.rs
@@ -64,11 +64,14 @@
     let asked = asked(context, caller, request).map_err(|refusal| run.refused(refusal, 0))?;
     let read = body::read(context, caller, data).await;
     let body = read.map_err(|refusal| run.refused(refusal, 0))?;
+    if let Err(stop) = run.claim(&asked, &body).await {
+        return run.stop(stop);
+    }
     let left = caller.left().map_err(|refusal| run.refused(refusal, 0))?;
     let asked = entry::Asked { left, ..asked };
     let started = entry::start(context, &asked, |_| body.clone()).await;
     let answer = started.map_err(|given_up| run.refused(given_up.refusal, given_up.attempts))?;
-    run.answered();
+    run.answered(&answer.head, &answer.target);
     pass(request.method(), run, answer).await
 }
 
--- a/crates/ibishill-daemon/src/http/stream.rs
+++ b/crates/ibishill-daemon/src/http/stream.rs
@@ -64,6 +64,7 @@
         };
         match next {
             entry::Next::Chunk(chunk) => {
+                run.heard(&chunk);
                 if let Some(listener) = &mut listener {
                     listener.hear(&chunk);
                 }
@@ -113,7 +114,10 @@
     let mut body = Vec::new();
     loop {
         match answer.next().await {
-            entry::Next::Chunk(chunk) => body.extend_from_slice(&chunk),
+            entry::Next::Chunk(chunk) => {
+                run.heard(&chunk);
+                body.extend_from_slice(&chunk);
+            }
             entry::Next::End(usage) => {
                 run.ran(&answer.target, usage);
                 return Ok(Bytes::from(body));
--- a/crates/ibishill-daemon/src/ledger.rs
+++ b/crates/ibishill-daemon/src/ledger.rs
@@ -1,8 +1,10 @@
 //! Billing records and refusal counts on their way to the platform.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 use ibishill_core::{clock, event, id, outcome, time};
 use ibishill_platform::object;
@@ -11,6 +13,7 @@
 
 const RECORD_SLOTS: usize = 16_384;
 const BATCH_MAX: usize = 4_096;
+const DRAIN_PAUSE: Duration = Duration::from_millis(100);
 
 type Cells = Arc<Mutex<BTreeMap<refusal::Minute, u64>>>;
 
@@ -21,6 +24,8 @@
     cells: Cells,
     flush: Arc<Notify>,
     flushed: Arc<Notify>,
+    // Whether the last flush has left nothing behind.
+    is_written: Arc<AtomicBool>,
 }
 
 /// A slot for the billing record of one request, reserved before it runs.
@@ -64,6 +69,21 @@
         self.flush.notify_one();
         done.await;
     }
+
+    /// Writes all that waits, again and again until it is written or the time is over;
+    /// returns whether all is written.
+    pub async fn drain(&self, within: time::Millis) -> bool {
+        let written = async {
+            loop {
+                self.flush().await;
+                if self.is_written.load(Ordering::Acquire) {
+                    return;
+                }
+                tokio::time::sleep(DRAIN_PAUSE).await;
+            }
+        };
+        tokio::time::timeout(within.to_std(), written).await.is_ok()
+    }
 }
 
 /// Starts the thread.
@@ -77,8 +97,13 @@
     period: time::Millis,
 ) -> std::io::Result<Handle> {
     let (records, inbox) = mpsc::channel(RECORD_SLOTS);
-    let handle =
-        Handle { records, cells: Cells::default(), flush: Arc::default(), flushed: Arc::default() };
+    let handle = Handle {
+        records,
+        cells: Cells::default(),
+        flush: Arc::default(),
+        flushed: Arc::default(),
+        is_written: Arc::default(),
+    };
     // Names differ between two lives of a VM, so that no batch hides another.
     let first = clock::wall_now().0 << 16;
     let ledger = Ledger {
@@ -86,6 +111,7 @@
         billing: billing::Billing::new(objects.clone()),
         refusals: refusal::Refusals::new(objects.clone()),
         cells: Arc::clone(&handle.cells),
+        is_written: Arc::clone(&handle.is_written),
         serial: first,
         batch: Vec::new(),
         counts: Vec::new(),
@@ -103,6 +129,7 @@
     billing: billing::Billing,
     refusals: refusal::Refusals,
     cells: Cells,
+    is_written: Arc<AtomicBool>,
     serial: u64,
     batch: Vec<billing::Record>,
     counts: Vec<refusal::Count>,
@@ -123,6 +150,8 @@
             };
             self.write_records(&mut inbox).await;
             self.write_counts().await;
+            let is_written = self.batch.is_empty() && self.counts.is_empty();
+            self.is_written.store(is_written, Ordering::Release);
             if asked {
                 flushed.notify_waiters();
             }
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -7,23 +7,29 @@
 use std::time::Duration;
 
 use ibishill_config::{in_force, settings};
-use ibishill_core::{clock, event, view};
+use ibishill_core::{clock, event, time, view};
 use ibishill_decide::{admit, plan, session};
 use ibishill_endpoint::client;
 use ibishill_peer::{link, server, tls};
 use ibishill_platform::{Platform, budget};
 use ibishill_state::lease::{self, keeper};
-use ibishill_state::log;
+use ibishill_state::{claim, log};
 use snafu::ResultExt;
 
 use crate::error::{self, StartError};
 use crate::{
-    config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics, operators,
-    ratings, reports, rollouts, router, run,
+    claims, config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics,
+    operators, ratings, reports, rollouts, router, run,
 };
 
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// Longest wait of a stop for billing records and refusal counts.
+const FLUSH_LIMIT: time::Millis = time::Millis::from_secs(10);
+
+/// Longest wait of a stop for endings of claims.
+const SETTLE_LIMIT: time::Millis = time::Millis::from_secs(10);
+
 /// A running daemon.
 pub struct Daemon {
     /// What its duties share.
@@ -82,6 +88,8 @@
     .context(error::ThreadSnafu)?;
     let ledger = ledger::spawn(&settings.vm, &platform.objects, settings.periods.billing)
         .context(error::ThreadSnafu)?;
+    let claims = claim::Claims::new(platform.table.clone(), claim::Spans::default());
+    let claims = claims::spawn(claims).context(error::ThreadSnafu)?;
     let endpoints =
         client::Client::new().map_err(|error| StartError::Client { detail: error.to_string() })?;
     let peers = duty_runtime("peers", 2).context(error::ThreadSnafu)?;
@@ -107,6 +115,7 @@
         peers: heartbeat::Peers::default(),
         life: life.clone(),
         router,
+        claims,
         ledger,
         endpoints,
         link,
@@ -247,7 +256,12 @@
         while life.running() > 0 {
             tokio::time::sleep(STOP_POLL).await;
         }
-        self.context.ledger.flush().await;
+        if !self.context.claims.drained(SETTLE_LIMIT).await {
+            event::emit(event::Event::ClaimDelayed, &[event::field("error", &"stopping")]);
+        }
+        if !self.context.ledger.drain(FLUSH_LIMIT).await {
+            event::emit(event::Event::BillingDelayed, &[event::field("error", &"stopping")]);
+        }
         self.callers.notify();
         self.socket.close(quinn::VarInt::from_u32(0), b"stopping");
         let _lapses = tokio::task::spawn_blocking(move || self.membership.join()).await;
--- a/crates/ibishill-daemon/tests/http_callers.rs
+++ b/crates/ibishill-daemon/tests/http_callers.rs
@@ -4,6 +4,7 @@
     pub(crate) mod bad_input;
     pub(crate) mod chat;
     pub(crate) mod deployment;
+    pub(crate) mod once;
     pub(crate) mod owner;
     pub(crate) mod raw;
     pub(crate) mod service;
--- a/crates/ibishill-daemon/tests/http_callers/chat.rs
+++ b/crates/ibishill-daemon/tests/http_callers/chat.rs
@@ -2,7 +2,7 @@
 
 use futures::StreamExt;
 use ibishill_core::outcome;
-use ibishill_standin::engine;
+use ibishill_standin::{engine, memory};
 
 use super::{deployment, raw};
 
@@ -131,6 +131,29 @@
     assert_eq!(deployment.all_refused().await, 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_during_an_outage_writes_billing_and_refusals_once_it_is_over() {
+    let (_engine, address) = deployment::engine(Default::default());
+    let mut deployment =
+        deployment::Setup { near: Some(address), ..Default::default() }.start().await;
+    deployment.memory.set_faults(memory::Faults { outage: true, ..Default::default() });
+    assert_eq!(deployment.chat("assistant", false).send().await.unwrap().status(), 200);
+    assert_eq!(deployment.chat("secret", false).send().await.unwrap().status(), 403);
+    // The first flush fails, and keeps what it could not write.
+    deployment.daemons[0].context.ledger.flush().await;
+    let stopping = tokio::spawn(deployment.daemons.remove(0).stop());
+    let failed = deployment.memory.counts().writes;
+    deployment::until("the stop has tried to write", || async {
+        deployment.memory.counts().writes > failed + 1
+    })
+    .await;
+    deployment.memory.set_faults(memory::Faults::default());
+    stopping.await.unwrap();
+    let billed = deployment.billed().await;
+    assert_eq!(billed.values().map(|total| total.requests).collect::<Vec<_>>(), [1]);
+    assert_eq!(deployment.kept_refusals().await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_waits_for_streams_and_billing() {
     let behaviour = engine::Behaviour { tokens: 60, ..Default::default() };
--- a/crates/ibishill-daemon/tests/http_callers/deployment.rs
+++ b/crates/ibishill-daemon/tests/http_callers/deployment.rs
@@ -1,5 +1,6 @@
 //! Support: daemons, a platform in memory, and endpoints on loopback.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,11 +11,14 @@
 use ibishill_platform::Platform;
 pub(crate) use ibishill_standin::port::free_address;
 use ibishill_standin::{engine, memory};
-use ibishill_state::{log, refusal};
+use ibishill_state::{billing, log, refusal};
 
 /// The key of the workspace that every test declares.
 pub(crate) const KEY: &str = "demo-key";
 
+/// The key of a second workspace, which may use the same services and models.
+pub(crate) const RIVAL: &str = "rival-key";
+
 /// Longer than a test takes.
 const TEST_TIME: time::Millis = time::Millis::from_secs(600);
 
@@ -32,6 +36,8 @@
     pub(crate) daemons: Vec<start::Daemon>,
     /// Signs further identities.
     pub(crate) authority: tls::Authority,
+    /// What the platform keeps, with its faults.
+    pub(crate) memory: memory::Memory,
     platform: Platform,
     http: reqwest::Client,
 }
@@ -54,6 +60,7 @@
 impl Setup {
     fn document(&self) -> String {
         let hash = key::KeyHash::of(KEY.as_bytes());
+        let rival = key::KeyHash::of(RIVAL.as_bytes());
         let mut endpoints = String::new();
         let mut add = |name: &str, zone: &str, address: Option<SocketAddr>, runs: &str| {
             let address = address.unwrap_or_else(free_address);
@@ -72,6 +79,7 @@
   secret@v1: {{prompt-price: 1, output-price: 1, quality: 0.95}}
 workspaces:
   demo: {{keys: [{hash}], models: [assistant], services: [ledger]}}
+  rival: {{keys: [{rival}], models: [assistant], services: [ledger]}}
 services:
   ledger: {{calls: [{{method: GET, path: /read, repeat: safe}}]}}
   other: {{}}
@@ -82,7 +90,8 @@
 
     /// Starts one daemon, and a second one in zone-b if there is a far engine.
     pub(crate) async fn start(self) -> Deployment {
-        let platform = memory::Memory::new(1).platform();
+        let memory = memory::Memory::new(1);
+        let platform = memory.platform();
         let declared: declared::Declared = yaml::read("test.yaml", &self.document()).unwrap();
         let order = log::Order {
             id: "first".parse().unwrap(),
@@ -105,7 +114,7 @@
             daemons.push(tokio::task::spawn_blocking(starting).await.unwrap().unwrap());
         }
         let http = reqwest::Client::builder().no_proxy().build().unwrap();
-        let deployment = Deployment { daemons, authority, platform, http };
+        let deployment = Deployment { daemons, authority, memory, platform, http };
         let views = || deployment.daemons[0].context.views.get();
         let is_complete = || {
             let zones = views().zones.values().filter(|v| !v.members.is_empty()).count();
@@ -146,8 +155,27 @@
 
     /// A request with the workspace's key.
     pub(crate) fn request(&self, method: reqwest::Method, path: &str) -> reqwest::RequestBuilder {
-        let url = format!("http://{}{path}", self.callers());
-        self.http.request(method, url).bearer_auth(KEY)
+        self.request_at(0, KEY, method, path)
+    }
+
+    /// A request of a workspace to one of the daemons.
+    pub(crate) fn request_at(
+        &self,
+        daemon: usize,
+        key: &str,
+        method: reqwest::Method,
+        path: &str,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.daemons[daemon].context.settings.callers);
+        self.http.request(method, url).bearer_auth(key)
+    }
+
+    /// What is billed, as the platform has it.
+    pub(crate) async fn billed(&self) -> BTreeMap<billing::Line, billing::Total> {
+        for daemon in &self.daemons {
+            daemon.context.ledger.flush().await;
+        }
+        billing::Billing::new(self.platform.objects.clone()).totals().await.unwrap()
     }
 
     /// A chat request.
@@ -169,6 +197,11 @@
     /// All refusals, as the platform has them.
     pub(crate) async fn all_refused(&self) -> u64 {
         self.daemons[0].context.ledger.flush().await;
+        self.kept_refusals().await
+    }
+
+    /// All refusals that the platform has already.
+    pub(crate) async fn kept_refusals(&self) -> u64 {
         let refusals = refusal::Refusals::new(self.platform.objects.clone());
         refusals.read().await.unwrap().values().sum()
     }
--- a/crates/ibishill-standin/src/memory.rs
+++ b/crates/ibishill-standin/src/memory.rs
@@ -20,6 +20,10 @@
     pub lose_after: f64,
     /// Chance that a call is lost before it takes effect.
     pub lose_before: f64,
+    /// Chance that an answer is lost and its call takes effect later.
+    pub late: f64,
+    /// Longest time from a lost answer to its late effect, in milliseconds.
+    pub late_ms: u64,
     /// Longest delay of a call, in milliseconds.
     pub delay_ms: u64,
     /// Longest time that a read of rows lags behind, in milliseconds.
@@ -61,6 +65,7 @@
     Normal,
     LostBefore,
     LostAfter,
+    LostLate(Duration),
 }
 
 impl Memory {
@@ -124,11 +129,15 @@
             let longest = data.faults.delay_ms;
             let delay = data.rng.random_range(0..=longest);
             let (before, after) = (data.faults.lose_before, data.faults.lose_after);
+            let (late, late_ms) = (data.faults.late, data.faults.late_ms);
             let draw: f64 = data.rng.random();
             let fate = if draw < before {
                 Fate::LostBefore
             } else if draw < before + after {
                 Fate::LostAfter
+            } else if draw < before + after + late {
+                let wait = data.rng.random_range(0..=late_ms);
+                Fate::LostLate(Duration::from_millis(wait))
             } else {
                 Fate::Normal
             };
@@ -145,7 +154,7 @@
 
     async fn call<O, W>(&self, write: bool, work: W) -> Result<O, failure::Failure>
     where
-        W: FnOnce(&mut Data) -> Result<O, failure::Failure>,
+        W: FnOnce(&mut Data) -> Result<O, failure::Failure> + Send + 'static,
     {
         let lost = || failure::Failure::Unknown { detail: "answer lost".into() };
         match self.arrive(write).await? {
@@ -155,6 +164,14 @@
                 let _answer = work(&mut self.lock());
                 Err(lost())
             }
+            Fate::LostLate(wait) => {
+                let memory = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(wait).await;
+                    let _answer = work(&mut memory.lock());
+                });
+                Err(lost())
+            }
         }
     }
 
@@ -191,7 +208,7 @@
     ///
     /// As the platform's object store does.
     pub async fn get(&self, name: String) -> Result<Option<String>, failure::Failure> {
-        self.call(false, |data| Ok(data.objects.get(&name).cloned())).await
+        self.call(false, move |data| Ok(data.objects.get(&name).cloned())).await
     }
 
     /// Lists objects, subject to the faults.
@@ -200,7 +217,7 @@
     ///
     /// As the platform's object store does.
     pub async fn list(&self, prefix: String) -> Result<Vec<String>, failure::Failure> {
-        self.call(false, |data| Ok(data.list(&prefix))).await
+        self.call(false, move |data| Ok(data.list(&prefix))).await
     }
 
     /// Lists the VMs, subject to the faults.
@@ -221,7 +238,7 @@
         &self,
         question: rating::Question,
     ) -> Result<rating::Rating, failure::Failure> {
-        self.call(false, |_| {
+        self.call(false, move |_| {
             let accepted = !question.answer.is_empty() && !question.answer.contains("(bad)");
             Ok(rating::Rating { score: if accepted { 1.0 } else { 0.0 }, accepted })
         })
--- a/crates/ibishill-state/src/claim.rs
+++ b/crates/ibishill-state/src/claim.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use ibishill_core::{id, outcome, time};
+use ibishill_core::{header, id, outcome, time};
 use ibishill_platform::{failure, table};
 use serde::{Deserialize, Serialize};
 use sha2::Digest;
@@ -84,11 +84,24 @@
     pub request: id::RequestId,
     /// Whether it ran, or may have.
     pub outcome: outcome::Outcome,
-    /// HTTP status of the answer; 0 if there was none.
+    /// The answer, if it was whole.
+    pub answer: Option<Answer>,
+}
+
+/// What is kept of a whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// What ran.
+    pub target: id::Target,
+    /// Where it ran.
+    pub zone: id::ZoneId,
+    /// HTTP status.
     pub status: u16,
-    /// Content type of the answer.
+    /// Content type.
     pub content: String,
-    /// The answer, if it is text of at most [`MAX_KEPT_BYTES`].
+    /// Headers of the endpoint that pass to the caller.
+    pub headers: Vec<header::Header>,
+    /// The body, if it is text of at most [`MAX_KEPT_BYTES`].
     pub body: Option<String>,
 }
 
--- a/crates/ibishill-state/tests/claims.rs
+++ b/crates/ibishill-state/tests/claims.rs
@@ -35,9 +35,31 @@
         },
         Case {
             name: "all together",
-            faults: memory::Faults { lose_after: 0.3, lose_before: 0.2, delay_ms: 300, ..none },
+            faults: memory::Faults {
+                lose_after: 0.3,
+                lose_before: 0.2,
+                delay_ms: 300,
+                ..none.clone()
+            },
             seeds: 70..110,
         },
+        Case {
+            name: "effects after the answer was given up",
+            faults: memory::Faults { late: 0.5, late_ms: 2_000, delay_ms: 50, ..none.clone() },
+            seeds: 110..150,
+        },
+        Case {
+            name: "all together, and late effects",
+            faults: memory::Faults {
+                late: 0.25,
+                late_ms: 1_000,
+                lose_after: 0.2,
+                lose_before: 0.1,
+                delay_ms: 300,
+                ..none
+            },
+            seeds: 150..190,
+        },
     ]
 }
 
@@ -78,9 +100,14 @@
     claim::Recorded {
         request: request.parse().unwrap(),
         outcome: outcome::Outcome::Ran,
-        status: 200,
-        content: "text/plain".into(),
-        body: Some("booked".into()),
+        answer: Some(claim::Answer {
+            target: ibishill_core::id::Target::Service("bookings".parse().unwrap()),
+            zone: "zone-a".parse().unwrap(),
+            status: 200,
+            content: "text/plain".into(),
+            headers: Vec::new(),
+            body: Some("booked".into()),
+        }),
     }
 }
 
