fix(daemon): a stop waits for work that it does for other daemons

A stop counted only its own callers' requests, and closed the link under streams that it ran as the owner for other entry daemons: they were cut.

New process test: three daemons replaced one after another by SIGTERM under six streaming callers that pick a ready daemon.

--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -47,6 +47,19 @@
     stopping: AtomicBool,
     closed: AtomicBool,
     running: AtomicUsize,
+    working: AtomicUsize,
+}
+
+/// Counts work at an endpoint of this daemon, also for other daemons, until it is dropped.
+#[derive(Debug)]
+pub struct Working {
+    life: Life,
+}
+
+impl Drop for Working {
+    fn drop(&mut self) {
+        self.life.inner.working.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 /// Counts one running request until it is dropped.
@@ -106,6 +119,17 @@
         self.inner.running.load(Ordering::Acquire)
     }
 
+    /// Work at endpoints of this daemon, also for other daemons.
+    pub fn working(&self) -> usize {
+        self.inner.working.load(Ordering::Acquire)
+    }
+
+    /// Counts one more work at an endpoint.
+    pub fn work(&self) -> Working {
+        self.inner.working.fetch_add(1, Ordering::AcqRel);
+        Working { life: self.clone() }
+    }
+
     /// Counts one more running request unless there are `most` already.
     pub fn start(&self, most: usize) -> Option<Running> {
         let before = self.inner.running.fetch_add(1, Ordering::AcqRel);
--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -51,7 +51,9 @@
         lost: AtomicBool::new(false),
     };
     let arrived = clock::boot_now();
+    let working = context.life.work();
     tokio::spawn(async move {
+        let _working = working;
         // A receiver that is gone ends the work, and with it the endpoint's connection.
         tokio::select! {
             biased;
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -23,6 +23,7 @@
 };
 
 const STOP_POLL: Duration = Duration::from_millis(20);
+const LINGER: Duration = Duration::from_millis(200);
 
 /// Longest wait of a stop for billing records and refusal counts.
 const FLUSH_LIMIT: time::Millis = time::Millis::from_secs(10);
@@ -253,7 +254,7 @@
         life.stop();
         tokio::time::sleep(self.context.settings.periods.drain.to_std()).await;
         life.close();
-        while life.running() > 0 {
+        while life.running() + life.working() > 0 {
             tokio::time::sleep(STOP_POLL).await;
         }
         if !self.context.claims.drained(SETTLE_LIMIT).await {
@@ -262,6 +263,8 @@
         if !self.context.ledger.drain(FLUSH_LIMIT).await {
             event::emit(event::Event::BillingDelayed, &[event::field("error", &"stopping")]);
         }
+        // Last frames of work for other daemons are on their way.
+        tokio::time::sleep(LINGER).await;
         self.callers.notify();
         self.socket.close(quinn::VarInt::from_u32(0), b"stopping");
         let _lapses = tokio::task::spawn_blocking(move || self.membership.join()).await;
--- a/crates/ibishill/tests/processes/main.rs
+++ b/crates/ibishill/tests/processes/main.rs
@@ -2,4 +2,5 @@
 
 mod deployment;
 mod operators_side;
+mod replacement;
 mod whole_path;
--- /dev/null
+++ b/crates/ibishill/tests/processes/replacement.rs
@@ -0,0 +1,155 @@
+//! All daemons are replaced one after another under load.
+
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ibishill_operator::{client, generated};
+use ibishill_standin::engine;
+
+use crate::deployment;
+
+const CALLERS: usize = 6;
+
+/// What a balancer knows: where daemons listen.
+type Backends = Arc<Mutex<Vec<std::net::SocketAddr>>>;
+
+#[derive(Default)]
+struct Seen {
+    whole: AtomicUsize,
+    // Refused before anything ran, while an endpoint changed hands.
+    refused: AtomicUsize,
+    bad: Mutex<Vec<String>>,
+}
+
+fn document(engine: std::net::SocketAddr) -> String {
+    format!(
+        "
+zones: {{zone-a: {{region: region-1}}}}
+versions:
+  assistant@v1: {{prompt-price: 100, output-price: 400, quality: 0.95}}
+workspaces:
+  demo: {{keys: [{}], models: [assistant]}}
+endpoints:
+  engine-a: {{zone: zone-a, address: '{engine}', versions: [assistant@v1], slots: 16, cold-slots: 16}}
+",
+        deployment::key_hash()
+    )
+}
+
+async fn ready(http: &reqwest::Client, address: std::net::SocketAddr) -> bool {
+    let answer = http.get(format!("http://{address}/readyz")).send().await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().pool_max_idle_per_host(0).build().unwrap()
+}
+
+async fn stream(http: &reqwest::Client, address: std::net::SocketAddr) -> Result<bool, String> {
+    let url = format!("http://{address}/v1/chat/completions");
+    let body = serde_json::json!({
+        "model": "assistant", "stream": true,
+        "messages": [{"role": "user", "content": "hail dings"}],
+    });
+    let request = http.post(url).bearer_auth(deployment::KEY).json(&body);
+    let answer = request.send().await.map_err(|error| format!("{error:?}"))?;
+    let is_refused = answer.headers().get("x-ibishill-outcome").is_some_and(|o| o == "not-run");
+    let text = answer.text().await.map_err(|error| format!("cut: {error:?}"))?;
+    if text.ends_with("data: [DONE]\n\n") {
+        Ok(true)
+    } else if is_refused {
+        Ok(false)
+    } else {
+        Err(text)
+    }
+}
+
+// Picks a daemon that says it is ready, as a balancer does.
+async fn call(backends: Backends, seen: Arc<Seen>, stop: Arc<AtomicBool>, first: usize) {
+    let http = client();
+    let mut next = first;
+    while !stop.load(Ordering::SeqCst) {
+        let known = backends.lock().unwrap().clone();
+        let address = known[next % known.len()];
+        next += 1;
+        if !ready(&http, address).await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        }
+        match stream(&http, address).await {
+            Ok(true) => drop(seen.whole.fetch_add(1, Ordering::SeqCst)),
+            Ok(false) => drop(seen.refused.fetch_add(1, Ordering::SeqCst)),
+            Err(text) => seen.bad.lock().unwrap().push(text),
+        }
+    }
+}
+
+async fn apply(daemon: &deployment::Daemon, engine: std::net::SocketAddr) {
+    let address = format!("http://{}", daemon.operators);
+    let mut operator = client::Client::connect(&address, None).await.unwrap();
+    let order = generated::Order { change_id: "change-1".into(), expected_version: None };
+    let message =
+        generated::ApplyRequest { order: Some(order), document: document(engine), partial: false };
+    operator.apply(message).await.unwrap();
+}
+
+async fn all_ready(daemons: &[deployment::Daemon]) {
+    let http = client();
+    for daemon in daemons {
+        deployment::until("the daemon is ready", || ready(&http, daemon.callers)).await;
+    }
+}
+
+fn terminate(daemon: &deployment::Daemon) {
+    let pid = daemon.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_are_replaced_one_after_another_without_a_cut_request() {
+    let deployment = deployment::Deployment::start("replacement");
+    let (model, engine) = deployment::engine();
+    model.set_behaviour(engine::Behaviour { tokens: 40, ..Default::default() });
+    let mut daemons: Vec<_> =
+        (0..3).map(|n| deployment.daemon(&format!("vm-{n}"), "zone-a")).collect();
+    all_ready(&daemons).await;
+    apply(&daemons[0], engine).await;
+    let http = client();
+    for daemon in &daemons {
+        deployment::until("the configuration is in force", || async {
+            stream(&http, daemon.callers).await == Ok(true)
+        })
+        .await;
+    }
+    let backends: Backends =
+        Arc::new(Mutex::new(daemons.iter().map(|daemon| daemon.callers).collect()));
+    let (seen, stop) = (Arc::new(Seen::default()), Arc::new(AtomicBool::new(false)));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|n| tokio::spawn(call(backends.clone(), seen.clone(), stop.clone(), n)))
+        .collect();
+    for (n, place) in daemons.iter_mut().enumerate() {
+        let new = deployment.daemon(&format!("vm-{}", n + 3), "zone-a");
+        deployment::until("the new daemon is ready", || ready(&http, new.callers)).await;
+        backends.lock().unwrap().push(new.callers);
+        let mut old = std::mem::replace(place, new);
+        terminate(&old);
+        let ended = tokio::task::spawn_blocking(move || (old.child.wait().unwrap(), old));
+        let (status, old) = ended.await.unwrap();
+        assert!(status.success());
+        backends.lock().unwrap().retain(|address| *address != old.callers);
+        let before = seen.whole.load(Ordering::SeqCst);
+        deployment::until("more answers came", || async {
+            seen.whole.load(Ordering::SeqCst) > before + 2 * CALLERS
+        })
+        .await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    println!("whole {:?}, refused as not run {:?}", seen.whole, seen.refused);
+    let bad = seen.bad.lock().unwrap().clone();
+    assert!(bad.is_empty(), "{} of {}: {bad:#?}", bad.len(), seen.whole.load(Ordering::SeqCst));
+}
