feat(peer): callers are checked against their certificate; owners that are behind catch up

It now pulls from the caller, wakes its reader and waits for the version, at most 1 s and the deadline; then NotRun/NotReady. (2) any certificate of the authority could speak for any VM.

--- a/crates/ibishill-daemon/src/config_sync.rs
+++ b/crates/ibishill-daemon/src/config_sync.rs
@@ -4,18 +4,22 @@
 use std::thread;
 use std::time::Duration;
 
-use ibishill_config::in_force;
+use ibishill_config::{change, in_force};
 use ibishill_core::{event, time};
 use ibishill_state::{error::StateError, log};
 use rand::RngExt;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::context;
 
-/// Wakes the duty, so that it reads the log at once.
+/// Longest wait for a version that another daemon has.
+const BEHIND_TIMEOUT: time::Millis = time::Millis(1_000);
+
+/// Wakes the duty, so that it reads the log at once, and tells of new versions.
 #[derive(Debug, Clone, Default)]
 pub struct Refresh {
     wake: Arc<Notify>,
+    applied: Arc<watch::Sender<change::ConfigVersion>>,
 }
 
 impl Refresh {
@@ -23,6 +27,30 @@
     pub fn ask(&self) {
         self.wake.notify_one();
     }
+
+    /// Puts `next` in force if its version is higher; returns whether it was.
+    pub fn raise(&self, cell: &in_force::Cell, next: in_force::InForce) -> bool {
+        let version = next.version;
+        let raised = cell.raise(next);
+        if raised {
+            // Two raises may tell in the other order.
+            self.applied.send_if_modified(|known| {
+                let newer = version > *known;
+                *known = version.max(*known);
+                newer
+            });
+        }
+        raised
+    }
+
+    /// Waits for `version`, at most for `left` and the timeout of this call; returns
+    /// whether it is in force.
+    pub async fn reached(&self, version: change::ConfigVersion, left: time::Millis) -> bool {
+        let mut applied = self.applied.subscribe();
+        let waiting = applied.wait_for(|known| *known >= version);
+        let waited = tokio::time::timeout(left.min(BEHIND_TIMEOUT).to_std(), waiting).await;
+        matches!(waited, Ok(Ok(_)))
+    }
 }
 
 /// Starts the thread.
@@ -35,23 +63,22 @@
     cell: in_force::Cell,
     life: context::Life,
     period: time::Millis,
-) -> std::io::Result<Refresh> {
-    let refresh = Refresh::default();
-    let wake = Arc::clone(&refresh.wake);
+    refresh: Refresh,
+) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     thread::Builder::new().name("config".into()).spawn(move || {
         runtime.block_on(async move {
             while !life.closed() || life.running() > 0 {
-                read(&log, &cell, &life).await;
+                read(&log, &cell, &life, &refresh).await;
                 let wait = jitter(period);
                 tokio::select! {
                     () = tokio::time::sleep(wait) => {}
-                    () = wake.notified() => {}
+                    () = refresh.wake.notified() => {}
                 }
             }
         });
     })?;
-    Ok(refresh)
+    Ok(())
 }
 
 // Jitter keeps the daemons from reading in step.
@@ -60,11 +87,11 @@
     Duration::from_millis(rand::rng().random_range(half..=period.0 + half))
 }
 
-async fn read(log: &log::Log, cell: &in_force::Cell, life: &context::Life) {
+async fn read(log: &log::Log, cell: &in_force::Cell, life: &context::Life, refresh: &Refresh) {
     match log.poll(&cell.get()).await {
         Ok(next) => {
             if let Some(next) = next {
-                raise(cell, next);
+                raise(cell, next, refresh);
             }
             life.set_configured();
         }
@@ -77,9 +104,9 @@
     }
 }
 
-fn raise(cell: &in_force::Cell, next: in_force::InForce) {
+fn raise(cell: &in_force::Cell, next: in_force::InForce, refresh: &Refresh) {
     let version = next.version;
-    if cell.raise(next) {
+    if refresh.raise(cell, next) {
         event::emit(event::Event::ConfigApplied, &[event::field("version", &version)]);
     }
 }
--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -11,7 +11,9 @@
 
 use ibishill_state::{lease::standing, log};
 
-use crate::{claims, heartbeat, lease_clock, ledger, metrics, ratings, rollouts, router};
+use crate::{
+    claims, config_sync, heartbeat, lease_clock, ledger, metrics, ratings, rollouts, router,
+};
 
 /// The views in force; they are replaced as a whole.
 #[derive(Debug, Clone, Default)]
@@ -154,6 +156,8 @@
     pub lease: lease_clock::LeaseClock,
     /// The configuration log.
     pub log: log::Log,
+    /// Wakes the duty that reads the log.
+    pub refresh: config_sync::Refresh,
     /// What is known of other daemons.
     pub peers: heartbeat::Peers,
     /// How far the daemon's life has come.
--- a/crates/ibishill-daemon/src/heartbeat.rs
+++ b/crates/ibishill-daemon/src/heartbeat.rs
@@ -79,22 +79,22 @@
 }
 
 /// Answers another daemon.
-pub fn reply(context: &context::Context, ask: frame::Ask) -> frame::Reply {
+pub fn reply(context: &context::Context, caller: &frame::Caller, ask: frame::Ask) -> frame::Reply {
     match ask {
-        frame::Ask::Beat(beat) => frame::Reply::Echo(echo(context, &beat)),
+        frame::Ask::Beat(beat) => frame::Reply::Echo(echo(context, caller, &beat)),
         frame::Ask::Pull(from) => give(context, change::ConfigVersion(from)),
     }
 }
 
-fn echo(context: &context::Context, beat: &frame::Beat) -> frame::Echo {
+fn echo(context: &context::Context, caller: &frame::Caller, beat: &frame::Beat) -> frame::Echo {
     let now = clock::boot_now();
     let config = context.cell.get().version.0;
-    let known = frame::Known { vm: beat.vm.clone(), config: beat.config };
-    context.peers.hear(&beat.zone, &known);
+    let known = frame::Known { vm: caller.vm.clone(), config: beat.config };
+    context.peers.hear(&caller.zone, &known);
     let view = context.standing.view().number;
-    let near = beat.zone == context.place.zone;
+    let near = caller.zone == context.place.zone;
     if near {
-        context.standing.hear(beat.vm.clone(), now);
+        context.standing.hear(caller.vm.clone(), now);
         if beat.view > view {
             context.peers.wake.notify_one();
         }
@@ -150,8 +150,6 @@
     let number = context.standing.view().number;
     let near = zone == context.place.zone;
     let beat = frame::Beat {
-        vm: context.place.vm.clone(),
-        zone: context.place.zone.clone(),
         view: number,
         config: context.cell.get().version.0,
         grant: near && context.standing.wants_grants(start),
@@ -178,7 +176,17 @@
     }
 }
 
-async fn pull(context: &context::Context, zone: &id::ZoneId, member: &view::Member) {
+/// Pulls the changes of the daemon `caller`, if a view lists it.
+pub async fn pull_from(context: &context::Context, caller: &frame::Caller) {
+    let views = context.views.get();
+    let member = views.zones.get(&caller.zone).and_then(|view| view.member(&caller.vm));
+    if let Some(member) = member {
+        pull(context, &caller.zone, member).await;
+    }
+}
+
+/// Pulls the changes that a peer has and this daemon lacks.
+pub async fn pull(context: &context::Context, zone: &id::ZoneId, member: &view::Member) {
     let current = context.cell.get();
     let asked = context.link.ask(zone, member, frame::Ask::Pull(current.version.0)).await;
     let next = match asked {
@@ -191,7 +199,7 @@
         return;
     };
     let version = next.version;
-    if context.cell.raise(next) {
+    if context.refresh.raise(&context.cell, next) {
         let fields = [event::field("version", &version), event::field("peer", &member.vm)];
         event::emit(event::Event::ConfigApplied, &fields);
         context.life.set_configured();
--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -4,13 +4,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
+use ibishill_config::change;
 use ibishill_core::{clock, event, header, id, outcome, time, view};
 use ibishill_decide::{admit, cold, owner};
 use ibishill_endpoint::{call, client, failure, sse};
 use ibishill_peer::frame;
 use tokio::sync::mpsc;
 
-use crate::{context, router};
+use crate::{context, heartbeat, router};
 
 const FRAME_SLOTS: usize = 64;
 
@@ -43,6 +44,17 @@
 ///
 /// Dropping the receiver cancels the request at the endpoint.
 pub fn run(context: &Arc<context::Context>, work: frame::Work) -> mpsc::Receiver<frame::Frame> {
+    run_for(context, work, None)
+}
+
+/// Runs `work` as `run` does, for another daemon if there is a caller.
+///
+/// A caller that decided under a newer configuration is waited for, within bounds.
+pub fn run_for(
+    context: &Arc<context::Context>,
+    work: frame::Work,
+    caller: Option<frame::Caller>,
+) -> mpsc::Receiver<frame::Frame> {
     let (sender, receiver) = mpsc::channel(FRAME_SLOTS);
     let context = Arc::clone(context);
     let frames = Frames {
@@ -58,7 +70,7 @@
         tokio::select! {
             biased;
             () = sender.closed() => {}
-            refusal = work_on(&context, work, arrived, &frames) => {
+            refusal = work_for(&context, work, caller, arrived, &frames) => {
                 if let Err(refusal) = refusal {
                     let _taken = frames.send(frame::Frame::Failed(refusal)).await;
                 }
@@ -68,6 +80,43 @@
     receiver
 }
 
+async fn work_for(
+    context: &Arc<context::Context>,
+    work: frame::Work,
+    caller: Option<frame::Caller>,
+    arrived: time::Tick,
+    frames: &Frames,
+) -> Result<(), outcome::Refusal> {
+    follow(context, &work, caller).await?;
+    work_on(context, work, arrived, frames).await
+}
+
+// Catches up with the configuration that the entry daemon decided under. Without it a
+// target that is only new would count as missing.
+async fn follow(
+    context: &Arc<context::Context>,
+    work: &frame::Work,
+    caller: Option<frame::Caller>,
+) -> Result<(), outcome::Refusal> {
+    let wanted = change::ConfigVersion(work.config);
+    if context.cell.get().version >= wanted {
+        return Ok(());
+    }
+    context.refresh.ask();
+    if let Some(caller) = caller {
+        let context = Arc::clone(context);
+        tokio::spawn(async move { heartbeat::pull_from(&context, &caller).await });
+    }
+    let left = work.left.min(context.settings.limits.deadline);
+    let reached = context.refresh.reached(wanted, left).await;
+    if reached || context.cell.get().version >= wanted {
+        return Ok(());
+    }
+    let detail = format!("{} has no configuration version {wanted} yet", context.place.vm);
+    Err(outcome::Refusal::not_run(outcome::Reason::NotReady, detail)
+        .retry_after(time::Millis::from_secs(1)))
+}
+
 async fn work_on(
     context: &context::Context,
     work: frame::Work,
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -10,7 +10,7 @@
 use ibishill_core::{clock, event, time, view};
 use ibishill_decide::{admit, plan, session};
 use ibishill_endpoint::client;
-use ibishill_peer::{link, server, tls};
+use ibishill_peer::{frame, link, server, tls};
 use ibishill_platform::{Platform, budget};
 use ibishill_state::lease::{self, keeper};
 use ibishill_state::{claim, log};
@@ -96,8 +96,10 @@
     let peers = duty_runtime("peers", 2).context(error::ThreadSnafu)?;
     let (socket, link) = {
         let _guard = peers.enter();
+        let caller = frame::Caller { vm: place.vm.clone(), zone: place.zone.clone() };
+        tls::check(identity, &caller).context(error::LinkSnafu)?;
         let socket = server::bind(settings.peers, identity).context(error::LinkSnafu)?;
-        let link = link::Link::new(socket.clone(), identity).context(error::LinkSnafu)?;
+        let link = link::Link::new(socket.clone(), identity, caller).context(error::LinkSnafu)?;
         (socket, link)
     };
     let keeper = keeper(&settings, platform);
@@ -113,6 +115,7 @@
         standing: keeper.standing.clone(),
         lease: lease.clone(),
         log: log::Log::new(platform),
+        refresh: config_sync::Refresh::default(),
         peers: heartbeat::Peers::default(),
         life: life.clone(),
         router,
@@ -127,9 +130,10 @@
     });
     reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
-    let refresh =
-        config_sync::spawn(context.log.clone(), cell, life.clone(), settings.periods.poll)
-            .context(error::ThreadSnafu)?;
+    let refresh = context.refresh.clone();
+    let poll = settings.periods.poll;
+    config_sync::spawn(context.log.clone(), cell, life.clone(), poll, refresh.clone())
+        .context(error::ThreadSnafu)?;
     let membership = membership::spawn(membership::Duty {
         keeper,
         views,
@@ -187,8 +191,8 @@
         runtime.spawn(heartbeat::run(Arc::clone(&context)));
         let accepting = server::accept(
             socket,
-            move |work| run::run(&context, work),
-            move |ask| heartbeat::reply(&asked, ask),
+            move |caller, work| run::run_for(&context, work, Some(caller)),
+            move |caller, ask| heartbeat::reply(&asked, &caller, ask),
         );
         runtime.block_on(accepting);
     })?;
--- a/crates/ibishill-daemon/tests/http_callers.rs
+++ b/crates/ibishill-daemon/tests/http_callers.rs
@@ -2,6 +2,7 @@
 
 mod http_callers {
     pub(crate) mod bad_input;
+    pub(crate) mod behind;
     pub(crate) mod chat;
     pub(crate) mod deployment;
     pub(crate) mod once;
--- /dev/null
+++ b/crates/ibishill-daemon/tests/http_callers/behind.rs
@@ -0,0 +1,95 @@
+//! Requests that were decided under a newer configuration than the owner has.
+
+use ibishill_config::change;
+use ibishill_core::{clock, id, outcome, time};
+use ibishill_daemon::run;
+use ibishill_peer::frame;
+use ibishill_state::log;
+
+use super::deployment;
+
+const ROUNDS: u32 = 8;
+
+fn work(config: u64) -> frame::Work {
+    frame::Work {
+        request: "req-1".parse().unwrap(),
+        workspace: "demo".parse().unwrap(),
+        target: id::Target::Version("assistant@v2".parse().unwrap()),
+        config,
+        left: time::Millis(10_000),
+        repeat: ibishill_core::repeat::Repeat::Never,
+        method: "POST".into(),
+        path: "/v1/chat/completions".into(),
+        content: "application/json".into(),
+        headers: Vec::new(),
+        prefix: None,
+        priority: Default::default(),
+        stream: false,
+        show_usage: false,
+        body: r#"{"model":"assistant@v2","messages":[]}"#.into(),
+    }
+}
+
+async fn far() -> deployment::Deployment {
+    let (_engine, address) = deployment::engine(Default::default());
+    // Nobody reads the log again, so that only a request brings the far daemon on.
+    let setup = deployment::Setup { far: Some(address), keeps_config: true, ..Default::default() };
+    setup.start().await
+}
+
+// A change that allows a new version, in force at the first daemon only.
+async fn allow(deployment: &deployment::Deployment, version: &str) {
+    let context = &deployment.daemons[0].context;
+    let mut declared = context.cell.get().declared.clone();
+    let known = declared.versions[&"assistant@v2".parse().unwrap()].clone();
+    declared.versions.insert(version.parse().unwrap(), known);
+    let endpoint = declared.endpoints.get_mut(&"far".parse().unwrap()).unwrap();
+    endpoint.versions.insert(version.parse().unwrap());
+    let order = log::Order {
+        id: format!("allow-{}", version.replace('@', "-")).parse().unwrap(),
+        author: "test".parse().unwrap(),
+        action: "apply".into(),
+        expected: None,
+        steps: change::diff(&context.cell.get().declared, &declared),
+    };
+    context.log.accept(&order, clock::wall_now()).await.unwrap();
+    let next = context.log.poll(&context.cell.get()).await.unwrap().unwrap();
+    assert!(context.refresh.raise(&context.cell, next));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_is_behind_catches_up_and_runs_the_request() {
+    let deployment = far().await;
+    // A heartbeat may win a round, but not all of them.
+    for round in 3..3 + ROUNDS {
+        let version = format!("assistant@v{round}");
+        allow(&deployment, &version).await;
+        let answer = deployment.chat(&version, false).send().await.unwrap();
+        assert_eq!(answer.status(), 200, "{version}: {}", answer.text().await.unwrap());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_stays_behind_tells_that_nothing_ran() {
+    let deployment = far().await;
+    let (near, far) = (&deployment.daemons[0].context, &deployment.daemons[1].context);
+    let version = far.cell.get().version.0;
+    let views = near.views.get();
+    let member = views.zones[&far.place.zone].members[0].clone();
+    let mut call = near.link.call(&far.place.zone, &member, &work(version + 1)).await.unwrap();
+    let Some(frame::Frame::Failed(refusal)) = call.next().await.unwrap() else { panic!("ran") };
+    assert_eq!(refusal.outcome, outcome::Outcome::NotRun);
+    assert_eq!(refusal.reason, outcome::Reason::NotReady);
+    assert!(refusal.retry_after.is_some());
+    // The deadline bounds the wait too.
+    let late = frame::Work { left: time::Millis(1), ..work(version + 1) };
+    let frame = run::run(far, late).recv().await.unwrap();
+    assert!(
+        matches!(frame, frame::Frame::Failed(refusal) if refusal.outcome == outcome::Outcome::NotRun)
+    );
+    // An owner that has a newer version decides again under that.
+    let mut call = near.link.call(&far.place.zone, &member, &work(version - 1)).await.unwrap();
+    assert!(
+        matches!(call.next().await.unwrap(), Some(frame::Frame::Head(head)) if head.status == 200)
+    );
+}
--- a/crates/ibishill-daemon/tests/http_callers/deployment.rs
+++ b/crates/ibishill-daemon/tests/http_callers/deployment.rs
@@ -55,6 +55,8 @@
     pub(crate) limits: settings::Limits,
     /// Whether views stay as the test sets them.
     pub(crate) keeps_views: bool,
+    /// Whether the log is read at the start only.
+    pub(crate) keeps_config: bool,
 }
 
 impl Setup {
@@ -139,7 +141,7 @@
         security: settings::Security { insecure: true, ..settings::Security::default() },
         limits: setup.limits.clone(),
         periods: settings::Periods {
-            poll: time::Millis(100),
+            poll: if setup.keeps_config { TEST_TIME } else { time::Millis(100) },
             renew: if setup.keeps_views { TEST_TIME } else { time::Millis(100) },
             drain: time::Millis(100),
             ..settings::Periods::default()
--- a/crates/ibishill-daemon/tests/http_callers/owner.rs
+++ b/crates/ibishill-daemon/tests/http_callers/owner.rs
@@ -58,14 +58,18 @@
         let socket = server::bind("127.0.0.1:0".parse().unwrap(), &identity).unwrap();
         let peers = socket.local_addr().unwrap();
         let (frames, name) = (case.frames, case.name);
-        let run = move |_work| {
+        let run = move |_caller, _work| {
             let (sender, receiver) = mpsc::channel(16);
             for frame in &frames {
                 sender.try_send(frame.clone()).unwrap();
             }
             receiver
         };
-        tokio::spawn(server::accept(socket, run, |_ask| frame::Reply::Whole(Bytes::new())));
+        tokio::spawn(server::accept(
+            socket,
+            run,
+            |_caller, _ask| frame::Reply::Whole(Bytes::new()),
+        ));
         let mut views = (*deployment.daemons[0].context.views.get()).clone();
         let members = vec![view::Member { vm: vm.clone(), peers }];
         views.zones.insert(zone.clone(), view::View { members, ..Default::default() });
--- a/crates/ibishill-peer/src/frame.rs
+++ b/crates/ibishill-peer/src/frame.rs
@@ -78,11 +78,29 @@
     Failed(outcome::Refusal),
 }
 
+/// The daemon that calls, as its certificate must name it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Caller {
+    /// The caller's VM.
+    pub vm: id::VmId,
+    /// The caller's zone.
+    pub zone: id::ZoneId,
+}
+
 /// First frame of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct First {
+    /// Who calls.
+    pub caller: Caller,
+    /// What it wants.
+    pub open: Open,
+}
+
+/// What a stream is for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Open {
     /// A request; frames of its answer follow.
-    Work(Work),
+    Work(Box<Work>),
     /// A question between daemons; one reply follows.
     Ask(Ask),
 }
@@ -99,11 +117,7 @@
 /// A daemon's sign of life.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
-    /// The sender.
-    pub vm: id::VmId,
-    /// Its zone.
-    pub zone: id::ZoneId,
-    /// Its view of its zone.
+    /// The sender's view of its zone.
     pub view: view::ViewNumber,
     /// Its configuration version.
     pub config: u64,
--- a/crates/ibishill-peer/src/link.rs
+++ b/crates/ibishill-peer/src/link.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +12,7 @@
 use tokio_util::codec;
 
 use crate::error::{self, LinkError};
-use crate::{frame, tls};
+use crate::{frame, server, tls};
 
 /// Largest frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -37,10 +37,18 @@
     Arc::new(transport)
 }
 
+fn client(identity: &tls::Identity) -> Result<quinn::ClientConfig, LinkError> {
+    let mut client = tls::client(identity)?;
+    client.transport_config(transport());
+    Ok(client)
+}
+
 /// Connections to peers; clones share them.
 #[derive(Clone)]
 pub struct Link {
     endpoint: quinn::Endpoint,
+    caller: frame::Caller,
+    client: Arc<RwLock<quinn::ClientConfig>>,
     open: Arc<Mutex<BTreeMap<SocketAddr, quinn::Connection>>>,
 }
 
@@ -52,16 +60,33 @@
 }
 
 impl Link {
-    /// Makes a link over `endpoint` with this daemon's identity.
+    /// Makes a link over `endpoint` with the identity of the daemon `caller`.
     ///
     /// # Errors
     ///
     /// Fails if a certificate or key can't be used.
-    pub fn new(mut endpoint: quinn::Endpoint, identity: &tls::Identity) -> Result<Self, LinkError> {
-        let mut client = tls::client(identity)?;
-        client.transport_config(transport());
-        endpoint.set_default_client_config(client);
-        Ok(Self { endpoint, open: Arc::default() })
+    pub fn new(
+        endpoint: quinn::Endpoint,
+        identity: &tls::Identity,
+        caller: frame::Caller,
+    ) -> Result<Self, LinkError> {
+        let client = Arc::new(RwLock::new(client(identity)?));
+        Ok(Self { endpoint, caller, client, open: Arc::default() })
+    }
+
+    /// Uses another identity for new connections of both sides; running calls go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a certificate or key can't be used; the old identity is kept then.
+    pub fn replace(&self, identity: &tls::Identity) -> Result<(), LinkError> {
+        tls::check(identity, &self.caller)?;
+        let (client, server) = (client(identity)?, server::config(identity)?);
+        self.endpoint.set_server_config(Some(server));
+        *self.client.write().unwrap_or_else(PoisonError::into_inner) = client;
+        // Streams keep their connection open until they end.
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        Ok(())
     }
 
     fn known(&self, peer: SocketAddr) -> Option<quinn::Connection> {
@@ -80,8 +105,9 @@
         }
         let name = tls::subject(&member.vm, zone);
         let unreachable = |detail: String| LinkError::Unreachable { peer, detail };
-        let connecting =
-            self.endpoint.connect(peer, &name).map_err(|error| unreachable(error.to_string()))?;
+        let client = self.client.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let connecting = self.endpoint.connect_with(client, peer, &name);
+        let connecting = connecting.map_err(|error| unreachable(error.to_string()))?;
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| unreachable("timeout".into()))?
@@ -103,7 +129,7 @@
         member: &view::Member,
         work: &frame::Work,
     ) -> Result<Call, LinkError> {
-        self.open(zone, member, &frame::Open::Work(work.clone())).await
+        self.open(zone, member, frame::Open::Work(Box::new(work.clone()))).await
     }
 
     /// Asks the daemon `member` in `zone`.
@@ -118,7 +144,7 @@
         ask: frame::Ask,
     ) -> Result<frame::Reply, LinkError> {
         let asked = async {
-            let mut call = self.open(zone, member, &frame::Open::Ask(ask)).await?;
+            let mut call = self.open(zone, member, frame::Open::Ask(ask)).await?;
             match call.reader.next().await {
                 Some(Ok(bytes)) => postcard::from_bytes(&bytes).context(error::FrameSnafu),
                 Some(Err(error)) => Err(LinkError::Broken { detail: error.to_string() }),
@@ -133,7 +159,7 @@
         &self,
         zone: &id::ZoneId,
         member: &view::Member,
-        first: &frame::Open,
+        open: frame::Open,
     ) -> Result<Call, LinkError> {
         let connection = self.connect(zone, member).await?;
         let opened = connection.open_bi().await;
@@ -142,7 +168,8 @@
             detail: error.to_string(),
         })?;
         let mut writer = codec::FramedWrite::new(send, codec());
-        let text = postcard::to_stdvec(first).context(error::FrameSnafu)?;
+        let first = frame::First { caller: self.caller.clone(), open };
+        let text = postcard::to_stdvec(&first).context(error::FrameSnafu)?;
         let sent = writer.send(Bytes::from(text)).await;
         sent.map_err(|error| LinkError::Broken { detail: error.to_string() })?;
         let reader = codec::FramedRead::new(receive, codec());
--- a/crates/ibishill-peer/src/tls.rs
+++ b/crates/ibishill-peer/src/tls.rs
@@ -6,6 +6,7 @@
 use rustls::pki_types::{self, pem::PemObject};
 
 use crate::error::LinkError;
+use crate::frame;
 
 const PROTOCOL: &[u8] = b"ibishill/1";
 
@@ -31,6 +32,47 @@
     format!("{vm}.{zone}.ibishill")
 }
 
+/// Checks that the first certificate of `chain` names the VM and zone of `caller`.
+///
+/// # Errors
+///
+/// Fails if it names another daemon or can't be read.
+pub fn check_subject(
+    chain: &[pki_types::CertificateDer<'_>],
+    caller: &frame::Caller,
+) -> Result<(), LinkError> {
+    let first = chain.first().ok_or_else(|| tls("no certificate"))?;
+    let certificate = webpki::EndEntityCert::try_from(first).map_err(tls)?;
+    // Else the name would not tell where the VM ends and the zone begins.
+    if caller.vm.as_str().contains('.') {
+        return Err(tls(format!("VM {} has a dot in its name", caller.vm)));
+    }
+    let name = subject(&caller.vm, &caller.zone);
+    let known = pki_types::ServerName::try_from(name.as_str()).map_err(tls)?;
+    certificate.verify_is_valid_for_subject_name(&known).map_err(tls)?;
+    // The comparison above ignores case and takes wildcards; names of VMs do neither.
+    if certificate.valid_dns_names().any(|found| found == name) {
+        return Ok(());
+    }
+    Err(tls(format!("the certificate does not name {name}")))
+}
+
+/// Checks that an identity can be used and is the one of `caller`.
+///
+/// # Errors
+///
+/// Fails if it can't be used, names another daemon or is signed by another authority.
+pub fn check(identity: &Identity, caller: &frame::Caller) -> Result<(), LinkError> {
+    let parts = parts(identity)?;
+    check_subject(&parts.chain, caller)?;
+    let verifier =
+        rustls::server::WebPkiClientVerifier::builder_with_provider(parts.roots, parts.provider);
+    let verifier = verifier.build().map_err(tls)?;
+    let (first, rest) = parts.chain.split_first().ok_or_else(|| tls("no certificate"))?;
+    let now = pki_types::UnixTime::now();
+    verifier.verify_client_cert(first, rest, now).map(|_verified| ()).map_err(tls)
+}
+
 fn tls<E>(error: E) -> LinkError
 where
     E: std::fmt::Display,
