test(daemon): a request that was never sent leaves the gate as it was

Cause: a permit refused after admission (standing, lease, deadline) or whose caller left must be neutral for the endpoint. It was already: dropping ends it as Left; now tests hold it. A receiver that stalls was still logged as E1401 and counted against the version in a roll-out; it ends as peer-lost now.

Breakage: a permit that ends as Bad by default lowers the limit to 1 and turns the test red; the decide test carries the contrast itself.

--- a/crates/ibishill-daemon/src/run.rs
+++ b/crates/ibishill-daemon/src/run.rs
@@ -174,12 +174,12 @@
         (false, _) => pass_bytes(answer, frames).await,
     };
     let end = passed.map_err(|failure| {
-        let refusal = failed(&mut permit, &failure);
         // A receiver that left or stalls says nothing about the endpoint.
         if frames.lost.load(Ordering::Relaxed) {
-            permit.ended(cold::Answer::Left);
+            let detail = failure.to_string();
+            return outcome::Refusal::unknown(outcome::Reason::PeerLost, detail);
         }
-        refusal
+        failed(&mut permit, &failure)
     })?;
     permit.ended(if is_good { cold::Answer::Good } else { cold::Answer::Bad });
     let _taken = frames.send(frame::Frame::End(end)).await;
--- a/crates/ibishill-daemon/tests/router.rs
+++ b/crates/ibishill-daemon/tests/router.rs
@@ -3,7 +3,7 @@
 use ibishill_config::{change, declared, in_force, yaml};
 use ibishill_core::{id, outcome, priority, time, view};
 use ibishill_daemon::{context, lease_clock, router};
-use ibishill_decide::{admit, plan};
+use ibishill_decide::{admit, cold, plan};
 
 const DECLARED: &str = "
 zones: {z: {region: r}}
@@ -76,6 +76,28 @@
     }
 }
 
+#[tokio::test]
+async fn a_permit_that_is_given_back_unused_does_not_lower_the_limit() {
+    let world = world();
+    world.lease.set(FAR);
+    let mut declared = world.cell.get().declared.clone();
+    declared.endpoints.values_mut().for_each(|endpoint| endpoint.slots = 16);
+    world.cell.raise(in_force::InForce { version: change::ConfigVersion(2), declared });
+    let limit = async || world.router.status().await[0].limit;
+    for n in 0..200 {
+        world.router.admit(job(n)).await.unwrap().ended(cold::Answer::Good);
+    }
+    let warmed = limit().await;
+    assert!(warmed > 1);
+    for n in 200..300 {
+        // The request's deadline or the lease has passed, or its caller has left.
+        drop(world.router.admit(job(n)).await.unwrap());
+        assert_eq!(limit().await, warmed);
+    }
+    world.router.admit(job(300)).await.unwrap().ended(cold::Answer::Bad);
+    assert!(limit().await < warmed);
+}
+
 #[tokio::test]
 async fn a_withdrawal_ends_the_wait() {
     let world = world();
--- a/crates/ibishill-decide/tests/owner/cold.rs
+++ b/crates/ibishill-decide/tests/owner/cold.rs
@@ -122,6 +122,24 @@
     }
 }
 
+#[test]
+fn a_request_that_was_never_sent_leaves_the_gate_as_it_was() {
+    // The contrast: the same request with a bad answer lowers the limit.
+    for (answer, kept) in [(cold::Answer::Left, true), (cold::Answer::Bad, false)] {
+        let mut gate = warm_gate();
+        let now = time::Tick(50_000);
+        let (limit, baseline, room) = (gate.limit(), *gate.baseline(), gate.room(now));
+        for _ in 0..100 {
+            let mark = gate.admit(PROMPT, now).unwrap();
+            gate.finish(mark, answer, now + time::Millis(5));
+        }
+        assert_eq!(gate.limit() == limit, kept, "{answer:?}");
+        assert_eq!(gate.room(now) == room, kept, "{answer:?}");
+        assert_eq!((gate.running(), gate.work_waiting()), (0, 0), "{answer:?}");
+        assert_eq!(*gate.baseline(), baseline, "{answer:?}");
+    }
+}
+
 #[test]
 fn answers_from_before_a_restart_do_not_warm() {
     let mut gate = warm_gate();
