feat(daemon): credentials are reloaded on SIGHUP; no secret reaches the log

Cause: certificates, tokens and session keys changed only with a restart, and nothing showed that secrets stay out of the log. SIGHUP reads the settings again; a bad part keeps all old ones (E1105). IBISHILL_LOG sets the level. E1301/E1302 now log the reason only: the test found the model name of a caller's body in the sentence.

--- a/crates/ibishill-config/src/lib.rs
+++ b/crates/ibishill-config/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod in_force;
 pub mod key;
 mod schema;
+pub mod security;
 pub mod settings;
 mod shape;
 mod tree;
--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -52,6 +52,8 @@
     ConfigApplied = 1101, Info, "configuration in force";
     ConfigUnreachable = 1102, Warn, "configuration could not be read from the platform";
     ConfigInvalid = 1103, Error, "configuration from the platform is not valid";
+    SecurityReloaded = 1104, Info, "credentials reloaded";
+    SecurityInvalid = 1105, Error, "credentials could not be reloaded";
     LeaseAcquired = 1201, Info, "lease acquired";
     LeaseRenewFailed = 1202, Warn, "lease could not be renewed";
     LeaseLost = 1203, Error, "lease lost";
--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 
-use ibishill_config::{in_force, settings};
+use ibishill_config::{in_force, security, settings};
 use ibishill_core::{id, view};
 use ibishill_decide::{plan, session};
 use ibishill_endpoint::client;
@@ -36,6 +36,31 @@
     }
 }
 
+/// The keys of session tokens; a reload replaces them as a whole.
+#[derive(Debug, Clone)]
+pub struct SessionCell {
+    inner: Arc<RwLock<Arc<session::Keys>>>,
+}
+
+impl SessionCell {
+    /// Makes the place with the keys of `security`.
+    pub fn new(security: &settings::Security) -> Self {
+        let keys = session::Keys::new(security.session_keys.clone());
+        Self { inner: Arc::new(RwLock::new(Arc::new(keys))) }
+    }
+
+    /// The keys now.
+    pub fn get(&self) -> Arc<session::Keys> {
+        Arc::clone(&self.inner.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the keys by those of `security`.
+    pub fn set(&self, security: &settings::Security) {
+        let keys = session::Keys::new(security.session_keys.clone());
+        *self.inner.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(keys);
+    }
+}
+
 /// How far a daemon's life has come.
 #[derive(Debug, Clone, Default)]
 pub struct Life {
@@ -177,7 +202,9 @@
     /// Counts of versions under a roll-out.
     pub rollouts: rollouts::Counters,
     /// Keys of session tokens.
-    pub sessions: session::Keys,
+    pub sessions: SessionCell,
+    /// The credentials in force.
+    pub security: security::Cell,
     /// Metrics.
     pub metrics: metrics::Metrics,
 }
--- a/crates/ibishill-daemon/src/http/auth.rs
+++ b/crates/ibishill-daemon/src/http/auth.rs
@@ -105,7 +105,7 @@
     workspace: &id::WorkspaceId,
 ) -> Result<(Option<id::SessionId>, Option<id::VersionRef>), outcome::Refusal> {
     let Some(text) = single(request, SESSION)? else { return Ok((None, None)) };
-    match context.sessions.read(workspace, text) {
+    match context.sessions.get().read(workspace, text) {
         Ok(session::Presented::Plain(session)) => Ok((Some(session), None)),
         Ok(session::Presented::Token(token)) => Ok((Some(token.session), Some(token.version))),
         Err(error) => {
--- a/crates/ibishill-daemon/src/http/reply.rs
+++ b/crates/ibishill-daemon/src/http/reply.rs
@@ -28,7 +28,8 @@
         workspace: Option<id::WorkspaceId>,
         refusal: outcome::Refusal,
     ) -> Self {
-        let fields = [event::field("request", request), event::field("refusal", &refusal)];
+        // The sentence for the caller may quote what the caller sent.
+        let fields = [event::field("request", request), event::field("reason", &refusal.reason)];
         event::emit(event_of(refusal.outcome), &fields);
         context.metrics.ended(refusal.outcome, Some(refusal.reason));
         context.ledger.refused(workspace, refusal.reason);
--- a/crates/ibishill-daemon/src/http/run.rs
+++ b/crates/ibishill-daemon/src/http/run.rs
@@ -162,7 +162,7 @@
         target: &id::Target,
         attempts: u32,
     ) -> reply::Facts {
-        let pin = |wanted| pin::pin(&self.context.sessions, &self.caller, wanted, target);
+        let pin = |wanted| pin::pin(&self.context.sessions.get(), &self.caller, wanted, target);
         reply::Facts {
             request: self.caller.request.clone(),
             target: target.clone(),
--- a/crates/ibishill-daemon/src/lib.rs
+++ b/crates/ibishill-daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod operators;
 pub mod ratings;
+pub mod reload;
 pub mod reports;
 pub mod rollouts;
 pub mod router;
--- a/crates/ibishill-daemon/src/operators.rs
+++ b/crates/ibishill-daemon/src/operators.rs
@@ -33,7 +33,7 @@
         billing: billing::Billing::new(platform.objects.clone()),
         refusals: refusal::Refusals::new(platform.objects.clone()),
         cell: context.cell.clone(),
-        security: context.settings.security.clone(),
+        security: context.security.clone(),
         status: Arc::new(move || {
             let context = Arc::clone(&known);
             async move { status(&context).await }.boxed()
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -6,9 +6,9 @@
 use std::thread;
 use std::time::Duration;
 
-use ibishill_config::{in_force, settings};
+use ibishill_config::{in_force, security, settings};
 use ibishill_core::{clock, event, time, view};
-use ibishill_decide::{admit, plan, session};
+use ibishill_decide::{admit, plan};
 use ibishill_endpoint::client;
 use ibishill_peer::{frame, link, server, tls};
 use ibishill_platform::{Platform, budget};
@@ -125,7 +125,8 @@
         link,
         ratings,
         rollouts: counters.clone(),
-        sessions: session::Keys::new(settings.security.session_keys.clone()),
+        sessions: context::SessionCell::new(&settings.security),
+        security: security::Cell::new(settings.security.clone()),
         metrics,
     });
     reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
@@ -203,7 +204,7 @@
     address: SocketAddr,
     service: ibishill_operator::service::Service,
 ) -> Result<(), StartError> {
-    let server = operators::server(&service.security)?;
+    let server = operators::server(&service.security.get())?;
     let runtime = duty_runtime("operators", 1).context(error::ThreadSnafu)?;
     let listener = listen(address)
         .map_err(|error| StartError::Listen { address, detail: error.to_string() })?;
--- a/crates/ibishill-operator/src/service.rs
+++ b/crates/ibishill-operator/src/service.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use ibishill_config::{change, describe, in_force, settings};
+use ibishill_config::{change, describe, in_force, security, settings};
 use ibishill_core::id;
 use ibishill_state::{billing, log, refusal};
 use settings::Right;
@@ -39,7 +39,7 @@
     /// The configuration in force at this daemon.
     pub cell: in_force::Cell,
     /// Credentials of operators.
-    pub security: settings::Security,
+    pub security: security::Cell,
     /// Tells what this daemon knows.
     pub status: Ask<StatusReply>,
     /// Tells which version each daemon has in force.
@@ -68,7 +68,7 @@
         call: &'static str,
         right: Right,
     ) -> Result<id::OperatorId, Status> {
-        let checked = right::check(&self.security, request, call, right);
+        let checked = right::check(&self.security.get(), request, call, right);
         checked.inspect_err(|_| (self.denied)(call))
     }
 
--- a/crates/ibishill-operator/tests/calls/setup.rs
+++ b/crates/ibishill-operator/tests/calls/setup.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use futures::FutureExt;
-use ibishill_config::{in_force, settings};
+use ibishill_config::{in_force, security, settings};
 use ibishill_operator::generated::operator_server::Operator;
 use ibishill_operator::{generated, service};
 use ibishill_standin::memory;
@@ -28,7 +28,7 @@
         billing: billing::Billing::new(platform.objects.clone()),
         refusals: refusal::Refusals::new(platform.objects),
         cell: in_force::Cell::default(),
-        security,
+        security: security::Cell::new(security),
         status: Arc::new(|| async { generated::StatusReply::default() }.boxed()),
         confirmed: Arc::new(|| async { Vec::new() }.boxed()),
         denied: Arc::new(|_| {}),
--- a/crates/ibishill/src/command/serve.rs
+++ b/crates/ibishill/src/command/serve.rs
@@ -1,14 +1,18 @@
 //! `ibishill serve`: one daemon until it is asked to stop.
 
 use ibishill_config::{document, settings};
-use ibishill_core::secret;
-use ibishill_daemon::start;
+use ibishill_core::{event, secret};
+use ibishill_daemon::{context, reload, start};
 use ibishill_peer::tls;
 use ibishill_platform::http;
+use tokio::signal;
 
 use crate::connect;
 use crate::error::CommandError;
 
+/// Environment variable with the level of the log.
+const LOG_LEVEL: &str = "IBISHILL_LOG";
+
 /// Starts a daemon with the settings in a file, and stops it on SIGTERM or SIGINT.
 pub(crate) async fn run(words: &[String]) -> Result<(), CommandError> {
     let file = super::one(words, "settings file")?;
@@ -17,16 +21,47 @@
     start::check_security(&settings).map_err(|source| CommandError::Start { source })?;
     let platform = http::connect(&settings.platform)
         .map_err(|error| CommandError::Other { detail: error.to_string() })?;
-    let identity = identity(&settings)?;
+    let (files, identity) = identity(&settings)?;
+    let hangups = signal::unix::signal(signal::unix::SignalKind::hangup()).map_err(no_handler)?;
     let daemon = tokio::task::spawn_blocking(move || start::start(settings, &platform, &identity))
         .await
         .map_err(|error| CommandError::Other { detail: error.to_string() })?
         .map_err(|source| CommandError::Start { source })?;
-    wait_for_signal().await?;
+    tokio::select! {
+        stop = wait_for_signal() => stop?,
+        () = reload_on(hangups, file, files, &daemon.context) => {}
+    }
     daemon.stop().await;
     Ok(())
 }
 
+// Whether the identity comes from files, which a reload reads again.
+type FromFiles = bool;
+
+async fn reload_on(
+    mut hangups: signal::unix::Signal,
+    file: &str,
+    files: FromFiles,
+    context: &context::Context,
+) {
+    while hangups.recv().await.is_some() {
+        if let Err(error) = reload_once(file, files, context) {
+            event::emit(event::Event::SecurityInvalid, &[event::field("error", &error)]);
+        }
+    }
+}
+
+fn reload_once(
+    file: &str,
+    files: FromFiles,
+    context: &context::Context,
+) -> Result<(), CommandError> {
+    let settings = document::settings(file, &connect::read(file)?)?;
+    let identity = if files { Some(identity(&settings)?.1) } else { None };
+    let applied = reload::apply(context, &settings, identity.as_ref());
+    applied.map(|_changes| ()).map_err(|source| CommandError::Start { source })
+}
+
 /// Sends log events to standard error.
 pub(crate) fn log_to_stderr() -> Result<(), CommandError> {
     let config = simplelog::ConfigBuilder::new()
@@ -36,19 +71,24 @@
         .add_filter_allow_str("ibishill")
         .build();
     let output = std::io::stderr();
-    simplelog::WriteLogger::init(simplelog::LevelFilter::Info, config, output)
+    let level = std::env::var(LOG_LEVEL).ok().and_then(|text| text.parse().ok());
+    let level = level.unwrap_or(simplelog::LevelFilter::Info);
+    simplelog::WriteLogger::init(level, config, output)
         .map_err(|error| CommandError::Other { detail: error.to_string() })
 }
 
-fn identity(settings: &settings::Settings) -> Result<tls::Identity, CommandError> {
+fn identity(settings: &settings::Settings) -> Result<(FromFiles, tls::Identity), CommandError> {
     let security = &settings.security;
     match (&security.authority, &security.certificate, &security.private_key) {
-        (Some(authority), Some(certificate), Some(key)) => Ok(tls::Identity {
-            authority: connect::read(authority)?,
-            certificate: connect::read(certificate)?,
-            private_key: secret::Secret::new(connect::read(key)?),
-        }),
-        (None, None, None) if security.insecure => own_authority(settings),
+        (Some(authority), Some(certificate), Some(key)) => {
+            let identity = tls::Identity {
+                authority: connect::read(authority)?,
+                certificate: connect::read(certificate)?,
+                private_key: secret::Secret::new(connect::read(key)?),
+            };
+            Ok((true, identity))
+        }
+        (None, None, None) if security.insecure => Ok((false, own_authority(settings)?)),
         _ => Err(CommandError::Other {
             detail: "security needs authority, certificate and private-key; make them with 'ibishill certs'".into(),
         }),
@@ -63,14 +103,16 @@
     authority.sign(&settings.vm, &settings.zone).map_err(other)
 }
 
+fn no_handler(source: std::io::Error) -> CommandError {
+    CommandError::File { path: "signal handler".into(), source }
+}
+
 /// Returns once the process is asked to stop.
 pub(crate) async fn wait_for_signal() -> Result<(), CommandError> {
-    let failed =
-        |source: std::io::Error| CommandError::File { path: "signal handler".into(), source };
-    let kind = tokio::signal::unix::SignalKind::terminate();
-    let mut terminate = tokio::signal::unix::signal(kind).map_err(failed)?;
+    let kind = signal::unix::SignalKind::terminate();
+    let mut terminate = signal::unix::signal(kind).map_err(no_handler)?;
     tokio::select! {
         _ = terminate.recv() => Ok(()),
-        interrupt = tokio::signal::ctrl_c() => interrupt.map_err(failed),
+        interrupt = signal::ctrl_c() => interrupt.map_err(no_handler),
     }
 }
--- a/crates/ibishill/src/table.rs
+++ b/crates/ibishill/src/table.rs
@@ -96,7 +96,7 @@
         words: "FILE",
         choices: &[],
         about: "run a daemon with the settings in FILE",
-        details: "SIGTERM or SIGINT stops it without cutting a request.",
+        details: "SIGTERM or SIGINT stops it without cutting a request; SIGHUP reloads credentials.",
         options: &[],
     },
     Spec {
--- a/crates/ibishill/tests/processes/main.rs
+++ b/crates/ibishill/tests/processes/main.rs
@@ -3,4 +3,5 @@
 mod deployment;
 mod operators_side;
 mod replacement;
+mod secrets;
 mod whole_path;
