--- a/crates/ibishill-daemon/src/router.rs
+++ b/crates/ibishill-daemon/src/router.rs
@@ -15,6 +15,7 @@
 
 pub use permit::Permit;
 
+pub mod held;
 mod permit;
 
 const ASK_SLOTS: usize = 1_024;
@@ -135,9 +136,10 @@
 /// Fails if the system can't start a thread.
 pub fn spawn(sources: Sources) -> std::io::Result<Handle> {
     let (asks, inbox) = ring::bounded(ASK_SLOTS);
-    let (sender, progress) = ring::bounded(HELD_MAX * permit::MESSAGES_MAX);
+    let held = held::Held::new(HELD_MAX);
+    let (sender, progress) = ring::bounded(held.slots());
     let dispatcher = dispatch::Dispatcher::new(admit::Owner::new(sources.periods));
-    let router = Router { sources, dispatcher, waiting: BTreeMap::new(), admitted: 0, sender };
+    let router = Router { sources, dispatcher, waiting: BTreeMap::new(), held, sender };
     thread::Builder::new().name("router".into()).spawn(move || router.run(&inbox, &progress))?;
     Ok(Handle { asks })
 }
@@ -151,7 +153,7 @@
     sources: Sources,
     dispatcher: dispatch::Dispatcher,
     waiting: BTreeMap<queue::Ticket, Waiting>,
-    admitted: usize,
+    held: held::Held,
     sender: ring::Sender<permit::Progress>,
 }
 
@@ -191,7 +193,7 @@
         match message {
             permit::Progress::First(admission) => self.dispatcher.owner.first(&admission, now),
             permit::Progress::End(target, admission, answer) => {
-                self.admitted -= 1;
+                self.held.end();
                 self.dispatcher.finish(&target, &admission, answer, now);
             }
         }
@@ -233,7 +235,7 @@
     }
 
     fn offer(&mut self, job: admit::Job, reply: Reply) {
-        if self.admitted + self.waiting.len() >= HELD_MAX {
+        if !self.held.has_room(self.waiting.len()) {
             let _left = reply.send(Err(ring_full()));
             return;
         }
@@ -251,7 +253,7 @@
     fn decided(&mut self, decision: dispatch::Decision) {
         let Some(waiting) = self.waiting.remove(&decision.ticket) else { return };
         let permit = decision.result.map(|admission| {
-            self.admitted += 1;
+            self.held.admit();
             Permit::new(waiting.target, admission, self.sender.clone())
         });
         // A caller that has left drops the permit, which gives the right back.
--- a/crates/ibishill-daemon/src/router/permit.rs
+++ b/crates/ibishill-daemon/src/router/permit.rs
@@ -4,8 +4,7 @@
 use ibishill_core::id;
 use ibishill_decide::{admit, cold};
 
-/// Messages that one permit sends at most: the first token and the end.
-pub(super) const MESSAGES_MAX: usize = 2;
+use super::held;
 
 pub(super) enum Progress {
     First(admit::Admission),
@@ -18,7 +17,7 @@
     target: id::Target,
     admission: admit::Admission,
     answer: cold::Answer,
-    began: bool,
+    sent: held::Sent,
     progress: ring::Sender<Progress>,
 }
 
@@ -28,7 +27,13 @@
         admission: admit::Admission,
         progress: ring::Sender<Progress>,
     ) -> Self {
-        Self { target, admission, answer: cold::Answer::Left, began: false, progress }
+        Self {
+            target,
+            admission,
+            answer: cold::Answer::Left,
+            sent: held::Sent::default(),
+            progress,
+        }
     }
 
     /// Where the request runs.
@@ -38,8 +43,7 @@
 
     /// Notes the first token of the answer.
     pub fn first(&mut self) {
-        if !self.began {
-            self.began = true;
+        if self.sent.first() {
             let _stopped = self.progress.try_send(Progress::First(self.admission.clone()));
         }
     }
