feat(platform): ratings have a rate budget of their own

Cause: every call towards the platform needs a budget; ratings had only a bound on calls at once. A refusal counts as a missing rating. There is no weight call yet.

--- a/crates/ibishill-platform/src/budget.rs
+++ b/crates/ibishill-platform/src/budget.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use ibishill_core::time;
 
-use crate::{Platform, failure, object, table, vm};
+use crate::{Platform, failure, object, rating, table, vm};
 
 /// A rate with its burst.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,12 +26,14 @@
     pub reads: Rate,
     /// Commits and objects created.
     pub writes: Rate,
+    /// Answers to rate.
+    pub ratings: Rate,
 }
 
 impl Default for Rates {
     fn default() -> Self {
         let rate = Rate { calls: 50, burst: 200 };
-        Self { reads: rate, writes: rate }
+        Self { reads: rate, writes: rate, ratings: Rate { calls: 500, burst: 1_000 } }
     }
 }
 
@@ -84,14 +86,14 @@
     }
 }
 
-/// Puts a daemon's budget before a platform's tables, objects and VM list.
+/// Puts a daemon's budget before a platform's tables, objects, VM list and rating service.
 pub fn limit(platform: &Platform, rates: Rates, clock: fn() -> time::Tick) -> Platform {
     let (reads, writes) = (Gate::new(rates.reads, clock), Gate::new(rates.writes, clock));
     Platform {
         table: tables(&platform.table, &reads, &writes),
         objects: objects(&platform.objects, &reads, &writes),
         vms: vms(&platform.vms, &reads),
-        ratings: platform.ratings.clone(),
+        ratings: ratings(&platform.ratings, &Gate::new(rates.ratings, clock)),
     }
 }
 
@@ -160,3 +162,15 @@
         .boxed()
     })
 }
+
+fn ratings(inner: &rating::Ratings, gate: &Gate) -> rating::Ratings {
+    let (inner, gate) = (inner.clone(), gate.clone());
+    rating::Ratings::new(move |question| {
+        let (ratings, gate) = (inner.clone(), gate.clone());
+        async move {
+            gate.pass()?;
+            ratings.rate(question).await
+        }
+        .boxed()
+    })
+}
