--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod prefix;
 pub mod priority;
 pub mod repeat;
+pub mod room;
 pub mod secret;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/ibishill-decide/tests/retry.rs
@@ -0,0 +1,108 @@
+//! Second attempts: safety, budgets, ejection and hedging.
+
+use ibishill_core::{id, outcome, repeat, time};
+use ibishill_decide::{hedge, outlier, retry};
+
+const NOW: time::Tick = time::Tick(100_000);
+
+fn name<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+fn target(version: &str) -> id::Target {
+    id::Target::Version(name(version))
+}
+
+#[test]
+fn only_what_can_do_no_harm_is_sent_again() {
+    use outcome::Outcome::{NotRun, Ran, Unknown};
+    use repeat::Repeat::{Never, Safe};
+    let cases = [
+        (NotRun, Safe, true),
+        (NotRun, Never, true),
+        (Unknown, Safe, true),
+        (Unknown, Never, false),
+        (Ran, Safe, false),
+        (Ran, Never, false),
+    ];
+    for (outcome, repeat, safe) in cases {
+        assert_eq!(retry::is_safe(outcome, repeat), safe, "{outcome} {repeat:?}");
+    }
+}
+
+#[test]
+fn budgets_bound_a_caller_and_a_zone() {
+    let mut budgets = retry::Budgets::default();
+    let (loud, calm, zone) = (name("loud"), name("calm"), name("a"));
+    assert!(!budgets.take(&loud, &zone));
+    (0..100).for_each(|_| budgets.first(&loud, &zone));
+    (0..100).for_each(|_| budgets.first(&calm, &zone));
+    let count = |budgets: &mut retry::Budgets, space| {
+        (0..100).filter(|_| budgets.take(space, &zone)).count()
+    };
+    assert_eq!(count(&mut budgets, &loud), 10);
+    assert_eq!(count(&mut budgets, &calm), 10);
+    // What a quiet time saves up is bounded.
+    (0..10_000).for_each(|_| budgets.first(&loud, &zone));
+    assert_eq!(count(&mut budgets, &loud), 20);
+}
+
+#[test]
+fn a_failing_version_is_ejected_and_the_endpoint_goes_on_with_others() {
+    let mut outliers = outlier::Outliers::default();
+    let names: Vec<id::EndpointId> = vec![name("e1"), name("e2")];
+    let (bad, good) = (target("m@v2"), target("m@v1"));
+    let fail = |outliers: &mut outlier::Outliers, now| {
+        outliers.begin(&names[0], &bad, now);
+        outliers.end(&names[0], &bad, outlier::Attempt::Failed, now)
+    };
+    let ejected: Vec<_> = (0..2).map(|_| fail(&mut outliers, NOW)).collect();
+    assert_eq!(ejected, [false, true]);
+    let usable = |outliers: &outlier::Outliers, target, now| {
+        outliers.usable(&names, target, false, now).contains(&names[0])
+    };
+    assert!(!usable(&outliers, &bad, NOW));
+    assert!(usable(&outliers, &good, NOW));
+    // Half-open: one probe, and a failed one doubles the wait.
+    let probe = NOW + time::Millis(500);
+    assert!(usable(&outliers, &bad, probe));
+    outliers.begin(&names[0], &bad, probe);
+    assert!(!usable(&outliers, &bad, probe));
+    outliers.end(&names[0], &bad, outlier::Attempt::Failed, probe);
+    assert!(!usable(&outliers, &bad, probe + time::Millis(999)));
+    let again = probe + time::Millis(1_000);
+    outliers.begin(&names[0], &bad, again);
+    assert!(outliers.end(&names[0], &bad, outlier::Attempt::Good, again));
+    assert!(usable(&outliers, &bad, again));
+}
+
+#[test]
+fn a_stuck_request_finds_at_most_half_of_the_endpoints_ejected() {
+    for count in 1..=9_usize {
+        let names: Vec<id::EndpointId> = (0..count).map(|n| name(&format!("e{n}"))).collect();
+        let mut outliers = outlier::Outliers::default();
+        for (at, endpoint) in names.iter().enumerate() {
+            let now = NOW + time::Millis(at as u64);
+            outliers.end(endpoint, &target("m@v1"), outlier::Attempt::Unreachable, now);
+        }
+        let usable = |stuck| outliers.usable(&names, &target("m@v2"), stuck, NOW);
+        assert!(usable(false).is_empty());
+        assert_eq!(usable(true).len(), count.div_ceil(2));
+        assert!(usable(true).contains(&names[0]), "the one whose probe is due first");
+    }
+}
+
+#[test]
+fn hedging_waits_for_the_usual_first_token_and_spares_calls_that_run_once() {
+    let mut hedge = hedge::Hedge::default();
+    let target = target("m@v1");
+    (1..=31).for_each(|ms| hedge.first(&target, time::Millis(ms)));
+    assert_eq!(hedge.delay(&target, repeat::Repeat::Safe), None);
+    (32..=101).for_each(|ms| hedge.first(&target, time::Millis(ms)));
+    assert_eq!(hedge.delay(&target, repeat::Repeat::Safe), Some(time::Millis(96)));
+    assert_eq!(hedge.delay(&target, repeat::Repeat::Never), None);
+}
