test(daemon): second attempts with prompts of their own, so that each breakage shows

Cause: with one prompt for all requests the prefix cache kept them at one endpoint, and tests of ejection and of calls that run once passed with either rule removed. Before: both breakages passed. Whole tests pass unbroken.

--- a/crates/ibishill-daemon/tests/http_callers/again.rs
+++ b/crates/ibishill-daemon/tests/http_callers/again.rs
@@ -1,7 +1,7 @@
 //! Second attempts at another endpoint, within the budget and only where they do no harm.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use super::{deployment, raw};
 
@@ -18,6 +18,16 @@
         .into_bytes()
 }
 
+// A prompt of its own, so that no endpoint's cache decides.
+async fn chat(deployment: &deployment::Deployment, number: usize) -> reqwest::Response {
+    let request = deployment.request(reqwest::Method::POST, "/v1/chat/completions");
+    let content = format!("{number} hail dings");
+    let body = serde_json::json!({
+        "messages": [{"role": "user", "content": content}], "model": "assistant@v1",
+    });
+    request.json(&body).send().await.unwrap()
+}
+
 fn outcome(answer: &reqwest::Response) -> String {
     answer.headers()["x-ibishill-outcome"].to_str().unwrap().to_owned()
 }
@@ -39,19 +49,19 @@
     let setup = deployment::Setup { near: Some(near), spare: Some(spare), ..Default::default() };
     let deployment = setup.start().await;
     // Requests that go well earn the budget.
-    for _ in 0..EARNING {
-        let answer = deployment.chat("assistant@v1", false).send().await.unwrap();
+    for number in 0..EARNING {
+        let answer = chat(&deployment, number).await;
         assert_eq!(answer.status(), 200);
     }
     let seen = || [near_seen.lock().unwrap().len(), spare_seen.lock().unwrap().len()];
     let before = seen();
     assert_eq!(before[0] + before[1], EARNING);
-    // The prompt's cache keeps most requests at one endpoint: that one fails.
+    // The one that got more fails.
     let favoured = usize::from(before[1] > before[0]);
     failing.store(favoured, Ordering::SeqCst);
     let mut second = 0;
-    for _ in 0..REQUESTS {
-        let answer = deployment.chat("assistant@v1", false).send().await.unwrap();
+    for number in 0..REQUESTS {
+        let answer = chat(&deployment, EARNING + number).await;
         assert_eq!((answer.status().as_u16(), outcome(&answer).as_str()), (200, "ran"));
         second += usize::from(answer.headers()["x-ibishill-attempts"] != "1");
     }
@@ -64,17 +74,35 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_runs_once_is_never_sent_again() {
-    let (desk, desk_seen) = raw::endpoint(|_| Vec::new()).await;
-    let (spare, spare_seen) = raw::endpoint(|_| Vec::new()).await;
+    let failing = Arc::new(AtomicBool::new(false));
+    let respond = || {
+        let failing = Arc::clone(&failing);
+        move |_: &str| {
+            if failing.load(Ordering::SeqCst) {
+                return Vec::new();
+            }
+            b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_vec()
+        }
+    };
+    let (desk, desk_seen) = raw::endpoint(respond()).await;
+    let (spare, spare_seen) = raw::endpoint(respond()).await;
     let setup = deployment::Setup { service: Some(desk), spare: Some(spare), ..Default::default() };
     let deployment = setup.start().await;
-    for sent in 1..=EARNING {
-        let request = deployment.request(reqwest::Method::POST, "/svc/ledger/pay");
-        let answer = request.send().await.unwrap();
-        assert_eq!(outcome(&answer), "unknown");
-        let seen = desk_seen.lock().unwrap().len() + spare_seen.lock().unwrap().len();
-        assert_eq!(seen, sent);
+    let call = |method, path| deployment.request(method, path).send();
+    // Budget and another endpoint are at hand.
+    for _ in 0..EARNING {
+        let answer = call(reqwest::Method::POST, "/svc/ledger/pay").await.unwrap();
+        assert_eq!(answer.status(), 200);
     }
+    failing.store(true, Ordering::SeqCst);
+    let seen = || desk_seen.lock().unwrap().len() + spare_seen.lock().unwrap().len();
+    let answer = call(reqwest::Method::POST, "/svc/ledger/pay").await.unwrap();
+    assert_eq!(outcome(&answer), "unknown");
+    assert_eq!(seen(), EARNING + 1);
+    // The same failure of a call that may be repeated is tried at the other endpoint.
+    let answer = call(reqwest::Method::GET, "/svc/ledger/read").await.unwrap();
+    assert_eq!(outcome(&answer), "unknown");
+    assert_eq!(seen(), EARNING + 3);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -84,8 +112,8 @@
     let setup = deployment::Setup { near: Some(near), spare: Some(spare), ..Default::default() };
     let deployment = setup.start().await;
     let mut failed = 0;
-    for _ in 0..REQUESTS {
-        let answer = deployment.chat("assistant@v1", false).send().await.unwrap();
+    for number in 0..REQUESTS {
+        let answer = chat(&deployment, EARNING + number).await;
         if answer.status() != 200 {
             assert_eq!(outcome(&answer), "not-run");
             failed += 1;
