--- a/crates/ibishill-bench/src/experiment/zone.rs
+++ b/crates/ibishill-bench/src/experiment/zone.rs
@@ -5,6 +5,7 @@
 use crate::{model, report};
 
 mod owner;
+mod setup;
 mod world;
 
 /// Time after acceptance from which on a zone gets no new work, in seconds.
@@ -22,7 +23,7 @@
 /// Load that no endpoint can bear, in requests a second for one slot.
 const FULL_RATE: f64 = 20.0;
 
-const COOPERATIVA: world::Deployment = world::Deployment {
+const COOPERATIVA: setup::Deployment = setup::Deployment {
     name: "cooperativa",
     declared: include_str!("../../../../examples/cooperativa/declared.yaml"),
     vms: [
@@ -35,7 +36,7 @@
     ],
 };
 
-const BRAZOS: world::Deployment = world::Deployment {
+const BRAZOS: setup::Deployment = setup::Deployment {
     name: "brazos",
     declared: include_str!("../../../../examples/brazos/declared.yaml"),
     vms: [
@@ -52,7 +53,7 @@
 pub fn run(seed: u64) -> report::Report {
     let mut figures = Vec::new();
     for deployment in [&COOPERATIVA, &BRAZOS] {
-        let policy = world::declarations(deployment).policy;
+        let policy = setup::declarations(deployment).policy;
         let rate = capacity(deployment, policy, seed);
         for load in LOADS {
             figures.extend(service(deployment, policy, rate, load, seed));
@@ -64,52 +65,52 @@
     report::Report { name: "zone".into(), seed, figures, axes, series: Vec::new() }
 }
 
-fn setup(way: world::Way, policy: declared::Policy, rate: f64) -> world::Setup {
-    world::Setup { way, fault: world::Fault::TakenOut, policy, rate }
+fn setup(way: setup::Way, policy: declared::Policy, rate: f64) -> setup::Setup {
+    setup::Setup { way, fault: setup::Fault::TakenOut, policy, rate }
 }
 
 // Answers a second of one slot when all are full: the reference of every load.
-fn capacity(deployment: &world::Deployment, policy: declared::Policy, seed: u64) -> f64 {
-    let fault = world::Fault::CutOff;
-    let full = world::Setup { fault, ..setup(world::Way::Local, policy, FULL_RATE) };
+fn capacity(deployment: &setup::Deployment, policy: declared::Policy, seed: u64) -> f64 {
+    let fault = setup::Fault::CutOff;
+    let full = setup::Setup { fault, ..setup(setup::Way::Local, policy, FULL_RATE) };
     let result = world::World::new(deployment, full, seed).run();
-    let slots: u32 = world::targets(&world::declarations(deployment), None)
+    let slots: u32 = setup::targets(&setup::declarations(deployment), None)
         .into_iter()
         .map(|(_, slots)| slots)
         .sum();
     result.answered as f64 / world::counted_seconds() / f64::from(slots)
 }
 
-fn missed(part: &world::Part) -> f64 {
+fn missed(part: &setup::Part) -> f64 {
     1.0 - part.useful as f64 / part.asked.max(1) as f64
 }
 
 fn service(
-    deployment: &world::Deployment,
+    deployment: &setup::Deployment,
     policy: declared::Policy,
     rate: f64,
     load: f64,
     seed: u64,
 ) -> Vec<report::Figure> {
     let run = |way| world::World::new(deployment, setup(way, policy, rate * load), seed).run();
-    let (ours, equal) = (run(world::Way::Ours), run(world::Way::Equal));
-    let (local, no_ramp) = (run(world::Way::Local), run(world::Way::NoRamp));
-    let planner = run(world::Way::Planner);
+    let (ours, equal) = (run(setup::Way::Ours), run(setup::Way::Equal));
+    let (local, no_ramp) = (run(setup::Way::Local), run(setup::Way::NoRamp));
+    let planner = run(setup::Way::Planner);
     let named = |what: &str| format!("{} at {load}: {what}", deployment.name);
     let latest = |way| {
         let setup = setup(way, policy, rate * load);
         let run = |n| world::World::new(deployment, setup, seed.wrapping_add(n)).run().latest;
         (0..LEAVES).map(run).max().unwrap_or(0) as f64 / 1_000.0
     };
-    let p95 = |part: &world::Part| model::percentile(&mut part.first.clone(), 0.95);
+    let p95 = |part: &setup::Part| model::percentile(&mut part.first.clone(), 0.95);
     vec![
         report::Figure::new(
             named("latest new work after acceptance"),
             "s",
-            latest(world::Way::Ours),
+            latest(setup::Way::Ours),
         )
         .bound(report::Bound::AtMost(LATEST_S))
-        .baseline("check at the entry only", latest(world::Way::EntryCheck)),
+        .baseline("check at the entry only", latest(setup::Way::EntryCheck)),
         report::Figure::new(named("away, refused or late"), "of requests", missed(&ours.away))
             .optimum(missed(&planner.away))
             .baseline("equal spread", missed(&equal.away))
@@ -133,19 +134,19 @@
 
 // The zone's own callers while it is cut off; what its slots bear is the optimum.
 fn cut(
-    deployment: &world::Deployment,
+    deployment: &setup::Deployment,
     policy: declared::Policy,
     rate: f64,
     seed: u64,
 ) -> Vec<report::Figure> {
     let load = LOADS[0];
     let run = |way| {
-        let fault = world::Fault::CutOff;
-        let setup = world::Setup { fault, ..setup(way, policy, rate * load) };
+        let fault = setup::Fault::CutOff;
+        let setup = setup::Setup { fault, ..setup(way, policy, rate * load) };
         world::World::new(deployment, setup, seed).run()
     };
-    let (ours, equal) = (run(world::Way::Ours), run(world::Way::Equal));
-    let p95 = |part: &world::Part| model::percentile(&mut part.first.clone(), 0.95);
+    let (ours, equal) = (run(setup::Way::Ours), run(setup::Way::Equal));
+    let p95 = |part: &setup::Part| model::percentile(&mut part.first.clone(), 0.95);
     let named = |what: &str| format!("{} cut off: {what}", deployment.name);
     vec![
         report::Figure::new(named("refused or late inside"), "of requests", missed(&ours.inside))
@@ -159,12 +160,12 @@
 }
 
 // Callers reach each VM with equal right, so the zone's load follows its VMs.
-fn least_inside(deployment: &world::Deployment, load: f64) -> f64 {
-    let declared = world::declarations(deployment);
-    let gone = world::leaving(&declared);
-    let share = world::share_of_vms(deployment, &gone);
-    let whole = world::targets(&declared, None);
-    let rest = world::targets(&declared, Some(&gone));
+fn least_inside(deployment: &setup::Deployment, load: f64) -> f64 {
+    let declared = setup::declarations(deployment);
+    let gone = setup::leaving(&declared);
+    let share = setup::share_of_vms(deployment, &gone);
+    let whole = setup::targets(&declared, None);
+    let rest = setup::targets(&declared, Some(&gone));
     let (mut offered, mut missed) = (0.0, 0.0);
     for ((_, whole), (_, rest)) in whole.iter().zip(&rest) {
         let asked = load * share * f64::from(*whole);
@@ -174,14 +175,14 @@
     missed / offered
 }
 
-fn policies(deployment: &world::Deployment, rate: f64, seed: u64) -> Vec<report::Figure> {
+fn policies(deployment: &setup::Deployment, rate: f64, seed: u64) -> Vec<report::Figure> {
     let run = |policy| {
-        let setup = setup(world::Way::Ours, policy, rate * POLICY_LOAD);
+        let setup = setup(setup::Way::Ours, policy, rate * POLICY_LOAD);
         world::World::new(deployment, setup, seed).run()
     };
     let (latency, cost) = (run(declared::Policy::Latency), run(declared::Policy::Cost));
-    let p95 = |part: &world::Part| model::percentile(&mut part.first.clone(), 0.95);
-    let crossed = |part: &world::Part| part.crossed as f64 / part.asked.max(1) as f64;
+    let p95 = |part: &setup::Part| model::percentile(&mut part.first.clone(), 0.95);
+    let crossed = |part: &setup::Part| part.crossed as f64 / part.asked.max(1) as f64;
     let named = |what: &str| format!("{} policies: {what}", deployment.name);
     vec![
         report::Figure::new(named("latency, p95 of first token"), "ms", p95(&latency.before))
--- a/crates/ibishill-bench/src/experiment/zone/owner.rs
+++ b/crates/ibishill-bench/src/experiment/zone/owner.rs
@@ -6,8 +6,9 @@
 use ibishill_core::{id, room, time, view};
 use ibishill_decide::{admit, cold, dispatch, spill};
 
+use super::setup::{Part, Way};
 use super::world::{
-    Asked, DEADLINE_MS, Daemon, Event, LEAVE_MS, Part, RETURN_MS, WARM_UP_MS, Way, World, space,
+    Asked, DEADLINE_MS, Daemon, Event, LEAVE_MS, RETURN_MS, WARM_UP_MS, World, space,
 };
 use crate::model;
 
