--- a/crates/ibishill-daemon/src/config_sync.rs
+++ b/crates/ibishill-daemon/src/config_sync.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
 
 use ibishill_config::{change, in_force};
 use ibishill_core::{event, time};
+use ibishill_decide::zone;
 use ibishill_state::{error::StateError, log};
-use rand::RngExt;
 use tokio::sync::{Notify, watch};
 
 use crate::context;
@@ -70,7 +69,7 @@
         runtime.block_on(async move {
             while !life.closed() || life.running() > 0 {
                 read(&log, &cell, &life, &refresh).await;
-                let wait = jitter(period);
+                let wait = zone::poll_wait(period, rand::random()).to_std();
                 tokio::select! {
                     () = tokio::time::sleep(wait) => {}
                     () = refresh.wake.notified() => {}
@@ -81,12 +80,6 @@
     Ok(())
 }
 
-// Jitter keeps the daemons from reading in step.
-fn jitter(period: time::Millis) -> Duration {
-    let half = period.0 / 2;
-    Duration::from_millis(rand::rng().random_range(half..=period.0 + half))
-}
-
 async fn read(log: &log::Log, cell: &in_force::Cell, life: &context::Life, refresh: &Refresh) {
     match log.poll(&cell.get()).await {
         Ok(next) => {
--- a/crates/ibishill-peer/tests/callers.rs
+++ b/crates/ibishill-peer/tests/callers.rs
@@ -24,6 +24,8 @@
 
 fn work() -> frame::Work {
     frame::Work {
+        tried: Default::default(),
+        waits: Default::default(),
         request: "req-1".parse().unwrap(),
         workspace: "w".parse().unwrap(),
         target: id::Target::Service("s".parse().unwrap()),
