test(state): histories of billing with two holders

Records of a lost VM had no checked way to the platform. The outbox (batch that keeps its name until written) is now a pure struct, and holders are ranked by request id.

--- a/crates/ibishill-state/src/billing.rs
+++ b/crates/ibishill-state/src/billing.rs
@@ -11,6 +11,12 @@
 
 const PREFIX: &str = "billing";
 
+/// Target of a record whose request may or may not have run; its price is zero.
+pub const UNKNOWN: &str = "unknown";
+
+/// Most records of one batch.
+pub const BATCH_MAX: usize = 4_096;
+
 /// What one request is billed for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -64,6 +70,49 @@
     pub target: String,
 }
 
+/// The batch under way: it keeps its name and content until it is known to be written.
+#[derive(Debug, Clone)]
+pub struct Outbox {
+    serial: u64,
+    batch: Vec<Record>,
+}
+
+impl Outbox {
+    /// Starts an outbox; `first` differs between two lives of a VM.
+    pub fn new(first: u64) -> Self {
+        Self { serial: first, batch: Vec::new() }
+    }
+
+    /// Starts the next batch with records of `next`, unless one is still under way.
+    pub fn load<N>(&mut self, mut next: N)
+    where
+        N: FnMut() -> Option<Record>,
+    {
+        if !self.batch.is_empty() {
+            return;
+        }
+        self.batch.extend(std::iter::from_fn(&mut next).take(BATCH_MAX));
+        if !self.batch.is_empty() {
+            self.serial = self.serial.wrapping_add(1);
+        }
+    }
+
+    /// The serial number of the batch under way.
+    pub fn serial(&self) -> u64 {
+        self.serial
+    }
+
+    /// The batch under way, empty if there is none.
+    pub fn batch(&self) -> &[Record] {
+        &self.batch
+    }
+
+    /// Ends the batch, which is known to be written, and tells whose records it held.
+    pub fn written(&mut self) -> Vec<id::RequestId> {
+        self.batch.drain(..).map(|record| record.request).collect()
+    }
+}
+
 /// The billing batches in the object store.
 #[derive(Clone)]
 pub struct Billing {
--- a/crates/ibishill-state/src/holder.rs
+++ b/crates/ibishill-state/src/holder.rs
@@ -6,13 +6,35 @@
 
 use std::collections::BTreeMap;
 
-use ibishill_core::{id, time};
+use ibishill_core::{id, time, view};
+use sha2::{Digest, Sha256};
 
 use crate::billing;
 
-/// Most records held for other daemons; beyond it a request is refused as not run.
+/// Most records held for other daemons; beyond it a record stays with its first holder.
 pub const HELD_MAX: usize = 32_768;
 
+/// The daemons of `view` but `vm` that may hold the record of `request`, best first.
+///
+/// Rendezvous hashing by request id spreads the records evenly over the zone.
+pub fn order<'a>(
+    view: &'a view::View,
+    vm: &id::VmId,
+    request: &id::RequestId,
+) -> Vec<&'a view::Member> {
+    let mut members: Vec<_> = view.members.iter().filter(|member| member.vm != *vm).collect();
+    members.sort_by_cached_key(|member| weight(&member.vm, request));
+    members
+}
+
+fn weight(vm: &id::VmId, request: &id::RequestId) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(vm.as_str());
+    hash.update([0]);
+    hash.update(request.as_str());
+    hash.finalize().into()
+}
+
 #[derive(Debug, Clone)]
 struct Held {
     record: billing::Record,
@@ -41,15 +63,10 @@
         self.held.remove(request);
     }
 
-    /// Takes the records that were not confirmed in time; the caller writes them.
-    pub fn take_due(&mut self, now: time::Tick) -> Vec<billing::Record> {
+    /// Takes at most `most` records not confirmed in time; the caller writes them.
+    pub fn take_due(&mut self, now: time::Tick, most: usize) -> Vec<billing::Record> {
         let late = self.held.extract_if(.., |_, held| held.due <= now);
-        late.map(|(_, held)| held.record).collect()
-    }
-
-    /// Takes every record, for a daemon that stops.
-    pub fn take_all(&mut self) -> Vec<billing::Record> {
-        std::mem::take(&mut self.held).into_values().map(|held| held.record).collect()
+        late.take(most).map(|(_, held)| held.record).collect()
     }
 
     /// How many records are held.
--- /dev/null
+++ b/crates/ibishill-state/tests/billing.rs
@@ -0,0 +1,240 @@
+//! Histories of ended requests while VMs, answers and the platform are lost.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use ibishill_core::{cost, id, time, view};
+use ibishill_platform::Platform;
+use ibishill_standin::memory;
+use ibishill_state::{billing, holder};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const VMS: usize = 3;
+const STEPS: usize = 120;
+const HOLD_FOR: time::Millis = time::Millis(40);
+
+/// What a run does without.
+#[derive(Clone, Copy, PartialEq)]
+enum Without {
+    Nothing,
+    Second,
+    NamesPerLife,
+}
+
+struct Vm {
+    life: u64,
+    inbox: VecDeque<billing::Record>,
+    outbox: billing::Outbox,
+    holder: holder::Holder,
+    sent: BTreeMap<id::RequestId, (usize, u64)>,
+}
+
+impl Vm {
+    fn new(life: u64, without: Without) -> Self {
+        let first = if without == Without::NamesPerLife { 0 } else { life << 32 };
+        Self {
+            life,
+            inbox: VecDeque::new(),
+            outbox: billing::Outbox::new(first),
+            holder: holder::Holder::default(),
+            sent: BTreeMap::new(),
+        }
+    }
+}
+
+/// An ended request with the lives of its entry and its second holder.
+struct Ended {
+    target: String,
+    holders: [(usize, u64); 2],
+}
+
+struct Run {
+    rng: ChaCha8Rng,
+    without: Without,
+    memory: memory::Memory,
+    billing: billing::Billing,
+    view: view::View,
+    vms: Vec<Vm>,
+    ended: Vec<Ended>,
+    now: time::Tick,
+    lives: u64,
+}
+
+impl Run {
+    fn new(seed: u64, without: Without) -> Self {
+        let memory = memory::Memory::new(seed);
+        let platform: Platform = memory.platform();
+        let member = |n| view::Member {
+            vm: format!("vm-{n}").parse().unwrap(),
+            peers: ([127, 0, 0, 1], 1).into(),
+        };
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            without,
+            memory,
+            billing: billing::Billing::new(platform.objects),
+            view: view::View { members: (0..VMS).map(member).collect(), ..Default::default() },
+            vms: (1..=VMS as u64).map(|life| Vm::new(life, without)).collect(),
+            ended: Vec::new(),
+            now: time::Tick(0),
+            lives: VMS as u64,
+        }
+    }
+
+    fn end(&mut self, entry: usize) {
+        let name = format!("req-{}", self.ended.len());
+        let record = billing::Record {
+            request: name.parse().unwrap(),
+            workspace: "demo".parse().unwrap(),
+            target: name.clone(),
+            usage: cost::Usage::default(),
+            price: cost::Micros(1),
+            at: self.now,
+            earlier: Vec::new(),
+        };
+        let order = holder::order(&self.view, &self.view.members[entry].vm, &record.request);
+        let ranks: Vec<usize> = order
+            .iter()
+            .map(|peer| self.view.members.iter().position(|member| member == *peer).unwrap())
+            .collect();
+        let second = (ranks[0], self.vms[ranks[0]].life);
+        let holders = [(entry, self.vms[entry].life), second];
+        self.ended.push(Ended { target: name, holders });
+        self.vms[entry].inbox.push_back(record.clone());
+        if self.without == Without::Second {
+            return;
+        }
+        for peer in ranks {
+            assert!(self.vms[peer].holder.hold(record.clone(), self.now + HOLD_FOR));
+            // A lost answer makes the entry ask the next peer as well.
+            if self.rng.random_bool(0.8) {
+                let sent = (peer, self.vms[peer].life);
+                self.vms[entry].sent.insert(record.request, sent);
+                return;
+            }
+        }
+    }
+
+    async fn write(&mut self, at: usize) {
+        let vm = &mut self.vms[at];
+        let mut late = VecDeque::new();
+        if vm.outbox.batch().is_empty() {
+            late.extend(vm.holder.take_due(self.now, billing::BATCH_MAX));
+        }
+        vm.outbox.load(|| late.pop_front().or_else(|| vm.inbox.pop_front()));
+        if vm.outbox.batch().is_empty() {
+            return;
+        }
+        let name = &self.view.members[at].vm;
+        let put = self.billing.write(name, vm.outbox.serial(), vm.outbox.batch()).await;
+        if put.is_err() {
+            return;
+        }
+        for request in vm.outbox.written() {
+            let Some((peer, life)) = self.vms[at].sent.remove(&request) else { continue };
+            if self.vms[peer].life == life && self.rng.random_bool(0.7) {
+                self.vms[peer].holder.confirm(&request);
+            }
+        }
+    }
+
+    async fn step(&mut self) {
+        self.now = self.now + time::Millis(1);
+        let at = self.rng.random_range(0..VMS);
+        match self.rng.random_range(0..100) {
+            0..50 => self.end(at),
+            50..90 => self.write(at).await,
+            90..95 => {
+                self.lives += 1;
+                self.vms[at] = Vm::new(self.lives, self.without);
+            }
+            _ => {
+                let outage = self.rng.random_bool(0.5);
+                let faults = memory::Faults {
+                    outage,
+                    lose_after: 0.2,
+                    lose_before: 0.2,
+                    late: 0.1,
+                    late_ms: 50,
+                    ..Default::default()
+                };
+                self.memory.set_faults(faults);
+            }
+        }
+    }
+
+    /// Runs a history, and tells how many promises were broken and how many requests
+    /// were lost with both holders.
+    async fn check(mut self) -> (usize, usize) {
+        for _ in 0..STEPS {
+            self.step().await;
+        }
+        self.memory.set_faults(memory::Faults::default());
+        self.now = self.now + HOLD_FOR;
+        for at in 0..VMS {
+            // A batch under way, then what is due and what is new.
+            self.write(at).await;
+            self.write(at).await;
+        }
+        let totals = self.billing.totals().await.unwrap();
+        let (mut broken, mut lost) = (0, 0);
+        for ended in &self.ended {
+            let line =
+                billing::Line { workspace: "demo".parse().unwrap(), target: ended.target.clone() };
+            let survives = ended.holders.iter().any(|(vm, life)| self.vms[*vm].life == *life);
+            match totals.get(&line) {
+                Some(total) if total.requests == 1 && total.price == cost::Micros(1) => {}
+                None if !survives => lost += 1,
+                _ => broken += 1,
+            }
+        }
+        (broken, lost)
+    }
+}
+
+async fn runs(without: Without) -> (usize, usize) {
+    let (mut broken, mut lost) = (0, 0);
+    for seed in 0..200 {
+        let found = Run::new(seed, without).check().await;
+        broken += found.0;
+        lost += found.1;
+    }
+    println!("broken {broken}, lost with both holders {lost}");
+    (broken, lost)
+}
+
+#[tokio::test(start_paused = true)]
+async fn counts_once_while_one_holder_survives() {
+    let (broken, lost) = runs(Without::Nothing).await;
+    assert_eq!(broken, 0);
+    assert!(lost > 0, "no history lost both holders");
+}
+
+#[tokio::test(start_paused = true)]
+async fn checker_sees_a_missing_second_holder() {
+    assert!(runs(Without::Second).await.0 > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn checker_sees_names_shared_by_two_lives() {
+    assert!(runs(Without::NamesPerLife).await.0 > 0);
+}
+
+#[test]
+fn full_holder_refuses_and_keeps_what_it_has() {
+    let mut held = holder::Holder::default();
+    let record = |n: usize| billing::Record {
+        request: format!("req-{n}").parse().unwrap(),
+        workspace: "demo".parse().unwrap(),
+        target: "plain".into(),
+        usage: cost::Usage::default(),
+        price: cost::Micros::default(),
+        at: time::Tick(0),
+        earlier: Vec::new(),
+    };
+    assert!((0..holder::HELD_MAX).all(|n| held.hold(record(n), time::Tick(1))));
+    assert!(!held.hold(record(holder::HELD_MAX), time::Tick(1)));
+    assert!(held.hold(record(0), time::Tick(1)), "a repeated copy needs no room");
+    assert_eq!(held.take_due(time::Tick(1), 10).len(), 10);
+    assert_eq!(held.len(), holder::HELD_MAX - 10);
+}
