feat(daemon): a second daemon holds billing records until they are written

A record lived at one daemon until its batch was written. Copies now go to a peer of the zone (Ask::Hold), are let go after the write (Ask::Written), and are written by the peer after five billing periods or at its stop. Batch names start at a random number: a clock set back could repeat one.

Not covered: an entry lost before its copy has left; the end of an answer doesn't wait for it.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -73,6 +73,7 @@
     BillingWritten = 1701, Info, "billing batch written";
     BillingDelayed = 1702, Warn, "billing batch could not be written yet";
     ClaimDelayed = 1703, Warn, "ending of a claim could not be recorded yet";
+    BillingSingle = 1704, Warn, "billing records have one holder only";
 }
 
 impl Event {
--- a/crates/ibishill-daemon/src/heartbeat.rs
+++ b/crates/ibishill-daemon/src/heartbeat.rs
@@ -83,6 +83,8 @@
     match ask {
         frame::Ask::Beat(beat) => frame::Reply::Echo(echo(context, &beat)),
         frame::Ask::Pull(from) => give(context, change::ConfigVersion(from)),
+        frame::Ask::Hold(records) => frame::Reply::Held(context.ledger.hold(&records)),
+        frame::Ask::Written(requests) => frame::Reply::Held(context.ledger.confirm(&requests)),
     }
 }
 
--- a/crates/ibishill-daemon/src/http/run.rs
+++ b/crates/ibishill-daemon/src/http/run.rs
@@ -130,18 +130,36 @@
             once.ran();
         }
         self.context.metrics.ended(outcome::Outcome::Ran, None);
-        let record = billing::Record {
-            request: self.caller.request.clone(),
-            workspace: self.caller.workspace.clone(),
+        let last = billing::Part {
             target: target.to_string(),
             usage,
             price: price(&self.context, target, usage),
-            at: clock::wall_now(),
-            earlier: self.earlier.iter().map(|spent| part(&self.context, spent)).collect(),
         };
-        if let Some(slot) = self.slot.take() {
-            slot.bill(record);
-        }
+        let earlier = self.earlier.iter().map(|spent| part(&self.context, spent)).collect();
+        self.bill(last, earlier);
+    }
+
+    // Records a request that may or may not have run, at no price.
+    fn unknown(&mut self) {
+        let last = billing::Part {
+            target: billing::UNKNOWN.into(),
+            usage: cost::Usage::default(),
+            price: cost::Micros::default(),
+        };
+        self.bill(last, Vec::new());
+    }
+
+    fn bill(&mut self, last: billing::Part, earlier: Vec<billing::Part>) {
+        let Some(slot) = self.slot.take() else { return };
+        slot.bill(billing::Record {
+            request: self.caller.request.clone(),
+            workspace: self.caller.workspace.clone(),
+            target: last.target,
+            usage: last.usage,
+            price: last.price,
+            at: clock::wall_now(),
+            earlier,
+        });
     }
 
     /// Counts a request that was given up.
@@ -150,6 +168,12 @@
         if let Some(once) = self.once.take() {
             once.refused(&refusal);
         }
+        // A refused copy is not billed: what is unknown is the call that its key names.
+        let is_copy =
+            matches!(refusal.reason, outcome::Reason::InProgress | outcome::Reason::CopyUnknown);
+        if refusal.outcome == outcome::Outcome::Unknown && !is_copy {
+            self.unknown();
+        }
         let workspace = Some(self.caller.workspace.clone());
         let refused = reply::Refused::new(&self.context, &self.caller.request, workspace, refusal);
         refused.attempts(attempts)
@@ -189,6 +213,7 @@
             let fields = [event::field("request", &self.caller.request)];
             event::emit(event::Event::CallerLeft, &fields);
             self.context.metrics.ended(outcome::Outcome::Unknown, None);
+            self.unknown();
         }
     }
 }
--- a/crates/ibishill-daemon/src/ledger.rs
+++ b/crates/ibishill-daemon/src/ledger.rs
@@ -1,26 +1,46 @@
 //! Billing records and refusal counts on their way to the platform.
+//!
+//! Records of other daemons that were not confirmed in time go the same way.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use ibishill_core::{clock, event, id, outcome, time};
 use ibishill_platform::object;
-use ibishill_state::{billing, error::StateError, refusal};
+use ibishill_state::{billing, error::StateError, holder, refusal};
 use tokio::sync::{Notify, mpsc};
 
+pub mod second;
+
 const RECORD_SLOTS: usize = 16_384;
-const BATCH_MAX: usize = 4_096;
+const NOTE_SLOTS: usize = 16_384;
+
+/// Billing periods after which a record that is not confirmed is written here too.
+const HOLD_PERIODS: u64 = 5;
+
 const DRAIN_PAUSE: Duration = Duration::from_millis(100);
 
 type Cells = Arc<Mutex<BTreeMap<refusal::Minute, u64>>>;
 
+#[derive(Default)]
+struct Held {
+    holder: holder::Holder,
+    is_closed: bool,
+}
+
 /// The way to the ledger's thread.
 #[derive(Clone)]
 pub struct Handle {
     records: mpsc::Sender<billing::Record>,
+    notes: mpsc::Sender<second::Note>,
+    held: Arc<Mutex<Held>>,
+    hold_for: time::Millis,
+    // Records that have found no second holder.
+    single: Arc<AtomicU64>,
     cells: Cells,
     flush: Arc<Notify>,
     flushed: Arc<Notify>,
@@ -31,11 +51,16 @@
 /// A slot for the billing record of one request, reserved before it runs.
 pub struct Slot {
     permit: mpsc::OwnedPermit<billing::Record>,
+    ledger: Handle,
 }
 
 impl Slot {
-    /// Fills the slot.
+    /// Fills the slot and has a second daemon hold the record.
     pub fn bill(self, record: billing::Record) {
+        // The copy goes first, so that it can't come after its confirmation.
+        if self.ledger.notes.try_send(second::Note::Hold(record.clone())).is_err() {
+            self.ledger.single(1, "ring full");
+        }
         let _sender = self.permit.send(record);
     }
 }
@@ -53,7 +78,7 @@
             outcome::Refusal::not_run(outcome::Reason::NotReady, detail)
                 .retry_after(time::Millis::from_secs(5))
         })?;
-        Ok(Slot { permit })
+        Ok(Slot { permit, ledger: self.clone() })
     }
 
     /// Counts one refused request.
@@ -63,6 +88,48 @@
         *cells.entry(cell).or_default() += 1;
     }
 
+    /// Counts records that have found no second holder.
+    fn single(&self, records: usize, cause: &str) {
+        let added = u64::try_from(records).unwrap_or(u64::MAX);
+        let total = self.single.fetch_add(added, Ordering::Relaxed).saturating_add(added);
+        let fields = [event::field("total", &total), event::field("cause", &cause)];
+        event::emit(event::Event::BillingSingle, &fields);
+    }
+
+    /// Holds another daemon's records, and tells which there was room for.
+    pub fn hold(&self, records: &Bytes) -> Vec<id::RequestId> {
+        let Ok(records) = serde_json::from_slice::<Vec<billing::Record>>(records) else {
+            return Vec::new();
+        };
+        let due = clock::boot_now() + self.hold_for;
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        if held.is_closed {
+            return Vec::new();
+        }
+        let mut taken = Vec::new();
+        for record in records {
+            let request = record.request.clone();
+            if held.holder.hold(record, due) {
+                taken.push(request);
+            }
+        }
+        taken
+    }
+
+    /// How many records of other daemons are held.
+    pub fn held(&self) -> usize {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).holder.len()
+    }
+
+    /// Lets go of records that their first holder has written; none of them is held now.
+    pub fn confirm(&self, requests: &[id::RequestId]) -> Vec<id::RequestId> {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        for request in requests {
+            held.holder.confirm(request);
+        }
+        Vec::new()
+    }
+
     /// Writes all that waits, and returns once that was tried.
     pub async fn flush(&self) {
         let done = self.flushed.notified();
@@ -70,9 +137,10 @@
         done.await;
     }
 
-    /// Writes all that waits, again and again until it is written or the time is over;
-    /// returns whether all is written.
+    /// Writes all that waits and all that is held for others, again and again until it is
+    /// written or the time is over; returns whether all is written.
     pub async fn drain(&self, within: time::Millis) -> bool {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).is_closed = true;
         let written = async {
             loop {
                 self.flush().await;
@@ -95,17 +163,22 @@
     vm: &id::VmId,
     objects: &object::Objects,
     period: time::Millis,
-) -> std::io::Result<Handle> {
+) -> std::io::Result<(Handle, mpsc::Receiver<second::Note>)> {
     let (records, inbox) = mpsc::channel(RECORD_SLOTS);
+    let (notes, noted) = mpsc::channel(NOTE_SLOTS);
     let handle = Handle {
         records,
+        notes,
+        held: Arc::default(),
+        hold_for: time::Millis(period.0.saturating_mul(HOLD_PERIODS)),
+        single: Arc::default(),
         cells: Cells::default(),
         flush: Arc::default(),
         flushed: Arc::default(),
         is_written: Arc::default(),
     };
-    // Names differ between two lives of a VM, so that no batch hides another.
-    let first = clock::wall_now().0 << 16;
+    // Names differ between two lives of a VM, also if its clock was set back.
+    let first: u64 = rand::random();
     let ledger = Ledger {
         vm: vm.clone(),
         billing: billing::Billing::new(objects.clone()),
@@ -113,7 +186,9 @@
         cells: Arc::clone(&handle.cells),
         is_written: Arc::clone(&handle.is_written),
         serial: first,
-        batch: Vec::new(),
+        outbox: billing::Outbox::new(first),
+        notes: handle.notes.clone(),
+        held: Arc::clone(&handle.held),
         counts: Vec::new(),
     };
     let (flush, flushed) = (Arc::clone(&handle.flush), Arc::clone(&handle.flushed));
@@ -121,7 +196,7 @@
     thread::Builder::new()
         .name("ledger".into())
         .spawn(move || runtime.block_on(ledger.run(inbox, period, flush, flushed)))?;
-    Ok(handle)
+    Ok((handle, noted))
 }
 
 struct Ledger {
@@ -131,7 +206,9 @@
     cells: Cells,
     is_written: Arc<AtomicBool>,
     serial: u64,
-    batch: Vec<billing::Record>,
+    outbox: billing::Outbox,
+    notes: mpsc::Sender<second::Note>,
+    held: Arc<Mutex<Held>>,
     counts: Vec<refusal::Count>,
 }
 
@@ -150,7 +227,7 @@
             };
             self.write_records(&mut inbox).await;
             self.write_counts().await;
-            let is_written = self.batch.is_empty() && self.counts.is_empty();
+            let is_written = self.outbox.batch().is_empty() && self.counts.is_empty();
             self.is_written.store(is_written, Ordering::Release);
             if asked {
                 flushed.notify_waiters();
@@ -160,24 +237,29 @@
 
     async fn write_records(&mut self, inbox: &mut mpsc::Receiver<billing::Record>) {
         loop {
-            // A batch keeps its name and content until it is known to be written.
-            if self.batch.is_empty() {
-                while self.batch.len() < BATCH_MAX
-                    && let Ok(record) = inbox.try_recv()
-                {
-                    self.batch.push(record);
-                }
-                self.serial += 1;
-            }
-            if self.batch.is_empty() {
+            let mut late = self.late().into_iter();
+            self.outbox.load(|| late.next().or_else(|| inbox.try_recv().ok()));
+            let batch = self.outbox.batch();
+            if batch.is_empty() {
                 return;
             }
-            let written = self.billing.write(&self.vm, self.serial, &self.batch).await;
-            if !report(written, self.batch.len()) {
+            let written = self.billing.write(&self.vm, self.outbox.serial(), batch).await;
+            if !report(written, batch.len()) {
                 return;
             }
-            self.batch.clear();
+            // A confirmation that finds no room only costs a second write.
+            let _full = self.notes.try_send(second::Note::Written(self.outbox.written()));
+        }
+    }
+
+    // Records of other daemons to write here, none while a batch is under way.
+    fn late(&self) -> Vec<billing::Record> {
+        if !self.outbox.batch().is_empty() {
+            return Vec::new();
         }
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = if held.is_closed { time::Tick(u64::MAX) } else { clock::boot_now() };
+        held.holder.take_due(now, billing::BATCH_MAX)
     }
 
     async fn write_counts(&mut self) {
@@ -186,7 +268,7 @@
             let taken = std::mem::take(&mut *cells);
             self.counts =
                 taken.into_iter().map(|(cell, refused)| refusal::Count { cell, refused }).collect();
-            self.serial += 1;
+            self.serial = self.serial.wrapping_add(1);
         }
         if self.counts.is_empty() {
             return;
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -15,8 +15,10 @@
 use ibishill_state::lease::{self, keeper};
 use ibishill_state::{claim, log};
 use snafu::ResultExt;
+use tokio::sync::mpsc;
 
 use crate::error::{self, StartError};
+use crate::ledger::second;
 use crate::{
     claims, config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics,
     operators, ratings, reports, rollouts, router, run,
@@ -87,7 +89,7 @@
         periods: admit::Periods { lease: settings.periods.lease, age: settings.limits.deadline },
     })
     .context(error::ThreadSnafu)?;
-    let ledger = ledger::spawn(&settings.vm, &platform.objects, settings.periods.billing)
+    let (ledger, notes) = ledger::spawn(&settings.vm, &platform.objects, settings.periods.billing)
         .context(error::ThreadSnafu)?;
     let claims = claim::Claims::new(platform.table.clone(), claim::Spans::default());
     let claims = claims::spawn(claims).context(error::ThreadSnafu)?;
@@ -126,7 +128,7 @@
         metrics,
     });
     reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
-    spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
+    spawn_peers(peers, socket.clone(), &context, notes).context(error::ThreadSnafu)?;
     let refresh =
         config_sync::spawn(context.log.clone(), cell, life.clone(), settings.periods.poll)
             .context(error::ThreadSnafu)?;
@@ -180,11 +182,13 @@
     runtime: tokio::runtime::Runtime,
     socket: quinn::Endpoint,
     context: &Arc<context::Context>,
+    notes: mpsc::Receiver<second::Note>,
 ) -> std::io::Result<()> {
     let context = Arc::clone(context);
     thread::Builder::new().name("peers".into()).spawn(move || {
         let asked = Arc::clone(&context);
         runtime.spawn(heartbeat::run(Arc::clone(&context)));
+        runtime.spawn(second::run(Arc::clone(&context), notes));
         let accepting = server::accept(
             socket,
             move |work| run::run(&context, work),
--- a/crates/ibishill-peer/src/frame.rs
+++ b/crates/ibishill-peer/src/frame.rs
@@ -94,6 +94,10 @@
     Beat(Beat),
     /// The configuration after a version.
     Pull(u64),
+    /// Billing records to hold until they are written, as JSON.
+    Hold(Bytes),
+    /// Requests whose billing records are written.
+    Written(Vec<id::RequestId>),
 }
 
 /// A daemon's sign of life.
@@ -142,4 +146,6 @@
     Changes(Bytes),
     /// The whole configuration, as JSON.
     Whole(Bytes),
+    /// Requests whose billing records are held now.
+    Held(Vec<id::RequestId>),
 }
