--- a/crates/ibishill-daemon/src/heartbeat.rs
+++ b/crates/ibishill-daemon/src/heartbeat.rs
@@ -83,6 +83,8 @@
     match ask {
         frame::Ask::Beat(beat) => frame::Reply::Echo(echo(context, caller, &beat)),
         frame::Ask::Pull(from) => give(context, change::ConfigVersion(from)),
+        frame::Ask::Hold(records) => frame::Reply::Held(context.ledger.hold(&records)),
+        frame::Ask::Written(requests) => frame::Reply::Held(context.ledger.confirm(&requests)),
     }
 }
 
--- a/crates/ibishill-daemon/tests/http_callers/behind.rs
+++ b/crates/ibishill-daemon/tests/http_callers/behind.rs
@@ -12,6 +12,8 @@
 
 fn work(config: u64) -> frame::Work {
     frame::Work {
+        tried: Default::default(),
+        waits: false,
         request: "req-1".parse().unwrap(),
         workspace: "demo".parse().unwrap(),
         target: id::Target::Version("assistant@v2".parse().unwrap()),
