feat(config): memory and adapters of endpoints, base of versions

Cause: placement must know what an engine can hold. All three fields have defaults, so existing files stay valid; the checks name adapters without base, room or memory. Six findings in a new bad file show each message.

--- a/crates/ibishill-bench/src/experiment/session.rs
+++ b/crates/ibishill-bench/src/experiment/session.rs
@@ -48,6 +48,7 @@
         prompt_price: Default::default(),
         output_price: Default::default(),
         quality,
+        base: None,
         state,
     }
 }
@@ -78,6 +79,8 @@
             slots: 8,
             cold_slots: 1,
             fencing: false,
+            memory: None,
+            adapters: 0,
             state: declared::ServiceState::In,
         };
         declared.endpoints.insert(name(&format!("engine-{zone}")), endpoint);
--- a/crates/ibishill-config/src/check/objects.rs
+++ b/crates/ibishill-config/src/check/objects.rs
@@ -54,6 +54,7 @@
         if endpoint.slots > 0 && endpoint.cold_slots > endpoint.slots {
             report.add(at("cold-slots"), "more cold slots than slots");
         }
+        memory(declared, endpoint, &at, report);
         if let Some(other) = addresses.insert(endpoint.address, name) {
             let message = format!("endpoint {other} has the address {} as well", endpoint.address);
             report.add(at("address"), message);
@@ -61,11 +62,62 @@
     }
 }
 
+fn memory<A>(
+    declared: &declared::Declared,
+    endpoint: &declared::Endpoint,
+    at: &A,
+    report: &mut Report<'_>,
+) where
+    A: Fn(&str) -> String,
+{
+    let Some(memory) = endpoint.memory else {
+        if endpoint.adapters > 0 {
+            report.add(at("adapters"), "adapters are placed only where memory is declared");
+        }
+        return;
+    };
+    if memory == 0 {
+        report.add(at("memory"), "an engine has memory for at least one version");
+    }
+    for name in &endpoint.versions {
+        let base = declared.versions.get(name).and_then(|version| version.base.as_ref());
+        let Some(base) = base else { continue };
+        if !endpoint.versions.contains(base) {
+            report.add(at("versions"), format!("{name} is an adapter of {base}, which is missing"));
+        }
+        if endpoint.adapters == 0 {
+            report.add(at("adapters"), format!("there is no room for the adapter {name}"));
+        }
+    }
+}
+
+fn base(
+    declared: &declared::Declared,
+    name: &id::VersionRef,
+    base: &id::VersionRef,
+    report: &mut Report<'_>,
+) {
+    let at = path("versions", name, "base");
+    match declared.versions.get(base) {
+        None => {
+            let hint = near_version(&base.to_string(), declared);
+            report.hint(at, format!("version {base} is not declared"), hint);
+        }
+        Some(found) if found.base.is_some() => {
+            report.add(at, format!("{base} is an adapter itself"));
+        }
+        Some(_) => {}
+    }
+}
+
 pub(super) fn versions(declared: &declared::Declared, report: &mut Report<'_>) {
     for (name, version) in &declared.versions {
         if !(0.0..=1.0).contains(&version.quality) {
             report.add(path("versions", name, "quality"), "quality lies between 0 and 1");
         }
+        if let Some(found) = &version.base {
+            base(declared, name, found, report);
+        }
     }
 }
 
--- a/crates/ibishill-config/src/declared.rs
+++ b/crates/ibishill-config/src/declared.rs
@@ -80,6 +80,9 @@
     pub output_price: cost::Micros,
     /// Expected share of accepted answers before ratings are known, 0 to 1.
     pub quality: f64,
+    /// The version that it is an adapter of, if it is one.
+    #[serde(default)]
+    pub base: Option<id::VersionRef>,
     /// Whether the version may get new work.
     #[serde(default)]
     pub state: VersionState,
@@ -195,6 +198,12 @@
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub fencing: bool,
+    /// Versions, without adapters, that fit at once; without it, all are always loaded.
+    #[serde(default)]
+    pub memory: Option<u32>,
+    /// Adapters that fit at once beside the versions.
+    #[serde(default)]
+    pub adapters: u32,
     /// Whether it takes new work.
     #[serde(default)]
     pub state: ServiceState,
--- a/crates/ibishill-config/src/schema.rs
+++ b/crates/ibishill-config/src/schema.rs
@@ -47,6 +47,7 @@
         required("prompt-price", PRICE),
         required("output-price", PRICE),
         required("quality", SHARE),
+        optional("base", VERSION),
         optional("state", Shape::Scalar(scalar::<declared::VersionState>)),
     ],
 );
@@ -72,6 +73,8 @@
         required("slots", COUNT),
         optional("cold-slots", COUNT),
         optional("fencing", FLAG),
+        optional("memory", COUNT),
+        optional("adapters", COUNT),
         optional("state", STATE),
     ],
 );
--- a/crates/ibishill-config/tests/findings.rs
+++ b/crates/ibishill-config/tests/findings.rs
@@ -12,6 +12,7 @@
 
 const CASES: &[Case] = &[
     Case { name: "keys", findings: 18 },
+    Case { name: "memory", findings: 6 },
     Case { name: "mixed", findings: 5 },
     Case { name: "references", findings: 24 },
     Case { name: "settings-many", findings: 8 },
--- a/crates/ibishill-daemon/tests/rollouts.rs
+++ b/crates/ibishill-daemon/tests/rollouts.rs
@@ -44,6 +44,7 @@
         prompt_price: Default::default(),
         output_price: Default::default(),
         quality: 0.9,
+        base: None,
         state,
     };
     let steps = vec![
