feat(platform): weight store, which lets loads start at a limited rate

Cause: engines load through a rate-limited store. A load is asked for before it is ordered; asking again, or for a version that the zone holds a copy of, takes no further transfer. The stand-in limits transfers over given time.

--- a/crates/ibishill-platform/src/budget.rs
+++ b/crates/ibishill-platform/src/budget.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use ibishill_core::time;
 
-use crate::{Platform, failure, object, table, vm};
+use crate::{Platform, failure, object, table, vm, weight};
 
 /// A rate with its burst.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -92,6 +92,7 @@
         objects: objects(&platform.objects, &reads, &writes),
         vms: vms(&platform.vms, &reads),
         ratings: platform.ratings.clone(),
+        weights: weights(&platform.weights, &reads),
     }
 }
 
@@ -160,3 +161,15 @@
         .boxed()
     })
 }
+
+fn weights(inner: &weight::Weights, reads: &Gate) -> weight::Weights {
+    let (inner, gate) = (inner.clone(), reads.clone());
+    weight::Weights::new(move |ask| {
+        let (weights, gate) = (inner.clone(), gate.clone());
+        async move {
+            gate.pass()?;
+            weights.reserve(ask).await
+        }
+        .boxed()
+    })
+}
--- a/crates/ibishill-platform/src/http.rs
+++ b/crates/ibishill-platform/src/http.rs
@@ -6,7 +6,7 @@
 use reqwest::StatusCode;
 use serde::{Serialize, de};
 
-use crate::{Platform, failure, object, rating, table, vm};
+use crate::{Platform, failure, object, rating, table, vm, weight};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -36,6 +36,7 @@
         objects: objects(&caller),
         vms: vms(&caller),
         ratings: ratings(&caller),
+        weights: weights(&caller),
     })
 }
 
@@ -173,3 +174,11 @@
         async move { caller.post("/v1/ratings", &question).await }.boxed()
     })
 }
+
+fn weights(caller: &Caller) -> weight::Weights {
+    let caller = caller.clone();
+    weight::Weights::new(move |ask| {
+        let caller = caller.clone();
+        async move { caller.post("/v1/weights/reserve", &ask).await }.boxed()
+    })
+}
--- a/crates/ibishill-platform/src/lib.rs
+++ b/crates/ibishill-platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod rating;
 pub mod table;
 pub mod vm;
+pub mod weight;
 
 /// All parts of the platform that a daemon uses.
 #[derive(Clone)]
@@ -23,4 +24,6 @@
     pub vms: vm::Vms,
     /// The rating service.
     pub ratings: rating::Ratings,
+    /// The weight store.
+    pub weights: weight::Weights,
 }
--- a/crates/ibishill-standin/src/lib.rs
+++ b/crates/ibishill-standin/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod memory;
 pub mod platform;
 pub mod port;
+pub mod weight;
--- a/crates/ibishill-standin/src/memory.rs
+++ b/crates/ibishill-standin/src/memory.rs
@@ -5,11 +5,20 @@
 use std::time::Duration;
 
 use futures::FutureExt;
-use ibishill_platform::{Platform, failure, object, rating, table, vm};
+use ibishill_core::clock;
+use ibishill_platform::{Platform, failure, object, rating, table, vm, weight as weights};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time;
 
+use crate::weight;
+
+/// Time between two transfers of the weight store.
+const TRANSFER_GAP: ibishill_core::time::Millis = ibishill_core::time::Millis(200);
+
+/// Time that a zone keeps the copy of a transfer.
+const COPY_KEPT: ibishill_core::time::Millis = ibishill_core::time::Millis(60_000);
+
 /// What goes wrong at the stand-in.
 #[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
@@ -44,6 +53,7 @@
     rng: ChaCha8Rng,
     reads: u64,
     writes: u64,
+    weights: weight::Store,
 }
 
 /// The platform in memory; clones share the same data.
@@ -81,6 +91,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             reads: 0,
             writes: 0,
+            weights: weight::Store::new(TRANSFER_GAP, COPY_KEPT),
         };
         Self { data: Arc::new(Mutex::new(data)) }
     }
@@ -245,6 +256,15 @@
         .await
     }
 
+    /// Grants a load at the weight store's rate.
+    ///
+    /// # Errors
+    ///
+    /// As the weight store does.
+    pub async fn reserve(&self, ask: weights::Ask) -> Result<weights::Grant, failure::Failure> {
+        self.call(true, |data| Ok(data.weights.reserve(ask, clock::boot_now()))).await
+    }
+
     /// The platform's client over this memory, without HTTP.
     pub fn platform(&self) -> Platform {
         Platform {
@@ -252,6 +272,7 @@
             objects: self.objects(),
             vms: self.vm_list(),
             ratings: self.ratings(),
+            weights: self.weights(),
         }
     }
 
@@ -304,6 +325,16 @@
     }
 }
 
+impl Memory {
+    fn weights(&self) -> weights::Weights {
+        let memory = self.clone();
+        weights::Weights::new(move |ask| {
+            let memory = memory.clone();
+            async move { memory.reserve(ask).await }.boxed()
+        })
+    }
+}
+
 impl Data {
     // The row as it was after transaction `at`.
     fn row(&self, name: &table::RowKey, at: u64) -> table::Row {
--- a/crates/ibishill-standin/src/platform.rs
+++ b/crates/ibishill-standin/src/platform.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ibishill_platform::{failure, http, object, rating, table, vm};
+use ibishill_platform::{failure, http, object, rating, table, vm, weight};
 use rocket::http::Status;
 use rocket::serde::json::Json;
 use rocket::{State, figment, get, post, put, routes};
@@ -81,6 +81,11 @@
     answer(memory.rate(question.into_inner()).await)
 }
 
+#[post("/v1/weights/reserve", data = "<ask>")]
+async fn reserve(memory: &State<memory::Memory>, ask: Json<weight::Ask>) -> Answer<weight::Grant> {
+    answer(memory.reserve(ask.into_inner()).await)
+}
+
 #[put("/faults", data = "<faults>")]
 fn set_faults(memory: &State<memory::Memory>, faults: Json<memory::Faults>) -> Status {
     memory.set_faults(faults.into_inner());
@@ -100,9 +105,9 @@
 
 /// Builds the HTTP server of a platform at `address`.
 pub fn server(memory: memory::Memory, address: SocketAddr) -> rocket::Rocket<rocket::Build> {
-    let routes =
-        routes![commit, read, create, get_object, list, vms, rate, set_faults, set_vms, counts];
-    rocket::custom(settings(address)).manage(memory).mount("/", routes)
+    let asked = routes![commit, read, create, get_object, list, vms, rate, reserve];
+    let steered = routes![set_faults, set_vms, counts];
+    rocket::custom(settings(address)).manage(memory).mount("/", asked).mount("/", steered)
 }
 
 /// Rocket's settings of a stand-in: one address, no log of its own.
