feat(decide): placement of versions on engines, with hysteresis

Cause: which engine loads which version must follow demand without thrash and survive lost answers. Targets rise at once and fall after a hold; a version goes only when its room is needed; the last engine of a wanted version is never taken. Admission treats a version that an engine with declared memory does not hold as absent there.

--- a/crates/ibishill-decide/src/admit.rs
+++ b/crates/ibishill-decide/src/admit.rs
@@ -1,6 +1,6 @@
 //! The owner's decision: whether a request may run now, and at which endpoint.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use ibishill_config::{declared, in_force};
@@ -147,7 +147,7 @@
         check_job(&facts.config.declared, facts.place, job)?;
         self.refresh(facts);
         if self.index.of(&job.target).is_empty() {
-            let detail = format!("{} owns no endpoint of {}", facts.place.vm, job.target);
+            let detail = format!("{} has no endpoint with {}", facts.place.vm, job.target);
             return Err(outcome::Refusal::not_run(outcome::Reason::NoEndpoint, detail));
         }
         Ok(())
@@ -235,6 +235,15 @@
         }
     }
 
+    /// Takes in which versions an endpoint holds; returns whether they differ.
+    pub fn loaded(
+        &mut self,
+        endpoint: &id::EndpointId,
+        versions: BTreeSet<id::VersionRef>,
+    ) -> bool {
+        self.index.mine().contains(endpoint) && self.index.set_loaded(endpoint, versions)
+    }
+
     /// Takes in an event of an endpoint's prefix cache.
     pub fn cached(
         &mut self,
--- a/crates/ibishill-decide/src/dispatch.rs
+++ b/crates/ibishill-decide/src/dispatch.rs
@@ -154,6 +154,14 @@
         }
     }
 
+    /// Requests that wait, by version.
+    pub fn queued(&self) -> impl Iterator<Item = (&id::VersionRef, usize)> {
+        self.lanes.iter().filter_map(|(target, lane)| match target {
+            id::Target::Version(version) => Some((version, lane.queue.len())),
+            id::Target::Service(_) => None,
+        })
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.lanes.values().map(|lane| lane.queue.len()).sum()
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod index;
 pub mod owner;
+pub mod place;
 pub mod plan;
 pub mod prefix;
 pub mod queue;
