feat(daemon): orders to engines under the view's number, read back

Cause: the decisions of placement need a duty that sends them. A version leaves admission before it is unloaded; a load waits for the weight store; engines that ignore fencing wait for a lease and change one at a time.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -63,6 +63,10 @@
     EndpointFailed = 1401, Warn, "endpoint failed";
     EndpointState = 1402, Info, "endpoint changed state";
     RatingMissing = 1411, Debug, "rating service gave no rating in time";
+    OrderTaken = 1421, Info, "order taken by an engine";
+    OrderFenced = 1422, Warn, "order refused by an engine that has seen a newer view";
+    OrderUnknown = 1423, Warn, "order without an answer; its effect is read back";
+    PlacementShort = 1424, Warn, "no engine has room for a served version";
     PeerUnreachable = 1501, Warn, "peer could not be reached";
     PeerRejected = 1502, Warn, "peer was rejected";
     ChangeAccepted = 1601, Info, "change accepted";
--- a/crates/ibishill-daemon/src/lib.rs
+++ b/crates/ibishill-daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod operators;
+pub mod orders;
 pub mod ratings;
 pub mod reports;
 pub mod rollouts;
--- a/crates/ibishill-daemon/src/router.rs
+++ b/crates/ibishill-daemon/src/router.rs
@@ -1,6 +1,6 @@
 //! The router thread: it alone owns the state of planning and admission.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::thread;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 pub use permit::Permit;
 
+pub mod demand;
 mod permit;
 
 const ASK_SLOTS: usize = 1_024;
@@ -49,6 +50,9 @@
     Report(id::EndpointId, cold::Report),
     Cached(id::EndpointId, PrefixKey, prefix::Event),
     Status(oneshot::Sender<Vec<GateStatus>>),
+    Loaded(id::EndpointId, BTreeSet<id::VersionRef>),
+    Demand(oneshot::Sender<demand::Demand>),
+    Active(oneshot::Sender<demand::Active>),
 }
 
 type Reply = oneshot::Sender<Result<Permit, outcome::Refusal>>;
@@ -104,6 +108,29 @@
         let _dropped = self.asks.try_send(Ask::Cached(endpoint, key, event));
     }
 
+    /// Passes on which versions an engine holds; returns whether there was room.
+    pub fn loaded(&self, endpoint: id::EndpointId, versions: BTreeSet<id::VersionRef>) -> bool {
+        let sent = self.asks.try_send(Ask::Loaded(endpoint, versions)).is_ok();
+        if !sent {
+            event::emit(event::Event::RingFull, &[event::field("ring", &"router")]);
+        }
+        sent
+    }
+
+    /// Requests by version; those refused are counted since the last call.
+    pub async fn demand(&self) -> Option<demand::Demand> {
+        let (sender, receiver) = oneshot::channel();
+        self.asks.try_send(Ask::Demand(sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Requests that run at each endpoint, by version.
+    pub async fn active(&self) -> Option<demand::Active> {
+        let (sender, receiver) = oneshot::channel();
+        self.asks.try_send(Ask::Active(sender)).ok()?;
+        receiver.await.ok()
+    }
+
     /// What is known of the endpoints of this daemon.
     pub async fn status(&self) -> Vec<GateStatus> {
         let (sender, receiver) = oneshot::channel();
@@ -137,7 +164,14 @@
     let (asks, inbox) = ring::bounded(ASK_SLOTS);
     let (sender, progress) = ring::bounded(HELD_MAX * permit::MESSAGES_MAX);
     let dispatcher = dispatch::Dispatcher::new(admit::Owner::new(sources.periods));
-    let router = Router { sources, dispatcher, waiting: BTreeMap::new(), admitted: 0, sender };
+    let router = Router {
+        sources,
+        dispatcher,
+        waiting: BTreeMap::new(),
+        admitted: 0,
+        sender,
+        tally: demand::Tally::default(),
+    };
     thread::Builder::new().name("router".into()).spawn(move || router.run(&inbox, &progress))?;
     Ok(Handle { asks })
 }
@@ -153,6 +187,7 @@
     waiting: BTreeMap<queue::Ticket, Waiting>,
     admitted: usize,
     sender: ring::Sender<permit::Progress>,
+    tally: demand::Tally,
 }
 
 impl Router {
@@ -192,6 +227,7 @@
             permit::Progress::First(admission) => self.dispatcher.owner.first(&admission, now),
             permit::Progress::End(target, admission, answer) => {
                 self.admitted -= 1;
+                self.tally.end(&target, &admission.endpoint);
                 self.dispatcher.finish(&target, &admission, answer, now);
             }
         }
@@ -209,6 +245,17 @@
             Ask::Cached(endpoint, key, event) => {
                 self.dispatcher.owner.cached(&endpoint, key, event, clock::boot_now());
             }
+            Ask::Loaded(endpoint, versions) => {
+                if self.dispatcher.owner.loaded(&endpoint, versions) {
+                    self.with_facts(|dispatcher, facts| dispatcher.owner.refresh(facts));
+                }
+            }
+            Ask::Active(reply) => {
+                let _left = reply.send(self.tally.active().clone());
+            }
+            Ask::Demand(reply) => {
+                let _left = reply.send(self.tally.take(self.dispatcher.queued()));
+            }
             Ask::Status(reply) => {
                 let _left = reply.send(self.status());
             }
@@ -250,6 +297,7 @@
 
     fn decided(&mut self, decision: dispatch::Decision) {
         let Some(waiting) = self.waiting.remove(&decision.ticket) else { return };
+        self.tally.decided(&waiting.target, &decision.result);
         let permit = decision.result.map(|admission| {
             self.admitted += 1;
             Permit::new(waiting.target, admission, self.sender.clone())
--- /dev/null
+++ b/crates/ibishill-daemon/src/router/demand.rs
@@ -0,0 +1,77 @@
+//! Requests by version, as placement needs them.
+
+use std::collections::BTreeMap;
+
+use ibishill_core::{id, outcome};
+use ibishill_decide::{admit, place::target};
+
+/// Requests that run at each endpoint, by version.
+pub type Active = BTreeMap<(id::EndpointId, id::VersionRef), u32>;
+
+/// What is asked of the versions.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Requests by version.
+    pub counts: BTreeMap<id::VersionRef, target::Count>,
+}
+
+/// Counts what the router decides.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    refused: BTreeMap<id::VersionRef, target::Count>,
+    active: Active,
+}
+
+impl Tally {
+    pub(super) fn decided(
+        &mut self,
+        target: &id::Target,
+        result: &Result<admit::Admission, outcome::Refusal>,
+    ) {
+        let id::Target::Version(version) = target else { return };
+        match result {
+            Ok(admission) => {
+                let place = (admission.endpoint.clone(), version.clone());
+                *self.active.entry(place).or_default() += 1;
+            }
+            Err(refusal) => {
+                let count = self.refused.entry(version.clone()).or_default();
+                match refusal.reason {
+                    outcome::Reason::NoEndpoint => count.missed += 1,
+                    outcome::Reason::Overloaded | outcome::Reason::Deadline => count.refused += 1,
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    pub(super) fn end(&mut self, target: &id::Target, endpoint: &id::EndpointId) {
+        let id::Target::Version(version) = target else { return };
+        let place = (endpoint.clone(), version.clone());
+        if let Some(count) = self.active.get_mut(&place) {
+            *count -= 1;
+            if *count == 0 {
+                self.active.remove(&place);
+            }
+        }
+    }
+
+    pub(super) fn active(&self) -> &Active {
+        &self.active
+    }
+
+    pub(super) fn take<'a, Q>(&mut self, queued: Q) -> Demand
+    where
+        Q: Iterator<Item = (&'a id::VersionRef, usize)>,
+    {
+        let mut counts = std::mem::take(&mut self.refused);
+        for ((_, version), running) in &self.active {
+            counts.entry(version.clone()).or_default().running += running;
+        }
+        for (version, waiting) in queued {
+            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+            counts.entry(version.clone()).or_default().queued += waiting;
+        }
+        Demand { counts }
+    }
+}
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -19,7 +19,7 @@
 use crate::error::{self, StartError};
 use crate::{
     claims, config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics,
-    operators, ratings, reports, rollouts, router, run,
+    operators, orders, ratings, reports, rollouts, router, run,
 };
 
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -126,6 +126,7 @@
         metrics,
     });
     reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
+    orders::spawn(Arc::clone(&context), platform.weights.clone()).context(error::ThreadSnafu)?;
     spawn_peers(peers, socket.clone(), &context).context(error::ThreadSnafu)?;
     let refresh =
         config_sync::spawn(context.log.clone(), cell, life.clone(), settings.periods.poll)
