--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -7,6 +7,7 @@
 pub mod decide;
 pub mod latency;
 pub mod overload;
+pub mod place;
 pub mod rollout;
 pub mod session;
 
@@ -53,5 +54,10 @@
         purpose: "version changes of sessions over a roll-out, zone loss and VM replacement",
         run: session::run,
     },
+    Experiment {
+        name: "place",
+        purpose: "orders to engines: time until a roll-out's demand is met, thrash, lost answers",
+        run: place::run,
+    },
     Experiment { name: "decide", purpose: "processor time of one decision", run: decide::run },
 ];
