feat(decide): one version's headroom gives way to another's need

A target now tells the engines needed without headroom; what stands above that may be taken. Room that is on its way is not made twice.

--- a/crates/ibishill-bench/src/experiment/place/sim.rs
+++ b/crates/ibishill-bench/src/experiment/place/sim.rs
@@ -237,7 +237,7 @@
         let homes = home::homes(&self.declared, &"z".parse().expect("a valid zone"));
         needs.iter_mut().for_each(|(version, need)| need.floor = homes.contains_key(version));
         let targets = self.demand.targets(&engines, &needs, rules, tick(at));
-        let kept: u32 = targets.values().sum();
+        let kept: u32 = targets.values().map(|target| target.count).sum();
         let wanted: f64 = (self.asked)(at).iter().sum();
         self.result.kept += f64::from(kept * SLOTS / MEMORY) - wanted;
         for step in place::steps(&engines, &needs, &targets, &Versions::new()) {
--- a/crates/ibishill-decide/src/place.rs
+++ b/crates/ibishill-decide/src/place.rs
@@ -30,6 +30,15 @@
     pub base: Option<id::VersionRef>,
 }
 
+/// How many engines should hold a version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Target {
+    /// Engines with headroom.
+    pub count: u32,
+    /// Engines without headroom, which others that are short may not take.
+    pub least: u32,
+}
+
 /// An engine as the decision sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Engine {
@@ -125,7 +134,7 @@
 pub fn steps(
     engines: &BTreeMap<id::EndpointId, Engine>,
     needs: &BTreeMap<id::VersionRef, Need>,
-    targets: &BTreeMap<id::VersionRef, u32>,
+    targets: &BTreeMap<id::VersionRef, Target>,
     withdrawn: &BTreeSet<id::VersionRef>,
 ) -> Vec<Step> {
     pick::Picker::new(engines, needs, targets, withdrawn).run()
--- a/crates/ibishill-decide/src/place/pick.rs
+++ b/crates/ibishill-decide/src/place/pick.rs
@@ -4,15 +4,17 @@
 
 use ibishill_core::id;
 
-use crate::place::{Change, Engine, Need, Step};
+use crate::place::{Change, Engine, Need, Step, Target};
 
 pub(super) struct Picker<'a> {
     engines: &'a BTreeMap<id::EndpointId, Engine>,
     needs: &'a BTreeMap<id::VersionRef, Need>,
-    targets: &'a BTreeMap<id::VersionRef, u32>,
+    targets: &'a BTreeMap<id::VersionRef, Target>,
     withdrawn: &'a BTreeSet<id::VersionRef>,
     // Engines with each version now, less those it is taken from in this round.
     have: BTreeMap<id::VersionRef, u32>,
+    // Engines that already make room for a version that is short.
+    promised: u32,
     used: BTreeSet<id::EndpointId>,
     unfenced: bool,
     steps: Vec<Step>,
@@ -22,7 +24,7 @@
     pub(super) fn new(
         engines: &'a BTreeMap<id::EndpointId, Engine>,
         needs: &'a BTreeMap<id::VersionRef, Need>,
-        targets: &'a BTreeMap<id::VersionRef, u32>,
+        targets: &'a BTreeMap<id::VersionRef, Target>,
         withdrawn: &'a BTreeSet<id::VersionRef>,
     ) -> Self {
         let mut have: BTreeMap<_, u32> = BTreeMap::new();
@@ -31,7 +33,10 @@
         }
         // An order that has not shown yet keeps all other unfenced engines waiting.
         let unfenced = engines.values().any(|engine| !engine.fencing && engine.busy);
+        let leaving = |engine: &&Engine| engine.busy && engine.coming.is_none();
+        let promised = engines.values().filter(leaving).count() as u32;
         Self {
+            promised,
             engines,
             needs,
             targets,
@@ -48,9 +53,11 @@
         // No engine at all is worst; then the largest need for each engine.
         short.sort_by(|a, b| self.lack(b).total_cmp(&self.lack(a)));
         for version in short {
-            let mut missing = self.target(version).saturating_sub(self.count(version));
-            while missing > 0 && self.place(version) {
-                missing -= 1;
+            let missing = self.target(version).saturating_sub(self.count(version));
+            for coming in 0..missing {
+                if !self.place(version, self.count(version) + coming) {
+                    break;
+                }
             }
         }
         self.steps
@@ -64,7 +71,11 @@
     }
 
     fn target(&self, version: &id::VersionRef) -> u32 {
-        self.targets.get(version).copied().unwrap_or(0)
+        self.targets.get(version).map_or(0, |target| target.count)
+    }
+
+    fn least(&self, version: &id::VersionRef) -> u32 {
+        self.targets.get(version).map_or(0, |target| target.least)
     }
 
     fn count(&self, version: &id::VersionRef) -> u32 {
@@ -80,7 +91,8 @@
         engine.open && !self.used.contains(name) && (engine.fencing || !self.unfenced)
     }
 
-    fn place(&mut self, version: &id::VersionRef) -> bool {
+    // `held` engines hold the version or will.
+    fn place(&mut self, version: &id::VersionRef, held: u32) -> bool {
         let engines = self.engines;
         let able = |(name, engine): &(&id::EndpointId, &Engine)| {
             self.open(name, engine)
@@ -94,8 +106,12 @@
             self.push(name, Change::Load(version.clone()));
             return true;
         }
+        if self.promised > 0 {
+            self.promised -= 1;
+            return true;
+        }
         let victims = able.iter().filter_map(|(name, engine)| {
-            let (rank, victim) = self.victim(engine, version)?;
+            let (rank, victim) = self.victim(engine, version, held)?;
             Some((rank, *name, victim))
         });
         let Some((_, name, victim)) = victims.min() else { return false };
@@ -124,11 +140,16 @@
     }
 
     // What makes room for `version`, and how little it is missed.
-    fn victim(&self, engine: &Engine, version: &id::VersionRef) -> Option<(u8, id::VersionRef)> {
+    fn victim(
+        &self,
+        engine: &Engine,
+        version: &id::VersionRef,
+        count: u32,
+    ) -> Option<(u8, id::VersionRef)> {
         let adapter = self.is_adapter(version);
         let alike = engine.loaded.iter().filter(|held| self.is_adapter(held) == adapter);
         let bare = alike.filter(|held| !self.carries(engine, held));
-        bare.filter_map(|held| Some((self.rank(held, version)?, held.clone()))).min()
+        bare.filter_map(|held| Some((self.rank(held, version, count)?, held.clone()))).min()
     }
 
     fn carries(&self, engine: &Engine, base: &id::VersionRef) -> bool {
@@ -138,7 +159,7 @@
         })
     }
 
-    fn rank(&self, held: &id::VersionRef, version: &id::VersionRef) -> Option<u8> {
+    fn rank(&self, held: &id::VersionRef, version: &id::VersionRef, has: u32) -> Option<u8> {
         let (count, target) = (self.count(held), self.target(held));
         if self.withdrawn.contains(held) || !self.needs.contains_key(held) {
             return Some(0);
@@ -146,8 +167,12 @@
         if count > target {
             return Some(1);
         }
+        // One version's headroom gives way to another's need.
+        if has < self.least(version) && count > self.least(held).max(1) {
+            return Some(2);
+        }
         // A version without any engine takes one from a version that has several.
-        (self.count(version) == 0 && count > 1).then_some(2)
+        (has == 0 && count > 1).then_some(3)
     }
 }
 
--- a/crates/ibishill-decide/src/place/target.rs
+++ b/crates/ibishill-decide/src/place/target.rs
@@ -31,7 +31,13 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
+struct Pair {
+    count: Kept,
+    least: Kept,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
 struct Kept {
     count: u32,
     // Since when, and up to where, targets have been lower.
@@ -43,7 +49,7 @@
 pub struct Demand {
     slots: BTreeMap<id::VersionRef, f64>,
     seen: Option<time::Tick>,
-    kept: BTreeMap<id::VersionRef, Kept>,
+    kept: BTreeMap<id::VersionRef, Pair>,
 }
 
 impl Demand {
@@ -104,14 +110,20 @@
         needs: &BTreeMap<id::VersionRef, place::Need>,
         rules: &place::Rules,
         now: time::Tick,
-    ) -> BTreeMap<id::VersionRef, u32> {
+    ) -> BTreeMap<id::VersionRef, place::Target> {
         let wanted = share_out(engines, needs, rules.headroom);
+        let least = share_out(engines, needs, 1.0);
         self.kept.retain(|version, _| needs.contains_key(version));
         for (version, count) in &wanted {
-            let kept = self.kept.entry(version.clone()).or_insert(Kept { count: 0, lower: None });
-            kept.follow(*count, rules.hold, now);
+            let kept = self.kept.entry(version.clone()).or_default();
+            kept.count.follow(*count, rules.hold, now);
+            kept.least.follow(least.get(version).copied().unwrap_or(0), rules.hold, now);
         }
-        self.kept.iter().map(|(version, kept)| (version.clone(), kept.count)).collect()
+        let target = |(version, kept): (&id::VersionRef, &Pair)| {
+            let target = place::Target { count: kept.count.count, least: kept.least.count };
+            (version.clone(), target)
+        };
+        self.kept.iter().map(target).collect()
     }
 }
 
--- a/crates/ibishill-decide/tests/place.rs
+++ b/crates/ibishill-decide/tests/place.rs
@@ -18,6 +18,10 @@
     text.split_whitespace().map(v).collect()
 }
 
+fn even(count: u32) -> place::Target {
+    place::Target { count, least: count }
+}
+
 // An engine with room for one version and one adapter.
 fn engine(holds: &str) -> place::Engine {
     place::Engine {
@@ -117,6 +121,17 @@
             withdrawn: "",
             steps: &["e0 unload a@v1"],
         },
+        Case {
+            name: "room that is on its way is not made twice",
+            engines: vec![
+                place::Engine { busy: true, open: false, ..engine("a@v1") },
+                engine("a@v1"),
+                engine("a@v1"),
+            ],
+            wanted: &[("a@v1", 1.0, 1), ("b@v1", 8.0, 1)],
+            withdrawn: "",
+            steps: &[],
+        },
         Case {
             name: "one change at an engine",
             engines: vec![two("")],
@@ -169,7 +184,8 @@
 fn each_state_gives_its_orders() {
     for case in cases() {
         let slots: Vec<_> = case.wanted.iter().map(|(name, slots, _)| (*name, *slots)).collect();
-        let targets = case.wanted.iter().map(|(name, _, target)| (v(name), *target)).collect();
+        let targets =
+            case.wanted.iter().map(|(name, _, target)| (v(name), even(*target))).collect();
         let withdrawn = versions(case.withdrawn);
         let steps = place::steps(&engines(&case.engines), &needs(&slots), &targets, &withdrawn);
         let steps: Vec<_> = steps.iter().map(shown).collect();
@@ -191,7 +207,8 @@
             ..engine(names.get(*n).copied().unwrap_or(""))
         };
         let all: Vec<_> = held.iter().map(one).collect();
-        let targets: BTreeMap<_, _> = names.iter().map(|name| v(name)).zip(wants).collect();
+        let targets: BTreeMap<_, _> =
+            names.iter().map(|name| v(name)).zip(wants.map(even)).collect();
         let slots: Vec<_> = names.iter().map(|name| (*name, 1.0)).collect();
         let all = engines(&all);
         let steps = place::steps(&all, &needs(&slots), &targets, &BTreeSet::new());
@@ -203,13 +220,26 @@
             let holds = all.values().filter(|engine| engine.loaded.contains(version)).count();
             let gone = |step: &&place::Step| step.change == place::Change::Unload(version.clone());
             let left = holds - steps.iter().filter(gone).count();
-            assert!(*target == 0 || holds == 0 || left > 0, "{version} lost its last engine");
+            assert!(target.count == 0 || holds == 0 || left > 0, "{version} lost its last engine");
         }
         Ok(())
     };
     TestRunner::new(config).run(&(held, wants), check).unwrap();
 }
 
+#[test]
+fn headroom_gives_way_to_need_and_need_does_not() {
+    let all = engines(&[engine("a@v1"), engine("a@v1"), engine("a@v1"), engine("b@v1")]);
+    let needs = needs(&[("a@v1", 16.0), ("b@v1", 16.0)]);
+    for (least, count) in [(2, 1), (3, 0)] {
+        let a = place::Target { count: 3, least };
+        let b = place::Target { count: 3, least: 2 };
+        let targets = [(v("a@v1"), a), (v("b@v1"), b)].into();
+        let steps = place::steps(&all, &needs, &targets, &BTreeSet::new());
+        assert_eq!(steps.len(), count, "{least}: {steps:?}");
+    }
+}
+
 fn rules() -> place::Rules {
     place::Rules::of(declared::Policy::Cost)
 }
@@ -221,7 +251,7 @@
     let mut demand = target::Demand::default();
     let mut at = |slots, secs| {
         let now = time::Tick(secs * 1_000);
-        demand.targets(&all, &needs(&[("a@v1", slots)]), &rules, now)[&v("a@v1")]
+        demand.targets(&all, &needs(&[("a@v1", slots)]), &rules, now)[&v("a@v1")].count
     };
     let hold = rules.hold.0 / 1_000;
     assert_eq!(at(20.0, 0), 3);
@@ -239,7 +269,7 @@
     let all = engines(&[engine(""), engine(""), engine("")]);
     let needs = needs(&[("a@v1", 500.0), ("b@v1", 1.0), ("c@v1", 1.0)]);
     let targets = target::Demand::default().targets(&all, &needs, &rules(), time::Tick(0));
-    assert_eq!(targets.into_values().collect::<Vec<_>>(), [1, 1, 1]);
+    assert_eq!(targets.into_values().map(|target| target.count).collect::<Vec<_>>(), [1, 1, 1]);
 }
 
 fn declare(memory: u32) -> declared::Declared {
