feat(decide): what an owner finds loaded counts as wanted for one hold

Cause: an owner without history took versions at rest for spare, and loaded them again at the next swing.

--- a/crates/ibishill-decide/src/place/target.rs
+++ b/crates/ibishill-decide/src/place/target.rs
@@ -31,13 +31,13 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Pair {
     count: Kept,
     least: Kept,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct Kept {
     count: u32,
     // Since when, and up to where, targets have been lower.
@@ -115,7 +115,9 @@
         let least = share_out(engines, needs, 1.0);
         self.kept.retain(|version, _| needs.contains_key(version));
         for (version, count) in &wanted {
-            let kept = self.kept.entry(version.clone()).or_default();
+            // An owner without history takes what it finds as wanted, for one hold.
+            let found = || Pair::found(engines, version);
+            let kept = self.kept.entry(version.clone()).or_insert_with(found);
             kept.count.follow(*count, rules.hold, now);
             kept.least.follow(least.get(version).copied().unwrap_or(0), rules.hold, now);
         }
@@ -127,6 +129,14 @@
     }
 }
 
+impl Pair {
+    fn found(engines: &BTreeMap<id::EndpointId, place::Engine>, version: &id::VersionRef) -> Self {
+        let holds = engines.values().filter(|engine| engine.loaded.contains(version)).count();
+        let kept = Kept { count: holds as u32, lower: None };
+        Self { count: kept, least: kept }
+    }
+}
+
 impl Kept {
     fn follow(&mut self, count: u32, hold: time::Millis, now: time::Tick) {
         if count >= self.count {
--- a/crates/ibishill-decide/tests/place.rs
+++ b/crates/ibishill-decide/tests/place.rs
@@ -240,6 +240,17 @@
     }
 }
 
+#[test]
+fn without_history_what_is_found_stays_for_one_hold() {
+    let all = engines(&[engine("a@v1"), engine("a@v1")]);
+    let mut demand = target::Demand::default();
+    let hold = rules().hold.0;
+    for (at, count) in [(0, 2), (hold - 1, 2), (hold, 0)] {
+        let targets = demand.targets(&all, &needs(&[("a@v1", 0.0)]), &rules(), time::Tick(at));
+        assert_eq!(targets[&v("a@v1")], even(count), "{at}");
+    }
+}
+
 fn rules() -> place::Rules {
     place::Rules::of(declared::Policy::Cost)
 }
