--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -7,6 +7,7 @@
 pub mod decide;
 pub mod latency;
 pub mod overload;
+pub mod place;
 pub mod retry;
 pub mod rollout;
 pub mod session;
@@ -65,5 +66,10 @@
         purpose: "second attempts while endpoints fail, and what stays after",
         run: retry::run,
     },
+    Experiment {
+        name: "place",
+        purpose: "orders to engines: time until a roll-out's demand is met, thrash, lost answers",
+        run: place::run,
+    },
     Experiment { name: "decide", purpose: "processor time of one decision", run: decide::run },
 ];
--- a/crates/ibishill-daemon/src/router.rs
+++ b/crates/ibishill-daemon/src/router.rs
@@ -1,6 +1,6 @@
 //! The router thread: it alone owns the state of planning and admission.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::thread;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 pub use permit::Permit;
 
+pub mod demand;
 pub mod held;
 mod permit;
 
@@ -61,6 +62,9 @@
     Report(id::EndpointId, cold::Report),
     Cached(id::EndpointId, PrefixKey, prefix::Event),
     Status(oneshot::Sender<Vec<GateStatus>>),
+    Loaded(id::EndpointId, BTreeSet<id::VersionRef>),
+    Demand(oneshot::Sender<demand::Demand>),
+    Active(oneshot::Sender<demand::Active>),
 }
 
 type Reply = oneshot::Sender<Result<Permit, outcome::Refusal>>;
@@ -130,6 +134,29 @@
         let _dropped = self.asks.try_send(Ask::Cached(endpoint, key, event));
     }
 
+    /// Passes on which versions an engine holds; returns whether there was room.
+    pub fn loaded(&self, endpoint: id::EndpointId, versions: BTreeSet<id::VersionRef>) -> bool {
+        let sent = self.asks.try_send(Ask::Loaded(endpoint, versions)).is_ok();
+        if !sent {
+            event::emit(event::Event::RingFull, &[event::field("ring", &"router")]);
+        }
+        sent
+    }
+
+    /// Requests by version; those refused are counted since the last call.
+    pub async fn demand(&self) -> Option<demand::Demand> {
+        let (sender, receiver) = oneshot::channel();
+        self.asks.try_send(Ask::Demand(sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Requests that run at each endpoint, by version.
+    pub async fn active(&self) -> Option<demand::Active> {
+        let (sender, receiver) = oneshot::channel();
+        self.asks.try_send(Ask::Active(sender)).ok()?;
+        receiver.await.ok()
+    }
+
     /// What is known of the endpoints of this daemon.
     pub async fn status(&self) -> Vec<GateStatus> {
         let (sender, receiver) = oneshot::channel();
@@ -172,6 +199,7 @@
         waiting: BTreeMap::new(),
         held,
         sender,
+        tally: demand::Tally::default(),
     };
     thread::Builder::new().name("router".into()).spawn(move || router.run(&inbox, &progress))?;
     Ok(Handle { asks })
@@ -190,6 +218,7 @@
     waiting: BTreeMap<queue::Ticket, Waiting>,
     held: held::Held,
     sender: ring::Sender<permit::Progress>,
+    tally: demand::Tally,
 }
 
 impl Router {
@@ -232,6 +261,7 @@
                 if let Some(attempt) = attempt {
                     self.attempted(&target, &admission, attempt, now);
                 }
+                self.tally.end(&target, &admission.endpoint);
                 self.dispatcher.finish(&target, &admission, answer, now);
             }
         }
@@ -285,6 +315,17 @@
             Ask::Cached(endpoint, key, event) => {
                 self.dispatcher.owner.cached(&endpoint, key, event, clock::boot_now());
             }
+            Ask::Loaded(endpoint, versions) => {
+                if self.dispatcher.owner.loaded(&endpoint, versions) {
+                    self.with_facts(|dispatcher, facts| dispatcher.owner.refresh(facts));
+                }
+            }
+            Ask::Active(reply) => {
+                let _left = reply.send(self.tally.active().clone());
+            }
+            Ask::Demand(reply) => {
+                let _left = reply.send(self.tally.take(self.dispatcher.queued()));
+            }
             Ask::Status(reply) => {
                 let _left = reply.send(self.status());
             }
@@ -326,6 +367,7 @@
 
     fn decided(&mut self, decision: dispatch::Decision) {
         let Some(waiting) = self.waiting.remove(&decision.ticket) else { return };
+        self.tally.decided(&waiting.target, &decision.result);
         let permit = decision.result.map(|admission| {
             self.held.admit();
             let room = self.dispatcher.room(&waiting.target, clock::boot_now());
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -21,7 +21,7 @@
 use crate::ledger::second;
 use crate::{
     claims, config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics,
-    operators, ratings, reports, rollouts, router, run,
+    operators, orders, ratings, reports, rollouts, router, run,
 };
 
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -132,6 +132,7 @@
         metrics,
     });
     reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
+    orders::spawn(Arc::clone(&context), platform.weights.clone()).context(error::ThreadSnafu)?;
     spawn_peers(peers, socket.clone(), &context, notes).context(error::ThreadSnafu)?;
     let refresh = context.refresh.clone();
     let poll = settings.periods.poll;
--- a/crates/ibishill-decide/src/admit.rs
+++ b/crates/ibishill-decide/src/admit.rs
@@ -154,7 +154,7 @@
         check_job(&facts.config.declared, facts.place, job)?;
         self.refresh(facts);
         if self.index.of(&job.target).is_empty() {
-            let detail = format!("{} owns no endpoint of {}", facts.place.vm, job.target);
+            let detail = format!("{} has no endpoint with {}", facts.place.vm, job.target);
             return Err(outcome::Refusal::not_run(outcome::Reason::NoEndpoint, detail));
         }
         self.check_usable(job, facts.now)
@@ -273,6 +273,15 @@
         }
     }
 
+    /// Takes in which versions an endpoint holds; returns whether they differ.
+    pub fn loaded(
+        &mut self,
+        endpoint: &id::EndpointId,
+        versions: BTreeSet<id::VersionRef>,
+    ) -> bool {
+        self.index.mine().contains(endpoint) && self.index.set_loaded(endpoint, versions)
+    }
+
     /// Takes in an event of an endpoint's prefix cache.
     pub fn cached(
         &mut self,
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod index;
 pub mod outlier;
 pub mod owner;
+pub mod place;
 pub mod plan;
 pub mod prefix;
 pub mod queue;
--- a/crates/ibishill-platform/src/budget.rs
+++ b/crates/ibishill-platform/src/budget.rs
@@ -8,7 +8,7 @@
 use futures::FutureExt;
 use ibishill_core::time;
 
-use crate::{Platform, failure, object, rating, table, vm};
+use crate::{Platform, failure, object, rating, table, vm, weight};
 
 /// A rate with its burst.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,6 +94,7 @@
         objects: objects(&platform.objects, &reads, &writes),
         vms: vms(&platform.vms, &reads),
         ratings: ratings(&platform.ratings, &Gate::new(rates.ratings, clock)),
+        weights: weights(&platform.weights, &reads),
     }
 }
 
@@ -174,3 +175,15 @@
         .boxed()
     })
 }
+
+fn weights(inner: &weight::Weights, reads: &Gate) -> weight::Weights {
+    let (inner, gate) = (inner.clone(), reads.clone());
+    weight::Weights::new(move |ask| {
+        let (weights, gate) = (inner.clone(), gate.clone());
+        async move {
+            gate.pass()?;
+            weights.reserve(ask).await
+        }
+        .boxed()
+    })
+}
