--- a/crates/ibishill-decide/src/admit.rs
+++ b/crates/ibishill-decide/src/admit.rs
@@ -198,11 +198,11 @@
             loads.push(choose::Load {
                 endpoint: name.clone(),
                 running: gate.running(),
-                waiting: gate.work_waiting(),
+                waiting: gate.work_left(now),
                 prompt: u64::from(job.prompt.unwrap_or(cold::PROMPT_MIN).max(cold::PROMPT_MIN).0),
                 limit: gate.limit(),
                 room,
-                byte_ms: gate.baseline().mean(),
+                byte_ms: gate.byte_ms(),
                 excess,
                 hit,
                 hop_ms: 0.0,
--- a/crates/ibishill-decide/src/choose.rs
+++ b/crates/ibishill-decide/src/choose.rs
@@ -31,7 +31,7 @@
     pub endpoint: id::EndpointId,
     /// Requests that run there, known exactly by the owner.
     pub running: u32,
-    /// Prompt bytes of those without a first token.
+    /// Prompt bytes there that are still to be worked through.
     pub waiting: u64,
     /// Prompt bytes of the request to place.
     pub prompt: u64,
@@ -39,7 +39,7 @@
     pub limit: u32,
     /// Requests that may still be admitted.
     pub room: u32,
-    /// Learned time to the first token, in milliseconds for one prompt byte.
+    /// Learned time to work through a prompt, in milliseconds for one byte.
     pub byte_ms: Option<f64>,
     /// What its last report adds.
     pub excess: Option<Excess>,
--- a/crates/ibishill-decide/src/cold.rs
+++ b/crates/ibishill-decide/src/cold.rs
@@ -1,5 +1,7 @@
 //! Admission to one endpoint: its own limit, lower while it is cold.
 
+mod prefill;
+
 use std::collections::BTreeMap;
 
 use ibishill_core::time;
@@ -82,21 +84,6 @@
 /// A first token within this time is never late.
 const LATE_FLOOR: time::Millis = time::Millis(50);
 
-// A stream without a first token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Wait {
-    since: time::Tick,
-    work: u64,
-    ahead: u64,
-}
-
-impl Wait {
-    // Milliseconds for one byte of the prompts ahead and its own.
-    fn relative(&self, now: time::Tick) -> f64 {
-        now.since(self.since).0 as f64 / (self.ahead + self.work) as f64
-    }
-}
-
 /// Marks an admission, so that an answer from before a restart does not count after it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Mark {
@@ -139,8 +126,9 @@
     start: Option<u64>,
     told_cold: bool,
     inherited: Option<Inherited>,
-    waiting: BTreeMap<u64, Wait>,
+    waiting: BTreeMap<u64, prefill::Wait>,
     baseline: baseline::Baseline,
+    prefill: prefill::Prefill,
     before: Option<Before>,
     suspected: Option<Suspected>,
 }
@@ -160,6 +148,7 @@
             inherited: None,
             waiting: BTreeMap::new(),
             baseline: baseline::Baseline::default(),
+            prefill: prefill::Prefill::default(),
             before: None,
             suspected: None,
         }
@@ -214,6 +203,18 @@
         self.waiting.values().map(|wait| wait.work).sum()
     }
 
+    /// Prompt bytes that are still to be worked through before a new prompt.
+    pub fn work_left(&self, now: time::Tick) -> u64 {
+        let head = self.waiting.first_key_value();
+        let done = head.map_or(0, |(_, head)| self.prefill.done(head.since, head.work, now));
+        self.work_waiting() - done
+    }
+
+    /// The learned time to work through a prompt, in milliseconds for one byte.
+    pub fn byte_ms(&self) -> Option<f64> {
+        self.prefill.byte_ms()
+    }
+
     /// The learned time to the first token, in milliseconds for one prompt byte.
     pub fn baseline(&self) -> &baseline::Baseline {
         &self.baseline
@@ -252,7 +253,7 @@
         if let Some(prompt) = prompt {
             let work = u64::from(prompt.0.max(PROMPT_MIN.0));
             let ahead = self.work_waiting();
-            self.waiting.insert(self.admitted, Wait { since: now, work, ahead });
+            self.waiting.insert(self.admitted, prefill::Wait { since: now, work, ahead });
         }
         Some(Mark { epoch: self.epoch, number: self.admitted })
     }
@@ -267,6 +268,7 @@
             }
             return;
         }
+        self.prefill.learn(wait.since, wait.work, now);
         let took = wait.relative(now);
         self.compare_with_before(took);
         self.baseline.learn(took);
@@ -314,7 +316,7 @@
         }
     }
 
-    fn is_late(&self, wait: &Wait, now: time::Tick) -> bool {
+    fn is_late(&self, wait: &prefill::Wait, now: time::Tick) -> bool {
         now.since(wait.since) > LATE_FLOOR && self.baseline.is_late(wait.relative(now))
     }
 
@@ -358,6 +360,7 @@
         self.good = 0;
         self.epoch += 1;
         self.waiting.clear();
+        self.prefill.reset();
         self.baseline = baseline::Baseline::default();
     }
 
