--- a/crates/ibishill-decide/src/rollout.rs
+++ b/crates/ibishill-decide/src/rollout.rs
@@ -9,7 +9,8 @@
 use ibishill_config::declared;
 use ibishill_core::time;
 
-const MEASURES: f64 = 3.0;
+/// Share of the chance of a false halt that each stage leaves to all later ones.
+const LATER_SHARE: f64 = 0.25;
 const STABLE_MIN: u64 = 50;
 const CANDIDATE_MIN: u64 = 50;
 // Natural logarithm of a likelihood ratio of two.
@@ -54,6 +55,14 @@
     /// Every measure.
     pub const ALL: [Self; 3] = [Self::Errors, Self::LowRatings, Self::Slow];
 
+    // Part of the chance of a false halt; small drops of quality take the most samples.
+    const fn weight(self) -> f64 {
+        match self {
+            Self::LowRatings => 0.6,
+            Self::Errors | Self::Slow => 0.2,
+        }
+    }
+
     // A worse share by no more than this is no reason to halt.
     const fn tolerance(self) -> f64 {
         match self {
@@ -121,13 +130,13 @@
 
 /// Judges a running roll-out.
 ///
-/// The chance of a false halt is split over measures, and halved with each stage, as a bad
-/// version is mostly found early. The test may be looked at any number of times.
+/// The chance of a false halt is split over measures, and most of it goes to the first
+/// stages, as a bad version is mostly found early. The test may be looked at any number of times.
 pub fn judge(rollout: &declared::Rollout, tuning: Tuning, stand: &Stand) -> Verdict {
-    let alpha = tuning.alpha / MEASURES / 2_f64.powi(rollout.stage as i32 + 1);
+    let alpha = tuning.alpha * (1.0 - LATER_SHARE) * LATER_SHARE.powi(rollout.stage as i32);
     let looks = Measure::ALL.map(|measure| Look::of(measure, stand));
-    let worst = looks.iter().max_by(|a, b| a.evidence.total_cmp(&b.evidence));
-    if let Some(worst) = worst.filter(|worst| worst.evidence >= (1.0 / alpha).ln()) {
+    let worst = looks.iter().max_by(|a, b| a.weighted().total_cmp(&b.weighted()));
+    if let Some(worst) = worst.filter(|worst| worst.weighted() >= (1.0 / alpha).ln()) {
         return Verdict::Halt(worst.reason);
     }
     // A stage is not left while the evidence points at a worse version.
@@ -151,6 +160,11 @@
 }
 
 impl Look {
+    // Evidence after this measure's part of the chance of a false halt.
+    fn weighted(&self) -> f64 {
+        self.evidence + self.reason.measure.weight().ln()
+    }
+
     fn of(measure: Measure, stand: &Stand) -> Self {
         let (stable, candidate) = match measure {
             Measure::Errors => (stand.stable.errors(), stand.candidate.errors()),
--- a/crates/ibishill-decide/src/rollout/sequential.rs
+++ b/crates/ibishill-decide/src/rollout/sequential.rs
@@ -5,7 +5,7 @@
 const DEVIATIONS: f64 = 1.0;
 const PSEUDO_HITS: f64 = 0.5;
 // Shares of the way from the stable version's share to one.
-const ALTERNATIVES: [f64; 6] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.7];
+const ALTERNATIVES: [f64; 3] = [0.05, 0.1, 0.3];
 const SHARE_MAX: f64 = 0.99;
 
 /// Natural logarithm of the likelihood ratio between worse shares and the stable one.
