--- a/crates/ibishill-decide/src/cascade.rs
+++ b/crates/ibishill-decide/src/cascade.rs
@@ -7,8 +7,8 @@
 use ibishill_core::{cost, id, time};
 
 const CHAIN_MAX: usize = 3;
-const OPEN_FACTOR: f64 = 8.0;
-const OPEN_DEVIATIONS: f64 = 2.0;
+const OPEN_FACTOR: f64 = 12.0;
+const OPEN_DEVIATIONS: f64 = 3.0;
 const DRAW_SCALE: f64 = 1_000_000.0;
 
 /// Kind of a request by the length of its prompt, so that easy and hard ones are told apart.
