--- a/crates/ibishill-bench/src/experiment/cold.rs
+++ b/crates/ibishill-bench/src/experiment/cold.rs
@@ -9,6 +9,7 @@
 
 use crate::{model, report};
 
+mod fault;
 mod ramp;
 
 const SHAPE: model::Shape = model::Shape {
@@ -79,6 +80,8 @@
     // Over what a warming endpoint bears.
     warming: u64,
     served: u64,
+    // Milliseconds until admission, of all.
+    waited: u64,
 }
 
 struct Daemon {
@@ -101,7 +104,7 @@
     // First sign of cold that reached an owner, by endpoint.
     signs: BTreeMap<id::EndpointId, u64>,
     running: BTreeMap<u64, (usize, admit::Admission)>,
-    prompts: BTreeMap<(usize, queue::Ticket), model::Prompt>,
+    prompts: BTreeMap<(usize, queue::Ticket), (model::Prompt, u64)>,
     requests: u64,
     count: Count,
 }
@@ -137,6 +140,9 @@
             "requests a run",
             per_run(ours.served),
         ));
+        let mean = ours.waited as f64 / ours.served.max(1) as f64;
+        let wait = format!("{name}: mean wait for admission");
+        figures.push(report::Figure::new(wait, "ms", mean));
     }
     let (full, series) = ramp::figures();
     figures.extend(full);
@@ -161,6 +167,7 @@
             blind: sum.blind + count.blind,
             warming: sum.warming + count.warming,
             served: sum.served + count.served,
+            waited: sum.waited + count.waited,
         }
     })
 }
@@ -266,7 +273,7 @@
         if !self.daemons[index].paused {
             let (ticket, _) =
                 self.decide(index, now, |dispatcher, facts| dispatcher.offer(facts, job));
-            self.prompts.insert((index, ticket), prompt);
+            self.prompts.insert((index, ticket), (prompt, now));
         }
     }
 
@@ -292,7 +299,8 @@
         }
         for decision in self.decide(index, now, dispatch::Dispatcher::turn) {
             let prompt = self.prompts.remove(&(index, decision.ticket));
-            if let (Ok(admission), Some(prompt)) = (decision.result, prompt) {
+            if let (Ok(admission), Some((prompt, arrived))) = (decision.result, prompt) {
+                self.count.waited += now - arrived;
                 self.begin(index, admission, &prompt, now);
             }
         }
@@ -349,70 +357,4 @@
         let dispatcher = &mut self.daemons[index].dispatcher;
         dispatcher.finish(&target, &admission, cold::Answer::Good, time::Tick(now));
     }
-
-    // A restart cuts the connections of all that ran there.
-    fn cut(
-        &mut self,
-        running: BTreeMap<u64, (usize, admit::Admission)>,
-        cut: &[id::EndpointId],
-        now: u64,
-    ) {
-        let target = model::target();
-        for (number, (index, admission)) in running {
-            if !cut.contains(&admission.endpoint) {
-                self.running.insert(number, (index, admission));
-                continue;
-            }
-            let dispatcher = &mut self.daemons[index].dispatcher;
-            dispatcher.finish(&target, &admission, cold::Answer::Cut, time::Tick(now));
-        }
-    }
-
-    fn report(&mut self, now: u64) {
-        self.agenda.plan(now + REPORT_MS, Event::Report);
-        for (name, endpoint) in &self.endpoints {
-            if self.down.get(name).is_some_and(|&until| now < until) {
-                continue;
-            }
-            let silent = self.fault == Fault::Unannounced;
-            let report = cold::Report {
-                taken: time::Tick(now),
-                running: endpoint.held(),
-                cold: endpoint.is_cold() && !silent,
-                start: Some(endpoint.start),
-            };
-            self.agenda.plan(now + REPORT_LAG_MS, Event::Deliver(name.clone(), report));
-        }
-    }
-
-    fn fault(&mut self, now: u64) {
-        let restart = self.fault != Fault::Unannounced;
-        let running = std::mem::take(&mut self.running);
-        let all = matches!(self.fault, Fault::OwnerChange | Fault::OwnerPaused);
-        let cold = if all { ENDPOINTS } else { 1 };
-        let mut cut = Vec::new();
-        for (name, endpoint) in self.endpoints.iter_mut().take(cold) {
-            endpoint.turn_cold(restart);
-            if restart {
-                cut.push(name.clone());
-                self.down.insert(name.clone(), now + DOWN_MS);
-                self.signs.insert(name.clone(), now);
-            }
-        }
-        self.cut(running, &cut, now);
-        match self.fault {
-            Fault::Restart | Fault::Unannounced => {}
-            Fault::OwnerChange => {
-                let lag = self.rng.random_range(0..VIEW_LAG_MS);
-                self.agenda.plan(now + DOWN_MS, Event::See(1));
-                self.agenda.plan(now + DOWN_MS + lag, Event::See(0));
-            }
-            Fault::OwnerPaused => {
-                self.daemons[0].paused = true;
-                self.daemons[0].until = now + PERIODS.lease.0;
-                self.agenda.plan(now + PERIODS.lease.0, Event::See(1));
-                self.agenda.plan(now + PAUSE_MS, Event::Wake);
-            }
-        }
-    }
 }
