--- a/crates/ibishill-decide/src/cold.rs
+++ b/crates/ibishill-decide/src/cold.rs
@@ -205,9 +205,9 @@
 
     /// Prompt bytes that are still to be worked through before a new prompt.
     pub fn work_left(&self, now: time::Tick) -> u64 {
-        let head = self.waiting.first_key_value();
-        let done = head.map_or(0, |(_, head)| self.prefill.done(head.since, head.work, now));
-        self.work_waiting() - done
+        let Some((_, head)) = self.waiting.first_key_value() else { return 0 };
+        let left = self.prefill.left(head.since, head.work, now);
+        self.work_waiting() - head.work + left
     }
 
     /// The learned time to work through a prompt, in milliseconds for one byte.
--- a/crates/ibishill-decide/src/cold/prefill.rs
+++ b/crates/ibishill-decide/src/cold/prefill.rs
@@ -42,10 +42,12 @@
         self.last = now;
     }
 
-    /// Bytes of the oldest prompt, of `work` bytes, that are done by now.
-    pub(super) fn done(&self, since: time::Tick, work: u64, now: time::Tick) -> u64 {
-        let Some(rate) = self.rate.mean().filter(|rate| *rate > 0.0) else { return 0 };
-        ((self.spent(since, now) / rate) as u64).min(work)
+    /// Bytes left of the oldest prompt, of `work` bytes.
+    ///
+    /// A prompt that is overdue counts by how long it is: something holds the endpoint up.
+    pub(super) fn left(&self, since: time::Tick, work: u64, now: time::Tick) -> u64 {
+        let Some(rate) = self.rate.mean().filter(|rate| *rate > 0.0) else { return work };
+        work.abs_diff((self.spent(since, now) / rate) as u64)
     }
 
     /// Milliseconds for one byte, once there was a first token.
