--- a/crates/ibishill-bench/src/lib.rs
+++ b/crates/ibishill-bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod model;
 pub mod plot;
 pub mod report;
+pub mod slopes;
--- a/crates/ibishill-bench/src/main.rs
+++ b/crates/ibishill-bench/src/main.rs
@@ -4,10 +4,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use ibishill_bench::{experiment, history, plot};
+use ibishill_bench::{experiment, history, plot, report, slopes};
 
 const USAGE: &str = "\
-Usage: ibishill-bench NAME... | all [--seed N] [--json] [--plot DIR]
+Usage: ibishill-bench NAME... | all | slopes [--seed N] [--json] [--plot DIR]
        ibishill-bench history --seeds A..B [--json]
        ibishill-bench --list
 ";
@@ -99,24 +99,32 @@
             kept &= histories(options)?;
             continue;
         }
+        if name == "slopes" {
+            kept &= print(options, &slopes::run(options.seed)?)?;
+            continue;
+        }
         let known = |found: &&experiment::Experiment| name == "all" || found.name == name;
         let chosen: Vec<_> = experiment::ALL.iter().filter(known).collect();
         if chosen.is_empty() {
             return Err(format!("{name:?} is no experiment; see --list"));
         }
         for found in chosen {
-            let report = (found.run)(options.seed);
-            if options.json {
-                println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
-            } else {
-                println!("{report}");
-            }
-            if let Some(folder) = &options.folder {
-                std::fs::create_dir_all(folder).map_err(|error| error.to_string())?;
-                plot::draw(&report, folder)?;
-            }
-            kept &= report.figures.iter().all(ibishill_bench::report::Figure::holds);
+            kept &= print(options, &(found.run)(options.seed))?;
         }
     }
     Ok(kept)
 }
+
+/// Prints and draws one report; tells whether every bound was kept.
+fn print(options: &Options, report: &report::Report) -> Result<bool, String> {
+    if options.json {
+        println!("{}", serde_json::to_string(report).map_err(|error| error.to_string())?);
+    } else {
+        println!("{report}");
+    }
+    if let Some(folder) = &options.folder {
+        std::fs::create_dir_all(folder).map_err(|error| error.to_string())?;
+        plot::draw(report, folder)?;
+    }
+    Ok(report.figures.iter().all(report::Figure::holds))
+}
--- /dev/null
+++ b/crates/ibishill-bench/src/slopes.rs
@@ -0,0 +1,35 @@
+//! How each cost of a daemon grows, measured on one machine with small stand-ins.
+//!
+//! docs/CAPACITY.md multiplies these slopes by the stated size.
+
+pub mod control;
+pub mod deployment;
+pub mod path;
+pub mod process;
+pub mod source;
+
+use crate::report;
+
+/// Measures every slope.
+///
+/// # Errors
+///
+/// Names what could not be started or did not answer.
+pub fn run(seed: u64) -> Result<report::Report, String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    let measured = runtime.block_on(measure());
+    // Servers of the stand-ins have no end of their own.
+    runtime.shutdown_background();
+    let figures = measured?;
+    Ok(report::Report { name: "slopes".into(), seed, figures, ..report::Report::default() })
+}
+
+async fn measure() -> Result<Vec<report::Figure>, String> {
+    let mut figures = path::measure().await?;
+    figures.extend(control::measure().await?);
+    Ok(figures)
+}
--- /dev/null
+++ b/crates/ibishill-bench/src/slopes/control.rs
@@ -0,0 +1,87 @@
+//! Control: what idle daemons cost, against how many of them share a zone.
+
+use std::time::{Duration, Instant};
+
+use ibishill_config::{change, declared};
+
+use super::{deployment, process, source};
+use crate::report;
+
+/// Daemons in one zone; the last is the stated size.
+const SIZES: [usize; 4] = [1, 10, 38, 76];
+
+// Nothing is asked of the sources here.
+const IDLE_PACE: source::Pace =
+    source::Pace { first: Duration::ZERO, token: Duration::ZERO, tokens: 1 };
+
+const SETTLE: Duration = Duration::from_secs(3);
+const WINDOW: Duration = Duration::from_secs(6);
+
+/// Time within which a change must be in force, from the stated target.
+const IN_FORCE_MS: f64 = 8_000.0;
+const POLL: Duration = Duration::from_millis(10);
+
+/// Measures idle daemons at several sizes of a zone.
+///
+/// # Errors
+///
+/// Names what could not be started.
+pub async fn measure() -> Result<Vec<report::Figure>, String> {
+    let mut figures = Vec::new();
+    for size in SIZES {
+        figures.extend(measure_size(size).await?);
+    }
+    Ok(figures)
+}
+
+async fn measure_size(size: usize) -> Result<Vec<report::Figure>, String> {
+    let resident = process::resident();
+    let sites: Vec<_> = (0..size)
+        .map(|n| deployment::Site { vm: format!("vm-{n}"), zone: "zone-a".into() })
+        .collect();
+    let deployment = deployment::Deployment::start(&sites, IDLE_PACE).await?;
+    tokio::time::sleep(SETTLE).await;
+    let grown = process::resident().saturating_sub(resident) as f64;
+    let (counts, cpu, start) = (deployment.memory.counts(), process::cpu(), Instant::now());
+    tokio::time::sleep(WINDOW).await;
+    let seconds = start.elapsed().as_secs_f64();
+    let cpu = process::cpu().saturating_sub(cpu).as_secs_f64();
+    let after = deployment.memory.counts();
+    let each = |value: f64| value / size as f64;
+    let rate = |now: u64, then: u64| each((now - then) as f64 / seconds);
+    let name = |what: &str| format!("{what} per daemon, {size} in a zone");
+    let mut figures = vec![
+        report::Figure::new(name("processor"), "% of a core", each(cpu / seconds) * 100.0)
+            .bound(report::Bound::AtMost(3.1)),
+        report::Figure::new(name("memory"), "MiB", each(grown) / 1_048_576.0)
+            .bound(report::Bound::AtMost(64.0)),
+        report::Figure::new(name("platform reads"), "1/s", rate(after.reads, counts.reads)),
+        report::Figure::new(name("platform writes"), "1/s", rate(after.writes, counts.writes)),
+    ];
+    figures.push(in_force(&deployment, size).await?);
+    deployment.stop().await;
+    Ok(figures)
+}
+
+async fn in_force(
+    deployment: &deployment::Deployment,
+    size: usize,
+) -> Result<report::Figure, String> {
+    let version = deployment.daemons[0].context.cell.get().version.next();
+    let region = "region-1".parse().map_err(|_| "a region's name is not valid")?;
+    let zone = declared::Zone { region, state: declared::ServiceState::In };
+    let name = "zone-new".parse().map_err(|_| "a zone's name is not valid")?;
+    let start = Instant::now();
+    deployment.accept(version.0, vec![change::Step::PutZone(name, zone)]).await?;
+    let behind =
+        |daemon: &ibishill_daemon::start::Daemon| daemon.context.cell.get().version < version;
+    while deployment.daemons.iter().any(behind) {
+        if start.elapsed().as_secs_f64() * 1_000.0 > 2.0 * IN_FORCE_MS {
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    let took = start.elapsed().as_secs_f64() * 1_000.0;
+    let title = format!("a change in force everywhere, {size} in a zone");
+    Ok(report::Figure::new(title, "ms", took).bound(report::Bound::AtMost(IN_FORCE_MS)))
+}
