--- a/crates/ibishill-bench/src/slopes.rs
+++ b/crates/ibishill-bench/src/slopes.rs
@@ -8,6 +8,8 @@
 pub mod process;
 pub mod source;
 
+use std::io;
+
 use crate::report;
 
 /// Measures every slope.
@@ -16,6 +18,10 @@
 ///
 /// Names what could not be started or did not answer.
 pub fn run(seed: u64) -> Result<report::Report, String> {
+    // The daemons' events would stand between the figures.
+    let silent = simplelog::Config::default();
+    let logger = simplelog::WriteLogger::init(simplelog::LevelFilter::Off, silent, io::sink());
+    logger.map_err(|error| error.to_string())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(4)
         .enable_all()
--- a/crates/ibishill-bench/src/slopes/control.rs
+++ b/crates/ibishill-bench/src/slopes/control.rs
@@ -43,7 +43,9 @@
     tokio::time::sleep(SETTLE).await;
     let grown = process::resident().saturating_sub(resident) as f64;
     let (counts, cpu, start) = (deployment.memory.counts(), process::cpu(), Instant::now());
+    let sent = traffic(&deployment);
     tokio::time::sleep(WINDOW).await;
+    let sent = traffic(&deployment).saturating_sub(sent);
     let seconds = start.elapsed().as_secs_f64();
     let cpu = process::cpu().saturating_sub(cpu).as_secs_f64();
     let after = deployment.memory.counts();
@@ -55,6 +57,9 @@
             .bound(report::Bound::AtMost(3.1)),
         report::Figure::new(name("memory"), "MiB", each(grown) / 1_048_576.0)
             .bound(report::Bound::AtMost(64.0)),
+        // Each byte is sent by one daemon and received by another.
+        report::Figure::new(name("traffic"), "KB/s", each(2.0 * sent as f64 / seconds) / 1_000.0)
+            .bound(report::Bound::AtMost(12.0)),
         report::Figure::new(name("platform reads"), "1/s", rate(after.reads, counts.reads)),
         report::Figure::new(name("platform writes"), "1/s", rate(after.writes, counts.writes)),
     ];
@@ -63,6 +68,11 @@
     Ok(figures)
 }
 
+// Every connection is counted at the side that opened it.
+fn traffic(deployment: &deployment::Deployment) -> u64 {
+    deployment.daemons.iter().map(|daemon| daemon.context.link.traffic()).sum()
+}
+
 async fn in_force(
     deployment: &deployment::Deployment,
     size: usize,
--- a/crates/ibishill-peer/src/link.rs
+++ b/crates/ibishill-peer/src/link.rs
@@ -64,6 +64,13 @@
         Ok(Self { endpoint, open: Arc::default() })
     }
 
+    /// Bytes of UDP that the connections opened by this side have sent and received.
+    pub fn traffic(&self) -> u64 {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let each = open.values().map(|connection| connection.stats());
+        each.map(|stats| stats.udp_tx.bytes + stats.udp_rx.bytes).sum()
+    }
+
     fn known(&self, peer: SocketAddr) -> Option<quinn::Connection> {
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
         open.get(&peer).filter(|connection| connection.close_reason().is_none()).cloned()
