--- a/crates/ibishill-daemon/tests/second_holder.rs
+++ b/crates/ibishill-daemon/tests/second_holder.rs
@@ -1,6 +1,6 @@
 //! Two daemons of one zone over the real link: one holds what the other has not written.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ibishill_config::settings;
@@ -13,7 +13,7 @@
 const LONGEST: Duration = Duration::from_secs(60);
 
 fn free_address() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    ibishill_standin::port::free_address()
 }
 
 fn settings(vm: &str) -> settings::Settings {
--- a/crates/ibishill-daemon/tests/zone_cut.rs
+++ b/crates/ibishill-daemon/tests/zone_cut.rs
@@ -1,6 +1,6 @@
 //! Two daemons of one zone over the real link; one of them loses the platform.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -17,7 +17,7 @@
 const LONGEST: Duration = Duration::from_secs(60);
 
 fn free_address() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    ibishill_standin::port::free_address()
 }
 
 fn cuttable(platform: Platform, cut: Arc<AtomicBool>) -> Platform {
