--- a/crates/ibishill-state/src/billing.rs
+++ b/crates/ibishill-state/src/billing.rs
@@ -5,9 +5,9 @@
 use ibishill_core::{cost, id, time};
 use ibishill_platform::object;
 use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
 
-use crate::error::{self, StateError};
+use crate::batch;
+use crate::error::StateError;
 
 const PREFIX: &str = "billing";
 
@@ -136,10 +136,7 @@
         serial: u64,
         records: &[Record],
     ) -> Result<(), StateError> {
-        let name = format!("{PREFIX}/{vm}/{serial:020}");
-        let content = serde_json::to_string(records).expect("records always encode");
-        let put = self.objects.create(object::Object { name, content }).await;
-        put.map(drop).context(error::PlatformSnafu)
+        batch::write(&self.objects, PREFIX, vm, serial, records).await
     }
 
     /// Totals of all batches.
@@ -148,15 +145,9 @@
     ///
     /// Fails if the object store does or a batch is malformed.
     pub async fn totals(&self) -> Result<BTreeMap<Line, Total>, StateError> {
-        let names = self.objects.list(format!("{PREFIX}/")).await;
-        let mut seen = BTreeMap::new();
-        for name in names.context(error::PlatformSnafu)? {
-            let content = self.objects.get(name.clone()).await.context(error::PlatformSnafu)?;
-            let content = content.unwrap_or_default();
-            let records: Vec<Record> = serde_json::from_str(&content)
-                .map_err(|error| StateError::Malformed { name, detail: error.to_string() })?;
-            seen.extend(records.into_iter().map(|record| (record.request.clone(), record)));
-        }
+        let records: Vec<Record> = batch::read(&self.objects, PREFIX).await?;
+        let named = records.into_iter().map(|record| (record.request.clone(), record));
+        let seen: BTreeMap<_, _> = named.collect();
         Ok(sum(seen.into_values()))
     }
 }
--- a/crates/ibishill-state/src/lib.rs
+++ b/crates/ibishill-state/src/lib.rs
@@ -1,6 +1,7 @@
 //! What must last, kept in the platform: the configuration log, leases and
 //! billing batches.
 
+pub mod batch;
 pub mod billing;
 pub mod claim;
 pub mod error;
--- a/crates/ibishill-state/src/refusal.rs
+++ b/crates/ibishill-state/src/refusal.rs
@@ -5,9 +5,9 @@
 use ibishill_core::{id, outcome, time};
 use ibishill_platform::object;
 use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
 
-use crate::error::{self, StateError};
+use crate::batch;
+use crate::error::StateError;
 
 const PREFIX: &str = "refusals";
 const MINUTE_MS: u64 = 60_000;
@@ -66,10 +66,7 @@
         serial: u64,
         counts: &[Count],
     ) -> Result<(), StateError> {
-        let name = format!("{PREFIX}/{vm}/{serial:020}");
-        let content = serde_json::to_string(counts).expect("counts always encode");
-        let put = self.objects.create(object::Object { name, content }).await;
-        put.map(drop).context(error::PlatformSnafu)
+        batch::write(&self.objects, PREFIX, vm, serial, counts).await
     }
 
     /// Reads all counts.
@@ -78,15 +75,10 @@
     ///
     /// Fails if the object store does or a batch is malformed.
     pub async fn read(&self) -> Result<BTreeMap<Minute, u64>, StateError> {
-        let names = self.objects.list(format!("{PREFIX}/")).await;
+        let counts: Vec<Count> = batch::read(&self.objects, PREFIX).await?;
         let mut totals = BTreeMap::new();
-        for name in names.context(error::PlatformSnafu)? {
-            let content = self.objects.get(name.clone()).await.context(error::PlatformSnafu)?;
-            let counts: Vec<Count> = serde_json::from_str(&content.unwrap_or_default())
-                .map_err(|error| StateError::Malformed { name, detail: error.to_string() })?;
-            for count in counts {
-                *totals.entry(count.cell).or_default() += count.refused;
-            }
+        for count in counts {
+            *totals.entry(count.cell).or_default() += count.refused;
         }
         Ok(totals)
     }
