perf(daemon): heartbeats to a few neighbours, with what else was heard in the replies

Cause: heartbeats went to every member of the zone and to a random daemon of each other zone.

Change: four neighbours by hash in the own zone, two other zones in turn with a stable neighbour each; replies carry who else was heard and how long ago; all members are asked only while grants are needed, that is with the platform away. Only the calling side keeps a connection alive.

--- a/crates/ibishill-bench/src/main.rs
+++ b/crates/ibishill-bench/src/main.rs
@@ -7,7 +7,7 @@
 use ibishill_bench::{experiment, history, plot, report, slopes};
 
 const USAGE: &str = "\
-Usage: ibishill-bench NAME... | all | slopes [--seed N] [--json] [--plot DIR]
+Usage: ibishill-bench NAME... | all | slopes | control [--seed N] [--json | --table] [--plot DIR]
        ibishill-bench history --seeds A..B [--json]
        ibishill-bench --list
 ";
@@ -16,6 +16,7 @@
     names: Vec<String>,
     seed: u64,
     json: bool,
+    table: bool,
     list: bool,
     seeds: Range<u64>,
     folder: Option<PathBuf>,
@@ -29,6 +30,7 @@
         names: Vec::new(),
         seed: 1,
         json: false,
+        table: false,
         list: false,
         seeds: 0..20,
         folder: None,
@@ -38,6 +40,7 @@
             lexopt::Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             lexopt::Arg::Long("seeds") => options.seeds = parser.value()?.parse_with(seeds)?,
             lexopt::Arg::Long("json") => options.json = true,
+            lexopt::Arg::Long("table") => options.table = true,
             lexopt::Arg::Long("list") => options.list = true,
             lexopt::Arg::Long("plot") => options.folder = Some(parser.value()?.into()),
             lexopt::Arg::Value(name) => options.names.push(name.string()?),
@@ -99,8 +102,13 @@
             kept &= histories(options)?;
             continue;
         }
-        if name == "slopes" {
-            kept &= print(options, &slopes::run(options.seed)?)?;
+        let part = match name.as_str() {
+            "slopes" => Some(slopes::Part::All),
+            "control" => Some(slopes::Part::Control),
+            _ => None,
+        };
+        if let Some(part) = part {
+            kept &= print(options, &slopes::run(part, options.seed)?)?;
             continue;
         }
         let known = |found: &&experiment::Experiment| name == "all" || found.name == name;
@@ -119,6 +127,8 @@
 fn print(options: &Options, report: &report::Report) -> Result<bool, String> {
     if options.json {
         println!("{}", serde_json::to_string(report).map_err(|error| error.to_string())?);
+    } else if options.table {
+        println!("{}", report::Table(report));
     } else {
         println!("{report}");
     }
--- a/crates/ibishill-bench/src/report.rs
+++ b/crates/ibishill-bench/src/report.rs
@@ -147,3 +147,37 @@
         Ok(())
     }
 }
+
+/// A report as a table of a Markdown page.
+pub struct Table<'a>(pub &'a Report);
+
+impl fmt::Display for Table<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "### {} (seed {})\n", self.0.name, self.0.seed)?;
+        writeln!(f, "| | figure | ours | unit | bound | optimum | other ways |")?;
+        writeln!(f, "|---|---|---|---|---|---|---|")?;
+        for figure in &self.0.figures {
+            writeln!(f, "{}", row(figure))?;
+        }
+        Ok(())
+    }
+}
+
+fn row(figure: &Figure) -> String {
+    let mark = if figure.holds() { "" } else { "!" };
+    let missed = if figure.holds() { "" } else { ", missed" };
+    let bound = figure.bound.map(|bound| format!("{bound}{missed}")).unwrap_or_default();
+    let optimum = figure.optimum.map(number).unwrap_or_default();
+    let others =
+        figure.baselines.iter().map(|other| format!("{} {}", other.name, number(other.value)));
+    let others = others.collect::<Vec<_>>().join(", ");
+    let Figure { name, unit, ours, .. } = figure;
+    format!("| {mark} | {name} | {} | {unit} | {bound} | {optimum} | {others} |", number(*ours))
+}
+
+fn number(value: f64) -> String {
+    if value.abs() >= 1_000.0 || value.fract() == 0.0 {
+        return format!("{value:.0}");
+    }
+    format!("{value:.4}")
+}
--- a/crates/ibishill-bench/src/slopes.rs
+++ b/crates/ibishill-bench/src/slopes.rs
@@ -12,12 +12,21 @@
 
 use crate::report;
 
-/// Measures every slope.
+/// Which slopes to measure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// The request path and control.
+    All,
+    /// Control alone.
+    Control,
+}
+
+/// Measures the slopes of `part`.
 ///
 /// # Errors
 ///
 /// Names what could not be started or did not answer.
-pub fn run(seed: u64) -> Result<report::Report, String> {
+pub fn run(part: Part, seed: u64) -> Result<report::Report, String> {
     // The daemons' events would stand between the figures.
     let silent = simplelog::Config::default();
     let logger = simplelog::WriteLogger::init(simplelog::LevelFilter::Off, silent, io::sink());
@@ -27,15 +36,18 @@
         .enable_all()
         .build()
         .map_err(|error| error.to_string())?;
-    let measured = runtime.block_on(measure());
+    let measured = runtime.block_on(measure(part));
     // Servers of the stand-ins have no end of their own.
     runtime.shutdown_background();
     let figures = measured?;
     Ok(report::Report { name: "slopes".into(), seed, figures, ..report::Report::default() })
 }
 
-async fn measure() -> Result<Vec<report::Figure>, String> {
-    let mut figures = path::measure().await?;
+async fn measure(part: Part) -> Result<Vec<report::Figure>, String> {
+    let mut figures = Vec::new();
+    if part == Part::All {
+        figures.extend(path::measure().await?);
+    }
     figures.extend(control::measure().await?);
     Ok(figures)
 }
--- a/crates/ibishill-bench/src/slopes/control.rs
+++ b/crates/ibishill-bench/src/slopes/control.rs
@@ -7,14 +7,28 @@
 use super::{deployment, process, source};
 use crate::report;
 
-/// Daemons in one zone; the last is the stated size.
-const SIZES: [usize; 4] = [1, 10, 38, 76];
+/// A number of daemons, spread evenly over some zones.
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    daemons: usize,
+    zones: usize,
+}
+
+/// The last of one zone is the stated size of a zone; the last has the stated number of zones.
+const SIZES: [Size; 5] = [
+    Size { daemons: 1, zones: 1 },
+    Size { daemons: 10, zones: 1 },
+    Size { daemons: 38, zones: 1 },
+    Size { daemons: 76, zones: 1 },
+    Size { daemons: 72, zones: 12 },
+];
 
 // Nothing is asked of the sources here.
 const IDLE_PACE: source::Pace =
     source::Pace { first: Duration::ZERO, token: Duration::ZERO, tokens: 1 };
 
-const SETTLE: Duration = Duration::from_secs(3);
+/// Time in which connections between daemons are made.
+const SETTLE: Duration = Duration::from_secs(12);
 const WINDOW: Duration = Duration::from_secs(6);
 
 /// Time within which a change must be in force, from the stated target.
@@ -34,10 +48,11 @@
     Ok(figures)
 }
 
-async fn measure_size(size: usize) -> Result<Vec<report::Figure>, String> {
+async fn measure_size(size: Size) -> Result<Vec<report::Figure>, String> {
     let resident = process::resident();
-    let sites: Vec<_> = (0..size)
-        .map(|n| deployment::Site { vm: format!("vm-{n}"), zone: "zone-a".into() })
+    let zone = |n: usize| format!("zone-{}", char::from(b'a' + (n % size.zones) as u8));
+    let sites: Vec<_> = (0..size.daemons)
+        .map(|n| deployment::Site { vm: format!("vm-{n}"), zone: zone(n) })
         .collect();
     let deployment = deployment::Deployment::start(&sites, IDLE_PACE).await?;
     tokio::time::sleep(SETTLE).await;
@@ -49,9 +64,10 @@
     let seconds = start.elapsed().as_secs_f64();
     let cpu = process::cpu().saturating_sub(cpu).as_secs_f64();
     let after = deployment.memory.counts();
-    let each = |value: f64| value / size as f64;
+    let each = |value: f64| value / size.daemons as f64;
     let rate = |now: u64, then: u64| each((now - then) as f64 / seconds);
-    let name = |what: &str| format!("{what} per daemon, {size} in a zone");
+    let name =
+        |what: &str| format!("{what} per daemon, {} in {} zone(s)", size.daemons, size.zones);
     let mut figures = vec![
         report::Figure::new(name("processor"), "% of a core", each(cpu / seconds) * 100.0)
             .bound(report::Bound::AtMost(3.1)),
@@ -75,7 +91,7 @@
 
 async fn in_force(
     deployment: &deployment::Deployment,
-    size: usize,
+    size: Size,
 ) -> Result<report::Figure, String> {
     let version = deployment.daemons[0].context.cell.get().version.next();
     let region = "region-1".parse().map_err(|_| "a region's name is not valid")?;
@@ -92,6 +108,6 @@
         tokio::time::sleep(POLL).await;
     }
     let took = start.elapsed().as_secs_f64() * 1_000.0;
-    let title = format!("a change in force everywhere, {size} in a zone");
+    let title = format!("a change in force everywhere, {} in {} zone(s)", size.daemons, size.zones);
     Ok(report::Figure::new(title, "ms", took).bound(report::Bound::AtMost(IN_FORCE_MS)))
 }
--- a/crates/ibishill-daemon/src/heartbeat.rs
+++ b/crates/ibishill-daemon/src/heartbeat.rs
@@ -1,7 +1,8 @@
-//! Heartbeats within the zone and, to one daemon of each other zone, across zones.
+//! Heartbeats to a few daemons of the zone and, in turn, to other zones.
 //!
 //! They carry views and configuration versions, so that a zone that is cut off from
-//! the platform still spreads what one of its daemons knows.
+//! the platform still spreads what one of its daemons knows. Replies pass on who else
+//! was heard and how long ago, so that the cost of a daemon does not grow with its zone.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -9,9 +10,11 @@
 use bytes::Bytes;
 use ibishill_config::{change, declared, in_force};
 use ibishill_core::{clock, event, id, time, view};
+use ibishill_decide::owner;
 use ibishill_operator::service;
 use ibishill_peer::frame;
 use rand::RngExt;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use tokio::sync::Notify;
 
 use crate::{context, membership};
@@ -19,7 +22,21 @@
 const PERIOD: time::Millis = time::Millis(1_000);
 
 /// Age after which a daemon's version counts as not known.
-const KNOWN_FOR: time::Millis = time::Millis(5_000);
+const KNOWN_FOR: time::Millis = time::Millis(15_000);
+
+/// Age up to which a daemon of another zone gets the heartbeats again.
+const ALIVE_FOR: time::Millis = time::Millis(10_000);
+
+const NOW: time::Millis = time::Millis(0);
+
+/// Daemons of the own zone that a daemon sends heartbeats to.
+const NEIGHBOURS: usize = 4;
+
+/// Other zones that a daemon sends a heartbeat to in one period.
+const FAR_ZONES: usize = 2;
+
+/// Daemons that a reply within the zone tells of.
+const TOLD_MAX: usize = 24;
 
 #[derive(Debug, Clone)]
 struct Heard {
@@ -39,9 +56,13 @@
 impl Peers {
     fn hear(&self, zone: &id::ZoneId, known: &frame::Known) {
         let config = change::ConfigVersion(known.config);
-        let heard = Heard { zone: zone.clone(), config, at: clock::boot_now() };
+        let at = time::Tick(clock::boot_now().0.saturating_sub(known.age.0));
+        let heard = Heard { zone: zone.clone(), config, at };
         let mut all = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        all.insert(known.vm.clone(), heard);
+        // What others tell may be older than what was heard before.
+        if all.get(&known.vm).is_none_or(|before| before.at <= at) {
+            all.insert(known.vm.clone(), heard);
+        }
     }
 
     /// The version of a daemon, if it was heard lately.
@@ -50,11 +71,30 @@
         all.get(vm).filter(|heard| now.since(heard.at) < KNOWN_FOR).map(|heard| heard.config)
     }
 
+    fn alive(&self, vm: &id::VmId, now: time::Tick) -> bool {
+        let all = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        all.get(vm).is_some_and(|heard| now.since(heard.at) < ALIVE_FOR)
+    }
+
     fn within(&self, zone: &id::ZoneId, now: time::Tick) -> Vec<frame::Known> {
         let all = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
         let fresh =
             all.iter().filter(|(_, heard)| heard.zone == *zone && now.since(heard.at) < KNOWN_FOR);
-        fresh.map(|(vm, heard)| frame::Known { vm: vm.clone(), config: heard.config.0 }).collect()
+        let known = |(vm, heard): (&id::VmId, &Heard)| frame::Known {
+            vm: vm.clone(),
+            config: heard.config.0,
+            age: now.since(heard.at),
+        };
+        fresh.map(known).collect()
+    }
+
+    /// The daemons of a zone that were heard last, and its first members, who move the view.
+    fn latest(&self, view: &view::View, zone: &id::ZoneId, now: time::Tick) -> Vec<frame::Known> {
+        let mut known = self.within(zone, now);
+        let is_first = |vm: &id::VmId| view.members.iter().take(2).any(|first| first.vm == *vm);
+        known.sort_by_key(|known| (!is_first(&known.vm), known.age));
+        known.truncate(TOLD_MAX);
+        known
     }
 }
 
@@ -91,7 +131,7 @@
 fn echo(context: &context::Context, caller: &frame::Caller, beat: &frame::Beat) -> frame::Echo {
     let now = clock::boot_now();
     let config = context.cell.get().version.0;
-    let known = frame::Known { vm: caller.vm.clone(), config: beat.config };
+    let known = frame::Known { vm: caller.vm.clone(), config: beat.config, age: NOW };
     context.peers.hear(&caller.zone, &known);
     let view = context.standing.view().number;
     let near = caller.zone == context.place.zone;
@@ -102,11 +142,13 @@
         }
     }
     let granted = near && beat.grant && context.standing.promise(beat.view, now);
-    let mut known = Vec::new();
-    if !near {
-        known = context.peers.within(&context.place.zone, now);
-        known.push(frame::Known { vm: context.place.vm.clone(), config });
-    }
+    let zone = &context.place.zone;
+    let mut known = if near {
+        context.peers.latest(&context.standing.view(), zone, now)
+    } else {
+        context.peers.within(zone, now)
+    };
+    known.push(frame::Known { vm: context.place.vm.clone(), config, age: NOW });
     frame::Echo { view, config, granted, known }
 }
 
@@ -128,25 +170,41 @@
             tokio::spawn(beat(Arc::clone(&context), zone, member));
         }
         membership::publish(&context.standing, &context.lease, &context.life);
-        let wait = rand::rng().random_range(PERIOD.0 / 2..=PERIOD.0);
+        let wait = rand::rng().random_range(PERIOD.0 * 3 / 4..=PERIOD.0 * 5 / 4);
         tokio::time::sleep(time::Millis(wait).to_std()).await;
     }
 }
 
+// The own zone's neighbours and some other zones; all members while grants are needed.
 fn targets(context: &context::Context) -> Vec<(id::ZoneId, view::Member)> {
+    let views = context.views.get();
     let mut targets = Vec::new();
-    for (zone, view) in &context.views.get().zones {
-        if *zone == context.place.zone {
-            let others = view.members.iter().filter(|member| member.vm != context.place.vm);
-            targets.extend(others.map(|member| (zone.clone(), member.clone())));
-        } else if !view.members.is_empty() {
-            let any = rand::rng().random_range(0..view.members.len());
-            targets.push((zone.clone(), view.members[any].clone()));
+    if let Some(view) = views.zones.get(&context.place.zone) {
+        let others = view.members.iter().filter(|member| member.vm != context.place.vm).cloned();
+        let mut near: Vec<view::Member> = others.collect();
+        if !context.standing.wants_grants(clock::boot_now()) {
+            near.sort_by_key(|member| owner::pair_weight(&context.place.vm, &member.vm));
+            near.truncate(NEIGHBOURS);
+        }
+        targets.extend(near.into_iter().map(|member| (context.place.zone.clone(), member)));
+    }
+    let far = views.zones.iter().filter(|(zone, _)| **zone != context.place.zone);
+    for (zone, view) in far.sample(&mut rand::rng(), FAR_ZONES) {
+        if let Some(member) = far_neighbour(context, view) {
+            targets.push((zone.clone(), member.clone()));
         }
     }
     targets
 }
 
+// The same member each time, so that its connection stays open, while it shows signs of life.
+fn far_neighbour<'a>(context: &context::Context, view: &'a view::View) -> Option<&'a view::Member> {
+    let now = clock::boot_now();
+    let alive = view.members.iter().filter(|member| context.peers.alive(&member.vm, now));
+    let nearest = alive.min_by_key(|member| owner::pair_weight(&context.place.vm, &member.vm));
+    nearest.or_else(|| view.members.choose(&mut rand::rng()))
+}
+
 async fn beat(context: Arc<context::Context>, zone: id::ZoneId, member: view::Member) {
     let start = clock::boot_now();
     let number = context.standing.view().number;
@@ -158,10 +216,14 @@
     };
     let reply = context.link.ask(&zone, &member, frame::Ask::Beat(beat)).await;
     let Ok(frame::Reply::Echo(echo)) = reply else { return };
-    let known = frame::Known { vm: member.vm.clone(), config: echo.config };
+    let known = frame::Known { vm: member.vm.clone(), config: echo.config, age: NOW };
     context.peers.hear(&zone, &known);
-    for known in &echo.known {
+    for known in echo.known.iter().filter(|known| known.vm != context.place.vm) {
         context.peers.hear(&zone, known);
+        if near {
+            let at = clock::boot_now().0.saturating_sub(known.age.0);
+            context.standing.hear(known.vm.clone(), time::Tick(at));
+        }
     }
     if near {
         context.standing.hear(member.vm.clone(), clock::boot_now());
--- a/crates/ibishill-decide/src/owner.rs
+++ b/crates/ibishill-decide/src/owner.rs
@@ -12,6 +12,14 @@
 }
 
 fn weight(vm: &id::VmId, endpoint: &id::EndpointId) -> u64 {
-    let seed = xxh3::xxh3_64(vm.as_str().as_bytes());
-    xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed)
+    seeded(vm.as_str(), endpoint.as_str())
+}
+
+/// A weight of the pair that spreads the neighbours of daemons over a zone, stable over time.
+pub fn pair_weight(own: &id::VmId, other: &id::VmId) -> u64 {
+    seeded(own.as_str(), other.as_str())
+}
+
+fn seeded(seed: &str, text: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(text.as_bytes(), xxh3::xxh3_64(seed.as_bytes()))
 }
--- a/crates/ibishill-peer/src/frame.rs
+++ b/crates/ibishill-peer/src/frame.rs
@@ -144,6 +144,8 @@
     pub vm: id::VmId,
     /// Its configuration version.
     pub config: u64,
+    /// Time since it was heard.
+    pub age: time::Millis,
 }
 
 /// The reply to a heartbeat.
--- a/crates/ibishill-peer/src/link.rs
+++ b/crates/ibishill-peer/src/link.rs
@@ -29,9 +29,10 @@
     codec::LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
-pub(crate) fn transport() -> Arc<quinn::TransportConfig> {
+/// Settings of a connection; only the side that calls keeps it alive.
+pub(crate) fn transport(keep_alive: Option<Duration>) -> Arc<quinn::TransportConfig> {
     let mut transport = quinn::TransportConfig::default();
-    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.keep_alive_interval(keep_alive);
     transport.max_idle_timeout(Some(quinn::VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
     transport.max_concurrent_bidi_streams(quinn::VarInt::from_u32(8_192));
     Arc::new(transport)
@@ -39,7 +40,7 @@
 
 fn client(identity: &tls::Identity) -> Result<quinn::ClientConfig, LinkError> {
     let mut client = tls::client(identity)?;
-    client.transport_config(transport());
+    client.transport_config(transport(Some(KEEP_ALIVE)));
     Ok(client)
 }
 
--- a/crates/ibishill-peer/src/server.rs
+++ b/crates/ibishill-peer/src/server.rs
@@ -26,7 +26,7 @@
 
 pub(crate) fn config(identity: &tls::Identity) -> Result<quinn::ServerConfig, LinkError> {
     let mut config = tls::server(identity)?;
-    config.transport_config(link::transport());
+    config.transport_config(link::transport(None));
     Ok(config)
 }
 
--- a/crates/ibishill-state/src/view.rs
+++ b/crates/ibishill-state/src/view.rs
@@ -164,9 +164,10 @@
 }
 
 impl Detector {
-    /// Notes a sign of life.
-    pub fn hear(&mut self, peer: id::VmId, now: time::Tick) {
-        self.heard.insert(peer, now);
+    /// Notes a sign of life; one that is older than the last changes nothing.
+    pub fn hear(&mut self, peer: id::VmId, at: time::Tick) {
+        let heard = self.heard.entry(peer).or_insert(at);
+        *heard = at.max(*heard);
     }
 
     /// Whether `peer` has been silent for too long; a new peer begins as heard.
