fix(daemon): buckets of the time to the first byte lie below a second

Cause: the histogram records seconds but had the default buckets of 5, 10, 25 and up, so that every answer fell into the first one (seen in the metrics of 'ibishill try'). Change: twelve buckets from 5 ms to 30 s, one of them ends at the target of 0.47 s.

--- a/crates/ibishill-daemon/src/metrics.rs
+++ b/crates/ibishill-daemon/src/metrics.rs
@@ -6,6 +6,10 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
 
+/// Upper ends of the buckets of the time to the start of an answer, in seconds.
+const FIRST_BYTE_BOUNDARIES_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.47, 0.75, 1.5, 5.0, 30.0];
+
 /// The instruments of a daemon.
 #[derive(Clone)]
 pub struct Metrics {
@@ -38,6 +42,7 @@
             .f64_histogram("ibishill_first_byte")
             .with_unit("s")
             .with_description("Time from a request's arrival to the start of its answer")
+            .with_boundaries(FIRST_BYTE_BOUNDARIES_S.to_vec())
             .build();
         let operators_refused = meter
             .u64_counter("ibishill_operators_refused")
