--- /dev/null
+++ b/crates/ibishill-core/src/call.rs
@@ -0,0 +1,52 @@
+//! What a caller's request says of itself.
+
+use crate::time;
+
+/// A part of a prompt; requests that share their first parts share that work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Identity of its text.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// Tokens of a generation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tokens {
+    /// Tokens of the prompt.
+    pub input: u64,
+    /// Most tokens of the answer.
+    pub output: u64,
+}
+
+/// What a request says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Facts {
+    /// Id of this attempt of the caller.
+    pub id: String,
+    /// Time for which the caller waits.
+    pub deadline: Option<time::Millis>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// Parts of the prompt, in order; the last belongs to the request or its session.
+    pub parts: Vec<Part>,
+    /// Tokens, for a generation.
+    pub tokens: Option<Tokens>,
+    /// Whether the system chooses the model.
+    pub any_model: bool,
+    /// Id of the last event that the caller has, on a resumed stream.
+    pub resumed: Option<u64>,
+}
+
+impl Facts {
+    /// Identity of the session, or of the request if it stands alone.
+    pub fn session(&self) -> Option<u64> {
+        self.parts.last().map(|part| part.id)
+    }
+
+    /// Identity of the longest part that other requests share.
+    pub fn subject(&self) -> Option<u64> {
+        self.parts.len().checked_sub(2).map(|at| self.parts[at].id)
+    }
+}
--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -81,6 +81,33 @@
     BillingDelayed = 1702, Warn, "billing batch could not be written yet";
     ClaimDelayed = 1703, Warn, "ending of a claim could not be recorded yet";
     BillingSingle = 1704, Warn, "billing records have one holder only";
+    RelayStarted = 2001, Info, "relay started";
+    RelayReady = 2002, Info, "relay ready";
+    RelayStopping = 2003, Info, "relay stopping";
+    RelayStopped = 2004, Info, "relay stopped";
+    SettingsReloaded = 2005, Info, "settings reloaded";
+    SettingsInvalid = 2006, Error, "settings could not be reloaded";
+    VmResumed = 2007, Warn, "the VM was suspended";
+    LinesDropped = 2008, Warn, "log lines left out";
+    CatalogInForce = 2101, Info, "declared configuration in force";
+    RowInvalid = 2102, Warn, "row of the store can't be decoded";
+    StoreLost = 2103, Warn, "store lost";
+    StoreRegained = 2104, Info, "store regained";
+    EndpointKnown = 2201, Info, "endpoint known";
+    EndpointGone = 2202, Info, "endpoint gone";
+    ZoneChanged = 2203, Info, "zone taken out or back";
+    PeerKnown = 2204, Info, "peer known";
+    RolloutChanged = 2301, Info, "roll-out changed";
+    StatusDelayed = 2302, Warn, "state of a roll-out could not be written yet";
+    RequestSent = 2401, Info, "request sent to an endpoint";
+    AttemptEnded = 2402, Info, "attempt ended";
+    RequestWaits = 2403, Info, "request waits for room";
+    RequestDeclined = 2404, Warn, "request refused by the relay";
+    AnswerDropped = 2405, Info, "weak answer dropped for a larger model";
+    StreamResumed = 2406, Warn, "stream resumed at another endpoint";
+    StreamBroken = 2407, Warn, "stream broken off";
+    RequestDone = 2408, Info, "request answered";
+    CallerGone = 2409, Info, "caller gone before the end";
 }
 
 impl Event {
@@ -97,6 +124,20 @@
     }
 }
 
+/// Logs an event as one JSON object.
+pub fn emit_json(event: Event, fields: &[Field<'_>]) {
+    if !log::log_enabled!(event.level()) {
+        return;
+    }
+    let mut object = serde_json::Map::with_capacity(fields.len() + 2);
+    object.insert("event".into(), event.number().into());
+    object.insert("text".into(), event.text().into());
+    for field in fields {
+        object.insert(field.key.into(), field.value.to_string().into());
+    }
+    log::log!(event.level(), "{}", serde_json::Value::Object(object));
+}
+
 struct Line<'a> {
     event: Event,
     fields: &'a [Field<'a>],
--- a/crates/ibishill-core/src/id.rs
+++ b/crates/ibishill-core/src/id.rs
@@ -115,6 +115,8 @@
     VmId;
     /// A plain service that stands beside the engines.
     ServiceId;
+    /// A route, by its declared name.
+    RouteId;
     /// One request of a caller.
     RequestId;
     /// One change of the configuration, chosen by the operator's client.
--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -11,9 +11,11 @@
 //! assert_eq!(outcome::Outcome::NotRun.to_string(), "not-run");
 //! ```
 
+pub mod call;
 pub mod clock;
 pub mod cost;
 pub mod event;
+pub mod fleet;
 pub mod header;
 pub mod id;
 pub mod outcome;
@@ -21,6 +23,7 @@
 pub mod priority;
 pub mod repeat;
 pub mod room;
+pub mod route;
 pub mod secret;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/ibishill-core/src/route.rs
@@ -0,0 +1,141 @@
+//! Declared routes, services and workspaces: what a caller's request may reach.
+
+use std::collections::BTreeMap;
+
+use crate::{id, time};
+
+/// How a route's requests are answered, and whether they may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Idempotent: may run more than once.
+    Safe,
+    /// Not idempotent: runs at most once.
+    Once,
+    /// A stream of events, which may be resumed at another endpoint or not.
+    Stream {
+        /// Whether a broken stream may be resumed after the last whole event.
+        resumes: bool,
+    },
+}
+
+impl Kind {
+    /// Whether a request whose fate is unknown may be sent again.
+    pub const fn may_repeat(self) -> bool {
+        matches!(self, Self::Safe | Self::Stream { resumes: true })
+    }
+
+    /// Whether the answer is a stream of events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// A service among those that a route's requests are split over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: id::ServiceId,
+    /// Its weight against the other shares.
+    pub weight: u32,
+}
+
+/// A declared route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: id::RouteId,
+    /// The host it answers for.
+    pub host: String,
+    /// Start of the paths it answers for, with a slash at both ends.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time for which a request is kept waiting.
+    pub timeout: time::Millis,
+    /// Time to the answer, or to a stream's first event, that callers expect.
+    pub target: time::Millis,
+    /// Rank, 0 for the most urgent.
+    pub priority: u8,
+    /// Models that may answer, smallest first; empty if the caller names one.
+    pub sizes: Vec<id::ModelId>,
+    /// Services that requests are split over; one has all without a split.
+    pub shares: Vec<Share>,
+    /// Most endpoints that one request may be sent to.
+    pub attempts: u32,
+    /// Whether it needs no key.
+    pub is_public: bool,
+}
+
+/// A model of an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Model {
+    /// Its name.
+    pub name: id::ModelId,
+    /// Cost of 1,000 generated tokens; tokens read cost a quarter.
+    pub cost: f64,
+}
+
+/// What the endpoints of a service that serve models have in common.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Requests that one batch holds.
+    pub slots: u32,
+    /// Tokens that fit in an endpoint's memory.
+    pub capacity: u64,
+    /// Models with their cost.
+    pub models: Vec<Model>,
+}
+
+/// A declared service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: id::ServiceId,
+    /// Most connections that one endpoint takes from all callers.
+    pub connections: u32,
+    /// Time for which an endpoint is cold after its start.
+    pub cold: time::Millis,
+    /// Requests a second that a cold endpoint bears, all daemons together; 0 for no bound.
+    pub cold_rate: f64,
+    /// Set if the endpoints serve models.
+    pub engine: Option<Engine>,
+}
+
+/// What callers may send, and how slowly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Most bytes of a request's head.
+    pub head: usize,
+    /// Most bytes of a request's body.
+    pub body: usize,
+    /// Longest time in which a head arrives.
+    pub wait: time::Millis,
+    /// Longest time for which a connection stays idle.
+    pub idle: time::Millis,
+}
+
+/// Holder of keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Workspace {
+    /// Its name.
+    pub name: id::WorkspaceId,
+    /// Rank of its requests, in place of the route's.
+    pub priority: Option<u8>,
+}
+
+/// One version of the declared configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Catalog {
+    /// Its version; versions only rise.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services by name.
+    pub services: BTreeMap<id::ServiceId, Service>,
+    /// Bounds of what callers send.
+    pub limits: Limits,
+    /// Workspaces.
+    pub spaces: Vec<Workspace>,
+    /// Index into `spaces` by key.
+    pub keys: BTreeMap<String, usize>,
+}
--- /dev/null
+++ b/crates/ibishill-decide/src/balance.rs
@@ -0,0 +1,387 @@
+//! Which endpoint of a service gets a request, from what one daemon knows of all of them.
+//!
+//! The loads this is for: prompts that share their first parts, which are cheap where they
+//! were read before; bursts, in which many daemons see the same reports and must not all
+//! choose the same endpoint; endpoints that restart cold, fail or leave. Each daemon knows
+//! its own work exactly and that of others from what answers tell.
+
+use std::collections::BTreeMap;
+
+use ibishill_core::{fleet, id, time};
+use xxhash_rust::xxh3;
+
+use crate::{outlier, rate};
+
+/// Time after which what an answer told of an endpoint's load no longer counts.
+const HEARD: time::Millis = time::Millis(1_500);
+
+/// Worth of finding a prompt's shared tokens read, in load, for each 1,000 of them.
+const READ_BONUS: f64 = 0.03;
+
+/// Most load that a shared prompt is worth.
+const READ_BONUS_MAX: f64 = 0.25;
+
+/// Load that a request rather meets in its own zone than go to another one.
+const NEAR_BONUS: f64 = 0.02;
+
+/// Load by which endpoints differ at random, so that daemons spread.
+const SPREAD: f64 = 0.04;
+
+/// Requests at once for each slot of a plain service; the rest queue there for a few
+/// milliseconds.
+const PLAIN_DEPTH: f64 = 2.0;
+
+/// Requests at once for each slot of an engine, which batches.
+const ENGINE_DEPTH: f64 = 1.0;
+
+/// Share of an engine's memory that running requests may fill.
+const MEMORY_SHARE: f64 = 0.9;
+
+/// Endpoints that a shared prompt prefers, so that one of them may fail or fill.
+const HOMES: usize = 2;
+
+/// Daemons that share the admissions of one cold endpoint.
+pub const COLD_SHARERS: usize = 6;
+
+/// Share of a cold endpoint's declared rate that is used, as daemons may disagree on who
+/// the sharers are.
+const COLD_SHARE: f64 = 0.8;
+
+/// Rate at which one daemon sends to a cold endpoint.
+pub fn cold_rate(declared: f64, rank: usize) -> rate::Rate {
+    let per_second =
+        if rank < COLD_SHARERS { declared * COLD_SHARE / COLD_SHARERS as f64 } else { 0.0 };
+    rate::Rate { per_second, burst: 1.0 }
+}
+
+/// Versions that a request may run on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Versions<'a> {
+    /// Any.
+    Any,
+    /// Only this one.
+    Only(&'a id::VersionId),
+    /// All but this one.
+    Except(&'a id::VersionId),
+}
+
+impl Versions<'_> {
+    fn allows(&self, version: &id::VersionId) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => *only == version,
+            Self::Except(except) => *except != version,
+        }
+    }
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a id::ServiceId,
+    /// Versions that it may run on.
+    pub versions: Versions<'a>,
+    /// Endpoints that it has been to.
+    pub avoid: &'a [id::EndpointId],
+    /// Identity of the prompt's shared part, with its tokens.
+    pub shared: Option<(u64, u64)>,
+    /// Tokens that it takes of an engine's memory.
+    pub tokens: u64,
+    /// Tokens of an engine's memory; 0 for a plain service.
+    pub capacity: u64,
+    /// Spreads requests over endpoints that are alike.
+    pub seed: u64,
+}
+
+/// What is found for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// This endpoint.
+    Send(id::EndpointId),
+    /// There are endpoints, but none has room now.
+    Full,
+    /// No endpoint may run it.
+    Nobody,
+}
+
+/// What an answer told of an endpoint's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that it held, running or waiting.
+    pub held: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    others: f64,
+    at: time::Tick,
+}
+
+#[derive(Debug, Clone)]
+struct Node {
+    entry: fleet::Entry,
+    running: u32,
+    tokens: u64,
+    heard: Option<Heard>,
+    breaker: outlier::Breaker,
+    // It took no connection; it may have restarted since.
+    was_down: bool,
+    cold_until: time::Tick,
+    admitted: rate::Bucket,
+}
+
+impl Node {
+    fn others(&self, now: time::Tick) -> f64 {
+        let Some(heard) = self.heard else { return 0.0 };
+        let age = now.since(heard.at).0 as f64 / HEARD.0 as f64;
+        heard.others * (1.0 - age).max(0.0)
+    }
+
+    fn load(&self, now: time::Tick) -> f64 {
+        (f64::from(self.running) + self.others(now)) / f64::from(self.entry.slots.max(1))
+    }
+}
+
+/// The endpoints that are known.
+#[derive(Debug, Clone)]
+pub struct Balance {
+    zone: id::ZoneId,
+    nodes: BTreeMap<id::EndpointId, Node>,
+    zones_out: BTreeMap<id::ZoneId, ()>,
+}
+
+/// What decides whether an endpoint counts as cold, and how much one daemon sends it then.
+#[derive(Debug, Clone, Copy)]
+pub struct ColdRule {
+    /// How long an endpoint is cold after a start.
+    pub span: time::Millis,
+    /// Requests a second that a cold endpoint bears; 0 for no bound.
+    pub declared: f64,
+    /// Whether beliefs are too old to tell a warm endpoint from a cold one.
+    pub is_stale: bool,
+}
+
+impl Balance {
+    /// Starts without endpoints, for a daemon in `zone`.
+    pub const fn new(zone: id::ZoneId) -> Self {
+        Self { zone, nodes: BTreeMap::new(), zones_out: BTreeMap::new() }
+    }
+
+    /// Takes in what an endpoint says of itself.
+    pub fn register(&mut self, entry: fleet::Entry, now: time::Tick) {
+        let cold_until = if entry.cold.0 > 0 { now + entry.cold } else { time::Tick(0) };
+        match self.nodes.get_mut(&entry.id) {
+            Some(node) if node.entry.born == entry.born => {
+                node.cold_until = node.cold_until.max(cold_until);
+                node.entry = entry;
+            }
+            _ => {
+                let node = Node {
+                    entry: entry.clone(),
+                    running: 0,
+                    tokens: 0,
+                    heard: None,
+                    breaker: outlier::Breaker::default(),
+                    was_down: false,
+                    cold_until,
+                    admitted: rate::Bucket::new(0.0, now),
+                };
+                self.nodes.insert(entry.id, node);
+            }
+        }
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&mut self, id: &id::EndpointId) {
+        self.nodes.remove(id);
+    }
+
+    /// The entry of an endpoint.
+    pub fn entry(&self, id: &id::EndpointId) -> Option<&fleet::Entry> {
+        self.nodes.get(id).map(|node| &node.entry)
+    }
+
+    /// Takes a zone out of service.
+    pub fn take_out(&mut self, zone: id::ZoneId) {
+        self.zones_out.insert(zone, ());
+    }
+
+    /// Takes a zone back; its endpoints count as cold for `span`.
+    pub fn take_back(&mut self, zone: &id::ZoneId, span: time::Millis, now: time::Tick) {
+        if self.zones_out.remove(zone).is_none() {
+            return;
+        }
+        for node in self.nodes.values_mut().filter(|node| node.entry.zone == *zone) {
+            node.cold_until = node.cold_until.max(now + span);
+        }
+    }
+
+    /// Whether a version has an endpoint in service.
+    pub fn has_version(&self, service: &id::ServiceId, version: &id::VersionId) -> bool {
+        self.nodes.values().any(|node| {
+            node.entry.service == *service
+                && node.entry.version == *version
+                && self.is_in_service(node)
+        })
+    }
+
+    fn is_in_service(&self, node: &Node) -> bool {
+        node.entry.standing == fleet::Standing::Ready
+            && !self.zones_out.contains_key(&node.entry.zone)
+    }
+
+    /// Chooses an endpoint; `rank` is this daemon's place among the sharers of a cold one.
+    pub fn pick<R>(&self, ask: &Ask<'_>, cold: ColdRule, rank: R, now: time::Tick) -> Choice
+    where
+        R: Fn(&id::EndpointId) -> usize,
+    {
+        let allowed = |node: &&Node| {
+            node.entry.service == *ask.service
+                && ask.versions.allows(&node.entry.version)
+                && self.is_in_service(node)
+        };
+        let all: Vec<&Node> = self.nodes.values().filter(allowed).collect();
+        if all.is_empty() {
+            return Choice::Nobody;
+        }
+        let fresh = |node: &&&Node| !ask.avoid.contains(&node.entry.id);
+        let trusted = |node: &&&Node| node.breaker.allows(now);
+        let mut pool: Vec<&Node> = all.iter().filter(fresh).filter(trusted).copied().collect();
+        if pool.is_empty() {
+            // All fail or were tried: a second look is better than none.
+            pool = all.iter().filter(fresh).copied().collect();
+        }
+        if pool.is_empty() {
+            return Choice::Nobody;
+        }
+        let is_open = |node: &&&Node| has_room(node, ask, now) && admits(node, cold, &rank, now);
+        let open: Vec<&Node> = pool.iter().filter(is_open).copied().collect();
+        let homes = homes(&open, ask);
+        let price = |node: &Node| self.price(node, ask, &homes, now);
+        let best = open.into_iter().min_by(|a, b| price(a).total_cmp(&price(b)));
+        best.map_or(Choice::Full, |node| Choice::Send(node.entry.id.clone()))
+    }
+
+    fn price(&self, node: &Node, ask: &Ask<'_>, homes: &[u64], now: time::Tick) -> f64 {
+        let mut price = node.load(now);
+        if node.entry.zone == self.zone {
+            price -= NEAR_BONUS;
+        }
+        if let Some((part, tokens)) = ask.shared
+            && homes.contains(&home(part, &node.entry.id))
+        {
+            price -= (tokens as f64 / 1_000.0 * READ_BONUS).min(READ_BONUS_MAX);
+        }
+        let spread = xxh3::xxh3_64_with_seed(node.entry.id.as_str().as_bytes(), ask.seed);
+        price + SPREAD * (spread as f64 / u64::MAX as f64)
+    }
+
+    /// Notes that a request is sent.
+    pub fn begin(
+        &mut self,
+        id: &id::EndpointId,
+        tokens: u64,
+        cold: ColdRule,
+        rank: usize,
+        now: time::Tick,
+    ) {
+        let Some(node) = self.nodes.get_mut(id) else { return };
+        node.running += 1;
+        node.tokens += tokens;
+        node.breaker.begin(now);
+        // The bucket runs while the endpoint is warm, too, so that it is not full if that ends.
+        if cold.declared > 0.0 {
+            node.admitted.take(cold_rate(cold.declared, rank), now);
+        }
+    }
+
+    /// Notes that a request has left an endpoint.
+    pub fn end(&mut self, id: &id::EndpointId, tokens: u64) {
+        if let Some(node) = self.nodes.get_mut(id) {
+            node.running = node.running.saturating_sub(1);
+            node.tokens = node.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Notes how an attempt went, with what the answer told of the load.
+    ///
+    /// An endpoint that took no connection may have restarted: it counts as cold from the
+    /// first answer on.
+    pub fn judge(
+        &mut self,
+        id: &id::EndpointId,
+        attempt: outlier::Attempt,
+        load: Option<Load>,
+        cold: ColdRule,
+        now: time::Tick,
+    ) {
+        let Some(node) = self.nodes.get_mut(id) else { return };
+        node.breaker.end(attempt, now);
+        match attempt {
+            outlier::Attempt::Unreachable => node.was_down = true,
+            _ if node.was_down => {
+                node.was_down = false;
+                node.cold_until = node.cold_until.max(now + cold.span);
+            }
+            _ => {}
+        }
+        if let Some(load) = load {
+            let others = f64::from(load.held) - f64::from(node.running);
+            node.heard = Some(Heard { others: others.max(0.0), at: now });
+        }
+    }
+
+    /// Notes that an endpoint refused a request for want of room.
+    pub fn refused(&mut self, id: &id::EndpointId, now: time::Tick) {
+        if let Some(node) = self.nodes.get_mut(id) {
+            let slots = f64::from(node.entry.slots);
+            node.heard = Some(Heard { others: slots, at: now });
+        }
+    }
+
+    /// Share of the places of a service that are taken, by what this daemon knows.
+    pub fn taken(&self, service: &id::ServiceId, now: time::Tick) -> f64 {
+        let nodes = self.nodes.values().filter(|node| node.entry.service == *service);
+        let (mut load, mut count) = (0.0, 0.0);
+        for node in nodes.filter(|node| self.is_in_service(node)) {
+            load += node.load(now);
+            count += 1.0;
+        }
+        load / f64::max(count, 1.0)
+    }
+}
+
+fn has_room(node: &Node, ask: &Ask<'_>, now: time::Tick) -> bool {
+    let is_engine = ask.capacity > 0;
+    let depth = if is_engine { ENGINE_DEPTH } else { PLAIN_DEPTH };
+    if node.load(now) >= depth {
+        return false;
+    }
+    let held = node.running == 0 || !is_engine;
+    held || (node.tokens + ask.tokens) as f64 <= ask.capacity as f64 * MEMORY_SHARE
+}
+
+fn admits<R>(node: &Node, cold: ColdRule, rank: &R, now: time::Tick) -> bool
+where
+    R: Fn(&id::EndpointId) -> usize,
+{
+    let is_cold = cold.is_stale || node.was_down || node.cold_until > now;
+    if !is_cold || cold.declared <= 0.0 {
+        return true;
+    }
+    node.admitted.has(cold_rate(cold.declared, rank(&node.entry.id)), now)
+}
+
+fn home(part: u64, id: &id::EndpointId) -> u64 {
+    xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), part)
+}
+
+// The highest hashes, on which all daemons that know the same endpoints agree.
+fn homes(nodes: &[&Node], ask: &Ask<'_>) -> Vec<u64> {
+    let Some((part, _)) = ask.shared else { return Vec::new() };
+    let mut hashes: Vec<u64> = nodes.iter().map(|node| home(part, &node.entry.id)).collect();
+    hashes.sort_unstable_by(|a, b| b.cmp(a));
+    hashes.truncate(HOMES);
+    hashes
+}
--- /dev/null
+++ b/crates/ibishill-decide/src/canary.rs
@@ -0,0 +1,251 @@
+//! A roll-out that all daemons judge together, without a leader on the path of requests.
+//!
+//! Each daemon counts its own answers and passes the counts on; every daemon adds up what it
+//! has heard and comes to its own verdict, so a bad version is left wherever its failures are
+//! known. Sessions enter by a stable hash. During the first half the share stays small and no
+//! session changes its version; in the second half it grows, and sessions only move forward.
+
+use std::collections::BTreeMap;
+
+use ibishill_core::{fleet, id, time};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::rollout::{counts, sequential};
+
+/// Share of the declared exposure that is used, as daemons count apart.
+const EXPOSE_USED: f64 = 0.6;
+
+/// Stages of the second half: share of the duration that is over, and percent of sessions.
+const STAGES: [(f64, f64); 4] = [(0.50, 0.2), (0.56, 0.4), (0.62, 0.7), (0.68, 1.0)];
+
+/// Share of the duration after which a good version is complete.
+const COMPLETE_AT: f64 = 0.78;
+
+/// Share of the duration after which it is complete although few answers came.
+const COMPLETE_LATE: f64 = 0.88;
+
+/// Answers of the new version without which it is not complete early.
+const CANDIDATE_MIN: u64 = 20;
+
+/// Chance that a good version is halted.
+const ALPHA: f64 = 0.0005;
+
+/// Share of failures by which the new version may be worse.
+const ERRORS_TOLERANCE: f64 = 0.03;
+
+/// Share of slow answers by which the new version may be worse.
+const SLOW_TOLERANCE: f64 = 0.15;
+
+/// Half doublings of the stable version's median time above which an answer is slow: four
+/// times the median, as an endpoint that has just started reads prompts that others know.
+const SLOW_STEPS: usize = 4;
+
+/// Sessions that are remembered on the old version.
+const SESSIONS_MAX: usize = 4_096;
+
+/// Which version a request runs on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// The old one.
+    Stable,
+    /// The new one.
+    Candidate,
+}
+
+/// One daemon's counts in a roll-out.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// When the daemon's process started.
+    pub start: u64,
+    /// The old version.
+    pub stable: counts::Counts,
+    /// The new version.
+    pub candidate: counts::Counts,
+}
+
+impl Tally {
+    fn size(&self) -> (u64, u64) {
+        (self.start, self.stable.requests + self.candidate.requests)
+    }
+}
+
+/// What daemons tell each other of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The service.
+    pub service: id::ServiceId,
+    /// The version that it moves to.
+    pub to: id::VersionId,
+    /// Time since the order.
+    pub age: time::Millis,
+    /// How it stands.
+    pub progress: fleet::Progress,
+    /// Counts by daemon.
+    pub tallies: BTreeMap<id::VmId, Tally>,
+}
+
+/// A roll-out as one daemon knows it.
+#[derive(Debug, Clone)]
+pub struct Canary {
+    order: fleet::Rollout,
+    began: time::Tick,
+    progress: fleet::Progress,
+    tallies: BTreeMap<id::VmId, Tally>,
+    pinned: BTreeMap<u64, time::Tick>,
+    expose: f64,
+    session: time::Millis,
+}
+
+impl Canary {
+    /// Begins a roll-out; `age` is the time since the order.
+    pub fn new(order: fleet::Rollout, bounds: &fleet::Bounds, now: time::Tick) -> Self {
+        Self {
+            order,
+            began: now,
+            progress: fleet::Progress::Running,
+            tallies: BTreeMap::new(),
+            pinned: BTreeMap::new(),
+            expose: bounds.expose_share * EXPOSE_USED,
+            session: bounds.session,
+        }
+    }
+
+    /// The order.
+    pub const fn order(&self) -> &fleet::Rollout {
+        &self.order
+    }
+
+    /// How it stands.
+    pub const fn progress(&self) -> fleet::Progress {
+        self.progress
+    }
+
+    /// Time since the order.
+    pub const fn age(&self, now: time::Tick) -> time::Millis {
+        now.since(self.began)
+    }
+
+    fn elapsed(&self, now: time::Tick) -> f64 {
+        self.age(now).0 as f64 / self.order.duration.0.max(1) as f64
+    }
+
+    /// Whether sessions may still change from the old version to the new one.
+    pub fn is_early(&self, now: time::Tick) -> bool {
+        self.elapsed(now) < STAGES[0].0
+    }
+
+    fn share(&self, now: time::Tick) -> f64 {
+        let elapsed = self.elapsed(now);
+        let stage = STAGES.iter().rev().find(|(from, _)| elapsed >= *from);
+        stage.map_or(self.expose, |(_, share)| share.max(self.expose))
+    }
+
+    /// The version that a request of `session` runs on.
+    pub fn side(&mut self, session: u64, now: time::Tick) -> Side {
+        match self.progress {
+            fleet::Progress::RolledBack => return Side::Stable,
+            fleet::Progress::Completed => return Side::Candidate,
+            fleet::Progress::Running => {}
+        }
+        let seed = xxh3::xxh3_64(self.order.to.as_str().as_bytes());
+        let slot = xxh3::xxh3_64_with_seed(&session.to_le_bytes(), seed) as f64 / u64::MAX as f64;
+        let recent = |at: &time::Tick| now.since(*at) < self.session;
+        let is_pinned = self.is_early(now) && self.pinned.get(&session).is_some_and(recent);
+        if slot < self.share(now) && !is_pinned {
+            return Side::Candidate;
+        }
+        self.pin(session, now);
+        Side::Stable
+    }
+
+    /// Notes that a session runs on the old version.
+    pub fn pin(&mut self, session: u64, now: time::Tick) {
+        if self.pinned.len() >= SESSIONS_MAX {
+            let span = self.session;
+            self.pinned.retain(|_, at| now.since(*at) < span);
+        }
+        if self.pinned.len() < SESSIONS_MAX {
+            self.pinned.insert(session, now);
+        }
+    }
+
+    /// This daemon's counts.
+    pub fn tally(&mut self, own: &id::VmId, start: u64) -> &mut Tally {
+        let tally = self.tallies.entry(own.clone()).or_default();
+        tally.start = start;
+        tally
+    }
+
+    /// Takes in what a peer tells.
+    pub fn hear(&mut self, news: News, own: &id::VmId, now: time::Tick) {
+        if news.to != self.order.to {
+            return;
+        }
+        if news.age > self.age(now) {
+            self.began = time::Tick(now.0.saturating_sub(news.age.0));
+        }
+        for (vm, tally) in news.tallies {
+            if vm != *own && self.tallies.get(&vm).is_none_or(|known| known.size() < tally.size()) {
+                self.tallies.insert(vm, tally);
+            }
+        }
+        self.settle(news.progress);
+    }
+
+    /// Takes in how the roll-out stands; an end is final, and a halt goes before all else.
+    pub fn settle(&mut self, progress: fleet::Progress) {
+        let is_halt = progress == fleet::Progress::RolledBack;
+        if is_halt || self.progress == fleet::Progress::Running {
+            self.progress = progress;
+        }
+    }
+
+    /// What is told to peers.
+    pub fn news(&self, now: time::Tick) -> News {
+        News {
+            service: self.order.service.clone(),
+            to: self.order.to.clone(),
+            age: self.age(now),
+            progress: self.progress,
+            tallies: self.tallies.clone(),
+        }
+    }
+
+    /// Counts of all daemons: of the old version, and of the new one.
+    pub fn sums(&self) -> (counts::Counts, counts::Counts) {
+        let mut sums = (counts::Counts::default(), counts::Counts::default());
+        for tally in self.tallies.values() {
+            sums.0.add(&tally.stable);
+            sums.1.add(&tally.candidate);
+        }
+        sums
+    }
+
+    /// How the roll-out should stand, by all that is known.
+    pub fn verdict(&self, now: time::Tick) -> fleet::Progress {
+        if self.progress != fleet::Progress::Running {
+            return self.progress;
+        }
+        let (stable, candidate) = self.sums();
+        let errors = sequential::evidence(stable.errors(), candidate.errors(), ERRORS_TOLERANCE);
+        let edge = stable.slow_edge(0.5) + SLOW_STEPS;
+        let (before, after) = (stable.slower(edge), candidate.slower(edge));
+        let slow = if before.all > 0 {
+            sequential::evidence(before, after, SLOW_TOLERANCE)
+        } else {
+            f64::NEG_INFINITY
+        };
+        let limit = (1.0 / ALPHA).ln();
+        if errors > limit || slow > limit {
+            return fleet::Progress::RolledBack;
+        }
+        let elapsed = self.elapsed(now);
+        let is_doubted = errors.max(slow) > 0.0;
+        let is_seen = candidate.requests >= CANDIDATE_MIN && !is_doubted;
+        if elapsed >= COMPLETE_LATE || (elapsed >= COMPLETE_AT && is_seen) {
+            return fleet::Progress::Completed;
+        }
+        fleet::Progress::Running
+    }
+}
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -4,7 +4,9 @@
 //! drive the same code as the daemon.
 
 pub mod admit;
+pub mod balance;
 pub mod baseline;
+pub mod canary;
 pub mod cascade;
 pub mod choose;
 pub mod cohort;
@@ -12,14 +14,19 @@
 pub mod dispatch;
 pub mod hedge;
 pub mod index;
+pub mod line;
 pub mod outlier;
 pub mod owner;
+pub mod peers;
 pub mod place;
 pub mod plan;
 pub mod prefix;
 pub mod queue;
+pub mod rate;
 pub mod retry;
 pub mod rollout;
+pub mod routing;
 pub mod session;
+pub mod sizing;
 pub mod spill;
 pub mod zone;
--- a/crates/ibishill-decide/src/retry.rs
+++ b/crates/ibishill-decide/src/retry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ibishill_core::{id, outcome, repeat};
+use ibishill_core::{fleet, id, outcome, repeat};
 
 /// Second attempts that one request allows.
 const SHARE: f64 = 0.1;
@@ -81,3 +81,42 @@
         self.spaces.retain(|space, _| keep(space));
     }
 }
+
+/// Share of the deployment's ratio that one daemon uses, as requests and their repeats may
+/// fall into different windows.
+const RATIO_USED: f64 = 0.6;
+
+/// Share of the deployment's slack that all daemons together use.
+const SLACK_USED: f64 = 0.6;
+
+/// Second attempts that one daemon may cause at a service, without asking the others.
+///
+/// Each request earns a part of one, so the sum over all daemons stays under the
+/// deployment's ratio; the slack is divided by the daemons that may be alive.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    tokens: f64,
+}
+
+impl Default for Allowance {
+    fn default() -> Self {
+        Self { tokens: 1.0 }
+    }
+}
+
+impl Allowance {
+    /// Notes the first attempt of a request.
+    pub fn earn(&mut self, bounds: &fleet::Bounds, daemons: usize) {
+        let most = (bounds.retry_slack * SLACK_USED / daemons.max(1) as f64).max(1.0);
+        self.tokens = (self.tokens + bounds.retry_ratio * RATIO_USED).min(most);
+    }
+
+    /// Takes the right to a further attempt, if there is one left.
+    pub fn take(&mut self) -> bool {
+        let has = self.tokens >= 1.0;
+        if has {
+            self.tokens -= 1.0;
+        }
+        has
+    }
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -0,0 +1,291 @@
+//! One attempt of a request at one endpoint.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::body::Incoming;
+use ibishill_adapter::head;
+use ibishill_core::{call, event, id, route, time};
+use ibishill_decide::{balance, canary, outlier};
+use tokio::time as clock;
+
+use crate::context::Shared;
+use crate::upstream::{self, CallError};
+
+/// A request as it was read from the caller.
+pub(crate) struct Received {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) facts: call::Facts,
+    pub(crate) route: route::Route,
+    pub(crate) space: Option<route::Workspace>,
+    pub(crate) service: id::ServiceId,
+    /// When it was read.
+    pub(crate) since: time::Tick,
+    /// When its caller, or its route's timeout, gives it up.
+    pub(crate) until: time::Tick,
+}
+
+impl Received {
+    /// Rank, 0 for the most urgent.
+    pub(crate) fn priority(&self) -> u8 {
+        let of_space = self.space.as_ref().and_then(|space| space.priority);
+        of_space.unwrap_or(self.route.priority)
+    }
+
+    /// Tokens that it takes of an engine's memory.
+    pub(crate) fn memory(&self) -> u64 {
+        self.facts.tokens.map_or(0, |tokens| tokens.input + tokens.output)
+    }
+
+    pub(crate) fn left(&self, now: time::Tick) -> time::Millis {
+        self.until.since(now)
+    }
+}
+
+/// Where an attempt goes.
+#[derive(Debug, Clone)]
+pub(crate) struct Target {
+    pub(crate) endpoint: id::EndpointId,
+    pub(crate) version: id::VersionId,
+    pub(crate) model: Option<id::ModelId>,
+    /// Id of the last event that the caller has.
+    pub(crate) resumed: Option<u64>,
+}
+
+/// Counts an attempt as under way at its endpoint; dropping it ends that.
+pub(crate) struct Slot {
+    context: Shared,
+    endpoint: id::EndpointId,
+    tokens: u64,
+}
+
+impl Slot {
+    fn take(context: &Shared, received: &Received, endpoint: &id::EndpointId) -> Self {
+        let (now, tokens) = (context.now(), received.memory());
+        let mut state = context.state();
+        let rule = state.cold_rule(&received.service, now);
+        let rank = state.cold_rank(endpoint);
+        state.balance.begin(endpoint, tokens, rule, rank, now);
+        drop(state);
+        Self { context: context.clone(), endpoint: endpoint.clone(), tokens }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.context.state().balance.end(&self.endpoint, self.tokens);
+        self.context.room.notify_waiters();
+    }
+}
+
+/// The start of a streamed answer.
+pub(crate) struct Opened {
+    pub(crate) head: Response<()>,
+    pub(crate) reply: head::Reply,
+    pub(crate) body: Incoming,
+    pub(crate) connection: upstream::Connection,
+    pub(crate) slot: Slot,
+}
+
+/// How an attempt ended.
+pub(crate) enum Ended {
+    /// Nothing was sent.
+    Unsent,
+    /// The endpoint says that it has not run the request.
+    Refused,
+    /// It may have run.
+    Unknown,
+    /// The endpoint's whole answer.
+    Answer(Response<Bytes>),
+    /// The start of a streamed answer.
+    Stream(Box<Opened>),
+}
+
+/// Time after which a request that may be repeated is tried elsewhere, as a multiple of
+/// the time to the answer that callers expect.
+const HANG_FACTOR: u64 = 3;
+
+/// Makes an attempt.
+pub(crate) async fn run(
+    context: &Shared,
+    received: &Received,
+    target: &Target,
+    may_follow: bool,
+) -> Ended {
+    let Some(entry) = context.state().balance.entry(&target.endpoint).cloned() else {
+        return Ended::Unsent;
+    };
+    let slot = Slot::take(context, received, &target.endpoint);
+    let begun = context.now();
+    let left = received.left(begun);
+    log_sent(received, target, begun, left);
+    let request = request(received, target, left);
+    let hang = time::Millis(received.route.target.0 * HANG_FACTOR);
+    let is_short = may_follow && received.route.kind.may_repeat() && hang < left;
+    let limit = if is_short { hang } else { left };
+    let work = open(received, entry.address, request, slot);
+    let (ended, detail) = match clock::timeout(Duration::from_millis(limit.0), work).await {
+        Ok((ended, detail)) => (ended, detail),
+        Err(_) => (Ended::Unknown, format!("no answer within {limit}")),
+    };
+    note(context, received, target, &ended, begun);
+    log_ended(context, received, target, &ended, &detail, begun);
+    ended
+}
+
+fn request(received: &Received, target: &Target, left: time::Millis) -> Request<Bytes> {
+    let is_engine = received.facts.tokens.is_some();
+    let dispatch = head::Dispatch {
+        endpoint: &target.endpoint,
+        workspace: received.space.as_ref().map(|space| &space.name),
+        left,
+        model: target.model.as_ref(),
+        priority: is_engine.then(|| received.priority()),
+        resumed: target.resumed,
+    };
+    let mut request = Request::new(received.body.clone());
+    *request.method_mut() = received.method.clone();
+    *request.uri_mut() = received.uri.clone();
+    *request.headers_mut() = head::forward(&received.headers, &dispatch);
+    request
+}
+
+async fn open(
+    received: &Received,
+    address: std::net::SocketAddr,
+    request: Request<Bytes>,
+    slot: Slot,
+) -> (Ended, String) {
+    let (answer, connection) = match upstream::call(address, request).await {
+        Ok(opened) => opened,
+        Err(CallError::Connect(detail)) => return (Ended::Unsent, detail),
+        Err(CallError::Unknown(detail)) => return (Ended::Unknown, detail),
+    };
+    let (parts, body) = answer.into_parts();
+    let reply = head::reply(parts.status, &parts.headers, &received.facts.id);
+    if !reply.is_own {
+        return (Ended::Unknown, "the answer belongs to another request".into());
+    }
+    if reply.not_run {
+        slot.context.state().balance.refused(&slot.endpoint, slot.context.now());
+        return (Ended::Refused, parts.status.to_string());
+    }
+    if reply.is_encoded || !reply.is_signed {
+        return (Ended::Unknown, "the answer is not signed".into());
+    }
+    let head = Response::from_parts(parts, ());
+    if received.route.kind.is_stream() && head.status().is_success() {
+        let opened = Opened { head, reply, body, connection, slot };
+        return (Ended::Stream(Box::new(opened)), String::new());
+    }
+    match upstream::read(body).await {
+        Ok(bytes) => (Ended::Answer(head.map(|()| bytes)), String::new()),
+        Err(error) => (Ended::Unknown, error.to_string()),
+    }
+}
+
+fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+// What the attempt tells of its endpoint and, in a roll-out, of its version.
+fn note(context: &Shared, received: &Received, target: &Target, ended: &Ended, begun: time::Tick) {
+    let now = context.now();
+    let attempt = match ended {
+        Ended::Unsent => outlier::Attempt::Unreachable,
+        Ended::Unknown => outlier::Attempt::Failed,
+        Ended::Answer(answer) if is_failure(answer.status()) => outlier::Attempt::Failed,
+        Ended::Refused | Ended::Answer(_) | Ended::Stream(_) => outlier::Attempt::Good,
+    };
+    let load = match ended {
+        Ended::Answer(answer) => head::reply(answer.status(), answer.headers(), "").load,
+        Ended::Stream(opened) => opened.reply.load,
+        _ => None,
+    };
+    let load = load.map(|load| balance::Load { held: load.running + load.waiting });
+    let mut state = context.state();
+    let rule = state.cold_rule(&received.service, now);
+    // A refusal tells nothing of an endpoint's health.
+    if !matches!(ended, Ended::Refused) {
+        state.balance.judge(&target.endpoint, attempt, load, rule, now);
+        if attempt != outlier::Attempt::Unreachable {
+            count(&mut state, context, received, target, attempt, now.since(begun));
+        }
+    }
+}
+
+/// Counts an answer, or a failure, of a version that takes part in a roll-out.
+pub(crate) fn count(
+    state: &mut crate::state::State,
+    context: &Shared,
+    received: &Received,
+    target: &Target,
+    attempt: outlier::Attempt,
+    first: time::Millis,
+) {
+    let vm = state.place.vm.clone();
+    let Some(canary) = state.canaries.get_mut(&received.service) else { return };
+    let is_new = canary.order().to == target.version;
+    let tally = canary.tally(&vm, context.start);
+    let counts = if is_new { &mut tally.candidate } else { &mut tally.stable };
+    match attempt {
+        outlier::Attempt::Good => counts.answered(first),
+        _ => counts.failed(),
+    }
+}
+
+/// The side of a roll-out that a version is on.
+pub(crate) fn versions(side: canary::Side, canary: &canary::Canary) -> balance::Versions<'_> {
+    match side {
+        canary::Side::Stable => balance::Versions::Except(&canary.order().to),
+        canary::Side::Candidate => balance::Versions::Only(&canary.order().to),
+    }
+}
+
+fn log_sent(received: &Received, target: &Target, now: time::Tick, left: time::Millis) {
+    let model = target.model.as_ref().map_or("-", id::ModelId::as_str);
+    event::emit_json(
+        event::Event::RequestSent,
+        &[
+            event::field("request", &received.facts.id),
+            event::field("route", &received.route.name),
+            event::field("endpoint", &target.endpoint),
+            event::field("version", &target.version),
+            event::field("model", &model),
+            event::field("waited", &now.since(received.since)),
+            event::field("left", &left),
+        ],
+    );
+}
+
+fn log_ended(
+    context: &Shared,
+    received: &Received,
+    target: &Target,
+    ended: &Ended,
+    detail: &str,
+    begun: time::Tick,
+) {
+    let outcome = match ended {
+        Ended::Unsent => "unsent".to_owned(),
+        Ended::Refused => "refused".to_owned(),
+        Ended::Unknown => "unknown".to_owned(),
+        Ended::Answer(answer) => answer.status().as_u16().to_string(),
+        Ended::Stream(_) => "stream".to_owned(),
+    };
+    let took = context.now().since(begun);
+    event::emit_json(
+        event::Event::AttemptEnded,
+        &[
+            event::field("request", &received.facts.id),
+            event::field("endpoint", &target.endpoint),
+            event::field("outcome", &outcome),
+            event::field("took", &took),
+            event::field("detail", &detail),
+        ],
+    );
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/context.rs
@@ -0,0 +1,84 @@
+//! What all tasks of a relay share.
+
+use std::cell::{RefCell, RefMut};
+use std::rc::Rc;
+use std::time::Instant;
+
+use ibishill_core::{clock, id, time};
+use tokio::sync::Notify;
+
+use crate::state;
+
+/// Offset that keeps times in the past representable after a start.
+const ORIGIN_MS: u64 = 10_000_000;
+
+/// What all tasks share.
+pub(crate) struct Context {
+    state: RefCell<state::State>,
+    started: Instant,
+    /// When the process started, which tells its incarnations apart.
+    pub(crate) start: u64,
+    /// Woken when an endpoint may have room.
+    pub(crate) room: Notify,
+    /// Woken when rows have changed, so that peers hear of them at once.
+    pub(crate) news: Notify,
+    /// Woken when the process is asked to stop.
+    pub(crate) stop: Notify,
+}
+
+/// A shared context.
+pub(crate) type Shared = Rc<Context>;
+
+impl Context {
+    pub(crate) fn new(state: state::State, start: u64) -> Shared {
+        Rc::new(Self {
+            state: RefCell::new(state),
+            started: Instant::now(),
+            start,
+            room: Notify::new(),
+            news: Notify::new(),
+            stop: Notify::new(),
+        })
+    }
+
+    /// The state; the guard must not be held across an await.
+    pub(crate) fn state(&self) -> RefMut<'_, state::State> {
+        self.state.borrow_mut()
+    }
+
+    /// The time.
+    pub(crate) fn now(&self) -> time::Tick {
+        let millis = self.started.elapsed().as_millis();
+        time::Tick(ORIGIN_MS + u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+
+    /// The VM.
+    pub(crate) fn vm(&self) -> id::VmId {
+        self.state().place.vm.clone()
+    }
+}
+
+/// Tells how long the VM was suspended since the last look.
+///
+/// The steady clock stands still in a suspension, the boot clock goes on.
+pub(crate) struct Suspension {
+    boot: time::Tick,
+    steady: Instant,
+}
+
+impl Suspension {
+    pub(crate) fn start() -> Self {
+        Self { boot: clock::boot_now(), steady: Instant::now() }
+    }
+
+    /// Time for which the VM or the process stood still since the last call, beyond the
+    /// `expected` time between two calls.
+    pub(crate) fn look(&mut self, expected: time::Millis) -> time::Millis {
+        let (boot, steady) = (clock::boot_now(), Instant::now());
+        let passed = boot.since(self.boot);
+        let counted = steady.duration_since(self.steady).as_millis();
+        let counted = time::Millis(u64::try_from(counted).unwrap_or(u64::MAX));
+        (self.boot, self.steady) = (boot, steady);
+        time::Millis(passed.0.max(counted.0)).less(expected)
+    }
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/duty.rs
@@ -0,0 +1,147 @@
+//! Roll-outs: every relay acts on its own verdict, and one of them tells the operator.
+
+use std::time::Duration;
+
+use ibishill_adapter::{row, store};
+use ibishill_core::{event, fleet, id};
+use tokio::time as clock;
+
+use crate::context::Shared;
+use crate::upstream;
+
+/// Time between two looks at the counts.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Looks for which each relay further down the order leaves the writing to those before it.
+const LOOKS_PER_RANK: u32 = 12;
+
+/// Longest time for a write.
+const LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a write that failed.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// Looks after roll-outs.
+pub(crate) async fn run(context: Shared) {
+    let mut written: std::collections::BTreeMap<id::ServiceId, Written> = Default::default();
+    loop {
+        clock::sleep(LOOK).await;
+        for (service, to, progress) in judge(&context) {
+            let known = written.entry(service.clone()).or_default();
+            if known.to.as_ref() != Some(&to) || known.progress != Some(progress) {
+                *known = Written {
+                    to: Some(to.clone()),
+                    progress: Some(progress),
+                    version: known.version,
+                    waited: 0,
+                    is_done: false,
+                };
+            }
+            if known.is_done {
+                continue;
+            }
+            known.waited += 1;
+            if !is_due(&context, &service, known.waited) {
+                continue;
+            }
+            match write(&context, &service, &to, progress, known.version).await {
+                Ok(Outcome::Done) => known.is_done = true,
+                Ok(Outcome::Retry(version)) => known.version = version,
+                Err(detail) => {
+                    event::emit_json(
+                        event::Event::StatusDelayed,
+                        &[event::field("service", &service), event::field("detail", &detail)],
+                    );
+                    clock::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Written {
+    to: Option<id::VersionId>,
+    progress: Option<fleet::Progress>,
+    /// Version of the row as last seen.
+    version: u64,
+    waited: u32,
+    is_done: bool,
+}
+
+fn is_due(context: &Shared, service: &id::ServiceId, waited: u32) -> bool {
+    let now = context.now();
+    let rank = context.state().peers.rank(service.as_str(), now);
+    waited > u32::try_from(rank).unwrap_or(u32::MAX).saturating_mul(LOOKS_PER_RANK)
+}
+
+fn judge(context: &Shared) -> Vec<(id::ServiceId, id::VersionId, fleet::Progress)> {
+    let now = context.now();
+    let mut state = context.state();
+    let mut found = Vec::new();
+    for (service, canary) in &mut state.canaries {
+        let verdict = canary.verdict(now);
+        if verdict != canary.progress() {
+            canary.settle(verdict);
+            let (stable, candidate) = canary.sums();
+            event::emit_json(
+                event::Event::RolloutChanged,
+                &[
+                    event::field("service", service),
+                    event::field("to", &canary.order().to),
+                    event::field("state", &format!("{verdict:?}")),
+                    event::field("age", &canary.age(now)),
+                    event::field("stable", &stable.requests),
+                    event::field("stable_failed", &stable.failed),
+                    event::field("candidate", &candidate.requests),
+                    event::field("candidate_failed", &candidate.failed),
+                ],
+            );
+        }
+        found.push((service.clone(), canary.order().to.clone(), canary.progress()));
+    }
+    found
+}
+
+enum Outcome {
+    Done,
+    /// The row has this version, with another state.
+    Retry(u64),
+}
+
+async fn write(
+    context: &Shared,
+    service: &id::ServiceId,
+    to: &id::VersionId,
+    progress: fleet::Progress,
+    expected: u64,
+) -> Result<Outcome, String> {
+    let address = context.state().place.store;
+    let key = row::status_key(service);
+    let value = row::encode_status(to, progress);
+    let request = store::write(&address.to_string(), row::STATUS, &key, &value, expected);
+    let answer = upstream::exchange(address, request, LIMIT).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    match store::decode_written(answer.status(), answer.body()) {
+        Ok(store::Written::Done(_)) => Ok(Outcome::Done),
+        Ok(store::Written::Conflict(rows)) => {
+            let Some(found) = rows.first() else { return Ok(Outcome::Retry(0)) };
+            let status = found.value.as_ref().map(|value| row::decode_status(value));
+            match status {
+                Some(Ok((at, state))) if at == *to && is_final(state) => {
+                    if let Some(canary) = context.state().canaries.get_mut(service) {
+                        canary.settle(state);
+                    }
+                    Ok(Outcome::Done)
+                }
+                Some(Ok((at, state))) if at == *to && state == progress => Ok(Outcome::Done),
+                _ => Ok(Outcome::Retry(found.version)),
+            }
+        }
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+const fn is_final(progress: fleet::Progress) -> bool {
+    !matches!(progress, fleet::Progress::Running)
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/feed.rs
@@ -0,0 +1,165 @@
+//! Reads the store's tables and waits for their changes.
+//!
+//! Calls are priced, and each change ends every long wait, so one daemon of a zone reads and
+//! passes rows on to its peers; the others read only when its news stay away.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use ibishill_adapter::error::DecodeError;
+use ibishill_adapter::store;
+use ibishill_core::{event, time};
+use ibishill_state::replica;
+use tokio::time as clock;
+
+use crate::context::Shared;
+use crate::state::Kind;
+use crate::upstream;
+
+/// Longest wait of a feed call: a reader confirms a table that often.
+const WAIT: time::Millis = time::Millis(1_000);
+
+/// Time beyond the wait after which a call is given up, as its connection may be silent.
+const SLACK: Duration = Duration::from_millis(500);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after a change, in which further changes are collected for one call.
+const COLLECT: Duration = Duration::from_millis(100);
+
+/// Age of a table from which on a daemon that is no reader reads itself.
+const OVERDUE: time::Millis = time::Millis(1_800);
+
+/// Time between two looks at whether this daemon reads.
+const LOOK: Duration = Duration::from_millis(150);
+
+/// Keeps a table up to date.
+pub(crate) async fn run(context: Shared, kind: Kind) {
+    loop {
+        if !is_reader(&context, kind) {
+            clock::sleep(LOOK).await;
+            continue;
+        }
+        let begun = context.now();
+        match read(&context, kind).await {
+            Ok(delta) => {
+                let is_changed = delta.is_some();
+                took(&context, kind, delta, begun);
+                if is_changed {
+                    clock::sleep(COLLECT).await;
+                }
+            }
+            Err(detail) => {
+                lost(&context, &detail);
+                clock::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn is_reader(context: &Shared, kind: Kind) -> bool {
+    let now = context.now();
+    let state = context.state();
+    let age = state.copy(kind).confirmed.map(|at| now.since(at));
+    let is_overdue = age.is_none_or(|age| age > OVERDUE);
+    is_overdue || state.peers.zone_rank(kind.table(), now) == 0
+}
+
+async fn read(context: &Shared, kind: Kind) -> Result<Option<replica::Delta>, String> {
+    let (version, is_known) = {
+        let state = context.state();
+        let table = &state.copy(kind).table;
+        (table.version(), table.is_known())
+    };
+    if !is_known {
+        return whole(context, kind).await.map(Some);
+    }
+    let host = context.state().place.store.to_string();
+    let request = store::feed(&host, kind.table(), version, WAIT);
+    match call(context, request, WAIT.to_std() + SLACK).await {
+        Ok(rows) if rows.rows.is_empty() && rows.version <= version => Ok(None),
+        Ok(rows) => {
+            let mut rows_sorted = rows.rows;
+            rows_sorted.sort_by(|a, b| a.key.cmp(&b.key).then(a.version.cmp(&b.version)));
+            let version = rows.version;
+            Ok(Some(replica::Delta { is_whole: false, version, rows: rows_sorted }))
+        }
+        // The history that the feed would go on from is dropped.
+        Err(Failed::Gone) => whole(context, kind).await.map(Some),
+        Err(Failed::Other(detail)) => Err(detail),
+    }
+}
+
+async fn whole(context: &Shared, kind: Kind) -> Result<replica::Delta, String> {
+    let host = context.state().place.store.to_string();
+    let mut all = Vec::new();
+    let mut oldest: Option<u64> = None;
+    loop {
+        let after = all.last().map(|row: &ibishill_core::fleet::Record| row.key.clone());
+        let request = store::read(&host, kind.table(), after.as_deref());
+        let rows = match call(context, request, SLACK).await {
+            Ok(rows) => rows,
+            Err(Failed::Gone) => return Err("a read answered as gone".into()),
+            Err(Failed::Other(detail)) => return Err(detail),
+        };
+        // Pages are of different moments; the feed goes on from the first one's.
+        let version = *oldest.get_or_insert(rows.version);
+        let is_last = !rows.truncated || rows.rows.is_empty();
+        all.extend(rows.rows);
+        if is_last {
+            return Ok(replica::Delta { is_whole: true, version, rows: all });
+        }
+    }
+}
+
+enum Failed {
+    Gone,
+    Other(String),
+}
+
+async fn call(
+    context: &Shared,
+    request: Request<Bytes>,
+    limit: Duration,
+) -> Result<store::Rows, Failed> {
+    let address = context.state().place.store;
+    let answer = upstream::exchange(address, request, limit).await;
+    let answer = answer.map_err(|error| Failed::Other(error.to_string()))?;
+    match store::decode_rows(answer.status(), answer.body()) {
+        Ok(rows) => Ok(rows),
+        Err(DecodeError::Refused { status: 410 }) => Err(Failed::Gone),
+        Err(error) => Err(Failed::Other(error.to_string())),
+    }
+}
+
+fn took(context: &Shared, kind: Kind, delta: Option<replica::Delta>, begun: time::Tick) {
+    let now = context.now();
+    let mut state = context.state();
+    // A wait that ended without news confirms the table as of its end.
+    let at = if delta.is_some() { begun } else { now };
+    state.confirm(kind, at);
+    state.stale_until = state.stale_until.min(now);
+    let is_news = delta.is_some_and(|delta| state.merge(kind, delta, now));
+    let was_lost = state.is_store_lost;
+    state.is_store_lost = false;
+    drop(state);
+    if was_lost {
+        event::emit_json(event::Event::StoreRegained, &[event::field("table", &kind.table())]);
+    }
+    if is_news {
+        context.news.notify_one();
+    }
+}
+
+fn lost(context: &Shared, detail: &str) {
+    let now = context.now();
+    let mut state = context.state();
+    state.trouble = Some(now);
+    let was_lost = std::mem::replace(&mut state.is_store_lost, true);
+    drop(state);
+    if !was_lost {
+        event::emit_json(event::Event::StoreLost, &[event::field("detail", &detail)]);
+    }
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/journal.rs
@@ -0,0 +1,94 @@
+//! The log: JSON lines on standard output, from a bounded ring, so that a slow reader of
+//! the log never holds up a request.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender, TrySendError};
+use ibishill_core::event;
+use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
+
+use crate::error::RelayError;
+
+/// Lines that wait to be written; at about 300 bytes each they stay under 300 KB.
+const RING: usize = 1_024;
+
+/// Time between two writes, which saves system calls.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// Stack of the writing thread, in bytes.
+const STACK: usize = 64 * 1_024;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+struct Ring {
+    sender: Sender<Vec<u8>>,
+    line: Vec<u8>,
+}
+
+impl Write for Ring {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") {
+            let line = std::mem::take(&mut self.line);
+            if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts the log.
+///
+/// # Errors
+///
+/// Fails if the thread can't be started or a log is set up already.
+pub(crate) fn start() -> Result<(), RelayError> {
+    let (sender, lines) = crossbeam_channel::bounded(RING);
+    let setup = |detail: String| RelayError::Setup { what: "log", detail };
+    thread::Builder::new()
+        .name("log".into())
+        .stack_size(STACK)
+        .spawn(move || write(&lines))
+        .map_err(|error| setup(error.to_string()))?;
+    // The lines are complete JSON objects, so the logger adds nothing.
+    let config = ConfigBuilder::new()
+        .set_max_level(LevelFilter::Off)
+        .set_time_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str("ibishill")
+        .build();
+    WriteLogger::init(LevelFilter::Info, config, Ring { sender, line: Vec::new() })
+        .map_err(|error| setup(error.to_string()))
+}
+
+fn write(lines: &Receiver<Vec<u8>>) {
+    let mut out = io::stdout();
+    while let Ok(first) = lines.recv() {
+        thread::sleep(FLUSH);
+        let mut batch = first;
+        batch.extend(lines.try_iter().flatten());
+        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+            // Nobody reads the log; there is no other place to say so.
+            return;
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            event::emit_json(event::Event::LinesDropped, &[event::field("count", &dropped)]);
+        }
+    }
+}
+
+/// Waits until lines that were logged just now are written.
+pub(crate) async fn settle() {
+    tokio::time::sleep(2 * FLUSH).await;
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/serve.rs
@@ -0,0 +1,132 @@
+//! Accepts callers, and tells whether the relay is ready.
+
+use std::convert::Infallible;
+use std::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ibishill_core::{event, route, time};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time as clock;
+
+use crate::context::Shared;
+use crate::path;
+
+/// Limits of callers before a configuration is known.
+const LIMITS: route::Limits = route::Limits {
+    head: 16 * 1_024,
+    body: 1_024 * 1_024,
+    wait: time::Millis(3_000),
+    idle: time::Millis(15_000),
+};
+
+/// Smallest buffer for a head that the HTTP library allows, in bytes.
+const HEAD_MIN: usize = 8 * 1_024;
+
+/// Pause after a failed accept, as descriptors may be used up.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time for a question about readiness.
+const READY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Serves callers until the process ends.
+pub(crate) async fn callers(context: Shared, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let open = Open::count(&context);
+                tokio::task::spawn_local(caller(context.clone(), stream, open));
+            }
+            Err(error) => accept_failed(&error).await,
+        }
+    }
+}
+
+async fn accept_failed(error: &std::io::Error) {
+    event::emit_json(event::Event::RingFull, &[event::field("error", error)]);
+    clock::sleep(PAUSE).await;
+}
+
+/// Counts a caller's connection while it is open.
+struct Open(Shared);
+
+impl Open {
+    fn count(context: &Shared) -> Self {
+        context.state().open += 1;
+        Self(context.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.state().open -= 1;
+    }
+}
+
+async fn caller(context: Shared, stream: TcpStream, _open: Open) {
+    if let Err(error) = stream.set_nodelay(true) {
+        event::emit_json(event::Event::CallerGone, &[event::field("error", &error)]);
+        return;
+    }
+    let limits = context.state().catalog.as_ref().map_or(LIMITS, |catalog| catalog.limits);
+    let answer = {
+        let context = context.clone();
+        service::service_fn(move |request| {
+            let context = context.clone();
+            async move { Ok::<_, Infallible>(path::answer(context, request).await) }
+        })
+    };
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        // The wait for a head begins when the connection becomes idle.
+        .header_read_timeout(limits.idle.to_std())
+        .max_buf_size(limits.head.max(HEAD_MIN));
+    let serving = builder.serve_connection(TokioIo::new(stream), answer);
+    let mut serving = pin::pin!(serving);
+    tokio::select! {
+        // A caller that breaks off is noted where its request is dropped.
+        _ended = serving.as_mut() => return,
+        () = context.stop.notified() => {}
+    }
+    serving.as_mut().graceful_shutdown();
+    let _ended = serving.await;
+}
+
+/// Answers questions about readiness.
+pub(crate) async fn readiness(context: Shared, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = context.clone();
+                tokio::task::spawn_local(async move {
+                    let answer = service::service_fn(move |_| {
+                        let context = context.clone();
+                        async move { Ok::<_, Infallible>(ready(&context)) }
+                    });
+                    let serving = http1::Builder::new()
+                        .keep_alive(false)
+                        .serve_connection(TokioIo::new(stream), answer);
+                    // Whoever asks sees a connection that ends, and asks again.
+                    let _ended = clock::timeout(READY_LIMIT, serving).await;
+                });
+            }
+            Err(error) => accept_failed(&error).await,
+        }
+    }
+}
+
+fn ready(context: &Shared) -> Response<Full<Bytes>> {
+    let state = context.state();
+    let is_ready = state.is_informed() && !state.is_stopping;
+    let mut answer = Response::new(Full::default());
+    if !is_ready {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    answer
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/state.rs
@@ -0,0 +1,269 @@
+//! What one relay believes, changed by rows, peers and answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use ibishill_adapter::row;
+use ibishill_core::{event, fleet, id, route, time};
+use ibishill_decide::{balance, canary, line, peers, retry};
+use ibishill_state::replica;
+
+/// Time after the store's return for which endpoints that lapsed meanwhile are kept: those
+/// that live register again within about two seconds.
+const LAPSE: time::Millis = time::Millis(2_300);
+
+/// Time without trouble after which a removed row is believed at once.
+const CALM: time::Millis = time::Millis(3_000);
+
+/// Tables that every relay keeps a replica of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Kind {
+    /// Configuration and operators' orders.
+    Orders,
+    /// Endpoints.
+    Endpoints,
+}
+
+impl Kind {
+    /// Both.
+    pub(crate) const ALL: [Self; 2] = [Self::Orders, Self::Endpoints];
+
+    /// The table's name in the store.
+    pub(crate) const fn table(self) -> &'static str {
+        match self {
+            Self::Orders => row::ORDERS,
+            Self::Endpoints => row::ENDPOINTS,
+        }
+    }
+}
+
+/// A replica of a table, and when somebody last confirmed it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Copy {
+    pub(crate) table: replica::Table,
+    pub(crate) confirmed: Option<time::Tick>,
+}
+
+/// What one relay believes.
+pub(crate) struct State {
+    pub(crate) place: fleet::Place,
+    pub(crate) catalog: Option<Rc<route::Catalog>>,
+    pub(crate) balance: balance::Balance,
+    pub(crate) canaries: BTreeMap<id::ServiceId, canary::Canary>,
+    pub(crate) peers: peers::Peers,
+    pub(crate) line: line::Line,
+    pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
+    /// Requests under way by workspace.
+    pub(crate) running: BTreeMap<Option<id::WorkspaceId>, u32>,
+    pub(crate) is_stopping: bool,
+    /// Connections of callers.
+    pub(crate) open: u32,
+    pub(crate) is_store_lost: bool,
+    /// When the store last refused or did not answer.
+    pub(crate) trouble: Option<time::Tick>,
+    /// Until when beliefs count as too old after a suspension.
+    pub(crate) stale_until: time::Tick,
+    copies: BTreeMap<Kind, Copy>,
+    lapsed: BTreeMap<id::EndpointId, time::Tick>,
+}
+
+impl State {
+    pub(crate) fn new(place: fleet::Place, own: peers::Member) -> Self {
+        Self {
+            catalog: None,
+            balance: balance::Balance::new(place.zone.clone()),
+            canaries: BTreeMap::new(),
+            peers: peers::Peers::new(own),
+            line: line::Line::default(),
+            allowances: BTreeMap::new(),
+            running: BTreeMap::new(),
+            is_stopping: false,
+            open: 0,
+            is_store_lost: false,
+            trouble: None,
+            stale_until: time::Tick(0),
+            copies: Kind::ALL.into_iter().map(|kind| (kind, Copy::default())).collect(),
+            lapsed: BTreeMap::new(),
+            place,
+        }
+    }
+
+    /// The replica of a table.
+    pub(crate) fn copy(&self, kind: Kind) -> &Copy {
+        &self.copies[&kind]
+    }
+
+    /// Whether requests can be served.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.catalog.is_some() && self.copy(Kind::Endpoints).table.version() > 0
+    }
+
+    /// Notes that a table was confirmed as of `at`.
+    pub(crate) fn confirm(&mut self, kind: Kind, at: time::Tick) {
+        let copy = self.copies.entry(kind).or_default();
+        copy.confirmed = copy.confirmed.max(Some(at));
+    }
+
+    /// Takes in news of a table; returns whether anything has changed.
+    pub(crate) fn merge(&mut self, kind: Kind, delta: replica::Delta, now: time::Tick) -> bool {
+        let copy = self.copies.entry(kind).or_default();
+        let is_first = copy.table.version() == 0;
+        let changed = copy.table.merge(delta);
+        for record in &changed {
+            self.apply(kind, record, is_first, now);
+        }
+        !changed.is_empty()
+    }
+
+    fn apply(&mut self, kind: Kind, record: &fleet::Record, is_first: bool, now: time::Tick) {
+        let table = kind.table();
+        let Some(value) = &record.value else {
+            self.removed(kind, record, now);
+            return;
+        };
+        match row::decode(table, &record.key, value) {
+            Ok(Some(found)) => self.found(found, record.version, is_first, now),
+            Ok(None) => {}
+            Err(error) => {
+                event::emit_json(
+                    event::Event::RowInvalid,
+                    &[event::field("row", &record.key), event::field("error", &error)],
+                );
+                if kind == Kind::Endpoints {
+                    self.removed(kind, record, now);
+                }
+            }
+        }
+    }
+
+    fn found(&mut self, found: fleet::Row, version: u64, is_first: bool, now: time::Tick) {
+        match found {
+            fleet::Row::Catalog(catalog) => {
+                if self.catalog.as_ref().is_some_and(|known| known.version >= catalog.version) {
+                    return;
+                }
+                event::emit_json(
+                    event::Event::CatalogInForce,
+                    &[event::field("version", &catalog.version), event::field("row", &version)],
+                );
+                self.catalog = Some(Rc::new(*catalog));
+            }
+            fleet::Row::Rollout(order) => self.ordered(order, now),
+            fleet::Row::ZoneOut(zone) => {
+                event::emit_json(
+                    event::Event::ZoneChanged,
+                    &[
+                        event::field("zone", &zone),
+                        event::field("is_out", &true),
+                        event::field("row", &version),
+                    ],
+                );
+                self.balance.take_out(zone);
+            }
+            fleet::Row::Entry(mut entry) => {
+                if is_first {
+                    // A first read tells an entry's age by nothing; its cold time may be over.
+                    entry.cold = entry.cold.min(LAPSE);
+                }
+                self.lapsed.remove(&entry.id);
+                event::emit_json(
+                    event::Event::EndpointKnown,
+                    &[
+                        event::field("endpoint", &entry.id),
+                        event::field("service", &entry.service),
+                        event::field("version", &entry.version),
+                        event::field("zone", &entry.zone),
+                        event::field("is_ready", &(entry.standing == fleet::Standing::Ready)),
+                        event::field("cold", &entry.cold),
+                        event::field("row", &version),
+                    ],
+                );
+                self.balance.register(entry, now);
+            }
+        }
+    }
+
+    fn ordered(&mut self, order: fleet::Rollout, now: time::Tick) {
+        let is_known = self.canaries.get(&order.service).is_some_and(|c| *c.order() == order);
+        if is_known {
+            return;
+        }
+        event::emit_json(
+            event::Event::RolloutChanged,
+            &[
+                event::field("service", &order.service),
+                event::field("to", &order.to),
+                event::field("state", &"ordered"),
+            ],
+        );
+        let canary = canary::Canary::new(order.clone(), &self.place.bounds, now);
+        self.canaries.insert(order.service, canary);
+    }
+
+    fn removed(&mut self, kind: Kind, record: &fleet::Record, now: time::Tick) {
+        match kind {
+            Kind::Endpoints => {
+                let Ok(id) = record.key.parse::<id::EndpointId>() else { return };
+                let is_ready = self
+                    .balance
+                    .entry(&id)
+                    .is_some_and(|entry| entry.standing == fleet::Standing::Ready);
+                let is_calm = self.trouble.is_none_or(|at| now.since(at) > CALM);
+                if is_ready && !is_calm {
+                    self.lapsed.insert(id, now + LAPSE);
+                } else {
+                    self.forget(&id, "removed");
+                }
+            }
+            Kind::Orders => {
+                if let Some(zone) = row::zone_of(&record.key) {
+                    event::emit_json(
+                        event::Event::ZoneChanged,
+                        &[event::field("zone", &zone), event::field("is_out", &false)],
+                    );
+                    let span = self.longest_cold();
+                    self.balance.take_back(&zone, span, now);
+                }
+            }
+        }
+    }
+
+    fn longest_cold(&self) -> time::Millis {
+        let services = self.catalog.iter().flat_map(|catalog| catalog.services.values());
+        services.map(|service| service.cold).max().unwrap_or_default()
+    }
+
+    fn forget(&mut self, id: &id::EndpointId, why: &str) {
+        event::emit_json(
+            event::Event::EndpointGone,
+            &[event::field("endpoint", id), event::field("why", &why)],
+        );
+        self.balance.remove(id);
+    }
+
+    /// Forgets endpoints that lapsed with the store and have not come back.
+    pub(crate) fn expire(&mut self, now: time::Tick) {
+        let due: BTreeSet<_> =
+            self.lapsed.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            self.lapsed.remove(&id);
+            self.forget(&id, "lapsed");
+        }
+        self.peers.expire(now);
+    }
+
+    /// The rule for cold endpoints of a service.
+    pub(crate) fn cold_rule(&self, service: &id::ServiceId, now: time::Tick) -> balance::ColdRule {
+        let found = self.catalog.as_ref().and_then(|catalog| catalog.services.get(service));
+        balance::ColdRule {
+            span: found.map_or(time::Millis(0), |service| service.cold),
+            declared: found.map_or(0.0, |service| service.cold_rate),
+            is_stale: self.stale_until > now,
+        }
+    }
+
+    /// This daemon's place among those that share a cold endpoint.
+    pub(crate) fn cold_rank(&self, endpoint: &id::EndpointId) -> usize {
+        self.peers.known_rank(endpoint.as_str())
+    }
+}
--- /dev/null
+++ b/crates/ibishill-relay/src/upstream.rs
@@ -0,0 +1,119 @@
+//! Calls over HTTP to endpoints, peers and the store, each on a connection of its own.
+//!
+//! A kept connection may be closed, silent or hold a late answer to another request just
+//! when the next request is sent, whose fate is unknown then. A new one costs a round trip
+//! in the zone, and its failure shows before a byte of the request has left.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+/// Longest time for a connection to be made; within a region it takes a few milliseconds,
+/// and a lost first packet is sent again after a second.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Largest head of an answer, in bytes.
+const HEAD_MAX: usize = 64 * 1_024;
+
+/// Largest answer that is read whole, in bytes.
+const WHOLE_MAX: usize = 8 * 1_024 * 1_024;
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// No connection was made, so nothing was sent.
+    Connect(String),
+    /// The request may have arrived.
+    Unknown(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(detail) => write!(f, "no connection: {detail}"),
+            Self::Unknown(detail) => write!(f, "no answer: {detail}"),
+        }
+    }
+}
+
+/// A connection; dropping it closes it at once.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    task: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Sends a request and returns the head of its answer.
+///
+/// # Errors
+///
+/// Tells whether the request may have arrived.
+pub(crate) async fn call(
+    address: SocketAddr,
+    request: Request<Bytes>,
+) -> Result<(Response<Incoming>, Connection), CallError> {
+    let stream = match time::timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(CallError::Connect(error.to_string())),
+        Err(_) => return Err(CallError::Connect("timed out".into())),
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        return Err(CallError::Connect(error.to_string()));
+    }
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(HEAD_MAX);
+    let shaken = builder.handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = shaken.map_err(|error| CallError::Connect(error.to_string()))?;
+    let task = tokio::task::spawn_local(async move {
+        // The caller of this function sees the same failure at the answer or its body.
+        let _ended = connection.await;
+    });
+    let connection = Connection { task };
+    let answer = sender.send_request(request.map(Full::new)).await;
+    let answer = answer.map_err(|error| CallError::Unknown(error.to_string()))?;
+    Ok((answer, connection))
+}
+
+/// Sends a request and reads its whole answer within `limit`.
+///
+/// # Errors
+///
+/// Tells whether the request may have arrived.
+pub(crate) async fn exchange(
+    address: SocketAddr,
+    request: Request<Bytes>,
+    limit: Duration,
+) -> Result<Response<Bytes>, CallError> {
+    let whole = async {
+        let (answer, _connection) = call(address, request).await?;
+        let (head, body) = answer.into_parts();
+        Ok(Response::from_parts(head, read(body).await?))
+    };
+    let late = || CallError::Unknown(format!("none within {} ms", limit.as_millis()));
+    time::timeout(limit, whole).await.map_err(|_| late())?
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Fails if it ends early or is too large.
+pub(crate) async fn read(body: Incoming) -> Result<Bytes, CallError> {
+    let whole = Limited::new(body, WHOLE_MAX).collect().await;
+    whole.map(|whole| whole.to_bytes()).map_err(|error| CallError::Unknown(error.to_string()))
+}
--- a/crates/ibishill-state/src/lib.rs
+++ b/crates/ibishill-state/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod lease;
 pub mod log;
 pub mod refusal;
+pub mod replica;
 pub mod snapshot;
 pub mod view;
--- a/crates/ibishill/src/command.rs
+++ b/crates/ibishill/src/command.rs
@@ -33,6 +33,9 @@
 fn run_call(call: Call) -> Result<(), CommandError> {
     let Call { verb, words, options } = call;
     match verb {
+        Verb::Relay => none(&words).and_then(|()| {
+            ibishill_relay::start::run().map_err(|source| CommandError::Relay { source })
+        }),
         Verb::Check => check::run(&words, &options),
         Verb::Certs => certs::run(&words, &options),
         Verb::KeyHash => key_hash(&words, &options),
--- a/crates/ibishill/src/error.rs
+++ b/crates/ibishill/src/error.rs
@@ -26,6 +26,9 @@
     /// The daemon could not start.
     #[snafu(display("{source}"))]
     Start { source: ibishill_daemon::error::StartError },
+    /// The relay could not start.
+    #[snafu(display("{source}"))]
+    Relay { source: ibishill_relay::error::RelayError },
     /// Something else went wrong.
     #[snafu(display("{detail}"))]
     Other { detail: String },
@@ -50,7 +53,7 @@
             Self::Findings { .. } => 3,
             Self::Order { source, .. } | Self::Call { source } => call_code(source),
             Self::Timeout { .. } => 6,
-            Self::File { .. } | Self::Start { .. } | Self::Other { .. } => 1,
+            Self::File { .. } | Self::Start { .. } | Self::Relay { .. } | Self::Other { .. } => 1,
         }
     }
 
--- a/crates/ibishill/src/table.rs
+++ b/crates/ibishill/src/table.rs
@@ -4,6 +4,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Verb {
     Serve,
+    Relay,
     Check,
     Apply,
     Diff,
@@ -99,6 +100,16 @@
         details: "SIGTERM or SIGINT stops it without cutting a request; SIGHUP reloads credentials.",
         options: &[],
     },
+    Spec {
+        verb: Verb::Relay,
+        name: "relay",
+        words: "",
+        choices: &[],
+        about: "run a daemon on the users' platform",
+        details: "The environment names the settings file, which the platform writes; SIGTERM \
+                  stops it without cutting a request, SIGHUP reads the settings again.",
+        options: &[],
+    },
     Spec {
         verb: Verb::Check,
         name: "check",
