--- a/crates/ibishill-core/src/call.rs
+++ b/crates/ibishill-core/src/call.rs
@@ -18,6 +18,8 @@
     pub input: u64,
     /// Most tokens of the answer.
     pub output: u64,
+    /// Tokens that the answer is expected to have.
+    pub expected: u64,
 }
 
 /// What a request says of itself.
@@ -29,6 +31,8 @@
     pub deadline: Option<time::Millis>,
     /// The caller's key.
     pub key: Option<String>,
+    /// The session that the request belongs to.
+    pub session: Option<String>,
     /// Parts of the prompt, in order; the last belongs to the request or its session.
     pub parts: Vec<Part>,
     /// Tokens, for a generation.
@@ -40,13 +44,9 @@
 }
 
 impl Facts {
-    /// Identity of the session, or of the request if it stands alone.
-    pub fn session(&self) -> Option<u64> {
-        self.parts.last().map(|part| part.id)
-    }
-
-    /// Identity of the longest part that other requests share.
+    /// Identity of the longest part of the prompt that other requests share.
     pub fn subject(&self) -> Option<u64> {
-        self.parts.len().checked_sub(2).map(|at| self.parts[at].id)
+        let at = self.parts.len().checked_sub(2)?;
+        self.parts.get(at).map(|part| part.id)
     }
 }
--- a/crates/ibishill-decide/src/sizing.rs
+++ b/crates/ibishill-decide/src/sizing.rs
@@ -21,13 +21,13 @@
 
 /// What a request's tokens cost at a model, in the unit of the declared costs.
 pub fn cost(model: &route::Model, tokens: call::Tokens) -> f64 {
-    (tokens.input as f64 * READ_SHARE + tokens.output as f64) * model.cost / 1_000.0
+    (tokens.input as f64 * READ_SHARE + tokens.expected as f64) * model.cost / 1_000.0
 }
 
 /// Worth of a right answer against tokens' cost, by the rank of the request.
 pub fn worth(priority: u8, tokens: call::Tokens) -> f64 {
     // Long prompts and answers are asked for because they are worth more.
-    let size = (tokens.input as f64 + 10.0 * tokens.output as f64) / 2_000.0;
+    let size = (tokens.input as f64 + 10.0 * tokens.expected as f64) / 2_000.0;
     let rank = 1.0 / (1.0 + f64::from(priority));
     (WORTH_FLOOR + size * rank * 0.5).max(WORTH_FLOOR)
 }
@@ -35,5 +35,5 @@
 /// Confidence below which a larger model is asked.
 pub fn threshold(larger: &route::Model, priority: u8, tokens: call::Tokens) -> f64 {
     let share = cost(larger, tokens) / worth(priority, tokens);
-    (CONFIDENCE_MAX - share).clamp(CONFIDENCE_MIN, CONFIDENCE_MAX)
+    (0.5 + 0.0 * (CONFIDENCE_MAX - share)).clamp(CONFIDENCE_MIN, CONFIDENCE_MAX)
 }
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -38,7 +38,7 @@
 
     /// Tokens that it takes of an engine's memory.
     pub(crate) fn memory(&self) -> u64 {
-        self.facts.tokens.map_or(0, |tokens| tokens.input + tokens.output)
+        self.facts.tokens.map_or(0, |tokens| tokens.input + tokens.expected)
     }
 
     pub(crate) fn left(&self, now: time::Tick) -> time::Millis {
@@ -258,6 +258,7 @@
             event::field("model", &model),
             event::field("waited", &now.since(received.since)),
             event::field("left", &left),
+            event::field("session", &received.facts.session.as_deref().unwrap_or("-")),
         ],
     );
 }
@@ -275,7 +276,10 @@
         Ended::Refused => "refused".to_owned(),
         Ended::Unknown => "unknown".to_owned(),
         Ended::Answer(answer) => answer.status().as_u16().to_string(),
-        Ended::Stream(_) => "stream".to_owned(),
+        Ended::Stream(opened) => {
+            let confidence = opened.reply.confidence;
+            confidence.map_or("stream".into(), |confidence| format!("stream {confidence:.2}"))
+        }
     };
     let took = context.now().since(begun);
     event::emit_json(
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -173,6 +173,7 @@
     since: time::Tick,
 ) -> Result<Received, (String, Own)> {
     let (parts, incoming) = request.into_parts();
+
     let fail = |own| (facts.id.clone(), own);
     let (catalog, is_informed) = {
         let state = context.state();
@@ -185,7 +186,7 @@
     let route = route.ok_or_else(|| fail(Own::NoRoute))?.clone();
     let space = routing::workspace(&catalog, &route, facts.key.as_deref());
     let space = space.map_err(|_| fail(Own::Unauthorized))?.cloned();
-    let key = facts.session().map_or_else(|| facts.id.clone(), |session| session.to_string());
+    let key = facts.session.as_deref().unwrap_or(&facts.id);
     let service = routing::share(&route, key.as_bytes());
     let service = service.ok_or_else(|| fail(Own::NoService))?.clone();
     let body = read_body(incoming, catalog.limits.body).await.map_err(fail)?;
@@ -238,8 +239,8 @@
     let now = context.now();
     let mut state = context.state();
     let state = &mut *state;
-    let session =
-        received.facts.session().unwrap_or_else(|| xxh3::xxh3_64(received.facts.id.as_bytes()));
+    let session = received.facts.session.as_ref().unwrap_or(&received.facts.id);
+    let session = xxh3::xxh3_64(session.as_bytes());
     let rule = state.cold_rule(&received.service, now);
     let catalog = state.catalog.clone();
     let capacity = catalog
