--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -22,7 +22,7 @@
 const READ_BONUS_MAX: f64 = 0.25;
 
 /// Load that a request rather meets in its own zone than go to another one.
-const NEAR_BONUS: f64 = 0.02;
+const NEAR_BONUS: f64 = 0.05;
 
 /// Load by which endpoints differ at random, so that daemons spread.
 const SPREAD: f64 = 0.04;
--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -5,7 +5,7 @@
 //! known. Sessions enter by a stable hash. During the first half the share stays small and no
 //! session changes its version; in the second half it grows, and sessions only move forward.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ibishill_core::{fleet, id, time};
 use serde::{Deserialize, Serialize};
@@ -25,6 +25,9 @@
 /// Share of the duration after which it is complete although few answers came.
 const COMPLETE_LATE: f64 = 0.88;
 
+/// Share of the duration after which a daemon that hears of no verdict takes it as complete.
+const COMPLETE_ALONE: f64 = 0.93;
+
 /// Answers of the new version without which it is not complete early.
 const CANDIDATE_MIN: u64 = 20;
 
@@ -41,9 +44,40 @@
 /// times the median, as an endpoint that has just started reads prompts that others know.
 const SLOW_STEPS: usize = 4;
 
-/// Sessions that are remembered on the old version.
+/// Sessions that are remembered.
 const SESSIONS_MAX: usize = 4_096;
 
+/// Time after the order in which daemons tell each other which sessions have run on the old
+/// version; none enters the new one before.
+const HOLD: time::Millis = time::Millis(1_200);
+
+/// Longest time that an answer takes for which its session is still remembered.
+const ANSWER_MAX: time::Millis = time::Millis(15_000);
+
+/// Sessions that ran lately, so that a roll-out knows which have begun on the old version.
+#[derive(Debug, Clone, Default)]
+pub struct Recent {
+    seen: BTreeMap<u64, time::Tick>,
+}
+
+impl Recent {
+    /// Notes a request of a session.
+    pub fn note(&mut self, session: u64, now: time::Tick) {
+        if self.seen.len() >= SESSIONS_MAX {
+            self.seen.retain(|_, at| now.since(*at) < ANSWER_MAX);
+        }
+        if self.seen.len() < SESSIONS_MAX {
+            self.seen.insert(session, now);
+        }
+    }
+
+    /// Sessions that may still go on.
+    pub fn open(&self, span: time::Millis, now: time::Tick) -> impl Iterator<Item = u64> {
+        let recent = move |at: &time::Tick| now.since(*at).0 < span.0 + ANSWER_MAX.0;
+        self.seen.iter().filter(move |(_, at)| recent(at)).map(|(session, _)| *session)
+    }
+}
+
 /// Which version a request runs on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Side {
@@ -83,6 +117,8 @@
     pub progress: fleet::Progress,
     /// Counts by daemon.
     pub tallies: BTreeMap<id::VmId, Tally>,
+    /// Sessions of the first share that began on the old version.
+    pub pinned: Vec<u64>,
 }
 
 /// A roll-out as one daemon knows it.
@@ -92,9 +128,8 @@
     began: time::Tick,
     progress: fleet::Progress,
     tallies: BTreeMap<id::VmId, Tally>,
-    pinned: BTreeMap<u64, time::Tick>,
+    pinned: BTreeSet<u64>,
     expose: f64,
-    session: time::Millis,
 }
 
 impl Canary {
@@ -105,9 +140,8 @@
             began: now,
             progress: fleet::Progress::Running,
             tallies: BTreeMap::new(),
-            pinned: BTreeMap::new(),
+            pinned: BTreeSet::new(),
             expose: bounds.expose_share * EXPOSE_USED,
-            session: bounds.session,
         }
     }
 
@@ -148,25 +182,24 @@
             fleet::Progress::Completed => return Side::Candidate,
             fleet::Progress::Running => {}
         }
-        let seed = xxh3::xxh3_64(self.order.to.as_str().as_bytes());
-        let slot = xxh3::xxh3_64_with_seed(&session.to_le_bytes(), seed) as f64 / u64::MAX as f64;
-        let recent = |at: &time::Tick| now.since(*at) < self.session;
-        let is_pinned = self.is_early(now) && self.pinned.get(&session).is_some_and(recent);
-        if slot < self.share(now) && !is_pinned {
+        let is_held =
+            self.is_early(now) && (self.age(now) < HOLD || self.pinned.contains(&session));
+        if !is_held && self.slot(session) < self.share(now) {
             return Side::Candidate;
         }
-        self.pin(session, now);
+        self.pin(session);
         Side::Stable
     }
 
-    /// Notes that a session runs on the old version.
-    pub fn pin(&mut self, session: u64, now: time::Tick) {
-        if self.pinned.len() >= SESSIONS_MAX {
-            let span = self.session;
-            self.pinned.retain(|_, at| now.since(*at) < span);
-        }
-        if self.pinned.len() < SESSIONS_MAX {
-            self.pinned.insert(session, now);
+    fn slot(&self, session: u64) -> f64 {
+        let seed = xxh3::xxh3_64(self.order.to.as_str().as_bytes());
+        xxh3::xxh3_64_with_seed(&session.to_le_bytes(), seed) as f64 / u64::MAX as f64
+    }
+
+    /// Notes that a session runs on the old version; only the first share needs to be known.
+    pub fn pin(&mut self, session: u64) {
+        if self.slot(session) < self.expose && self.pinned.len() < SESSIONS_MAX {
+            self.pinned.insert(session);
         }
     }
 
@@ -190,6 +223,9 @@
                 self.tallies.insert(vm, tally);
             }
         }
+        for session in news.pinned {
+            self.pin(session);
+        }
         self.settle(news.progress);
     }
 
@@ -201,14 +237,24 @@
         }
     }
 
-    /// What is told to peers.
-    pub fn news(&self, now: time::Tick) -> News {
+    /// Takes in the state that the operator was told, which nothing changes any more.
+    pub fn decided(&mut self, progress: fleet::Progress) {
+        self.progress = progress;
+    }
+
+    /// What is told to a peer: this daemon's counts if it `decides`, sessions while they matter.
+    pub fn news(&self, own: &id::VmId, decides: bool, now: time::Tick) -> News {
+        let is_running = self.progress == fleet::Progress::Running;
+        let has_pins = is_running && self.is_early(now);
+        let tally = self.tallies.get(own).filter(|_| decides && is_running);
+        let own_tally = tally.map(|tally| (own.clone(), tally.clone()));
         News {
             service: self.order.service.clone(),
             to: self.order.to.clone(),
             age: self.age(now),
             progress: self.progress,
-            tallies: self.tallies.clone(),
+            tallies: own_tally.into_iter().collect(),
+            pinned: if has_pins { self.pinned.iter().copied().collect() } else { Vec::new() },
         }
     }
 
@@ -222,8 +268,11 @@
         sums
     }
 
-    /// How the roll-out should stand, by all that is known.
-    pub fn verdict(&self, now: time::Tick) -> fleet::Progress {
+    /// How the roll-out should stand, by what is known here.
+    ///
+    /// Every daemon halts by what it sees; only those that `decide`, to which the others send
+    /// their counts, find it complete, unless the time is nearly over.
+    pub fn verdict(&self, decides: bool, now: time::Tick) -> fleet::Progress {
         if self.progress != fleet::Progress::Running {
             return self.progress;
         }
@@ -243,7 +292,8 @@
         let elapsed = self.elapsed(now);
         let is_doubted = errors.max(slow) > 0.0;
         let is_seen = candidate.requests >= CANDIDATE_MIN && !is_doubted;
-        if elapsed >= COMPLETE_LATE || (elapsed >= COMPLETE_AT && is_seen) {
+        let is_due = elapsed >= COMPLETE_LATE || (elapsed >= COMPLETE_AT && is_seen);
+        if elapsed >= COMPLETE_ALONE || (decides && is_due) {
             return fleet::Progress::Completed;
         }
         fleet::Progress::Running
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -9,8 +9,9 @@
 
 /// Silence after which a daemon counts as gone.
 ///
-/// Heartbeats spread to all daemons in about a second at two years' size.
-pub const SILENCE: time::Millis = time::Millis(2_500);
+/// A message carries a few heartbeats only, so that its size does not grow with the
+/// deployment; each daemon's then comes by about once a second, and rarely after four.
+pub const SILENCE: time::Millis = time::Millis(6_000);
 
 /// Silence after which a daemon is forgotten.
 const FORGET: time::Millis = time::Millis(60_000);
@@ -104,6 +105,26 @@
         self.alive(now).len()
     }
 
+    /// The first `count` daemons of those alive for a duty, by the order of [`Peers::rank`].
+    pub fn first(&self, duty: &str, count: usize, now: time::Tick) -> Vec<&Member> {
+        let seed = xxh3::xxh3_64(duty.as_bytes());
+        let mut alive = self.alive(now);
+        alive.sort_by_key(|member| {
+            std::cmp::Reverse(xxh3::xxh3_64_with_seed(member.vm.as_str().as_bytes(), seed))
+        });
+        alive.truncate(count);
+        alive
+    }
+
+    /// Heartbeats to pass on: this daemon's and `count` others', which differ by `round`.
+    pub fn some(&self, count: usize, round: u64, now: time::Tick) -> Vec<Member> {
+        let mut others: Vec<&Member> = self.alive(now).into_iter().skip(1).collect();
+        let shuffle = |vm: &id::VmId| xxh3::xxh3_64_with_seed(vm.as_str().as_bytes(), round);
+        others.sort_by_key(|member| shuffle(&member.vm));
+        others.truncate(count);
+        std::iter::once(&self.own).chain(others).cloned().collect()
+    }
+
     /// Place of this daemon among those alive, by a hash of its name and `duty`.
     ///
     /// All daemons that know the same peers agree on the order, so the one at 0 does the
@@ -118,12 +139,6 @@
         let all = std::iter::once(&self.own).chain(self.others());
         rank_among(all, &self.own, duty)
     }
-
-    /// Like [`Peers::rank`], among the daemons of this zone.
-    pub fn zone_rank(&self, duty: &str, now: time::Tick) -> usize {
-        let near = self.alive(now).into_iter().filter(|member| member.zone == self.own.zone);
-        rank_among(near, &self.own, duty)
-    }
 }
 
 fn rank_among<'a, I>(members: I, own: &Member, duty: &str) -> usize
--- a/crates/ibishill-decide/src/retry.rs
+++ b/crates/ibishill-decide/src/retry.rs
@@ -84,7 +84,7 @@
 
 /// Share of the deployment's ratio that one daemon uses, as requests and their repeats may
 /// fall into different windows.
-const RATIO_USED: f64 = 0.6;
+const RATIO_USED: f64 = 0.85;
 
 /// Share of the deployment's slack that all daemons together use.
 const SLACK_USED: f64 = 0.6;
--- a/crates/ibishill-decide/src/sizing.rs
+++ b/crates/ibishill-decide/src/sizing.rs
@@ -6,34 +6,47 @@
 
 use ibishill_core::{call, route};
 
-/// Worth of a request, in the cost of tokens, for each token that it moves; from the ratio
-/// of the declared costs to the value that operators put on an answer.
-const WORTH_FLOOR: f64 = 0.35;
+/// Least worth of a right answer, in the unit of the declared costs.
+///
+/// Operators declare costs against the worth of an ordinary short answer, which is about one.
+const WORTH_MIN: f64 = 0.35;
 
-/// Generated tokens that a read token counts as.
+/// Tokens, with generated ones counted tenfold, whose right answer is worth one at the first
+/// rank.
+const WORTH_TOKENS: f64 = 4_000.0;
+
+/// How much a generated token counts against a read one in an answer's worth.
+const GENERATED: f64 = 10.0;
+
+/// Generated tokens that a read token costs.
 const READ_SHARE: f64 = 0.25;
 
-/// Confidence below which an answer is not kept, where tokens cost nothing.
-const CONFIDENCE_MAX: f64 = 0.85;
+/// Confidence at which an answer is as likely right as wrong.
+const CONFIDENCE_EVEN: f64 = 0.5;
+
+/// Scale of the logistic curve from confidence to the chance that an answer is right: a
+/// model's opinion of itself is rough.
+const CONFIDENCE_SCALE: f64 = 0.085;
 
-/// Confidence below which an answer is asked for again, whatever the tokens cost.
-const CONFIDENCE_MIN: f64 = 0.35;
+/// Bounds of the chance of a wrong answer that is accepted.
+const RISK: (f64, f64) = (0.03, 0.9);
 
 /// What a request's tokens cost at a model, in the unit of the declared costs.
 pub fn cost(model: &route::Model, tokens: call::Tokens) -> f64 {
     (tokens.input as f64 * READ_SHARE + tokens.expected as f64) * model.cost / 1_000.0
 }
 
-/// Worth of a right answer against tokens' cost, by the rank of the request.
+/// Worth of a right answer, in the unit of the declared costs.
+///
+/// Long prompts and answers are asked for because they are worth more, urgent ones too.
 pub fn worth(priority: u8, tokens: call::Tokens) -> f64 {
-    // Long prompts and answers are asked for because they are worth more.
-    let size = (tokens.input as f64 + 10.0 * tokens.expected as f64) / 2_000.0;
-    let rank = 1.0 / (1.0 + f64::from(priority));
-    (WORTH_FLOOR + size * rank * 0.5).max(WORTH_FLOOR)
+    let size = (tokens.input as f64 + GENERATED * tokens.expected as f64) / WORTH_TOKENS;
+    WORTH_MIN + size / (1.0 + f64::from(priority))
 }
 
-/// Confidence below which a larger model is asked.
+/// Confidence below which a larger model is asked: where the worth that is at risk exceeds
+/// what the larger model costs.
 pub fn threshold(larger: &route::Model, priority: u8, tokens: call::Tokens) -> f64 {
-    let share = cost(larger, tokens) / worth(priority, tokens);
-    (0.5 + 0.0 * (CONFIDENCE_MAX - share)).clamp(CONFIDENCE_MIN, CONFIDENCE_MAX)
+    let risk = (cost(larger, tokens) / worth(priority, tokens)).clamp(RISK.0, RISK.1);
+    CONFIDENCE_EVEN + CONFIDENCE_SCALE * ((1.0 - risk) / risk).ln()
 }
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -52,6 +52,11 @@
         time::Tick(ORIGIN_MS + u64::try_from(millis).unwrap_or(u64::MAX))
     }
 
+    /// Time since the process started.
+    pub(crate) fn age(&self) -> time::Millis {
+        self.now().since(time::Tick(ORIGIN_MS))
+    }
+
     /// The VM.
     pub(crate) fn vm(&self) -> id::VmId {
         self.state().place.vm.clone()
--- a/crates/ibishill-relay/src/duty.rs
+++ b/crates/ibishill-relay/src/duty.rs
@@ -7,7 +7,7 @@
 use tokio::time as clock;
 
 use crate::context::Shared;
-use crate::upstream;
+use crate::{gossip, upstream};
 
 /// Time between two looks at the counts.
 const LOOK: Duration = Duration::from_millis(100);
@@ -78,9 +78,11 @@
 fn judge(context: &Shared) -> Vec<(id::ServiceId, id::VersionId, fleet::Progress)> {
     let now = context.now();
     let mut state = context.state();
+    let state = &mut *state;
     let mut found = Vec::new();
     for (service, canary) in &mut state.canaries {
-        let verdict = canary.verdict(now);
+        let decides = state.peers.rank(service.as_str(), now) < gossip::DECIDERS;
+        let verdict = canary.verdict(decides, now);
         if verdict != canary.progress() {
             canary.settle(verdict);
             let (stable, candidate) = canary.sums();
@@ -130,7 +132,7 @@
             match status {
                 Some(Ok((at, state))) if at == *to && is_final(state) => {
                     if let Some(canary) = context.state().canaries.get_mut(service) {
-                        canary.settle(state);
+                        canary.decided(state);
                     }
                     Ok(Outcome::Done)
                 }
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -1,7 +1,7 @@
 //! Reads the store's tables and waits for their changes.
 //!
-//! Calls are priced, and each change ends every long wait, so one daemon of a zone reads and
-//! passes rows on to its peers; the others read only when its news stay away.
+//! Calls are priced, and each change ends every long wait, so a few daemons read and pass rows
+//! on to their peers; the others read only when confirmations stay away.
 
 use std::time::Duration;
 
@@ -17,8 +17,9 @@
 use crate::state::Kind;
 use crate::upstream;
 
-/// Longest wait of a feed call: a reader confirms a table that often.
-const WAIT: time::Millis = time::Millis(1_000);
+/// Longest wait of a feed call. A connection that has gone silent is noticed after it, while
+/// daemons count as out of touch for as long.
+const WAIT: time::Millis = time::Millis(3_000);
 
 /// Time beyond the wait after which a call is given up, as its connection may be silent.
 const SLACK: Duration = Duration::from_millis(500);
@@ -26,11 +27,24 @@
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause after a change, in which further changes are collected for one call.
-const COLLECT: Duration = Duration::from_millis(100);
+/// Pause after a change of the orders, in which further changes are collected for one call.
+const COLLECT_ORDERS: Duration = Duration::from_millis(120);
 
-/// Age of a table from which on a daemon that is no reader reads itself.
-const OVERDUE: time::Millis = time::Millis(1_800);
+/// The same for endpoints, which change more often and may be known a little later.
+const COLLECT_ENDPOINTS: Duration = Duration::from_millis(350);
+
+/// Age of a table from which on a daemon that is no reader reads itself: a confirmation comes
+/// by within a few rounds of messages.
+const OVERDUE: time::Millis = time::Millis(2_200);
+
+/// Rounds in which no peer has answered after which a daemon reads itself.
+const ALONE_ROUNDS: u32 = 2;
+
+/// Daemons for each reader; two read at least.
+const DAEMONS_PER_READER: usize = 16;
+
+/// Time at the start in which peers may bring the rows, which saves calls of the store.
+const SETTLE: time::Millis = time::Millis(600);
 
 /// Time between two looks at whether this daemon reads.
 const LOOK: Duration = Duration::from_millis(150);
@@ -48,7 +62,7 @@
                 let is_changed = delta.is_some();
                 took(&context, kind, delta, begun);
                 if is_changed {
-                    clock::sleep(COLLECT).await;
+                    clock::sleep(collect(kind)).await;
                 }
             }
             Err(detail) => {
@@ -59,12 +73,22 @@
     }
 }
 
+const fn collect(kind: Kind) -> Duration {
+    match kind {
+        Kind::Orders => COLLECT_ORDERS,
+        Kind::Endpoints => COLLECT_ENDPOINTS,
+    }
+}
+
 fn is_reader(context: &Shared, kind: Kind) -> bool {
     let now = context.now();
     let state = context.state();
-    let age = state.copy(kind).confirmed.map(|at| now.since(at));
-    let is_overdue = age.is_none_or(|age| age > OVERDUE);
-    is_overdue || state.peers.zone_rank(kind.table(), now) == 0
+    if context.age() < SETTLE {
+        return false;
+    }
+    let is_overdue = state.age(kind, now).is_none_or(|age| age > OVERDUE);
+    let readers = (state.peers.count(now) / DAEMONS_PER_READER).max(2);
+    is_overdue || state.alone >= ALONE_ROUNDS || state.peers.rank(kind.table(), now) < readers
 }
 
 async fn read(context: &Shared, kind: Kind) -> Result<Option<replica::Delta>, String> {
@@ -78,6 +102,7 @@
     }
     let host = context.state().place.store.to_string();
     let request = store::feed(&host, kind.table(), version, WAIT);
+    let _open = Polling::begin(context, kind);
     match call(context, request, WAIT.to_std() + SLACK).await {
         Ok(rows) if rows.rows.is_empty() && rows.version <= version => Ok(None),
         Ok(rows) => {
@@ -114,6 +139,25 @@
     }
 }
 
+/// Marks a table as watched while a feed call is open.
+struct Polling {
+    context: Shared,
+    kind: Kind,
+}
+
+impl Polling {
+    fn begin(context: &Shared, kind: Kind) -> Self {
+        context.state().watch(kind, true);
+        Self { context: context.clone(), kind }
+    }
+}
+
+impl Drop for Polling {
+    fn drop(&mut self) {
+        self.context.state().watch(self.kind, false);
+    }
+}
+
 enum Failed {
     Gone,
     Other(String),
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -28,10 +28,29 @@
 use crate::upstream;
 
 /// Time between two rounds.
-const ROUND: Duration = Duration::from_millis(250);
+const ROUND: Duration = Duration::from_millis(400);
 
 /// Peers that are told in a round.
-const FANOUT: usize = 2;
+const FANOUT: usize = 1;
+
+/// Peers that are told of news at once; with three, nearly all daemons hear of it before the
+/// next round.
+const NEWS_FANOUT: usize = 3;
+
+/// Rounds of which one goes to any zone; the others stay in the zone, where bytes are free.
+const FAR_ROUNDS: u64 = 3;
+
+/// Rounds of which one also asks a daemon that is silent, as a cut may have healed.
+const SILENT_ROUNDS: u64 = 5;
+
+/// Heartbeats of others in a message.
+const BEATS: usize = 6;
+
+/// Members that a daemon is told which knows fewer than its peer.
+const MEMBERS_MAX: usize = 1_024;
+
+/// Daemons that judge a roll-out, so that one may fail.
+pub(crate) const DECIDERS: usize = 2;
 
 /// Longest time for an exchange.
 const LIMIT: Duration = Duration::from_millis(400);
@@ -43,6 +62,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
     members: Vec<peers::Member>,
+    /// Daemons that the sender knows.
+    known: usize,
     /// Version of each table that the sender has, and the age of its confirmation.
     have: Vec<(u64, Option<u64>)>,
     /// News of tables that the receiver lacks.
@@ -57,63 +78,110 @@
         let is_news = clock::timeout(ROUND, context.news.notified()).await.is_ok();
         round += 1;
         let targets = targets(&context, round, is_news);
-        let told = targets.into_iter().map(|address| tell(&context, address));
-        futures::future::join_all(told).await;
+        let told = targets.into_iter().map(|target| tell(&context, target, round));
+        let heard = futures::future::join_all(told).await;
+        let mut state = context.state();
+        let is_alone = !heard.is_empty() && heard.iter().all(|heard| !heard);
+        state.alone = if is_alone { state.alone + 1 } else { 0 };
     }
 }
 
-fn targets(context: &Shared, round: u64, is_news: bool) -> Vec<SocketAddr> {
+/// A peer to talk to.
+#[derive(Debug, Clone, Copy)]
+struct Target {
+    address: SocketAddr,
+    /// Whether it judges a roll-out.
+    decides: bool,
+}
+
+fn targets(context: &Shared, round: u64, is_news: bool) -> Vec<Target> {
     let now = context.now();
     let mut state = context.state();
     let is_ready = state.is_informed() && !state.is_stopping;
     state.peers.beat(is_ready);
-    let own = state.peers.own().address;
-    let alive = state.peers.alive(now);
-    let mut addresses: Vec<SocketAddr> =
-        alive.iter().skip(1).map(|member| member.address).collect();
-    let shuffle = |address: &SocketAddr| {
-        xxh3::xxh3_64_with_seed(
-            address.to_string().as_bytes(),
-            round ^ own.port() as u64 ^ hash(own),
-        )
-    };
-    addresses.sort_by_key(shuffle);
-    addresses.truncate(if is_news { FANOUT + 1 } else { FANOUT });
-    // Daemons that are silent, and seeds, are asked now and then: a cut may have healed.
-    let known: Vec<SocketAddr> = state.peers.others().map(|member| member.address).collect();
+    let own = state.peers.own().clone();
+    let seed = round ^ hash(own.address);
+    let shuffle = |address: &SocketAddr| xxh3::xxh3_64_with_seed(&[], seed ^ hash(*address));
+    let alive: Vec<&peers::Member> = state.peers.alive(now).into_iter().skip(1).collect();
+    let is_near = !is_news && !round.is_multiple_of(FAR_ROUNDS);
+    let mut near: Vec<SocketAddr> = alive
+        .iter()
+        .filter(|member| !is_near || member.zone == own.zone)
+        .map(|member| member.address)
+        .collect();
+    if near.is_empty() {
+        near = alive.iter().map(|member| member.address).collect();
+    }
+    near.sort_by_key(shuffle);
+    near.truncate(if is_news { NEWS_FANOUT } else { FANOUT });
+    let known = state.peers.others().map(|member| member.address);
     let mut rest: Vec<SocketAddr> = state.place.seeds.iter().copied().chain(known).collect();
-    rest.retain(|address| *address != own && !addresses.contains(address));
+    let live: Vec<SocketAddr> = alive.iter().map(|member| member.address).collect();
+    rest.retain(|address| *address != own.address && !live.contains(address));
     rest.sort_by_key(shuffle);
     rest.dedup();
-    let spare = if addresses.is_empty() { FANOUT } else { usize::from(round % 4 == 0) };
-    addresses.extend(rest.into_iter().take(spare));
-    addresses
+    let spare = if near.is_empty() {
+        NEWS_FANOUT
+    } else {
+        usize::from(round.is_multiple_of(SILENT_ROUNDS))
+    };
+    near.extend(rest.into_iter().take(spare));
+    let deciders = deciders(&state, now);
+    let mut targets: Vec<Target> = near
+        .into_iter()
+        .map(|address| Target { address, decides: deciders.contains(&address) })
+        .collect();
+    for address in deciders {
+        let is_told = targets.iter().any(|target| target.address == address);
+        if !is_told && address != own.address {
+            targets.push(Target { address, decides: true });
+        }
+    }
+    targets
+}
+
+// The daemons that judge roll-outs that run.
+fn deciders(state: &crate::state::State, now: time::Tick) -> Vec<SocketAddr> {
+    let is_running =
+        |canary: &&canary::Canary| canary.progress() == ibishill_core::fleet::Progress::Running;
+    let services = state.canaries.values().filter(is_running).map(|canary| &canary.order().service);
+    let mut found: Vec<SocketAddr> = services
+        .flat_map(|service| state.peers.first(service.as_str(), DECIDERS, now))
+        .map(|member| member.address)
+        .collect();
+    found.sort_unstable();
+    found.dedup();
+    found
 }
 
 fn hash(address: SocketAddr) -> u64 {
     xxh3::xxh3_64(address.to_string().as_bytes())
 }
 
-async fn tell(context: &Shared, address: SocketAddr) {
+// Returns whether the peer has answered.
+async fn tell(context: &Shared, target: Target, round: u64) -> bool {
     let mut news = Vec::new();
     // A second message brings what the answer shows to be lacking.
     for _ in 0..2 {
-        let Some(answer) = exchange(context, address, news).await else { return };
+        let Some(answer) = exchange(context, target, news, round).await else { return false };
         let have = answer.have.clone();
         hear(context, answer);
         news = lacking(context, &have);
         if news.is_empty() {
-            return;
+            break;
         }
     }
+    true
 }
 
 async fn exchange(
     context: &Shared,
-    address: SocketAddr,
+    target: Target,
     news: Vec<(usize, replica::Delta)>,
+    round: u64,
 ) -> Option<Message> {
-    let message = message(context, news);
+    let address = target.address;
+    let message = message(context, news, target.decides, round, None);
     let body = match postcard::to_stdvec(&message) {
         Ok(body) => body,
         Err(error) => {
@@ -147,17 +215,31 @@
     }
 }
 
-fn message(context: &Shared, news: Vec<(usize, replica::Delta)>) -> Message {
+// `asker` is the number of daemons that the receiver knows, if it has told it.
+fn message(
+    context: &Shared,
+    news: Vec<(usize, replica::Delta)>,
+    decides: bool,
+    round: u64,
+    asker: Option<usize>,
+) -> Message {
     let now = context.now();
     let state = context.state();
-    let members = state.peers.alive(now).into_iter().cloned().collect();
+    let known = state.peers.others().count() + 1;
+    let count = if asker.is_some_and(|asker| asker < known) { MEMBERS_MAX } else { BEATS };
     let have = |kind: &Kind| {
         let copy = state.copy(*kind);
-        (copy.table.version(), copy.confirmed.map(|at| now.since(at).0))
+        (copy.table.version(), state.age(*kind, now).map(|age| age.0))
     };
-    let running = state.canaries.values();
-    let canaries = running.map(|canary| canary.news(now)).collect();
-    Message { members, have: Kind::ALL.iter().map(have).collect(), news, canaries }
+    let own = &state.place.vm;
+    let canaries = state.canaries.values().map(|canary| canary.news(own, decides, now)).collect();
+    Message {
+        members: state.peers.some(count, round, now),
+        known,
+        have: Kind::ALL.iter().map(have).collect(),
+        news,
+        canaries,
+    }
 }
 
 fn lacking(context: &Shared, have: &[(u64, Option<u64>)]) -> Vec<(usize, replica::Delta)> {
@@ -192,7 +274,7 @@
     for (kind, (version, age)) in Kind::ALL.into_iter().zip(message.have) {
         // A peer's confirmation counts only for the rows that it speaks of.
         let is_same = state.copy(kind).table.version() == version;
-        if let Some(age) = age.filter(|_| is_same && version > 0) {
+        if let Some(age) = age.filter(|_| is_same) {
             state.confirm(kind, time::Tick(now.0.saturating_sub(age)));
         }
     }
@@ -248,9 +330,10 @@
     let Some(heard) = decode(&body.to_bytes(), own) else {
         return bad(StatusCode::BAD_REQUEST);
     };
-    let have = heard.have.clone();
+    let (have, asker) = (heard.have.clone(), heard.known);
     hear(&context, heard);
-    let answer = message(&context, lacking(&context, &have));
+    let round = context.now().0;
+    let answer = message(&context, lacking(&context, &have), false, round, Some(asker));
     match postcard::to_stdvec(&answer) {
         Ok(bytes) => Ok(Response::new(Full::new(Bytes::from(bytes)))),
         Err(_) => bad(StatusCode::INTERNAL_SERVER_ERROR),
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -259,6 +259,7 @@
         capacity,
         seed: xxh3::xxh3_64(received.facts.id.as_bytes()),
     };
+    state.recent.note(session, now);
     let (balance, peers) = (&state.balance, &state.peers);
     let rank = |endpoint: &id::EndpointId| peers.known_rank(endpoint.as_str());
     let choice = match state.canaries.get_mut(&received.service) {
@@ -274,7 +275,7 @@
             if may_fall_back {
                 let versions = attempt::versions(canary::Side::Stable, canary);
                 choice = balance.pick(&balance::Ask { versions, ..ask }, rule, rank, now);
-                canary.pin(session, now);
+                canary.pin(session);
             }
             choice
         }
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -41,7 +41,9 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Copy {
     pub(crate) table: replica::Table,
-    pub(crate) confirmed: Option<time::Tick>,
+    confirmed: Option<time::Tick>,
+    // Whether a feed call is open here, which would tell of a change at once.
+    is_watched: bool,
 }
 
 /// What one relay believes.
@@ -49,6 +51,8 @@
     pub(crate) place: fleet::Place,
     pub(crate) catalog: Option<Rc<route::Catalog>>,
     pub(crate) balance: balance::Balance,
+    /// Sessions that ran lately.
+    pub(crate) recent: canary::Recent,
     pub(crate) canaries: BTreeMap<id::ServiceId, canary::Canary>,
     pub(crate) peers: peers::Peers,
     pub(crate) line: line::Line,
@@ -59,6 +63,8 @@
     /// Connections of callers.
     pub(crate) open: u32,
     pub(crate) is_store_lost: bool,
+    /// Rounds in a row in which no peer has answered.
+    pub(crate) alone: u32,
     /// When the store last refused or did not answer.
     pub(crate) trouble: Option<time::Tick>,
     /// Until when beliefs count as too old after a suspension.
@@ -72,6 +78,7 @@
         Self {
             catalog: None,
             balance: balance::Balance::new(place.zone.clone()),
+            recent: canary::Recent::default(),
             canaries: BTreeMap::new(),
             peers: peers::Peers::new(own),
             line: line::Line::default(),
@@ -80,6 +87,7 @@
             is_stopping: false,
             open: 0,
             is_store_lost: false,
+            alone: 0,
             trouble: None,
             stale_until: time::Tick(0),
             copies: Kind::ALL.into_iter().map(|kind| (kind, Copy::default())).collect(),
@@ -95,7 +103,21 @@
 
     /// Whether requests can be served.
     pub(crate) fn is_informed(&self) -> bool {
-        self.catalog.is_some() && self.copy(Kind::Endpoints).table.version() > 0
+        self.catalog.is_some() && self.copy(Kind::Endpoints).table.is_known()
+    }
+
+    /// Age of what is known of a table: how long ago somebody would have heard of a change.
+    pub(crate) fn age(&self, kind: Kind, now: time::Tick) -> Option<time::Millis> {
+        let copy = self.copy(kind);
+        if copy.is_watched {
+            return copy.confirmed.map(|_| time::Millis(0));
+        }
+        copy.confirmed.map(|at| now.since(at))
+    }
+
+    /// Notes whether a feed call for a table is open.
+    pub(crate) fn watch(&mut self, kind: Kind, is_watched: bool) {
+        self.copies.entry(kind).or_default().is_watched = is_watched;
     }
 
     /// Notes that a table was confirmed as of `at`.
@@ -196,7 +218,11 @@
                 event::field("state", &"ordered"),
             ],
         );
-        let canary = canary::Canary::new(order.clone(), &self.place.bounds, now);
+        let bounds = &self.place.bounds;
+        let mut canary = canary::Canary::new(order.clone(), bounds, now);
+        for session in self.recent.open(bounds.session, now) {
+            canary.pin(session);
+        }
         self.canaries.insert(order.service, canary);
     }
 
