--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -119,6 +119,8 @@
     pub peer: SocketAddr,
     /// Addresses of some peers, which may be stale.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first: bool,
     /// The platform's store.
     pub store: SocketAddr,
     /// Bounds of the deployment.
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -43,7 +43,8 @@
 /// Daemons for each reader; two read at least.
 const DAEMONS_PER_READER: usize = 16;
 
-/// Time at the start in which peers may bring the rows, which saves calls of the store.
+/// Time at the deployment's first start in which daemons find each other, so that only the
+/// readers call the store.
 const SETTLE: time::Millis = time::Millis(600);
 
 /// Time between two looks at whether this daemon reads.
@@ -83,7 +84,7 @@
 fn is_reader(context: &Shared, kind: Kind) -> bool {
     let now = context.now();
     let state = context.state();
-    if context.age() < SETTLE {
+    if state.place.is_first && context.age() < SETTLE {
         return false;
     }
     let is_overdue = state.age(kind, now).is_none_or(|age| age > OVERDUE);
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -1,5 +1,6 @@
 //! The way of a request: route, workspace, service, version, endpoint, answer.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +31,13 @@
 /// which endpoints that were lost are replaced by what others have room for.
 const COME_BACK: time::Millis = time::Millis(500);
 
+/// Longest time for which a request waits for the first rows after a start; they take a few
+/// milliseconds if the store or a peer answers.
+const INFORM: time::Millis = time::Millis(400);
+
+/// Time between two looks for the first rows.
+const INFORM_LOOK: Duration = Duration::from_millis(10);
+
 /// Refusals and failures that the relay itself answers with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Own {
@@ -175,11 +183,7 @@
     let (parts, incoming) = request.into_parts();
 
     let fail = |own| (facts.id.clone(), own);
-    let (catalog, is_informed) = {
-        let state = context.state();
-        (state.catalog.clone(), state.is_informed())
-    };
-    let catalog = catalog.filter(|_| is_informed).ok_or_else(|| fail(Own::Uninformed))?;
+    let catalog = catalog(context, since).await.ok_or_else(|| fail(Own::Uninformed))?;
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let route = routing::find(&catalog, host, parts.uri.path());
@@ -209,6 +213,19 @@
     })
 }
 
+async fn catalog(context: &Shared, since: time::Tick) -> Option<Rc<route::Catalog>> {
+    loop {
+        let found = {
+            let state = context.state();
+            state.catalog.clone().filter(|_| state.is_informed())
+        };
+        if found.is_some() || context.now() >= since + INFORM {
+            return found;
+        }
+        clock::sleep(INFORM_LOOK).await;
+    }
+}
+
 async fn read_body(incoming: Incoming, limit: usize) -> Result<Bytes, Own> {
     let whole = Limited::new(incoming, limit).collect();
     match clock::timeout(BODY_WAIT, whole).await {
