--- a/crates/ibishill-core/src/route.rs
+++ b/crates/ibishill-core/src/route.rs
@@ -54,6 +54,8 @@
     pub timeout: time::Millis,
     /// Time to the answer, or to a stream's first event, that callers expect.
     pub target: time::Millis,
+    /// Longest pause between the events of a stream that callers expect.
+    pub pause: Option<time::Millis>,
     /// Rank, 0 for the most urgent.
     pub priority: u8,
     /// Models that may answer, smallest first; empty if the caller names one.
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -27,6 +27,13 @@
 /// Load by which endpoints differ at random, so that daemons spread.
 const SPREAD: f64 = 0.04;
 
+/// Slots that 1,000 tokens of a prompt take up, at the largest model, until they are read:
+/// reading holds up every request of the batch.
+const READING: f64 = 0.7;
+
+/// Slots that a request takes up which another daemon sent and which has not begun.
+const WAITING: f64 = 3.0;
+
 /// Requests at once for each slot of a plain service; the rest queue there for a few
 /// milliseconds.
 const PLAIN_DEPTH: f64 = 2.0;
@@ -90,6 +97,8 @@
     pub tokens: u64,
     /// Tokens of an engine's memory; 0 for a plain service.
     pub capacity: u64,
+    /// What its prompt costs to read, in thousands of tokens at the largest model.
+    pub reading: f64,
     /// Spreads requests over endpoints that are alike.
     pub seed: u64,
 }
@@ -108,13 +117,25 @@
 /// What an answer told of an endpoint's load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
-    /// Requests that it held, running or waiting.
-    pub held: u32,
+    /// Requests that ran.
+    pub running: u32,
+    /// Requests that had not begun.
+    pub waiting: u32,
+}
+
+/// What one request takes up at an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Work {
+    /// Tokens of an engine's memory.
+    pub tokens: u64,
+    /// What its prompt costs to read, in thousands of tokens at the largest model.
+    pub reading: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Heard {
     others: f64,
+    waiting: f64,
     at: time::Tick,
 }
 
@@ -123,6 +144,9 @@
     entry: fleet::Entry,
     running: u32,
     tokens: u64,
+    // Own requests that have not begun, and what their prompts cost to read.
+    opening: u32,
+    reading: f64,
     heard: Option<Heard>,
     breaker: outlier::Breaker,
     // It took no connection; it may have restarted since.
@@ -132,14 +156,22 @@
 }
 
 impl Node {
-    fn others(&self, now: time::Tick) -> f64 {
-        let Some(heard) = self.heard else { return 0.0 };
+    fn heard(&self, now: time::Tick) -> (f64, f64) {
+        let Some(heard) = self.heard else { return (0.0, 0.0) };
         let age = now.since(heard.at).0 as f64 / HEARD.0 as f64;
-        heard.others * (1.0 - age).max(0.0)
+        let left = (1.0 - age).max(0.0);
+        (heard.others * left, heard.waiting * left)
     }
 
+    // Requests for each slot.
     fn load(&self, now: time::Tick) -> f64 {
-        (f64::from(self.running) + self.others(now)) / f64::from(self.entry.slots.max(1))
+        (f64::from(self.running) + self.heard(now).0) / f64::from(self.entry.slots.max(1))
+    }
+
+    // Load with what prompts that are not read yet add to it.
+    fn pressure(&self, now: time::Tick) -> f64 {
+        let reading = self.reading * READING + self.heard(now).1 * (WAITING - 1.0);
+        self.load(now) + reading / f64::from(self.entry.slots.max(1))
     }
 }
 
@@ -181,6 +213,8 @@
                     entry: entry.clone(),
                     running: 0,
                     tokens: 0,
+                    opening: 0,
+                    reading: 0.0,
                     heard: None,
                     breaker: outlier::Breaker::default(),
                     was_down: false,
@@ -264,7 +298,8 @@
     }
 
     fn price(&self, node: &Node, ask: &Ask<'_>, homes: &[u64], now: time::Tick) -> f64 {
-        let mut price = node.load(now);
+        let is_engine = ask.capacity > 0;
+        let mut price = if is_engine { node.pressure(now) } else { node.load(now) };
         if node.entry.zone == self.zone {
             price -= NEAR_BONUS;
         }
@@ -281,14 +316,16 @@
     pub fn begin(
         &mut self,
         id: &id::EndpointId,
-        tokens: u64,
+        work: Work,
         cold: ColdRule,
         rank: usize,
         now: time::Tick,
     ) {
         let Some(node) = self.nodes.get_mut(id) else { return };
         node.running += 1;
-        node.tokens += tokens;
+        node.tokens += work.tokens;
+        node.opening += 1;
+        node.reading += work.reading;
         node.breaker.begin(now);
         // The bucket runs while the endpoint is warm, too, so that it is not full if that ends.
         if cold.declared > 0.0 {
@@ -296,11 +333,19 @@
         }
     }
 
+    /// Notes that a request has begun to be answered.
+    pub fn opened(&mut self, id: &id::EndpointId, work: Work) {
+        if let Some(node) = self.nodes.get_mut(id) {
+            node.opening = node.opening.saturating_sub(1);
+            node.reading = (node.reading - work.reading).max(0.0);
+        }
+    }
+
     /// Notes that a request has left an endpoint.
-    pub fn end(&mut self, id: &id::EndpointId, tokens: u64) {
+    pub fn end(&mut self, id: &id::EndpointId, work: Work) {
         if let Some(node) = self.nodes.get_mut(id) {
             node.running = node.running.saturating_sub(1);
-            node.tokens = node.tokens.saturating_sub(tokens);
+            node.tokens = node.tokens.saturating_sub(work.tokens);
         }
     }
 
@@ -327,8 +372,10 @@
             _ => {}
         }
         if let Some(load) = load {
-            let others = f64::from(load.held) - f64::from(node.running);
-            node.heard = Some(Heard { others: others.max(0.0), at: now });
+            let held = f64::from(load.running) + f64::from(load.waiting);
+            let others = (held - f64::from(node.running)).max(0.0);
+            let waiting = (f64::from(load.waiting) - f64::from(node.opening)).max(0.0);
+            node.heard = Some(Heard { others, waiting, at: now });
         }
     }
 
@@ -336,7 +383,7 @@
     pub fn refused(&mut self, id: &id::EndpointId, now: time::Tick) {
         if let Some(node) = self.nodes.get_mut(id) {
             let slots = f64::from(node.entry.slots);
-            node.heard = Some(Heard { others: slots, at: now });
+            node.heard = Some(Heard { others: slots, waiting: 0.0, at: now });
         }
     }
 
--- a/crates/ibishill-decide/src/retry.rs
+++ b/crates/ibishill-decide/src/retry.rs
@@ -111,9 +111,14 @@
         self.tokens = (self.tokens + bounds.retry_ratio * RATIO_USED).min(most);
     }
 
+    /// Whether there is a right to a further attempt left.
+    pub fn has(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Takes the right to a further attempt, if there is one left.
     pub fn take(&mut self) -> bool {
-        let has = self.tokens >= 1.0;
+        let has = self.has();
         if has {
             self.tokens -= 1.0;
         }
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -11,6 +11,7 @@
 use tokio::time as clock;
 
 use crate::context::Shared;
+use crate::path;
 use crate::upstream::{self, CallError};
 
 /// A request as it was read from the caller.
@@ -54,30 +55,42 @@
     pub(crate) model: Option<id::ModelId>,
     /// Id of the last event that the caller has.
     pub(crate) resumed: Option<u64>,
+    /// What its prompt costs to read, in thousands of tokens at the largest model.
+    pub(crate) reading: f64,
 }
 
 /// Counts an attempt as under way at its endpoint; dropping it ends that.
 pub(crate) struct Slot {
     context: Shared,
     endpoint: id::EndpointId,
-    tokens: u64,
+    work: balance::Work,
+    is_open: bool,
 }
 
 impl Slot {
-    fn take(context: &Shared, received: &Received, endpoint: &id::EndpointId) -> Self {
-        let (now, tokens) = (context.now(), received.memory());
+    fn take(context: &Shared, received: &Received, target: &Target) -> Self {
+        let (now, endpoint) = (context.now(), &target.endpoint);
+        let work = balance::Work { tokens: received.memory(), reading: target.reading };
         let mut state = context.state();
         let rule = state.cold_rule(&received.service, now);
         let rank = state.cold_rank(endpoint);
-        state.balance.begin(endpoint, tokens, rule, rank, now);
+        state.balance.begin(endpoint, work, rule, rank, now);
         drop(state);
-        Self { context: context.clone(), endpoint: endpoint.clone(), tokens }
+        Self { context: context.clone(), endpoint: endpoint.clone(), work, is_open: false }
+    }
+
+    // The answer has begun, so the prompt is read.
+    fn open(&mut self) {
+        if !std::mem::replace(&mut self.is_open, true) {
+            self.context.state().balance.opened(&self.endpoint, self.work);
+        }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.context.state().balance.end(&self.endpoint, self.tokens);
+        self.open();
+        self.context.state().balance.end(&self.endpoint, self.work);
         self.context.room.notify_waiters();
     }
 }
@@ -99,15 +112,25 @@
     Refused,
     /// It may have run.
     Unknown,
+    /// It fell silent, and the right to another attempt is taken.
+    Hung,
     /// The endpoint's whole answer.
     Answer(Response<Bytes>),
     /// The start of a streamed answer.
     Stream(Box<Opened>),
 }
 
-/// Time after which a request that may be repeated is tried elsewhere, as a multiple of
-/// the time to the answer that callers expect.
-const HANG_FACTOR: u64 = 3;
+/// Time after which a request that may be repeated is tried elsewhere, in percent of the time
+/// to the answer that callers expect: a plain service answers in a fraction of it.
+const HANG_PLAIN: u64 = 300;
+
+/// The same for streams: callers leave after four times that.
+const HANG_STREAM: u64 = 200;
+
+fn hang(route: &route::Route) -> time::Millis {
+    let percent = if route.kind.is_stream() { HANG_STREAM } else { HANG_PLAIN };
+    time::Millis(route.target.0 * percent / 100)
+}
 
 /// Makes an attempt.
 pub(crate) async fn run(
@@ -119,18 +142,31 @@
     let Some(entry) = context.state().balance.entry(&target.endpoint).cloned() else {
         return Ended::Unsent;
     };
-    let slot = Slot::take(context, received, &target.endpoint);
+    let slot = Slot::take(context, received, target);
     let begun = context.now();
     let left = received.left(begun);
     log_sent(received, target, begun, left);
     let request = request(received, target, left);
-    let hang = time::Millis(received.route.target.0 * HANG_FACTOR);
+    let hang = hang(&received.route);
+    let mut work = std::pin::pin!(open(received, entry.address, request, slot));
     let is_short = may_follow && received.route.kind.may_repeat() && hang < left;
-    let limit = if is_short { hang } else { left };
-    let work = open(received, entry.address, request, slot);
-    let (ended, detail) = match clock::timeout(Duration::from_millis(limit.0), work).await {
-        Ok((ended, detail)) => (ended, detail),
-        Err(_) => (Ended::Unknown, format!("no answer within {limit}")),
+    let early = if is_short {
+        clock::timeout(Duration::from_millis(hang.0), work.as_mut()).await.ok()
+    } else {
+        None
+    };
+    // Silence ends an attempt early only if another one may follow it.
+    let is_hung = is_short && early.is_none() && path::take(context, received);
+    let (ended, detail) = match early {
+        Some(found) => found,
+        None if is_hung => (Ended::Hung, format!("no answer within {hang}")),
+        None => {
+            let left = received.left(context.now());
+            match clock::timeout(Duration::from_millis(left.0), work.as_mut()).await {
+                Ok(found) => found,
+                Err(_) => (Ended::Unknown, format!("no answer within {left}")),
+            }
+        }
     };
     note(context, received, target, &ended, begun);
     log_ended(context, received, target, &ended, &detail, begun);
@@ -158,13 +194,14 @@
     received: &Received,
     address: std::net::SocketAddr,
     request: Request<Bytes>,
-    slot: Slot,
+    mut slot: Slot,
 ) -> (Ended, String) {
     let (answer, connection) = match upstream::call(address, request).await {
         Ok(opened) => opened,
         Err(CallError::Connect(detail)) => return (Ended::Unsent, detail),
         Err(CallError::Unknown(detail)) => return (Ended::Unknown, detail),
     };
+    slot.open();
     let (parts, body) = answer.into_parts();
     let reply = head::reply(parts.status, &parts.headers, &received.facts.id);
     if !reply.is_own {
@@ -197,7 +234,7 @@
     let now = context.now();
     let attempt = match ended {
         Ended::Unsent => outlier::Attempt::Unreachable,
-        Ended::Unknown => outlier::Attempt::Failed,
+        Ended::Unknown | Ended::Hung => outlier::Attempt::Failed,
         Ended::Answer(answer) if is_failure(answer.status()) => outlier::Attempt::Failed,
         Ended::Refused | Ended::Answer(_) | Ended::Stream(_) => outlier::Attempt::Good,
     };
@@ -206,7 +243,7 @@
         Ended::Stream(opened) => opened.reply.load,
         _ => None,
     };
-    let load = load.map(|load| balance::Load { held: load.running + load.waiting });
+    let load = load.map(|load| balance::Load { running: load.running, waiting: load.waiting });
     let mut state = context.state();
     let rule = state.cold_rule(&received.service, now);
     // A refusal tells nothing of an endpoint's health.
@@ -275,6 +312,7 @@
         Ended::Unsent => "unsent".to_owned(),
         Ended::Refused => "refused".to_owned(),
         Ended::Unknown => "unknown".to_owned(),
+        Ended::Hung => "hung".to_owned(),
         Ended::Answer(answer) => answer.status().as_u16().to_string(),
         Ended::Stream(opened) => {
             let confidence = opened.reply.confidence;
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -260,11 +260,12 @@
     let session = xxh3::xxh3_64(session.as_bytes());
     let rule = state.cold_rule(&received.service, now);
     let catalog = state.catalog.clone();
-    let capacity = catalog
+    let engine = catalog
         .as_ref()
         .and_then(|catalog| catalog.services.get(&received.service))
-        .and_then(|service| service.engine.as_ref())
-        .map_or(0, |engine| engine.capacity);
+        .and_then(|service| service.engine.as_ref());
+    let capacity = engine.map_or(0, |engine| engine.capacity);
+    let reading = engine.map_or(0.0, |engine| reading(received, engine, model));
     let subject = received.facts.subject();
     let shared_tokens = received.facts.parts.iter().rev().skip(1).map(|part| part.tokens).sum();
     let ask = balance::Ask {
@@ -274,6 +275,7 @@
         shared: subject.map(|part| (part, shared_tokens)),
         tokens: received.memory(),
         capacity,
+        reading,
         seed: xxh3::xxh3_64(received.facts.id.as_bytes()),
     };
     state.recent.note(session, now);
@@ -307,11 +309,22 @@
                 endpoint,
                 model: model.cloned(),
                 resumed,
+                reading,
             }),
         },
     }
 }
 
+// What a prompt costs to read, in thousands of tokens at the largest model; a model's cost
+// tells how fast it is.
+fn reading(received: &Received, engine: &route::Engine, model: Option<&id::ModelId>) -> f64 {
+    let tokens = received.facts.tokens.unwrap_or_default().input as f64 / 1_000.0;
+    let most = engine.models.iter().map(|model| model.cost).fold(0.0, f64::max);
+    let found = model.and_then(|name| engine.models.iter().find(|model| model.name == *name));
+    let pace = found.map_or(1.0, |model| model.cost / most.max(f64::MIN_POSITIVE));
+    tokens * pace.clamp(0.1, 1.0)
+}
+
 // Waits until an endpoint has room, in the order of the line.
 async fn find_room(
     context: &Shared,
@@ -444,6 +457,10 @@
                 }
                 return give_up(last, may_have_run, Own::Refused);
             }
+            Ended::Hung => {
+                sends += 1;
+                may_have_run = true;
+            }
             Ended::Unknown => {
                 sends += 1;
                 may_have_run = true;
@@ -496,6 +513,12 @@
     state.allowances.entry(received.service.clone()).or_default().take()
 }
 
+/// Whether [`take`] would succeed.
+pub(crate) fn has_allowance(context: &Shared, received: &Received) -> bool {
+    let state = context.state();
+    state.allowances.get(&received.service).is_some_and(ibishill_decide::retry::Allowance::has)
+}
+
 fn give_up(
     last: Option<Response<Bytes>>,
     may_have_run: bool,
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -21,8 +21,11 @@
 /// Parts that wait for a slow caller.
 const PARTS: usize = 4;
 
-/// Shortest silence after which a stream is resumed elsewhere, in milliseconds; callers
-/// leave after two seconds at the earliest.
+/// Silence after which a stream is resumed elsewhere, in percent of the time to the first
+/// event that callers expect; they leave after four times that.
+const SILENCE_PERCENT: u64 = 100;
+
+/// Shortest such silence, in milliseconds; callers leave after two seconds at the earliest.
 const SILENCE_MIN_MS: u64 = 1_800;
 
 /// Largest part of an event that waits for its end, in bytes.
@@ -104,7 +107,8 @@
     }
 
     async fn pass_on(&mut self, mut body: Incoming) -> End {
-        let silence = SILENCE_MIN_MS.max(self.received.route.target.0);
+        let silence = self.received.route.target.0 * SILENCE_PERCENT / 100;
+        let silence = silence.max(SILENCE_MIN_MS);
         let mut buffer = BytesMut::new();
         loop {
             let frame = tokio::select! {
@@ -112,6 +116,8 @@
                 () = self.sender.closed() => return End::Left,
             };
             let data = match frame {
+                // Silence alone is no reason to end a stream that can't go on elsewhere.
+                Err(_) if !self.has_next() => continue,
                 Err(_) => return End::Cut(format!("silent for {silence} ms")),
                 Ok(None) if buffer.is_empty() => return End::Whole,
                 Ok(None) => return End::Cut("ended inside an event".into()),
@@ -136,6 +142,17 @@
         }
     }
 
+    // Whether the stream could go on at another endpoint.
+    fn has_next(&self) -> bool {
+        let is_allowed = self.received.route.kind.may_repeat()
+            && self.sends < self.received.route.attempts
+            && path::has_allowance(&self.context, &self.received);
+        let model = self.target.model.as_ref();
+        let avoid = std::slice::from_ref(&self.target.endpoint);
+        let next = path::choose(&self.context, &self.received, avoid, model, self.last);
+        is_allowed && matches!(next, path::Next::Send(_))
+    }
+
     // Events must follow each other without a gap.
     fn check(&mut self, events: &[u8]) -> Result<(), String> {
         for line in events.split(|byte| *byte == b'\n') {
@@ -180,7 +197,7 @@
                     return Some(*opened);
                 }
                 Ended::Unsent => why = "no connection to the next endpoint".into(),
-                Ended::Refused | Ended::Unknown | Ended::Answer(_) => {
+                Ended::Refused | Ended::Unknown | Ended::Hung | Ended::Answer(_) => {
                     self.sends += 1;
                     why = "the next endpoint failed".into();
                 }
