--- a/crates/ibishill-decide/src/retry.rs
+++ b/crates/ibishill-decide/src/retry.rs
@@ -1,8 +1,8 @@
 //! Second attempts: which are safe, and how many a caller and a zone may cause.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use ibishill_core::{fleet, id, outcome, repeat};
+use ibishill_core::{fleet, id, outcome, repeat, time};
 
 /// Second attempts that one request allows.
 const SHARE: f64 = 0.1;
@@ -82,46 +82,74 @@
     }
 }
 
-/// Share of the deployment's ratio that one daemon uses, as requests and their repeats may
-/// fall into different windows.
-const RATIO_USED: f64 = 0.85;
+/// Share of the deployment's ratio that one daemon uses, as its window is not the others'.
+const RATIO_USED: f64 = 0.92;
 
 /// Share of the deployment's slack that all daemons together use.
-const SLACK_USED: f64 = 0.6;
+const SLACK_USED: f64 = 0.8;
+
+/// Parts of a window that are counted apart.
+const PARTS: u64 = 10;
 
 /// Second attempts that one daemon may cause at a service, without asking the others.
 ///
-/// Each request earns a part of one, so the sum over all daemons stays under the
-/// deployment's ratio; the slack is divided by the daemons that may be alive.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// In each window they are at most a share of this daemon's requests, so the sum over all
+/// daemons stays under the deployment's ratio; the slack is divided by the daemons that may
+/// be alive. What calm seconds leave over is there when many streams break at once.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Allowance {
-    tokens: f64,
+    parts: VecDeque<Part>,
 }
 
-impl Default for Allowance {
-    fn default() -> Self {
-        Self { tokens: 1.0 }
-    }
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Part {
+    number: u64,
+    requests: u32,
+    repeats: u32,
 }
 
 impl Allowance {
     /// Notes the first attempt of a request.
-    pub fn earn(&mut self, bounds: &fleet::Bounds, daemons: usize) {
-        let most = (bounds.retry_slack * SLACK_USED / daemons.max(1) as f64).max(1.0);
-        self.tokens = (self.tokens + bounds.retry_ratio * RATIO_USED).min(most);
+    pub fn first(&mut self, bounds: &fleet::Bounds, now: time::Tick) {
+        self.part(bounds, now).requests += 1;
     }
 
-    /// Whether there is a right to a further attempt left.
-    pub fn has(&self) -> bool {
-        self.tokens >= 1.0
+    /// Whether a further attempt is allowed, with `daemons` that share the slack.
+    pub fn has(&self, bounds: &fleet::Bounds, daemons: usize, now: time::Tick) -> bool {
+        let number = number(bounds, now);
+        // The oldest part has partly left the window; its repeats count, its requests do not.
+        let sum = |count: fn(&Part) -> u32, span: u64| -> f64 {
+            let inside = self.parts.iter().filter(|part| part.number + span > number);
+            inside.map(|part| f64::from(count(part))).sum()
+        };
+        let requests = sum(|part| part.requests, PARTS);
+        let repeats = sum(|part| part.repeats, PARTS + 1);
+        let slack = (bounds.retry_slack * SLACK_USED / daemons.max(1) as f64).max(1.0);
+        repeats + 1.0 <= requests * bounds.retry_ratio * RATIO_USED + slack
     }
 
-    /// Takes the right to a further attempt, if there is one left.
-    pub fn take(&mut self) -> bool {
-        let has = self.has();
+    /// Takes the right to a further attempt, if there is one.
+    pub fn take(&mut self, bounds: &fleet::Bounds, daemons: usize, now: time::Tick) -> bool {
+        let has = self.has(bounds, daemons, now);
         if has {
-            self.tokens -= 1.0;
+            self.part(bounds, now).repeats += 1;
         }
         has
     }
+
+    fn part(&mut self, bounds: &fleet::Bounds, now: time::Tick) -> &mut Part {
+        let number = number(bounds, now);
+        if self.parts.back().is_none_or(|part| part.number < number) {
+            self.parts.push_back(Part { number, requests: 0, repeats: 0 });
+        }
+        while self.parts.len() as u64 > PARTS + 1 {
+            self.parts.pop_front();
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
+    }
+}
+
+fn number(bounds: &fleet::Bounds, now: time::Tick) -> u64 {
+    now.0 / (bounds.retry_window.0 / PARTS).max(1)
 }
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -416,10 +416,10 @@
 }
 
 fn earn(context: &Shared, received: &Received) {
+    let now = context.now();
     let mut state = context.state();
-    let daemons = state.peers.others().count() + 1;
     let bounds = state.place.bounds;
-    state.allowances.entry(received.service.clone()).or_default().earn(&bounds, daemons);
+    state.allowances.entry(received.service.clone()).or_default().first(&bounds, now);
 }
 
 async fn attempts(
@@ -509,14 +509,21 @@
 
 /// Takes the right to a further attempt at the request's service.
 pub(crate) fn take(context: &Shared, received: &Received) -> bool {
+    let now = context.now();
     let mut state = context.state();
-    state.allowances.entry(received.service.clone()).or_default().take()
+    let daemons = state.peers.others().count() + 1;
+    let bounds = state.place.bounds;
+    let allowance = state.allowances.entry(received.service.clone()).or_default();
+    allowance.take(&bounds, daemons, now)
 }
 
 /// Whether [`take`] would succeed.
 pub(crate) fn has_allowance(context: &Shared, received: &Received) -> bool {
+    let now = context.now();
     let state = context.state();
-    state.allowances.get(&received.service).is_some_and(ibishill_decide::retry::Allowance::has)
+    let daemons = state.peers.others().count() + 1;
+    let allowance = state.allowances.get(&received.service);
+    allowance.is_some_and(|allowance| allowance.has(&state.place.bounds, daemons, now))
 }
 
 fn give_up(
