perf(decide): a larger model's tokens cost more under strain

Cause: with enough second attempts, weak answers were asked for again also while engines began late.

--- a/crates/ibishill-decide/src/sizing.rs
+++ b/crates/ibishill-decide/src/sizing.rs
@@ -4,7 +4,7 @@
 //! of the cost and of the engine's time. The small model goes first; its own opinion of the
 //! answer, known before the first event is passed on, decides whether a larger one is asked.
 
-use ibishill_core::{call, route};
+use ibishill_core::{call, route, time};
 
 /// Least worth of a right answer, in the unit of the declared costs.
 ///
@@ -31,6 +31,48 @@
 /// Bounds of the chance of a wrong answer that is accepted.
 const RISK: (f64, f64) = (0.03, 0.9);
 
+/// Weight of the newest first event in the mean of a service's strain.
+const STRAIN_WEIGHT: f64 = 0.12;
+
+/// Time in which strain halves if no event tells of it.
+const STRAIN_HALF: time::Millis = time::Millis(2_000);
+
+/// Time to the first event, as a share of what callers expect, at which engines are calm, and
+/// at which a second run would make the first answer late.
+const STRAIN_RANGE: (f64, f64) = (0.15, 0.6);
+
+/// How much more the larger model's tokens cost when engines are strained: they take room
+/// from answers that are then late.
+const STRAIN_PRICE: f64 = 6.0;
+
+/// How long engines of a service take to begin, against what callers expect.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Strain {
+    mean: f64,
+    at: time::Tick,
+}
+
+impl Strain {
+    /// Notes the time to a first event.
+    pub fn note(&mut self, took: time::Millis, target: time::Millis, now: time::Tick) {
+        let share = took.0 as f64 / target.0.max(1) as f64;
+        let mean = self.faded(now);
+        self.mean = mean + STRAIN_WEIGHT * (share.min(2.0) - mean);
+        self.at = now;
+    }
+
+    fn faded(&self, now: time::Tick) -> f64 {
+        let halves = now.since(self.at).0 as f64 / STRAIN_HALF.0 as f64;
+        self.mean * 0.5_f64.powf(halves)
+    }
+
+    /// From 0, when engines are calm, to 1.
+    pub fn level(&self, now: time::Tick) -> f64 {
+        let (low, high) = STRAIN_RANGE;
+        ((self.faded(now) - low) / (high - low)).clamp(0.0, 1.0)
+    }
+}
+
 /// What a request's tokens cost at a model, in the unit of the declared costs.
 pub fn cost(model: &route::Model, tokens: call::Tokens) -> f64 {
     (tokens.input as f64 * READ_SHARE + tokens.expected as f64) * model.cost / 1_000.0
@@ -45,8 +87,9 @@
 }
 
 /// Confidence below which a larger model is asked: where the worth that is at risk exceeds
-/// what the larger model costs.
-pub fn threshold(larger: &route::Model, priority: u8, tokens: call::Tokens) -> f64 {
-    let risk = (cost(larger, tokens) / worth(priority, tokens)).clamp(RISK.0, RISK.1);
+/// what the larger model costs at this `strain`.
+pub fn threshold(larger: &route::Model, priority: u8, tokens: call::Tokens, strain: f64) -> f64 {
+    let price = cost(larger, tokens) * (1.0 + STRAIN_PRICE * strain);
+    let risk = (price / worth(priority, tokens)).clamp(RISK.0, RISK.1);
     CONFIDENCE_EVEN + CONFIDENCE_SCALE * ((1.0 - risk) / risk).ln()
 }
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -246,11 +246,16 @@
     let load = load.map(|load| balance::Load { running: load.running, waiting: load.waiting });
     let mut state = context.state();
     let rule = state.cold_rule(&received.service, now);
+    let took = now.since(begun);
+    if received.route.kind.is_stream() && !matches!(ended, Ended::Unsent | Ended::Refused) {
+        let strain = state.strains.entry(received.service.clone()).or_default();
+        strain.note(took, received.route.target, now);
+    }
     // A refusal tells nothing of an endpoint's health.
     if !matches!(ended, Ended::Refused) {
         state.balance.judge(&target.endpoint, attempt, load, rule, now);
         if attempt != outlier::Attempt::Unreachable {
-            count(&mut state, context, received, target, attempt, now.since(begun));
+            count(&mut state, context, received, target, attempt, took);
         }
     }
 }
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -487,7 +487,7 @@
                 let larger = sizes.len().saturating_sub(1);
                 if size < larger
                     && sends < received.route.attempts
-                    && is_weak(&received, &opened.reply, &sizes[larger])
+                    && is_weak(context, &received, &opened.reply, &sizes[larger])
                     && take(context, &received)
                 {
                     log_dropped(&received, &opened.reply);
@@ -501,9 +501,16 @@
     }
 }
 
-fn is_weak(received: &Received, reply: &head::Reply, larger: &route::Model) -> bool {
+fn is_weak(
+    context: &Shared,
+    received: &Received,
+    reply: &head::Reply,
+    larger: &route::Model,
+) -> bool {
     let tokens = received.facts.tokens.unwrap_or_default();
-    let threshold = sizing::threshold(larger, received.priority(), tokens);
+    let now = context.now();
+    let strain = context.state().strains.get(&received.service).map_or(0.0, |s| s.level(now));
+    let threshold = sizing::threshold(larger, received.priority(), tokens, strain);
     reply.confidence.is_some_and(|confidence| confidence < threshold)
 }
 
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -5,7 +5,7 @@
 
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, line, peers, retry};
+use ibishill_decide::{balance, canary, line, peers, retry, sizing};
 use ibishill_state::replica;
 
 /// Time after the store's return for which endpoints that lapsed meanwhile are kept: those
@@ -57,6 +57,7 @@
     pub(crate) peers: peers::Peers,
     pub(crate) line: line::Line,
     pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
+    pub(crate) strains: BTreeMap<id::ServiceId, sizing::Strain>,
     /// Requests under way by workspace.
     pub(crate) running: BTreeMap<Option<id::WorkspaceId>, u32>,
     pub(crate) is_stopping: bool,
@@ -83,6 +84,7 @@
             peers: peers::Peers::new(own),
             line: line::Line::default(),
             allowances: BTreeMap::new(),
+            strains: BTreeMap::new(),
             running: BTreeMap::new(),
             is_stopping: false,
             open: 0,
