--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -34,6 +34,14 @@
 /// Slots that a request takes up which another daemon sent and which has not begun.
 const WAITING: f64 = 3.0;
 
+/// Share of a service's engines that the smallest model prefers; the largest prefers the
+/// others. A batch of one model takes shorter steps than a mixed one, and each engine keeps
+/// more prompts of its model.
+const SMALL_SHARE: f64 = 0.2;
+
+/// Load that a request rather meets at an engine of its model than go to another one.
+const MODEL_BONUS: f64 = 0.25;
+
 /// Requests at once for each slot of a plain service; the rest queue there for a few
 /// milliseconds.
 const PLAIN_DEPTH: f64 = 2.0;
@@ -82,6 +90,17 @@
     }
 }
 
+/// Which engines of a service a request prefers for its model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tier {
+    /// Any.
+    Any,
+    /// Those of the smallest model.
+    Small,
+    /// Those of the largest model.
+    Large,
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -99,6 +118,8 @@
     pub capacity: u64,
     /// What its prompt costs to read, in thousands of tokens at the largest model.
     pub reading: f64,
+    /// Which engines its model prefers.
+    pub tier: Tier,
     /// Spreads requests over endpoints that are alike.
     pub seed: u64,
 }
@@ -291,8 +312,18 @@
         }
         let is_open = |node: &&&Node| has_room(node, ask, now) && admits(node, cold, &rank, now);
         let open: Vec<&Node> = pool.iter().filter(is_open).copied().collect();
-        let homes = homes(&open, ask);
-        let price = |node: &Node| self.price(node, ask, &homes, now);
+        let small = smalls(&all);
+        let is_preferred = |node: &Node| match ask.tier {
+            Tier::Any => true,
+            Tier::Small => node_hash(node) >= small,
+            Tier::Large => node_hash(node) < small,
+        };
+        let preferred: Vec<&Node> = open.iter().copied().filter(|n| is_preferred(n)).collect();
+        let homes = homes(if preferred.is_empty() { &open } else { &preferred }, ask);
+        let price = |node: &Node| {
+            let away = if is_preferred(node) { 0.0 } else { MODEL_BONUS };
+            self.price(node, ask, &homes, now) + away
+        };
         let best = open.into_iter().min_by(|a, b| price(a).total_cmp(&price(b)));
         best.map_or(Choice::Full, |node| Choice::Send(node.entry.id.clone()))
     }
@@ -399,6 +430,18 @@
     }
 }
 
+fn node_hash(node: &Node) -> u64 {
+    xxh3::xxh3_64(node.entry.id.as_str().as_bytes())
+}
+
+// The least hash of the engines that the smallest model prefers.
+fn smalls(nodes: &[&Node]) -> u64 {
+    let mut hashes: Vec<u64> = nodes.iter().map(|node| node_hash(node)).collect();
+    hashes.sort_unstable_by(|a, b| b.cmp(a));
+    let count = (nodes.len() as f64 * SMALL_SHARE).round().max(1.0) as usize;
+    hashes.get(count - 1).copied().unwrap_or_default()
+}
+
 fn has_room(node: &Node, ask: &Ask<'_>, now: time::Tick) -> bool {
     let is_engine = ask.capacity > 0;
     let depth = if is_engine { ENGINE_DEPTH } else { PLAIN_DEPTH };
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -276,6 +276,7 @@
         tokens: received.memory(),
         capacity,
         reading,
+        tier: tier(received, model),
         seed: xxh3::xxh3_64(received.facts.id.as_bytes()),
     };
     state.recent.note(session, now);
@@ -325,6 +326,16 @@
     tokens * pace.clamp(0.1, 1.0)
 }
 
+fn tier(received: &Received, model: Option<&id::ModelId>) -> balance::Tier {
+    let sizes = &received.route.sizes;
+    match model {
+        Some(_) if sizes.len() < 2 => balance::Tier::Any,
+        Some(model) if sizes.first() == Some(model) => balance::Tier::Small,
+        Some(model) if sizes.last() == Some(model) => balance::Tier::Large,
+        _ => balance::Tier::Any,
+    }
+}
+
 // Waits until an endpoint has room, in the order of the line.
 async fn find_room(
     context: &Shared,
