--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -0,0 +1,247 @@
+use std::collections::BTreeMap;
+
+use ibishill_core::{fleet, id, time};
+use ibishill_decide::{balance, outlier};
+
+const SLOTS: u32 = 12;
+const CALM: balance::ColdRule =
+    balance::ColdRule { span: time::Millis(3_000), declared: 10.0, is_stale: false };
+
+fn entry(name: &str, zone: &str) -> fleet::Entry {
+    fleet::Entry {
+        id: name.parse().unwrap(),
+        service: "pool".parse().unwrap(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        slots: SLOTS,
+        standing: fleet::Standing::Ready,
+        cold: time::Millis(0),
+        born: Some(1),
+    }
+}
+
+fn pool(count: usize) -> balance::Balance {
+    let mut pool = balance::Balance::new("a".parse().unwrap());
+    for at in 0..count {
+        pool.register(entry(&format!("e{at}"), "a"), time::Tick(0));
+    }
+    pool
+}
+
+fn ask<'a>(service: &'a id::ServiceId, avoid: &'a [id::EndpointId]) -> balance::Ask<'a> {
+    balance::Ask {
+        service,
+        versions: balance::Versions::Any,
+        avoid,
+        shared: None,
+        tokens: 0,
+        capacity: 100_000,
+        reading: 0.0,
+        tier: balance::Tier::Any,
+        seed: 1,
+    }
+}
+
+fn first(_: &id::EndpointId) -> usize {
+    0
+}
+
+struct Case {
+    name: &'static str,
+    change: fn(&mut balance::Balance),
+    rule: balance::ColdRule,
+    expected: balance::Choice,
+}
+
+#[test]
+fn an_endpoint_gets_work_only_if_it_may_and_can() {
+    let e0 = || balance::Choice::Send("e0".parse().unwrap());
+    let cases = [
+        Case { name: "ready", change: |_| {}, rule: CALM, expected: e0() },
+        Case {
+            name: "draining",
+            change: |pool| {
+                let standing = fleet::Standing::Draining;
+                pool.register(fleet::Entry { standing, ..entry("e0", "a") }, time::Tick(1));
+            },
+            rule: CALM,
+            expected: balance::Choice::Nobody,
+        },
+        Case {
+            name: "gone",
+            change: |pool| pool.remove(&"e0".parse().unwrap()),
+            rule: CALM,
+            expected: balance::Choice::Nobody,
+        },
+        Case {
+            name: "its zone taken out",
+            change: |pool| pool.take_out("a".parse().unwrap()),
+            rule: CALM,
+            expected: balance::Choice::Nobody,
+        },
+        Case {
+            name: "full",
+            change: |pool| {
+                for _ in 0..SLOTS {
+                    let work = balance::Work::default();
+                    pool.begin(&"e0".parse().unwrap(), work, CALM, 0, time::Tick(1));
+                }
+            },
+            rule: CALM,
+            expected: balance::Choice::Full,
+        },
+        Case {
+            name: "cold, and this daemon sent there just now",
+            change: |pool| {
+                let cold = time::Millis(3_000);
+                pool.register(fleet::Entry { cold, ..entry("e0", "a") }, time::Tick(900));
+                let work = balance::Work::default();
+                pool.begin(&"e0".parse().unwrap(), work, CALM, 0, time::Tick(900));
+            },
+            rule: CALM,
+            expected: balance::Choice::Full,
+        },
+        Case {
+            name: "not known to be warm after a suspension",
+            change: |pool| {
+                let work = balance::Work::default();
+                pool.begin(&"e0".parse().unwrap(), work, CALM, 0, time::Tick(900));
+            },
+            rule: balance::ColdRule { is_stale: true, ..CALM },
+            expected: balance::Choice::Full,
+        },
+    ];
+    let service = "pool".parse().unwrap();
+    for case in cases {
+        let mut pool = pool(1);
+        (case.change)(&mut pool);
+        let found = pool.pick(&ask(&service, &[]), case.rule, first, time::Tick(1_000));
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+// Requests that daemons admit to one cold endpoint in any second.
+#[test]
+fn a_cold_endpoint_gets_no_more_than_it_bears_from_all_daemons() {
+    struct Load {
+        daemons: usize,
+        declared: f64,
+    }
+    let loads = [
+        Load { daemons: 1, declared: 13.0 },
+        Load { daemons: 6, declared: 13.0 },
+        Load { daemons: 10, declared: 24.0 },
+        Load { daemons: 83, declared: 13.0 },
+    ];
+    let service = "pool".parse().unwrap();
+    let id: id::EndpointId = "e0".parse().unwrap();
+    for load in loads {
+        let rule = balance::ColdRule { declared: load.declared, ..CALM };
+        let cold = time::Millis(60_000);
+        let mut daemons: Vec<_> = (0..load.daemons).map(|_| pool(1)).collect();
+        for daemon in &mut daemons {
+            daemon.register(fleet::Entry { cold, ..entry("e0", "a") }, time::Tick(0));
+        }
+        let mut admitted = Vec::new();
+        for now in (0..5_000).step_by(10) {
+            for (rank, daemon) in daemons.iter_mut().enumerate() {
+                let now = time::Tick(now);
+                let choice = daemon.pick(&ask(&service, &[]), rule, |_| rank, now);
+                if choice != balance::Choice::Full {
+                    daemon.begin(&id, balance::Work::default(), rule, rank, now);
+                    daemon.end(&id, balance::Work::default());
+                    admitted.push(now.0);
+                }
+            }
+        }
+        let most = admitted
+            .iter()
+            .map(|from| admitted.iter().filter(|at| (*from..*from + 1_000).contains(*at)).count());
+        let most = most.max().unwrap_or(0) as f64;
+        assert!(most <= load.declared * 1.5 + 5.0, "{} daemons: {most}", load.daemons);
+        assert!(most >= 1.0, "{} daemons admit nothing", load.daemons);
+    }
+}
+
+#[test]
+fn an_endpoint_that_took_no_connection_counts_as_cold_until_it_has_answered() {
+    let mut pool = pool(1);
+    let (service, id) = ("pool".parse().unwrap(), "e0".parse().unwrap());
+    let now = time::Tick(1_000);
+    pool.begin(&id, balance::Work::default(), CALM, 0, now);
+    pool.end(&id, balance::Work::default());
+    pool.judge(&id, outlier::Attempt::Unreachable, None, CALM, now);
+    let soon = time::Tick(1_010);
+    let choice = pool.pick(&ask(&service, &[]), CALM, first, soon);
+    assert_eq!(choice, balance::Choice::Full);
+    pool.judge(&id, outlier::Attempt::Good, None, CALM, soon);
+    let choice = pool.pick(&ask(&service, &[]), CALM, first, time::Tick(1_020));
+    assert_eq!(choice, balance::Choice::Full, "it may have restarted");
+    let later = time::Tick(soon.0 + CALM.span.0 + 1);
+    let choice = pool.pick(&ask(&service, &[]), CALM, first, later);
+    assert_eq!(choice, balance::Choice::Send(id));
+}
+
+// A burst of long prompts over engines that all look idle.
+#[test]
+fn a_burst_spreads_over_engines_by_what_their_prompts_cost_to_read() {
+    let mut pool = pool(4);
+    let service = "pool".parse().unwrap();
+    let mut counts: BTreeMap<id::EndpointId, u32> = BTreeMap::new();
+    for seed in 0..16 {
+        let reading = 12.0;
+        let ask = balance::Ask { reading, seed, ..ask(&service, &[]) };
+        let choice = pool.pick(&ask, CALM, first, time::Tick(1_000));
+        let balance::Choice::Send(id) = choice else { panic!("no room for request {seed}") };
+        let work = balance::Work { tokens: 12_000, reading };
+        pool.begin(&id, work, CALM, 0, time::Tick(1_000));
+        *counts.entry(id).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count == 4), "{counts:?}");
+}
+
+#[test]
+fn requests_with_a_shared_prompt_meet_at_few_endpoints() {
+    let pool = pool(8);
+    let service = "pool".parse().unwrap();
+    let mut found = std::collections::BTreeSet::new();
+    for seed in 0..32 {
+        let shared = Some((77, 5_000));
+        let ask = balance::Ask { shared, seed, ..ask(&service, &[]) };
+        found.insert(format!("{:?}", pool.pick(&ask, CALM, first, time::Tick(1_000))));
+    }
+    assert!(found.len() <= 2, "{found:?}");
+}
+
+#[test]
+fn models_keep_apart_while_their_engines_have_room() {
+    let pool = pool(10);
+    let service = "pool".parse().unwrap();
+    let chosen = |tier| {
+        let pick = |seed| {
+            let ask = balance::Ask { tier, seed, ..ask(&service, &[]) };
+            format!("{:?}", pool.pick(&ask, CALM, first, time::Tick(1_000)))
+        };
+        (0..64).map(pick).collect::<std::collections::BTreeSet<_>>()
+    };
+    let (small, large) = (chosen(balance::Tier::Small), chosen(balance::Tier::Large));
+    assert!(small.is_disjoint(&large), "{small:?} {large:?}");
+    assert_eq!(small.len(), 2);
+}
+
+#[test]
+fn work_stays_in_the_zone_only_while_it_has_room() {
+    let mut pool = balance::Balance::new("a".parse().unwrap());
+    pool.register(entry("near", "a"), time::Tick(0));
+    pool.register(entry("far", "b"), time::Tick(0));
+    let service = "pool".parse().unwrap();
+    let near: id::EndpointId = "near".parse().unwrap();
+    let choose =
+        |pool: &balance::Balance| pool.pick(&ask(&service, &[]), CALM, first, time::Tick(1_000));
+    assert_eq!(choose(&pool), balance::Choice::Send(near.clone()));
+    for _ in 0..4 {
+        pool.begin(&near, balance::Work::default(), CALM, 0, time::Tick(1_000));
+    }
+    assert_eq!(choose(&pool), balance::Choice::Send("far".parse().unwrap()));
+}
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -0,0 +1,9 @@
+//! Decisions of the relay, each played against the load that it answers.
+
+mod balance;
+mod canary;
+mod line;
+mod peers;
+mod retry;
+mod routing;
+mod sizing;
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/peers.rs
@@ -0,0 +1,63 @@
+use ibishill_core::time;
+use ibishill_decide::peers;
+
+fn member(name: &str, start: u64, beat: u64) -> peers::Member {
+    peers::Member {
+        vm: name.parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        start,
+        beat,
+        is_ready: true,
+    }
+}
+
+fn all(count: usize) -> Vec<peers::Peers> {
+    let names: Vec<String> = (0..count).map(|at| format!("vm{at}")).collect();
+    let view = |own: &String| {
+        let mut view = peers::Peers::new(member(own, 1, 1));
+        for name in &names {
+            view.hear(member(name, 1, 1), time::Tick(0));
+        }
+        view
+    };
+    names.iter().map(view).collect()
+}
+
+#[test]
+fn daemons_that_know_the_same_peers_agree_on_who_does_a_duty() {
+    for duty in ["read", "judge", "e0", "e1"] {
+        let mut ranks: Vec<_> = all(9).iter().map(|view| view.rank(duty, time::Tick(0))).collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, (0..9).collect::<Vec<_>>(), "{duty}");
+        for view in all(9) {
+            let is_first = view.first(duty, 2, time::Tick(0)).contains(&view.own());
+            assert_eq!(is_first, view.rank(duty, time::Tick(0)) < 2);
+        }
+    }
+}
+
+#[test]
+fn the_next_daemon_takes_over_from_a_silent_one() {
+    let later = time::Tick(peers::SILENCE.0 + 1);
+    for mut view in all(3) {
+        for name in ["vm0", "vm1"] {
+            view.hear(member(name, 1, 2), later);
+        }
+        let alive: Vec<_> = view.alive(later).iter().map(|m| m.vm.to_string()).collect();
+        let own = view.own().vm.to_string();
+        assert_eq!(alive.contains(&"vm2".to_owned()), own == "vm2", "{own}");
+        assert_eq!(view.known_rank("e0"), view.rank("e0", time::Tick(0)), "{own}");
+    }
+}
+
+#[test]
+fn an_old_process_is_not_heard_after_a_new_one() {
+    let mut view = peers::Peers::new(member("own", 1, 1));
+    view.hear(member("vm", 2, 1), time::Tick(0));
+    view.hear(member("vm", 1, 99), time::Tick(5_000));
+    let later = time::Tick(peers::SILENCE.0);
+    assert_eq!(view.alive(later).len(), 1);
+    view.hear(member("vm", 2, 2), later);
+    assert_eq!(view.alive(later).len(), 2);
+}
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/routing.rs
@@ -0,0 +1,92 @@
+use std::collections::BTreeMap;
+
+use ibishill_core::{route, time};
+use ibishill_decide::routing;
+
+fn route(name: &str, prefix: &str, is_public: bool) -> route::Route {
+    let share = |service: &str, weight| route::Share { service: service.parse().unwrap(), weight };
+    route::Route {
+        name: name.parse().unwrap(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        kind: route::Kind::Safe,
+        timeout: time::Millis(1_000),
+        target: time::Millis(100),
+        pause: None,
+        priority: 0,
+        sizes: Vec::new(),
+        shares: vec![share("old", 90), share("new", 10)],
+        attempts: 2,
+        is_public,
+    }
+}
+
+fn catalog() -> route::Catalog {
+    route::Catalog {
+        version: 1,
+        routes: vec![
+            route("short", "/a/", false),
+            route("long", "/a/b/", false),
+            route("open", "/p/", true),
+        ],
+        services: BTreeMap::new(),
+        limits: route::Limits { head: 1, body: 1, wait: time::Millis(1), idle: time::Millis(1) },
+        spaces: vec![route::Workspace { name: "shop".parse().unwrap(), priority: None }],
+        keys: BTreeMap::from([("key".to_owned(), 0)]),
+    }
+}
+
+struct Case {
+    host: &'static str,
+    path: &'static str,
+    key: Option<&'static str>,
+    expected: Option<(&'static str, Result<Option<&'static str>, ()>)>,
+}
+
+#[test]
+fn host_longest_prefix_and_key_decide() {
+    let shop = Ok(Some("shop"));
+    let cases = [
+        Case {
+            host: "shop.example",
+            path: "/a/x",
+            key: Some("key"),
+            expected: Some(("short", shop)),
+        },
+        Case {
+            host: "SHOP.example:80",
+            path: "/a/b/x",
+            key: Some("key"),
+            expected: Some(("long", shop)),
+        },
+        Case { host: "shop.example", path: "/a/b/", key: None, expected: Some(("long", Err(()))) },
+        Case {
+            host: "shop.example",
+            path: "/a/",
+            key: Some("lost"),
+            expected: Some(("short", Err(()))),
+        },
+        Case { host: "shop.example", path: "/p/x", key: None, expected: Some(("open", Ok(None))) },
+        Case { host: "shop.example", path: "/a", key: Some("key"), expected: None },
+        Case { host: "else.example", path: "/a/x", key: Some("key"), expected: None },
+    ];
+    let catalog = catalog();
+    for case in cases {
+        let found = routing::find(&catalog, case.host, case.path).map(|route| {
+            let space = routing::workspace(&catalog, route, case.key);
+            (route.name.as_str(), space.map(|s| s.map(|s| s.name.as_str())).map_err(|_| ()))
+        });
+        assert_eq!(found, case.expected, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn requests_are_split_by_weight_and_repeats_go_the_same_way() {
+    let route = route("split", "/a/", false);
+    let of = |at: u32| routing::share(&route, &at.to_le_bytes()).unwrap().as_str();
+    let count = (0..10_000).filter(|at| of(*at) == "new").count();
+    assert!((850..1_150).contains(&count), "{count}");
+    assert!((0..100).all(|at| of(at) == of(at)));
+    let none = route::Route { shares: Vec::new(), ..route.clone() };
+    assert_eq!(routing::share(&none, b"x"), None);
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -112,6 +112,8 @@
     Refused,
     /// It may have run.
     Unknown,
+    /// It gave no answer until the request's time was over.
+    Late,
     /// It fell silent, and the right to another attempt is taken.
     Hung,
     /// The endpoint's whole answer.
@@ -164,7 +166,7 @@
             let left = received.left(context.now());
             match clock::timeout(Duration::from_millis(left.0), work.as_mut()).await {
                 Ok(found) => found,
-                Err(_) => (Ended::Unknown, format!("no answer within {left}")),
+                Err(_) => (Ended::Late, format!("no answer within {left}")),
             }
         }
     };
@@ -234,7 +236,7 @@
     let now = context.now();
     let attempt = match ended {
         Ended::Unsent => outlier::Attempt::Unreachable,
-        Ended::Unknown | Ended::Hung => outlier::Attempt::Failed,
+        Ended::Unknown | Ended::Late | Ended::Hung => outlier::Attempt::Failed,
         Ended::Answer(answer) if is_failure(answer.status()) => outlier::Attempt::Failed,
         Ended::Refused | Ended::Answer(_) | Ended::Stream(_) => outlier::Attempt::Good,
     };
@@ -317,6 +319,7 @@
         Ended::Unsent => "unsent".to_owned(),
         Ended::Refused => "refused".to_owned(),
         Ended::Unknown => "unknown".to_owned(),
+        Ended::Late => "late".to_owned(),
         Ended::Hung => "hung".to_owned(),
         Ended::Answer(answer) => answer.status().as_u16().to_string(),
         Ended::Stream(opened) => {
--- a/crates/ibishill-relay/src/duty.rs
+++ b/crates/ibishill-relay/src/duty.rs
@@ -53,6 +53,12 @@
                         &[event::field("service", &service), event::field("detail", &detail)],
                     );
                     clock::sleep(PAUSE).await;
+                    // The write may have been done although its answer is lost.
+                    match read_back(&context, &service, &to, progress).await {
+                        Ok(Outcome::Done) => known.is_done = true,
+                        Ok(Outcome::Retry(version)) => known.version = version,
+                        Err(_) => {}
+                    }
                 }
             }
         }
@@ -126,21 +132,47 @@
     let answer = answer.map_err(|error| error.to_string())?;
     match store::decode_written(answer.status(), answer.body()) {
         Ok(store::Written::Done(_)) => Ok(Outcome::Done),
-        Ok(store::Written::Conflict(rows)) => {
-            let Some(found) = rows.first() else { return Ok(Outcome::Retry(0)) };
-            let status = found.value.as_ref().map(|value| row::decode_status(value));
-            match status {
-                Some(Ok((at, state))) if at == *to && is_final(state) => {
-                    if let Some(canary) = context.state().canaries.get_mut(service) {
-                        canary.decided(state);
-                    }
-                    Ok(Outcome::Done)
-                }
-                Some(Ok((at, state))) if at == *to && state == progress => Ok(Outcome::Done),
-                _ => Ok(Outcome::Retry(found.version)),
+        Ok(store::Written::Conflict(rows)) => Ok(rows
+            .first()
+            .map_or(Outcome::Retry(0), |row| compare(context, service, to, progress, row))),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+async fn read_back(
+    context: &Shared,
+    service: &id::ServiceId,
+    to: &id::VersionId,
+    progress: fleet::Progress,
+) -> Result<Outcome, String> {
+    let address = context.state().place.store;
+    let request = store::read(&address.to_string(), row::STATUS, None);
+    let answer = upstream::exchange(address, request, LIMIT).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    let rows = store::decode_rows(answer.status(), answer.body());
+    let rows = rows.map_err(|error| error.to_string())?.rows;
+    let key = row::status_key(service);
+    let found = rows.iter().find(|row| row.key == key);
+    Ok(found.map_or(Outcome::Retry(0), |row| compare(context, service, to, progress, row)))
+}
+
+// Whether the row that is there says what is to be written, or an end, which stands.
+fn compare(
+    context: &Shared,
+    service: &id::ServiceId,
+    to: &id::VersionId,
+    progress: fleet::Progress,
+    found: &fleet::Record,
+) -> Outcome {
+    match found.value.as_ref().map(|value| row::decode_status(value)) {
+        Some(Ok((at, state))) if at == *to && is_final(state) => {
+            if let Some(canary) = context.state().canaries.get_mut(service) {
+                canary.decided(state);
             }
+            Outcome::Done
         }
-        Err(error) => Err(error.to_string()),
+        Some(Ok((at, state))) if at == *to && state == progress => Outcome::Done,
+        _ => Outcome::Retry(found.version),
     }
 }
 
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -468,6 +468,7 @@
                 }
                 return give_up(last, may_have_run, Own::Refused);
             }
+            Ended::Late => return Err(Own::Late),
             Ended::Hung => {
                 sends += 1;
                 may_have_run = true;
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -197,7 +197,7 @@
                     return Some(*opened);
                 }
                 Ended::Unsent => why = "no connection to the next endpoint".into(),
-                Ended::Refused | Ended::Unknown | Ended::Hung | Ended::Answer(_) => {
+                Ended::Refused | Ended::Unknown | Ended::Late | Ended::Hung | Ended::Answer(_) => {
                     self.sends += 1;
                     why = "the next endpoint failed".into();
                 }
--- /dev/null
+++ b/crates/ibishill-state/tests/replica.rs
@@ -0,0 +1,120 @@
+//! Rows spread from the store and from peers without ever going back.
+
+use bytes::Bytes;
+use ibishill_core::fleet;
+use ibishill_state::replica;
+
+fn row(key: &str, version: u64, value: Option<&'static str>) -> fleet::Record {
+    fleet::Record { key: key.into(), version, value: value.map(Bytes::from) }
+}
+
+fn delta(is_whole: bool, version: u64, rows: Vec<fleet::Record>) -> replica::Delta {
+    replica::Delta { is_whole, version, rows }
+}
+
+fn keys(table: &replica::Table) -> Vec<String> {
+    table.rows().map(|row| format!("{}@{}", row.key, row.version)).collect()
+}
+
+struct Case {
+    name: &'static str,
+    deltas: Vec<replica::Delta>,
+    expected: &'static [&'static str],
+    version: u64,
+}
+
+#[test]
+fn news_only_go_forward() {
+    let cases = [
+        Case { name: "empty", deltas: vec![delta(true, 0, vec![])], expected: &[], version: 0 },
+        Case {
+            name: "the first row of an empty store",
+            deltas: vec![delta(true, 0, vec![]), delta(false, 1, vec![row("a", 1, Some("x"))])],
+            expected: &["a@1"],
+            version: 1,
+        },
+        Case {
+            name: "an older delta comes late",
+            deltas: vec![
+                delta(true, 5, vec![row("a", 5, Some("new"))]),
+                delta(false, 3, vec![row("a", 3, Some("old"))]),
+            ],
+            expected: &["a@5"],
+            version: 5,
+        },
+        Case {
+            name: "a removal",
+            deltas: vec![
+                delta(true, 5, vec![row("a", 4, Some("x")), row("b", 5, Some("x"))]),
+                delta(false, 6, vec![row("a", 6, None)]),
+            ],
+            expected: &["b@5"],
+            version: 6,
+        },
+        Case {
+            name: "a whole read after history was dropped",
+            deltas: vec![
+                delta(true, 5, vec![row("a", 4, Some("x")), row("b", 5, Some("x"))]),
+                delta(true, 9, vec![row("b", 5, Some("x")), row("c", 9, Some("x"))]),
+            ],
+            expected: &["b@5", "c@9"],
+            version: 9,
+        },
+        Case {
+            name: "an older whole read comes late",
+            deltas: vec![
+                delta(true, 9, vec![row("b", 9, Some("x"))]),
+                delta(true, 5, vec![row("a", 4, Some("x"))]),
+            ],
+            expected: &["b@9"],
+            version: 9,
+        },
+    ];
+    for case in cases {
+        let mut table = replica::Table::default();
+        assert!(!table.is_known());
+        for delta in case.deltas {
+            table.merge(delta);
+        }
+        assert!(table.is_known());
+        assert_eq!(keys(&table), case.expected, "{}", case.name);
+        assert_eq!(table.version(), case.version, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_peer_that_lacks_rows_or_removals_catches_up() {
+    let mut source = replica::Table::default();
+    source.merge(delta(true, 3, vec![row("a", 1, Some("x")), row("b", 3, Some("x"))]));
+    let mut peer = replica::Table::default();
+    peer.merge(source.since(0).unwrap());
+    source.merge(delta(false, 5, vec![row("a", 4, None), row("c", 5, Some("x"))]));
+    let news = source.since(peer.version()).unwrap();
+    assert!(!news.is_whole);
+    let changed = peer.merge(news);
+    assert_eq!(changed.len(), 2);
+    assert_eq!(keys(&peer), keys(&source));
+    assert_eq!(source.since(peer.version()), None);
+}
+
+#[test]
+fn a_peer_that_lacks_more_removals_than_are_kept_gets_the_whole_table() {
+    let mut source = replica::Table::default();
+    source.merge(delta(true, 1, vec![row("kept", 1, Some("x"))]));
+    let mut peer = source.clone();
+    let mut version = 1;
+    for at in 0..2_000 {
+        let key = format!("gone{at:04}");
+        version += 2;
+        source.merge(delta(false, version - 1, vec![row(&key, version - 1, Some("x"))]));
+        source.merge(delta(false, version, vec![row(&key, version, None)]));
+        if at == 3 {
+            peer = source.clone();
+        }
+    }
+    let news = source.since(peer.version()).unwrap();
+    assert!(news.is_whole);
+    assert!(news.rows.len() < 10);
+    peer.merge(news);
+    assert_eq!(keys(&peer), ["kept@1"]);
+}
