perf(relay): daemons tell each other what they have under way

Ruled out: comparing all endpoints by shared loads (all daemons would choose the same one); a sample of eight is compared, homes of the prompt first.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use ibishill_core::{fleet, id, time};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
 use crate::{outlier, rate};
@@ -55,6 +56,19 @@
 /// Endpoints that a shared prompt prefers, so that one of them may fail or fill.
 const HOMES: usize = 2;
 
+/// Endpoints that a request compares, besides those that know its prompt. Many daemons know
+/// the same loads; if all of them compared all endpoints, all would choose the same one.
+const COMPARED: usize = 6;
+
+/// Endpoints up to which all are compared.
+const COMPARED_ALL: usize = 12;
+
+/// Age from which on a peer's report of its work no longer counts.
+pub const REPORT_MAX: time::Millis = time::Millis(1_600);
+
+/// Steps of a thousand tokens at the largest model in which reports tell what is to be read.
+const READING_STEPS: f64 = 4.0;
+
 /// Daemons that share the admissions of one cold endpoint.
 pub const COLD_SHARERS: usize = 6;
 
@@ -163,6 +177,8 @@
 #[derive(Debug, Clone)]
 struct Node {
     entry: fleet::Entry,
+    // Hash of the id, by which reports name it.
+    short: u32,
     running: u32,
     tokens: u64,
     // Own requests that have not begun, and what their prompts cost to read.
@@ -183,22 +199,31 @@
         let left = (1.0 - age).max(0.0);
         (heard.others * left, heard.waiting * left)
     }
+}
 
-    // Requests for each slot.
-    fn load(&self, now: time::Tick) -> f64 {
-        (f64::from(self.running) + self.heard(now).0) / f64::from(self.entry.slots.max(1))
-    }
+/// What one daemon has under way at an endpoint, as it tells its peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Hash of the endpoint's id.
+    pub endpoint: u32,
+    /// Requests.
+    pub running: u8,
+    /// What is still to be read, in quarters of a thousand tokens at the largest model.
+    pub reading: u8,
+}
 
-    // Load with what prompts that are not read yet add to it.
-    fn pressure(&self, now: time::Tick) -> f64 {
-        let reading = self.reading * READING + self.heard(now).1 * (WAITING - 1.0);
-        self.load(now) + reading / f64::from(self.entry.slots.max(1))
-    }
+#[derive(Debug, Clone)]
+struct Report {
+    at: time::Tick,
+    shares: Vec<Share>,
 }
 
 /// The endpoints that are known.
 #[derive(Debug, Clone)]
 pub struct Balance {
+    reports: BTreeMap<id::VmId, Report>,
+    // Sums of the reports by hash of the endpoint: requests, and what is to be read.
+    reported: BTreeMap<u32, (f64, f64)>,
     zone: id::ZoneId,
     nodes: BTreeMap<id::EndpointId, Node>,
     zones_out: BTreeMap<id::ZoneId, ()>,
@@ -218,7 +243,82 @@
 impl Balance {
     /// Starts without endpoints, for a daemon in `zone`.
     pub const fn new(zone: id::ZoneId) -> Self {
-        Self { zone, nodes: BTreeMap::new(), zones_out: BTreeMap::new() }
+        Self {
+            reports: BTreeMap::new(),
+            reported: BTreeMap::new(),
+            zone,
+            nodes: BTreeMap::new(),
+            zones_out: BTreeMap::new(),
+        }
+    }
+
+    /// What this daemon has under way, for its peers.
+    pub fn shares(&self) -> Vec<Share> {
+        let busy = self.nodes.iter().filter(|(_, node)| node.running > 0);
+        let share = |(id, node): (&id::EndpointId, &Node)| Share {
+            endpoint: short(id),
+            running: u8::try_from(node.running).unwrap_or(u8::MAX),
+            reading: (node.reading * READING_STEPS).round().min(f64::from(u8::MAX)) as u8,
+        };
+        busy.map(share).collect()
+    }
+
+    /// Takes in what a peer has under way.
+    pub fn report(&mut self, vm: &id::VmId, shares: Vec<Share>, now: time::Tick) {
+        let before = self.reports.insert(vm.clone(), Report { at: now, shares: shares.clone() });
+        if let Some(before) = before {
+            self.sum(&before.shares, -1.0);
+        }
+        self.sum(&shares, 1.0);
+    }
+
+    /// Forgets reports of peers that have fallen silent.
+    pub fn expire(&mut self, now: time::Tick) {
+        let is_old = |report: &Report| now.since(report.at) > REPORT_MAX;
+        let old: Vec<id::VmId> = self
+            .reports
+            .iter()
+            .filter(|(_, report)| is_old(report))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in old {
+            if let Some(report) = self.reports.remove(&vm) {
+                self.sum(&report.shares, -1.0);
+            }
+        }
+        if self.reports.is_empty() {
+            self.reported.clear();
+        }
+    }
+
+    fn sum(&mut self, shares: &[Share], sign: f64) {
+        for share in shares {
+            let sums = self.reported.entry(share.endpoint).or_default();
+            sums.0 += sign * f64::from(share.running);
+            sums.1 += sign * f64::from(share.reading) / READING_STEPS;
+            if sums.0 <= 0.0 {
+                self.reported.remove(&share.endpoint);
+            }
+        }
+    }
+
+    // Requests that others have under way at an endpoint, and what they have to read there.
+    fn others(&self, node: &Node, now: time::Tick) -> (f64, f64) {
+        let (held, waiting) = node.heard(now);
+        let (running, reading) = self.reported.get(&node.short).copied().unwrap_or_default();
+        (held.max(running), reading.max(waiting * (WAITING - 1.0) / READING))
+    }
+
+    // Requests for each slot.
+    fn load(&self, node: &Node, now: time::Tick) -> f64 {
+        let all = f64::from(node.running) + self.others(node, now).0;
+        all / f64::from(node.entry.slots.max(1))
+    }
+
+    // Load with what prompts that are not read yet add to it.
+    fn pressure(&self, node: &Node, now: time::Tick) -> f64 {
+        let reading = (node.reading + self.others(node, now).1) * READING;
+        self.load(node, now) + reading / f64::from(node.entry.slots.max(1))
     }
 
     /// Takes in what an endpoint says of itself.
@@ -231,6 +331,7 @@
             }
             _ => {
                 let node = Node {
+                    short: short(&entry.id),
                     entry: entry.clone(),
                     running: 0,
                     tokens: 0,
@@ -310,7 +411,8 @@
         if pool.is_empty() {
             return Choice::Nobody;
         }
-        let is_open = |node: &&&Node| has_room(node, ask, now) && admits(node, cold, &rank, now);
+        let is_open =
+            |node: &&&Node| self.has_room(node, ask, now) && admits(node, cold, &rank, now);
         let open: Vec<&Node> = pool.iter().filter(is_open).copied().collect();
         let small = smalls(&all);
         let is_preferred = |node: &Node| match ask.tier {
@@ -324,13 +426,22 @@
             let away = if is_preferred(node) { 0.0 } else { MODEL_BONUS };
             self.price(node, ask, &homes, now) + away
         };
-        let best = open.into_iter().min_by(|a, b| price(a).total_cmp(&price(b)));
+        let is_home = |node: &Node| {
+            ask.shared.is_some_and(|(part, _)| homes.contains(&home(part, &node.entry.id)))
+        };
+        // The sample is drawn from the preferred engines first.
+        let mut compared = if preferred.len() > COMPARED { preferred } else { open };
+        if compared.len() > COMPARED_ALL {
+            compared.sort_by_key(|node| (!is_home(node), spread(node, ask)));
+            compared.truncate(COMPARED + HOMES);
+        }
+        let best = compared.into_iter().min_by(|a, b| price(a).total_cmp(&price(b)));
         best.map_or(Choice::Full, |node| Choice::Send(node.entry.id.clone()))
     }
 
     fn price(&self, node: &Node, ask: &Ask<'_>, homes: &[u64], now: time::Tick) -> f64 {
         let is_engine = ask.capacity > 0;
-        let mut price = if is_engine { node.pressure(now) } else { node.load(now) };
+        let mut price = if is_engine { self.pressure(node, now) } else { self.load(node, now) };
         if node.entry.zone == self.zone {
             price -= NEAR_BONUS;
         }
@@ -339,8 +450,17 @@
         {
             price -= (tokens as f64 / 1_000.0 * READ_BONUS).min(READ_BONUS_MAX);
         }
-        let spread = xxh3::xxh3_64_with_seed(node.entry.id.as_str().as_bytes(), ask.seed);
-        price + SPREAD * (spread as f64 / u64::MAX as f64)
+        price + SPREAD * (spread(node, ask) as f64 / u64::MAX as f64)
+    }
+
+    fn has_room(&self, node: &Node, ask: &Ask<'_>, now: time::Tick) -> bool {
+        let is_engine = ask.capacity > 0;
+        let depth = if is_engine { ENGINE_DEPTH } else { PLAIN_DEPTH };
+        if self.load(node, now) >= depth {
+            return false;
+        }
+        let is_free = node.running == 0 || !is_engine;
+        is_free || (node.tokens + ask.tokens) as f64 <= ask.capacity as f64 * MEMORY_SHARE
     }
 
     /// Notes that a request is sent.
@@ -423,7 +543,7 @@
         let nodes = self.nodes.values().filter(|node| node.entry.service == *service);
         let (mut load, mut count) = (0.0, 0.0);
         for node in nodes.filter(|node| self.is_in_service(node)) {
-            load += node.load(now);
+            load += self.load(node, now);
             count += 1.0;
         }
         load / f64::max(count, 1.0)
@@ -442,16 +562,6 @@
     hashes.get(count - 1).copied().unwrap_or_default()
 }
 
-fn has_room(node: &Node, ask: &Ask<'_>, now: time::Tick) -> bool {
-    let is_engine = ask.capacity > 0;
-    let depth = if is_engine { ENGINE_DEPTH } else { PLAIN_DEPTH };
-    if node.load(now) >= depth {
-        return false;
-    }
-    let held = node.running == 0 || !is_engine;
-    held || (node.tokens + ask.tokens) as f64 <= ask.capacity as f64 * MEMORY_SHARE
-}
-
 fn admits<R>(node: &Node, cold: ColdRule, rank: &R, now: time::Tick) -> bool
 where
     R: Fn(&id::EndpointId) -> usize,
@@ -463,6 +573,14 @@
     node.admitted.has(cold_rate(cold.declared, rank(&node.entry.id)), now)
 }
 
+fn spread(node: &Node, ask: &Ask<'_>) -> u64 {
+    xxh3::xxh3_64_with_seed(node.entry.id.as_str().as_bytes(), ask.seed)
+}
+
+fn short(id: &id::EndpointId) -> u32 {
+    xxh3::xxh3_64(id.as_str().as_bytes()) as u32
+}
+
 fn home(part: u64, id: &id::EndpointId) -> u64 {
     xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), part)
 }
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod gossip;
 mod journal;
+mod loads;
 mod path;
 mod serve;
 mod state;
--- /dev/null
+++ b/crates/ibishill-relay/src/loads.rs
@@ -0,0 +1,98 @@
+//! What each relay has under way, told to its peers in small datagrams.
+//!
+//! With many endpoints a relay meets each of them rarely, and answers tell it little of the
+//! load that others cause there. A lost datagram is replaced by the next one.
+
+use std::time::Duration;
+
+use ibishill_core::{event, id};
+use ibishill_decide::balance;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time as clock;
+use xxhash_rust::xxh3;
+
+use crate::context::Shared;
+
+/// Time between two reports: answers take about a second.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Peers that are told in a period; with 100 bytes for each this is 13 KB a second. In larger
+/// deployments each period tells others.
+const TOLD: usize = 64;
+
+/// Largest datagram, in bytes: it fits into one packet.
+const DATAGRAM_MAX: usize = 1_400;
+
+/// Work under way that one datagram tells of, the largest first.
+const SHARES_MAX: usize = 160;
+
+#[derive(Serialize, Deserialize)]
+struct Datagram {
+    vm: id::VmId,
+    shares: Vec<balance::Share>,
+}
+
+/// Tells and hears loads.
+pub(crate) async fn run(context: Shared, socket: UdpSocket) {
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    let mut ticks = clock::interval(PERIOD);
+    ticks.set_missed_tick_behavior(clock::MissedTickBehavior::Delay);
+    let mut round = 0;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                round += 1;
+                tell(&context, &socket, round).await;
+            }
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => hear(&context, &buffer[..length], from),
+                // A peer that is gone may answer with a refusal, which shows up here.
+                Err(_) => clock::sleep(Duration::from_millis(1)).await,
+            },
+        }
+    }
+}
+
+async fn tell(context: &Shared, socket: &UdpSocket, round: u64) {
+    let now = context.now();
+    let (datagram, mut peers) = {
+        let state = context.state();
+        let mut shares = state.balance.shares();
+        shares.sort_by_key(|share| std::cmp::Reverse(share.running));
+        shares.truncate(SHARES_MAX);
+        let alive = state.peers.alive(now);
+        let peers: Vec<_> = alive.iter().skip(1).map(|member| member.address).collect();
+        (Datagram { vm: state.place.vm.clone(), shares }, peers)
+    };
+    if peers.len() > TOLD {
+        peers.sort_by_key(|peer| xxh3::xxh3_64_with_seed(peer.to_string().as_bytes(), round));
+        peers.truncate(TOLD);
+    }
+    let bytes = match postcard::to_stdvec(&datagram) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            event::emit_json(event::Event::PeerRejected, &[event::field("error", &error)]);
+            return;
+        }
+    };
+    for peer in peers {
+        // A report that can't be sent now is replaced by the next one.
+        let _sent = socket.send_to(&bytes, peer).await;
+    }
+}
+
+fn hear(context: &Shared, bytes: &[u8], from: std::net::SocketAddr) {
+    match postcard::from_bytes::<Datagram>(bytes) {
+        Ok(datagram) => {
+            let now = context.now();
+            context.state().balance.report(&datagram.vm, datagram.shares, now);
+        }
+        Err(error) => {
+            event::emit_json(
+                event::Event::PeerRejected,
+                &[event::field("peer", &from), event::field("error", &error)],
+            );
+        }
+    }
+}
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -15,7 +15,7 @@
 use crate::context::{self, Shared};
 use crate::error::RelayError;
 use crate::state::{Kind, State};
-use crate::{duty, feed, gossip, journal, serve};
+use crate::{duty, feed, gossip, journal, loads, serve};
 
 /// Time between two looks at what changes by time alone.
 const TICK: time::Millis = time::Millis(200);
@@ -75,6 +75,8 @@
     let front = listen(place.front).await?;
     let ready = listen(place.ready).await?;
     let peer = listen(place.peer).await?;
+    let loads = tokio::net::UdpSocket::bind(place.peer).await;
+    let loads = loads.map_err(|source| RelayError::Listen { address: place.peer, source })?;
     let mut term = unix::signal(unix::SignalKind::terminate()).map_err(|e| setup("SIGTERM", e))?;
     let mut int = unix::signal(unix::SignalKind::interrupt()).map_err(|e| setup("SIGINT", e))?;
     let hangup = unix::signal(unix::SignalKind::hangup()).map_err(|e| setup("SIGHUP", e))?;
@@ -102,6 +104,7 @@
     }
     tokio::task::spawn_local(gossip::serve(context.clone(), peer));
     tokio::task::spawn_local(gossip::run(context.clone()));
+    tokio::task::spawn_local(loads::run(context.clone(), loads));
     tokio::task::spawn_local(duty::run(context.clone()));
     tokio::task::spawn_local(serve::readiness(context.clone(), ready));
     tokio::task::spawn_local(serve::callers(context.clone(), front));
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -278,6 +278,7 @@
             self.forget(&id, "lapsed");
         }
         self.peers.expire(now);
+        self.balance.expire(now);
     }
 
     /// The rule for cold endpoints of a service.
