--- a/crates/ibishill-decide/src/sizing.rs
+++ b/crates/ibishill-decide/src/sizing.rs
@@ -28,8 +28,8 @@
 /// model's opinion of itself is rough.
 const CONFIDENCE_SCALE: f64 = 0.085;
 
-/// Bounds of the chance of a wrong answer that is accepted.
-const RISK: (f64, f64) = (0.03, 0.9);
+/// Least chance of a wrong answer that is accepted.
+const RISK_MIN: f64 = 0.03;
 
 /// Weight of the newest first event in the mean of a service's strain.
 const STRAIN_WEIGHT: f64 = 0.12;
@@ -41,6 +41,10 @@
 /// at which a second run would make the first answer late.
 const STRAIN_RANGE: (f64, f64) = (0.15, 0.6);
 
+/// Share of the engines' places that are taken at which they are calm, and at which nothing
+/// is left for second runs.
+const TAKEN_RANGE: (f64, f64) = (0.45, 0.85);
+
 /// How much more the larger model's tokens cost when engines are strained: they take room
 /// from answers that are then late.
 const STRAIN_PRICE: f64 = 6.0;
@@ -66,10 +70,11 @@
         self.mean * 0.5_f64.powf(halves)
     }
 
-    /// From 0, when engines are calm, to 1.
-    pub fn level(&self, now: time::Tick) -> f64 {
-        let (low, high) = STRAIN_RANGE;
-        ((self.faded(now) - low) / (high - low)).clamp(0.0, 1.0)
+    /// From 0, when engines are calm, to 1; `taken` is the share of their places in use.
+    pub fn level(&self, taken: f64, now: time::Tick) -> f64 {
+        let between =
+            |value: f64, (low, high): (f64, f64)| ((value - low) / (high - low)).clamp(0.0, 1.0);
+        between(self.faded(now), STRAIN_RANGE).max(between(taken, TAKEN_RANGE))
     }
 }
 
@@ -90,6 +95,10 @@
 /// what the larger model costs at this `strain`.
 pub fn threshold(larger: &route::Model, priority: u8, tokens: call::Tokens, strain: f64) -> f64 {
     let price = cost(larger, tokens) * (1.0 + STRAIN_PRICE * strain);
-    let risk = (price / worth(priority, tokens)).clamp(RISK.0, RISK.1);
+    let risk = (price / worth(priority, tokens)).max(RISK_MIN);
+    if risk >= 1.0 {
+        // Even a surely wrong answer is not worth a second run.
+        return 0.0;
+    }
     CONFIDENCE_EVEN + CONFIDENCE_SCALE * ((1.0 - risk) / risk).ln()
 }
--- a/crates/ibishill-decide/tests/relay/sizing.rs
+++ b/crates/ibishill-decide/tests/relay/sizing.rs
@@ -22,6 +22,7 @@
         let calm = sizing::threshold(&large(), priority, tokens, 0.0);
         let strained = sizing::threshold(&large(), priority, tokens, 1.0);
         assert!(strained < calm - 0.1, "{calm} {strained}");
+        assert!(strained < 0.05, "{strained}");
     }
 }
 
@@ -30,12 +31,14 @@
     struct Case {
         name: &'static str,
         took: u64,
+        taken: f64,
         expected: std::ops::RangeInclusive<f64>,
     }
     let cases = [
-        Case { name: "calm", took: 200, expected: 0.0..=0.0 },
-        Case { name: "loaded", took: 1_200, expected: 0.2..=0.9 },
-        Case { name: "overloaded", took: 6_000, expected: 1.0..=1.0 },
+        Case { name: "calm", took: 200, taken: 0.2, expected: 0.0..=0.0 },
+        Case { name: "loaded", took: 1_200, taken: 0.2, expected: 0.2..=0.9 },
+        Case { name: "overloaded", took: 6_000, taken: 0.2, expected: 1.0..=1.0 },
+        Case { name: "quick, and all places taken", took: 200, taken: 0.9, expected: 1.0..=1.0 },
     ];
     for case in cases {
         let mut strain = sizing::Strain::default();
@@ -43,8 +46,8 @@
             let now = time::Tick(at * 50);
             strain.note(time::Millis(case.took), time::Millis(3_000), now);
         }
-        let level = strain.level(time::Tick(2_500));
+        let level = strain.level(case.taken, time::Tick(2_500));
         assert!(case.expected.contains(&level), "{}: {level}", case.name);
-        assert!(strain.level(time::Tick(20_000)) < 0.01, "{}", case.name);
+        assert!(strain.level(0.0, time::Tick(20_000)) < 0.01, "{}", case.name);
     }
 }
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -521,7 +521,12 @@
 ) -> bool {
     let tokens = received.facts.tokens.unwrap_or_default();
     let now = context.now();
-    let strain = context.state().strains.get(&received.service).map_or(0.0, |s| s.level(now));
+    let strain = {
+        let state = context.state();
+        let taken = state.balance.taken(&received.service, now);
+        let strain = state.strains.get(&received.service).copied().unwrap_or_default();
+        strain.level(taken, now)
+    };
     let threshold = sizing::threshold(larger, received.priority(), tokens, strain);
     reply.confidence.is_some_and(|confidence| confidence < threshold)
 }
