--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -186,9 +186,8 @@
     let at = if delta.is_some() { begun } else { now };
     state.confirm(kind, at);
     state.stale_until = state.stale_until.min(now);
+    let was_lost = state.regain_store(now);
     let is_news = delta.is_some_and(|delta| state.merge(kind, delta, now));
-    let was_lost = state.is_store_lost;
-    state.is_store_lost = false;
     drop(state);
     if was_lost {
         event::emit_json(event::Event::StoreRegained, &[event::field("table", &kind.table())]);
@@ -201,10 +200,9 @@
 fn lost(context: &Shared, detail: &str) {
     let now = context.now();
     let mut state = context.state();
-    state.trouble = Some(now);
-    let was_lost = std::mem::replace(&mut state.is_store_lost, true);
+    let is_news = state.lose_store(now);
     drop(state);
-    if !was_lost {
+    if is_news {
         event::emit_json(event::Event::StoreLost, &[event::field("detail", &detail)]);
     }
 }
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -69,6 +69,8 @@
     /// News of tables that the receiver lacks.
     news: Vec<(usize, replica::Delta)>,
     canaries: Vec<canary::News>,
+    /// How much longer the sender keeps endpoints that may have lapsed with the store.
+    lapse: u64,
 }
 
 /// Tells peers, in rounds and whenever there is news.
@@ -239,6 +241,7 @@
         have: Kind::ALL.iter().map(have).collect(),
         news,
         canaries,
+        lapse: state.lapse_left(now).0,
     }
 }
 
@@ -266,6 +269,9 @@
         }
     }
     let mut is_news = false;
+    if !message.news.is_empty() {
+        state.hear_lapse(time::Millis(message.lapse), now);
+    }
     for (at, delta) in message.news {
         if let Some(kind) = Kind::ALL.get(at) {
             is_news |= state.merge(*kind, delta, now);
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -12,8 +12,9 @@
 /// that live register again within about two seconds.
 const LAPSE: time::Millis = time::Millis(2_300);
 
-/// Time without trouble after which a removed row is believed at once.
-const CALM: time::Millis = time::Millis(3_000);
+/// Outage of the store from which on endpoints that live may have lapsed: they write every
+/// heartbeat, about a second apart, and lapse after three that are missed.
+const OUTAGE_MIN: time::Millis = time::Millis(2_000);
 
 /// Tables that every relay keeps a replica of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -63,11 +64,12 @@
     pub(crate) is_stopping: bool,
     /// Connections of callers.
     pub(crate) open: u32,
-    pub(crate) is_store_lost: bool,
     /// Rounds in a row in which no peer has answered.
     pub(crate) alone: u32,
-    /// When the store last refused or did not answer.
-    pub(crate) trouble: Option<time::Tick>,
+    /// Since when the store refuses or does not answer.
+    lost: Option<time::Tick>,
+    /// Until when a removed endpoint may only have lapsed with the store.
+    lapse_until: time::Tick,
     /// Until when beliefs count as too old after a suspension.
     pub(crate) stale_until: time::Tick,
     copies: BTreeMap<Kind, Copy>,
@@ -88,9 +90,9 @@
             running: BTreeMap::new(),
             is_stopping: false,
             open: 0,
-            is_store_lost: false,
             alone: 0,
-            trouble: None,
+            lost: None,
+            lapse_until: time::Tick(0),
             stale_until: time::Tick(0),
             copies: Kind::ALL.into_iter().map(|kind| (kind, Copy::default())).collect(),
             lapsed: BTreeMap::new(),
@@ -128,6 +130,34 @@
         copy.confirmed = copy.confirmed.max(Some(at));
     }
 
+    /// Notes that the store failed; returns whether that is news.
+    pub(crate) fn lose_store(&mut self, now: time::Tick) -> bool {
+        let is_news = self.lost.is_none();
+        self.lost.get_or_insert(now);
+        is_news
+    }
+
+    /// Notes that the store has answered; returns whether it had failed before.
+    pub(crate) fn regain_store(&mut self, now: time::Tick) -> bool {
+        let Some(lost) = self.lost.take() else { return false };
+        if now.since(lost) >= OUTAGE_MIN {
+            self.lapse_until = self.lapse_until.max(now + LAPSE);
+        }
+        true
+    }
+
+    /// How much longer a removed endpoint may only have lapsed with the store.
+    pub(crate) fn lapse_left(&self, now: time::Tick) -> time::Millis {
+        let is_out = self.lost.is_some_and(|lost| now.since(lost) >= OUTAGE_MIN);
+        if is_out { LAPSE } else { self.lapse_until.since(now) }
+    }
+
+    /// Takes over how long a peer keeps removed endpoints. One that keeps none knows that the
+    /// store removed them itself, so that what it tells is taken at once.
+    pub(crate) fn hear_lapse(&mut self, left: time::Millis, now: time::Tick) {
+        self.lapse_until = if left.0 > 0 { self.lapse_until.max(now + left) } else { now };
+    }
+
     /// Takes in news of a table; returns whether anything has changed.
     pub(crate) fn merge(&mut self, kind: Kind, delta: replica::Delta, now: time::Tick) -> bool {
         let copy = self.copies.entry(kind).or_default();
@@ -236,9 +266,8 @@
                     .balance
                     .entry(&id)
                     .is_some_and(|entry| entry.standing == fleet::Standing::Ready);
-                let is_calm = self.trouble.is_none_or(|at| now.since(at) > CALM);
-                if is_ready && !is_calm {
-                    self.lapsed.insert(id, now + LAPSE);
+                if is_ready && self.lapse_until > now {
+                    self.lapsed.insert(id, self.lapse_until);
                 } else {
                     self.forget(&id, "removed");
                 }
