--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -92,6 +92,8 @@
     pub grace: time::Millis,
     /// Time until an endpoint that leaves gets no new work.
     pub drain: time::Millis,
+    /// Time until a declared configuration is in force.
+    pub apply: time::Millis,
     /// Second attempts allowed for each request, all daemons together.
     pub retry_ratio: f64,
     /// Second attempts allowed beside the ratio, in one window.
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -7,6 +7,7 @@
     fleet::Bounds {
         grace: time::Millis(8_000),
         drain: time::Millis(2_000),
+        apply: time::Millis(2_000),
         retry_ratio: 0.9,
         retry_slack: 52.0,
         retry_window: time::Millis(10_000),
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod canary;
 mod line;
 mod peers;
+mod readers;
 mod retry;
 mod routing;
 mod sizing;
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/readers.rs
@@ -0,0 +1,60 @@
+use ibishill_core::time;
+use ibishill_decide::readers;
+
+/// Time between two reports, by which confirmations travel.
+const REPORT: u64 = 500;
+
+/// Time that a read takes, and a look at whether to read.
+const READ: u64 = 200;
+
+struct Case {
+    name: &'static str,
+    count: usize,
+    rank: usize,
+    age: Option<u64>,
+    alone: u32,
+    expected: bool,
+}
+
+#[test]
+fn few_daemons_read_unless_confirmations_stay_away() {
+    let cases = [
+        Case { name: "the first", count: 6, rank: 0, age: Some(0), alone: 0, expected: true },
+        Case { name: "the second", count: 6, rank: 1, age: Some(0), alone: 0, expected: true },
+        Case { name: "the third", count: 6, rank: 2, age: Some(900), alone: 0, expected: false },
+        Case { name: "no news at all", count: 6, rank: 5, age: None, alone: 0, expected: true },
+        Case { name: "old news", count: 6, rank: 5, age: Some(1_800), alone: 0, expected: true },
+        Case { name: "cut off", count: 6, rank: 5, age: Some(0), alone: 2, expected: true },
+        Case { name: "one of many", count: 910, rank: 28, age: Some(0), alone: 0, expected: false },
+    ];
+    for case in cases {
+        let stand = readers::Stand {
+            rank: case.rank,
+            count: case.count,
+            age: case.age.map(time::Millis),
+            alone: case.alone,
+            apply: time::Millis(2_000),
+        };
+        assert_eq!(readers::reads(stand), case.expected, "{}", case.name);
+    }
+}
+
+// The store falls silent for both readers just after it has confirmed, and a change follows.
+#[test]
+fn a_change_is_known_in_time_though_every_reader_hears_nothing() {
+    for apply in [2_000, 3_000, 8_000] {
+        let apply = time::Millis(apply);
+        let stand = |age| readers::Stand {
+            rank: 5,
+            count: 6,
+            age: Some(time::Millis(age)),
+            alone: 0,
+            apply,
+        };
+        let began = (0..).step_by(10).find(|age| readers::reads(stand(*age))).unwrap();
+        assert!(began + READ <= apply.0, "{apply}: read after {began}");
+        // In calm times confirmations come often enough that only the readers read.
+        let usual = readers::wait(apply).0 + REPORT;
+        assert!(!readers::reads(stand(usual)), "{apply}: read though confirmed {usual} ago");
+    }
+}
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -10,6 +10,7 @@
 use ibishill_adapter::error::DecodeError;
 use ibishill_adapter::store;
 use ibishill_core::{event, time};
+use ibishill_decide::readers;
 use ibishill_state::replica;
 use tokio::time as clock;
 
@@ -17,10 +18,6 @@
 use crate::state::Kind;
 use crate::upstream;
 
-/// Longest wait of a feed call. A connection that has gone silent is noticed after it, while
-/// daemons count as out of touch for as long.
-const WAIT: time::Millis = time::Millis(3_000);
-
 /// Time beyond the wait after which a call is given up, as its connection may be silent.
 const SLACK: Duration = Duration::from_millis(500);
 
@@ -33,16 +30,6 @@
 /// The same for endpoints, which change more often and may be known a little later.
 const COLLECT_ENDPOINTS: Duration = Duration::from_millis(350);
 
-/// Age of a table from which on a daemon that is no reader reads itself: a confirmation comes
-/// by within a few rounds of messages.
-const OVERDUE: time::Millis = time::Millis(2_200);
-
-/// Rounds in which no peer has answered after which a daemon reads itself.
-const ALONE_ROUNDS: u32 = 2;
-
-/// Daemons for each reader; two read at least.
-const DAEMONS_PER_READER: usize = 16;
-
 /// Time at the deployment's first start in which daemons find each other, so that only the
 /// readers call the store.
 const SETTLE: time::Millis = time::Millis(600);
@@ -87,24 +74,27 @@
     if state.place.is_first && context.age() < SETTLE {
         return false;
     }
-    let is_overdue = state.age(kind, now).is_none_or(|age| age > OVERDUE);
-    let readers = (state.peers.count(now) / DAEMONS_PER_READER).max(2);
-    is_overdue || state.alone >= ALONE_ROUNDS || state.peers.rank(kind.table(), now) < readers
+    readers::reads(readers::Stand {
+        rank: state.peers.rank(kind.table(), now),
+        count: state.peers.count(now),
+        age: state.age(kind, now),
+        alone: state.alone,
+        apply: state.place.bounds.apply,
+    })
 }
 
 async fn read(context: &Shared, kind: Kind) -> Result<Option<replica::Delta>, String> {
-    let (version, is_known) = {
+    let (version, is_known, wait) = {
         let state = context.state();
         let table = &state.copy(kind).table;
-        (table.version(), table.is_known())
+        (table.version(), table.is_known(), readers::wait(state.place.bounds.apply))
     };
     if !is_known {
         return whole(context, kind).await.map(Some);
     }
     let host = context.state().place.store.to_string();
-    let request = store::feed(&host, kind.table(), version, WAIT);
-    let _open = Polling::begin(context, kind);
-    match call(context, request, WAIT.to_std() + SLACK).await {
+    let request = store::feed(&host, kind.table(), version, wait);
+    match call(context, request, wait.to_std() + SLACK).await {
         Ok(rows) if rows.rows.is_empty() && rows.version <= version => Ok(None),
         Ok(rows) => {
             let mut rows_sorted = rows.rows;
@@ -140,25 +130,6 @@
     }
 }
 
-/// Marks a table as watched while a feed call is open.
-struct Polling {
-    context: Shared,
-    kind: Kind,
-}
-
-impl Polling {
-    fn begin(context: &Shared, kind: Kind) -> Self {
-        context.state().watch(kind, true);
-        Self { context: context.clone(), kind }
-    }
-}
-
-impl Drop for Polling {
-    fn drop(&mut self) {
-        self.context.state().watch(self.kind, false);
-    }
-}
-
 enum Failed {
     Gone,
     Other(String),
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -229,16 +229,12 @@
     let state = context.state();
     let known = state.peers.others().count() + 1;
     let count = if asker.is_some_and(|asker| asker < known) { MEMBERS_MAX } else { BEATS };
-    let have = |kind: &Kind| {
-        let copy = state.copy(*kind);
-        (copy.table.version(), state.age(*kind, now).map(|age| age.0))
-    };
     let own = &state.place.vm;
     let canaries = state.canaries.values().map(|canary| canary.news(own, decides, now)).collect();
     Message {
         members: state.peers.some(count, round, now),
         known,
-        have: Kind::ALL.iter().map(have).collect(),
+        have: state.have(now),
         news,
         canaries,
         lapse: state.lapse_left(now).0,
@@ -277,13 +273,7 @@
             is_news |= state.merge(*kind, delta, now);
         }
     }
-    for (kind, (version, age)) in Kind::ALL.into_iter().zip(message.have) {
-        // A peer's confirmation counts only for the rows that it speaks of.
-        let is_same = state.copy(kind).table.version() == version;
-        if let Some(age) = age.filter(|_| is_same) {
-            state.confirm(kind, time::Tick(now.0.saturating_sub(age)));
-        }
-    }
+    state.hear_ages(&message.have, now);
     let mut heard = BTreeMap::new();
     for news in message.canaries {
         heard.insert(news.service.clone(), news);
--- a/crates/ibishill-relay/src/loads.rs
+++ b/crates/ibishill-relay/src/loads.rs
@@ -1,7 +1,8 @@
 //! What each relay has under way, told to its peers in small datagrams.
 //!
 //! With many endpoints a relay meets each of them rarely, and answers tell it little of the
-//! load that others cause there. A lost datagram is replaced by the next one.
+//! load that others cause there. A lost datagram is replaced by the next one. Confirmations of
+//! the tables travel with them, as they reach every peer in one hop.
 
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
 #[derive(Serialize, Deserialize)]
 struct Datagram {
     vm: id::VmId,
+    /// Version of each table that the sender has, and the age of its confirmation.
+    have: Vec<(u64, Option<u64>)>,
     shares: Vec<balance::Share>,
 }
 
@@ -63,7 +66,7 @@
         shares.truncate(SHARES_MAX);
         let alive = state.peers.alive(now);
         let peers: Vec<_> = alive.iter().skip(1).map(|member| member.address).collect();
-        (Datagram { vm: state.place.vm.clone(), shares }, peers)
+        (Datagram { vm: state.place.vm.clone(), have: state.have(now), shares }, peers)
     };
     if peers.len() > TOLD {
         peers.sort_by_key(|peer| xxh3::xxh3_64_with_seed(peer.to_string().as_bytes(), round));
@@ -86,7 +89,15 @@
     match postcard::from_bytes::<Datagram>(bytes) {
         Ok(datagram) => {
             let now = context.now();
-            context.state().balance.report(&datagram.vm, datagram.shares, now);
+            let mut state = context.state();
+            let is_behind =
+                state.have(now).iter().zip(&datagram.have).any(|(own, its)| own.0 < its.0);
+            if is_behind {
+                // The next round of messages brings what is lacking here.
+                context.news.notify_one();
+            }
+            state.hear_ages(&datagram.have, now);
+            state.balance.report(&datagram.vm, datagram.shares, now);
         }
         Err(error) => {
             event::emit_json(
--- a/crates/ibishill-relay/src/serve.rs
+++ b/crates/ibishill-relay/src/serve.rs
@@ -34,10 +34,15 @@
 /// Longest time for a question about readiness.
 const READY_LIMIT: Duration = Duration::from_secs(2);
 
-/// Serves callers until the process ends.
+/// Serves callers until the process stops; whoever connects later is refused, and goes to
+/// another daemon without having sent anything.
 pub(crate) async fn callers(context: Shared, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = context.stop.notified() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let open = Open::count(&context);
                 tokio::task::spawn_local(caller(context.clone(), stream, open));
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -43,8 +43,6 @@
 pub(crate) struct Copy {
     pub(crate) table: replica::Table,
     confirmed: Option<time::Tick>,
-    // Whether a feed call is open here, which would tell of a change at once.
-    is_watched: bool,
 }
 
 /// What one relay believes.
@@ -110,18 +108,28 @@
         self.catalog.is_some() && self.copy(Kind::Endpoints).table.is_known()
     }
 
-    /// Age of what is known of a table: how long ago somebody would have heard of a change.
+    /// Age of what is known of a table: how long ago the store confirmed it to anybody.
     pub(crate) fn age(&self, kind: Kind, now: time::Tick) -> Option<time::Millis> {
-        let copy = self.copy(kind);
-        if copy.is_watched {
-            return copy.confirmed.map(|_| time::Millis(0));
-        }
-        copy.confirmed.map(|at| now.since(at))
+        self.copy(kind).confirmed.map(|at| now.since(at))
+    }
+
+    /// Versions of the tables with the ages of their confirmation, for peers.
+    pub(crate) fn have(&self, now: time::Tick) -> Vec<(u64, Option<u64>)> {
+        let have = |kind: &Kind| {
+            let age = self.age(*kind, now).map(|age| age.0);
+            (self.copy(*kind).table.version(), age)
+        };
+        Kind::ALL.iter().map(have).collect()
     }
 
-    /// Notes whether a feed call for a table is open.
-    pub(crate) fn watch(&mut self, kind: Kind, is_watched: bool) {
-        self.copies.entry(kind).or_default().is_watched = is_watched;
+    /// Takes over a peer's confirmations of tables that are the same here.
+    pub(crate) fn hear_ages(&mut self, have: &[(u64, Option<u64>)], now: time::Tick) {
+        for (kind, (version, age)) in Kind::ALL.into_iter().zip(have) {
+            let is_same = self.copy(kind).table.version() == *version;
+            if let Some(age) = age.filter(|_| is_same) {
+                self.confirm(kind, time::Tick(now.0.saturating_sub(age)));
+            }
+        }
     }
 
     /// Notes that a table was confirmed as of `at`.
@@ -148,8 +156,7 @@
 
     /// How much longer a removed endpoint may only have lapsed with the store.
     pub(crate) fn lapse_left(&self, now: time::Tick) -> time::Millis {
-        let is_out = self.lost.is_some_and(|lost| now.since(lost) >= OUTAGE_MIN);
-        if is_out { LAPSE } else { self.lapse_until.since(now) }
+        self.lapse_until.since(now)
     }
 
     /// Takes over how long a peer keeps removed endpoints. One that keeps none knows that the
