--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -157,7 +157,7 @@
     let at = if delta.is_some() { begun } else { now };
     state.confirm(kind, at);
     state.stale_until = state.stale_until.min(now);
-    let was_lost = state.regain_store(now);
+    let was_lost = state.regain_store();
     let is_news = delta.is_some_and(|delta| state.merge(kind, delta, now));
     drop(state);
     if was_lost {
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -69,8 +69,6 @@
     /// News of tables that the receiver lacks.
     news: Vec<(usize, replica::Delta)>,
     canaries: Vec<canary::News>,
-    /// How much longer the sender keeps endpoints that may have lapsed with the store.
-    lapse: u64,
 }
 
 /// Tells peers, in rounds and whenever there is news.
@@ -237,7 +235,6 @@
         have: state.have(now),
         news,
         canaries,
-        lapse: state.lapse_left(now).0,
     }
 }
 
@@ -265,9 +262,6 @@
         }
     }
     let mut is_news = false;
-    if !message.news.is_empty() {
-        state.hear_lapse(time::Millis(message.lapse), now);
-    }
     for (at, delta) in message.news {
         if let Some(kind) = Kind::ALL.get(at) {
             is_news |= state.merge(*kind, delta, now);
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -134,6 +134,7 @@
 
     /// Notes that a table was confirmed as of `at`.
     pub(crate) fn confirm(&mut self, kind: Kind, at: time::Tick) {
+        self.note_outage(kind, at);
         let copy = self.copies.entry(kind).or_default();
         copy.confirmed = copy.confirmed.max(Some(at));
     }
@@ -146,27 +147,23 @@
     }
 
     /// Notes that the store has answered; returns whether it had failed before.
-    pub(crate) fn regain_store(&mut self, now: time::Tick) -> bool {
-        let Some(lost) = self.lost.take() else { return false };
-        if now.since(lost) >= OUTAGE_MIN {
-            self.lapse_until = self.lapse_until.max(now + LAPSE);
-        }
-        true
-    }
-
-    /// How much longer a removed endpoint may only have lapsed with the store.
-    pub(crate) fn lapse_left(&self, now: time::Tick) -> time::Millis {
-        self.lapse_until.since(now)
+    pub(crate) fn regain_store(&mut self) -> bool {
+        self.lost.take().is_some()
     }
 
-    /// Takes over how long a peer keeps removed endpoints. One that keeps none knows that the
-    /// store removed them itself, so that what it tells is taken at once.
-    pub(crate) fn hear_lapse(&mut self, left: time::Millis, now: time::Tick) {
-        self.lapse_until = if left.0 > 0 { self.lapse_until.max(now + left) } else { now };
+    // Endpoints may have lapsed if nobody has heard of the store for long, but not if it
+    // failed for this daemon only, while peers went on to confirm the table.
+    fn note_outage(&mut self, kind: Kind, at: time::Tick) {
+        let outage = self.place.bounds.apply.max(OUTAGE_MIN);
+        let is_out = self.copy(kind).confirmed.is_some_and(|last| at.since(last) >= outage);
+        if kind == Kind::Endpoints && is_out {
+            self.lapse_until = self.lapse_until.max(at + LAPSE);
+        }
     }
 
     /// Takes in news of a table; returns whether anything has changed.
     pub(crate) fn merge(&mut self, kind: Kind, delta: replica::Delta, now: time::Tick) -> bool {
+        self.note_outage(kind, now);
         let copy = self.copies.entry(kind).or_default();
         let is_first = copy.table.version() == 0;
         let changed = copy.table.merge(delta);
