feat(relay): counters and latency histograms on the metrics address

Cause: on-call engineers have logs and metrics only; the relay served no metrics. Ruled out: labels by endpoint or request, whose number grows with traffic.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -89,6 +89,8 @@
     SettingsInvalid = 2006, Error, "settings could not be reloaded";
     VmResumed = 2007, Warn, "the VM was suspended";
     LinesDropped = 2008, Warn, "log lines left out";
+    MetricsFailed = 2009, Warn, "metrics could not be served";
+    ConnectionFailed = 2010, Warn, "connection could not be accepted";
     CatalogInForce = 2101, Info, "declared configuration in force";
     RowInvalid = 2102, Warn, "row of the store can't be decoded";
     StoreLost = 2103, Warn, "store lost";
--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -117,6 +117,8 @@
     pub front: SocketAddr,
     /// Where readiness is asked for.
     pub ready: SocketAddr,
+    /// Where metrics are asked for.
+    pub metrics: SocketAddr,
     /// Where peers connect.
     pub peer: SocketAddr,
     /// Addresses of some peers, which may be stale.
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -104,6 +104,20 @@
     pub(crate) slot: Slot,
 }
 
+impl Ended {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+            Self::Late => "late",
+            Self::Hung => "hung",
+            Self::Answer(_) => "answer",
+            Self::Stream(_) => "stream",
+        }
+    }
+}
+
 /// How an attempt ended.
 pub(crate) enum Ended {
     /// Nothing was sent.
@@ -249,6 +263,7 @@
     let mut state = context.state();
     let rule = state.cold_rule(&received.service, now);
     let took = now.since(begun);
+    context.metrics.attempted(ended.name(), received.route.kind.is_stream(), took);
     if received.route.kind.is_stream() && !matches!(ended, Ended::Unsent | Ended::Refused) {
         let strain = state.strains.entry(received.service.clone()).or_default();
         strain.note(took, received.route.target, now);
@@ -316,16 +331,12 @@
     begun: time::Tick,
 ) {
     let outcome = match ended {
-        Ended::Unsent => "unsent".to_owned(),
-        Ended::Refused => "refused".to_owned(),
-        Ended::Unknown => "unknown".to_owned(),
-        Ended::Late => "late".to_owned(),
-        Ended::Hung => "hung".to_owned(),
         Ended::Answer(answer) => answer.status().as_u16().to_string(),
         Ended::Stream(opened) => {
             let confidence = opened.reply.confidence;
             confidence.map_or("stream".into(), |confidence| format!("stream {confidence:.2}"))
         }
+        _ => ended.name().to_owned(),
     };
     let took = context.now().since(begun);
     event::emit_json(
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -7,7 +7,7 @@
 use ibishill_core::{clock, id, time};
 use tokio::sync::Notify;
 
-use crate::state;
+use crate::{metrics, state};
 
 /// Offset that keeps times in the past representable after a start.
 const ORIGIN_MS: u64 = 10_000_000;
@@ -15,6 +15,8 @@
 /// What all tasks share.
 pub(crate) struct Context {
     state: RefCell<state::State>,
+    /// Counters and histograms.
+    pub(crate) metrics: metrics::Metrics,
     started: Instant,
     /// When the process started, which tells its incarnations apart.
     pub(crate) start: u64,
@@ -30,9 +32,10 @@
 pub(crate) type Shared = Rc<Context>;
 
 impl Context {
-    pub(crate) fn new(state: state::State, start: u64) -> Shared {
+    pub(crate) fn new(state: state::State, metrics: metrics::Metrics, start: u64) -> Shared {
         Rc::new(Self {
             state: RefCell::new(state),
+            metrics,
             started: Instant::now(),
             start,
             room: Notify::new(),
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -142,6 +142,7 @@
 ) -> Result<store::Rows, Failed> {
     let address = context.state().place.store;
     let answer = upstream::exchange(address, request, limit).await;
+    context.metrics.called(answer.is_ok());
     let answer = answer.map_err(|error| Failed::Other(error.to_string()))?;
     match store::decode_rows(answer.status(), answer.body()) {
         Ok(rows) => Ok(rows),
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -198,7 +198,9 @@
         request.headers_mut().insert(http::header::HOST, host);
     }
     // Silence of a peer shows in its heartbeats, so a failed exchange needs no line.
-    let answer = upstream::exchange(address, request, LIMIT).await.ok()?;
+    let answer = upstream::exchange(address, request, LIMIT).await;
+    context.metrics.exchanged(answer.is_ok());
+    let answer = answer.ok()?;
     decode(answer.body(), address)
 }
 
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod gossip;
 mod journal;
 mod loads;
+mod metrics;
 mod path;
 mod serve;
 mod state;
--- /dev/null
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -0,0 +1,157 @@
+//! Counters and histograms, readable in Prometheus text form; labels have few values, so
+//! memory does not grow with traffic.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::TokioIo;
+use ibishill_core::{event, time};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use tokio::net::TcpListener;
+use tokio::time as clock;
+
+use crate::context::Shared;
+use crate::error::RelayError;
+use crate::state::Kind;
+
+/// Upper ends of the buckets of latencies, in seconds.
+const BOUNDARIES_S: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.75, 1.5, 3.0, 6.0, 12.0, 25.0];
+
+/// Longest time for one question.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// The instruments of a relay.
+pub(crate) struct Metrics {
+    registry: prometheus::Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    first: Histogram<f64>,
+    waited: Histogram<f64>,
+    calls: Counter<u64>,
+    exchanges: Counter<u64>,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be set up.
+    pub(crate) fn new() -> Result<Self, RelayError> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| RelayError::Setup { what: "metrics", detail: error.to_string() })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("ibishill");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let histogram = |name: &'static str, text: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s").with_description(text);
+            histogram.with_boundaries(BOUNDARIES_S.to_vec()).build()
+        };
+        Ok(Self {
+            requests: counter("relay_requests", "Answers that the relay itself gave, by reason"),
+            attempts: counter("relay_attempts", "Attempts at endpoints, by outcome"),
+            first: histogram("relay_first", "Time from a send to the start of its answer"),
+            waited: histogram("relay_waited", "Time for which requests waited for room"),
+            calls: counter("relay_store_calls", "Calls of the store, by result"),
+            exchanges: counter("relay_exchanges", "Exchanges with peers, by result"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answer of the relay's own.
+    pub(crate) fn declined(&self, reason: &'static str) {
+        self.requests.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts an attempt, with the time to the start of its answer.
+    pub(crate) fn attempted(&self, outcome: &'static str, is_stream: bool, took: time::Millis) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+        let kind = if is_stream { "stream" } else { "plain" };
+        self.first.record(took.0 as f64 / 1_000.0, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Records a wait for room.
+    pub(crate) fn waited(&self, took: time::Millis) {
+        self.waited.record(took.0 as f64 / 1_000.0, &[]);
+    }
+
+    /// Counts a call of the store.
+    pub(crate) fn called(&self, is_answered: bool) {
+        self.calls.add(1, &[KeyValue::new("answered", is_answered)]);
+    }
+
+    /// Counts an exchange with a peer.
+    pub(crate) fn exchanged(&self, is_answered: bool) {
+        self.exchanges.add(1, &[KeyValue::new("answered", is_answered)]);
+    }
+
+    fn text(&self, context: &Shared) -> String {
+        let mut text = Vec::new();
+        let encoder = prometheus::TextEncoder::new();
+        if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
+            event::emit_json(event::Event::MetricsFailed, &[event::field("error", &error)]);
+        }
+        let mut text = String::from_utf8(text).unwrap_or_default();
+        text.push_str(&beliefs(context));
+        text
+    }
+}
+
+// What the relay believes now, and how old that is.
+fn beliefs(context: &Shared) -> String {
+    let now = context.now();
+    let state = context.state();
+    let mut lines = format!(
+        "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\n",
+        state.open,
+        state.peers.count(now),
+        state.catalog.as_ref().map_or(0, |catalog| catalog.version),
+    );
+    for kind in Kind::ALL {
+        let age = state.age(kind, now).map_or(-1.0, |age| age.0 as f64 / 1_000.0);
+        let table = kind.table();
+        lines.push_str(&format!("relay_table_age_seconds{{table=\"{table}\"}} {age}\n"));
+    }
+    lines
+}
+
+/// Answers questions for metrics.
+pub(crate) async fn serve(context: Shared, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                event::emit_json(event::Event::MetricsFailed, &[event::field("error", &error)]);
+                clock::sleep(LIMIT).await;
+                continue;
+            }
+        };
+        let context = context.clone();
+        tokio::task::spawn_local(async move {
+            let answer = service::service_fn(move |_| {
+                let text = context.metrics.text(&context);
+                async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(text)))) }
+            });
+            let serving = http1::Builder::new()
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(stream), answer);
+            // Whoever asks sees a connection that ends, and asks again.
+            let _ended = clock::timeout(LIMIT, serving).await;
+        });
+    }
+}
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -372,7 +372,10 @@
             continue;
         }
         match choose(context, received, avoid, model, received.facts.resumed) {
-            Next::Send(target) => return Ok(target),
+            Next::Send(target) => {
+                context.metrics.waited(context.now().since(now));
+                return Ok(target);
+            }
             Next::Full => own = Own::NoRoom,
             Next::Nobody => own = Own::NoEndpoint,
         }
@@ -579,6 +582,7 @@
     let is_refusal = own.status() == StatusCode::SERVICE_UNAVAILABLE;
     let after = if is_refusal { after.or(Some(COME_BACK)) } else { None };
     let version = context.state().catalog.as_ref().map_or(0, |catalog| catalog.version);
+    context.metrics.declined(own.reason());
     event::emit_json(
         event::Event::RequestDeclined,
         &[
--- a/crates/ibishill-relay/src/serve.rs
+++ b/crates/ibishill-relay/src/serve.rs
@@ -53,7 +53,7 @@
 }
 
 async fn accept_failed(error: &std::io::Error) {
-    event::emit_json(event::Event::RingFull, &[event::field("error", error)]);
+    event::emit_json(event::Event::ConnectionFailed, &[event::field("error", error)]);
     clock::sleep(PAUSE).await;
 }
 
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -15,7 +15,7 @@
 use crate::context::{self, Shared};
 use crate::error::RelayError;
 use crate::state::{Kind, State};
-use crate::{duty, feed, gossip, journal, loads, serve};
+use crate::{duty, feed, gossip, journal, loads, metrics, serve};
 
 /// Time between two looks at what changes by time alone.
 const TICK: time::Millis = time::Millis(200);
@@ -63,7 +63,14 @@
 fn read(path: &Path) -> Result<fleet::Place, RelayError> {
     let fail = |detail: String| RelayError::Settings { path: path.display().to_string(), detail };
     let text = std::fs::read_to_string(path).map_err(|error| fail(error.to_string()))?;
-    settings::decode(&text).map_err(|error| fail(error.to_string()))
+    let port = match std::env::var(settings::METRICS_VARIABLE) {
+        Ok(port) => port.parse().map_err(|error| RelayError::Settings {
+            path: settings::METRICS_VARIABLE.into(),
+            detail: format!("{port:?} is no port: {error}"),
+        })?,
+        Err(_) => settings::METRICS_PORT,
+    };
+    settings::decode(&text, port).map_err(|error| fail(error.to_string()))
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, RelayError> {
@@ -75,6 +82,7 @@
     let front = listen(place.front).await?;
     let ready = listen(place.ready).await?;
     let peer = listen(place.peer).await?;
+    let asked = listen(place.metrics).await?;
     let loads = tokio::net::UdpSocket::bind(place.peer).await;
     let loads = loads.map_err(|source| RelayError::Listen { address: place.peer, source })?;
     let mut term = unix::signal(unix::SignalKind::terminate()).map_err(|e| setup("SIGTERM", e))?;
@@ -98,7 +106,7 @@
             event::field("store", &place.store),
         ],
     );
-    let context = context::Context::new(State::new(place, own), start);
+    let context = context::Context::new(State::new(place, own), metrics::Metrics::new()?, start);
     for kind in Kind::ALL {
         tokio::task::spawn_local(feed::run(context.clone(), kind));
     }
@@ -106,6 +114,7 @@
     tokio::task::spawn_local(gossip::run(context.clone()));
     tokio::task::spawn_local(loads::run(context.clone(), loads));
     tokio::task::spawn_local(duty::run(context.clone()));
+    tokio::task::spawn_local(metrics::serve(context.clone(), asked));
     tokio::task::spawn_local(serve::readiness(context.clone(), ready));
     tokio::task::spawn_local(serve::callers(context.clone(), front));
     tokio::task::spawn_local(watch(context.clone()));
