feat(cli): explain shows what the relays' logs tell of a request

Cause: nothing led from a request's id to its lines in many daemons' logs. Ruled out: a table by another library; the columns that other commands print are used. Measured: a test on a kept sample of two daemons' logs; help and completions blessed.

--- a/crates/ibishill/src/command.rs
+++ b/crates/ibishill/src/command.rs
@@ -2,6 +2,7 @@
 
 mod certs;
 mod check;
+mod explain;
 mod operate;
 mod serve;
 mod show;
@@ -36,6 +37,7 @@
         Verb::Relay => none(&words).and_then(|()| {
             ibishill_relay::start::run().map_err(|source| CommandError::Relay { source })
         }),
+        Verb::Explain => explain::run(&words),
         Verb::Check => check::run(&words, &options),
         Verb::Certs => certs::run(&words, &options),
         Verb::KeyHash => key_hash(&words, &options),
--- a/crates/ibishill/src/table.rs
+++ b/crates/ibishill/src/table.rs
@@ -5,6 +5,7 @@
 pub(crate) enum Verb {
     Serve,
     Relay,
+    Explain,
     Check,
     Apply,
     Diff,
@@ -110,6 +111,16 @@
                   stops it without cutting a request, SIGHUP reads the settings again.",
         options: &[],
     },
+    Spec {
+        verb: Verb::Explain,
+        name: "explain",
+        words: "ID",
+        choices: &[],
+        about: "show what the relays' logs tell of a request",
+        details: "Reads the logs of one or more relays from standard input, in order of time, and \
+                  prints the lines of the request with the beliefs that were in force.",
+        options: &[],
+    },
     Spec {
         verb: Verb::Check,
         name: "check",
--- a/crates/ibishill/tests/commands/main.rs
+++ b/crates/ibishill/tests/commands/main.rs
@@ -2,6 +2,7 @@
 
 mod examples;
 mod exits;
+mod explain;
 mod snapshots;
 
 use std::process::Command;
--- a/crates/ibishill/tests/commands/snapshots.rs
+++ b/crates/ibishill/tests/commands/snapshots.rs
@@ -7,6 +7,8 @@
 
 const COMMANDS: &[&str] = &[
     "serve",
+    "relay",
+    "explain",
     "check",
     "apply",
     "diff",
--- a/crates/ibishill/tests/commands/snapshots/completions.fish
+++ b/crates/ibishill/tests/commands/snapshots/completions.fish
@@ -1,4 +1,6 @@
 complete -c ibishill -n __fish_use_subcommand -a serve -d "run a daemon with the settings in FILE"
+complete -c ibishill -n __fish_use_subcommand -a relay -d "run a daemon on the users' platform"
+complete -c ibishill -n __fish_use_subcommand -a explain -d "show what the relays' logs tell of a request"
 complete -c ibishill -n __fish_use_subcommand -a check -d "check settings and declarations"
 complete -c ibishill -n '__fish_seen_subcommand_from check' -l partial -d "the document adds to what is declared"
 complete -c ibishill -n '__fish_seen_subcommand_from check' -l json -d "print JSON"
