--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -64,8 +64,10 @@
     pub(crate) open: u32,
     /// Rounds in a row in which no peer has answered.
     pub(crate) alone: u32,
-    /// Since when the store refuses or does not answer.
-    lost: Option<time::Tick>,
+    /// Whether the store's last answer is missing.
+    is_lost: bool,
+    /// When a call of the store last failed here.
+    failed: Option<time::Tick>,
     /// Until when a removed endpoint may only have lapsed with the store.
     lapse_until: time::Tick,
     /// Until when beliefs count as too old after a suspension.
@@ -89,7 +91,8 @@
             is_stopping: false,
             open: 0,
             alone: 0,
-            lost: None,
+            is_lost: false,
+            failed: None,
             lapse_until: time::Tick(0),
             stale_until: time::Tick(0),
             copies: Kind::ALL.into_iter().map(|kind| (kind, Copy::default())).collect(),
@@ -141,22 +144,22 @@
 
     /// Notes that the store failed; returns whether that is news.
     pub(crate) fn lose_store(&mut self, now: time::Tick) -> bool {
-        let is_news = self.lost.is_none();
-        self.lost.get_or_insert(now);
-        is_news
+        self.failed = Some(now);
+        !std::mem::replace(&mut self.is_lost, true)
     }
 
     /// Notes that the store has answered; returns whether it had failed before.
     pub(crate) fn regain_store(&mut self) -> bool {
-        self.lost.take().is_some()
+        std::mem::take(&mut self.is_lost)
     }
 
-    // Endpoints may have lapsed if nobody has heard of the store for long, but not if it
-    // failed for this daemon only, while peers went on to confirm the table.
+    // Endpoints may have lapsed if nobody has heard of the store for long and it failed here
+    // meanwhile: neither if it failed for this daemon only, while peers went on to confirm the
+    // table, nor if just the daemons that read were cut off.
     fn note_outage(&mut self, kind: Kind, at: time::Tick) {
-        let outage = self.place.bounds.apply.max(OUTAGE_MIN);
-        let is_out = self.copy(kind).confirmed.is_some_and(|last| at.since(last) >= outage);
-        if kind == Kind::Endpoints && is_out {
+        let Some(last) = self.copy(kind).confirmed else { return };
+        let has_failed = self.failed.is_some_and(|failed| failed >= last);
+        if kind == Kind::Endpoints && has_failed && at.since(last) >= OUTAGE_MIN {
             self.lapse_until = self.lapse_until.max(at + LAPSE);
         }
     }
