--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -1,36 +1,26 @@
-//! The way of a request: route, workspace, service, version, endpoint, answer.
+//! The way of a request: route, workspace, service, attempts, answer.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, id, route, time};
-use ibishill_decide::{balance, canary, line, routing, sizing};
+use ibishill_decide::{routing, sizing};
 use tokio::time as clock;
-use xxhash_rust::xxh3;
 
-use crate::attempt::{self, Ended, Received, Target};
+use crate::attempt::{self, Ended, Received};
 use crate::body::{self, Body};
 use crate::context::Shared;
-use crate::stream;
+use crate::own::{self, Own};
+use crate::{room, stream};
 
 /// Longest time in which a body arrives.
 const BODY_WAIT: Duration = Duration::from_secs(10);
 
-/// Time between two looks for room; cold endpoints get room by time alone.
-const LOOK: Duration = Duration::from_millis(40);
-
-/// Waiting requests of a service that look for room at once.
-const FRONT: usize = 4;
-
-/// Time after which a caller may come back when nothing better is known: about the time in
-/// which endpoints that were lost are replaced by what others have room for.
-const COME_BACK: time::Millis = time::Millis(500);
-
 /// Longest time for which a request waits for the first rows after a start; they take a few
 /// milliseconds if the store or a peer answers.
 const INFORM: time::Millis = time::Millis(400);
@@ -38,71 +28,6 @@
 /// Time between two looks for the first rows.
 const INFORM_LOOK: Duration = Duration::from_millis(10);
 
-/// Refusals and failures that the relay itself answers with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Own {
-    /// No configuration is known yet.
-    Uninformed,
-    /// No route answers for the path.
-    NoRoute,
-    /// The key is missing or unknown.
-    Unauthorized,
-    /// The body is larger than the limit.
-    TooLarge,
-    /// The body did not arrive.
-    BodyCut,
-    /// The route's weights name no service.
-    NoService,
-    /// No endpoint of the service is in service.
-    NoEndpoint,
-    /// No endpoint has room in time.
-    NoRoom,
-    /// The endpoint refused and no further attempt is allowed.
-    Refused,
-    /// The deadline has passed, and it has not run.
-    Expired,
-    /// The deadline has passed, and it may have run.
-    Late,
-    /// It may have run, and no whole answer came.
-    Unknown,
-}
-
-impl Own {
-    const fn status(self) -> StatusCode {
-        match self {
-            Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::Unauthorized => StatusCode::UNAUTHORIZED,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyCut => StatusCode::REQUEST_TIMEOUT,
-            Self::Unknown => StatusCode::BAD_GATEWAY,
-            Self::Late => StatusCode::GATEWAY_TIMEOUT,
-            Self::Uninformed
-            | Self::NoService
-            | Self::NoEndpoint
-            | Self::NoRoom
-            | Self::Refused
-            | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
-        }
-    }
-
-    const fn reason(self) -> &'static str {
-        match self {
-            Self::Uninformed => "no configuration yet",
-            Self::NoRoute => "no route",
-            Self::Unauthorized => "key missing or unknown",
-            Self::TooLarge => "body too large",
-            Self::BodyCut => "body not received",
-            Self::NoService => "no service by weight",
-            Self::NoEndpoint => "no endpoint in service",
-            Self::NoRoom => "no endpoint with room in time",
-            Self::Refused => "refused by the endpoint",
-            Self::Expired => "deadline passed before a send",
-            Self::Late => "deadline passed after a send",
-            Self::Unknown => "sent, and its fate is unknown",
-        }
-    }
-}
-
 /// Counts a request as under way for its workspace; dropping it ends that.
 struct Running {
     context: Shared,
@@ -127,18 +52,6 @@
     }
 }
 
-/// A request that waits for room; dropping it leaves the line.
-struct Waiting {
-    context: Shared,
-    ticket: u64,
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.context.state().line.leave(self.ticket);
-    }
-}
-
 /// Logs that the caller left, unless it is told that the request has ended.
 struct Presence {
     request: String,
@@ -160,7 +73,7 @@
     let mut presence = Presence { request: facts.id.clone(), is_done: false };
     let answer = match receive(&context, request, facts, since).await {
         Ok(received) => run(&context, received).await,
-        Err((request, own)) => decline(&context, &request, own, None),
+        Err((request, why)) => own::decline(&context, &request, why, None),
     };
     presence.is_done = true;
     finish(&context, answer)
@@ -235,163 +148,6 @@
     }
 }
 
-/// Where the next attempt goes.
-pub(crate) enum Next {
-    /// There.
-    Send(Target),
-    /// Nowhere now.
-    Full,
-    /// No endpoint may run it.
-    Nobody,
-}
-
-/// Chooses the next endpoint for a request.
-pub(crate) fn choose(
-    context: &Shared,
-    received: &Received,
-    avoid: &[id::EndpointId],
-    model: Option<&id::ModelId>,
-    resumed: Option<u64>,
-) -> Next {
-    let now = context.now();
-    let mut state = context.state();
-    let state = &mut *state;
-    let session = received.facts.session.as_ref().unwrap_or(&received.facts.id);
-    let session = xxh3::xxh3_64(session.as_bytes());
-    let rule = state.cold_rule(&received.service, now);
-    let catalog = state.catalog.clone();
-    let engine = catalog
-        .as_ref()
-        .and_then(|catalog| catalog.services.get(&received.service))
-        .and_then(|service| service.engine.as_ref());
-    let capacity = engine.map_or(0, |engine| engine.capacity);
-    let reading = engine.map_or(0.0, |engine| reading(received, engine, model));
-    let subject = received.facts.subject();
-    let shared_tokens = received.facts.parts.iter().rev().skip(1).map(|part| part.tokens).sum();
-    let ask = balance::Ask {
-        service: &received.service,
-        versions: balance::Versions::Any,
-        avoid,
-        shared: subject.map(|part| (part, shared_tokens)),
-        tokens: received.memory(),
-        capacity,
-        reading,
-        tier: tier(received, model),
-        seed: xxh3::xxh3_64(received.facts.id.as_bytes()),
-    };
-    state.recent.note(session, now);
-    let (balance, peers) = (&state.balance, &state.peers);
-    let rank = |endpoint: &id::EndpointId| peers.known_rank(endpoint.as_str());
-    let choice = match state.canaries.get_mut(&received.service) {
-        None => balance.pick(&ask, rule, rank, now),
-        Some(canary) => {
-            let side = canary.side(session, now);
-            let versions = attempt::versions(side, canary);
-            let mut choice = balance.pick(&balance::Ask { versions, ..ask }, rule, rank, now);
-            let is_open = canary.is_early(now) && choice != balance::Choice::Nobody;
-            let may_fall_back = side == canary::Side::Candidate
-                && (choice == balance::Choice::Nobody
-                    || (is_open && choice == balance::Choice::Full));
-            if may_fall_back {
-                let versions = attempt::versions(canary::Side::Stable, canary);
-                choice = balance.pick(&balance::Ask { versions, ..ask }, rule, rank, now);
-                canary.pin(session);
-            }
-            choice
-        }
-    };
-    match choice {
-        balance::Choice::Full => Next::Full,
-        balance::Choice::Nobody => Next::Nobody,
-        balance::Choice::Send(endpoint) => match state.balance.entry(&endpoint) {
-            None => Next::Nobody,
-            Some(entry) => Next::Send(Target {
-                version: entry.version.clone(),
-                endpoint,
-                model: model.cloned(),
-                resumed,
-                reading,
-            }),
-        },
-    }
-}
-
-// What a prompt costs to read, in thousands of tokens at the largest model; a model's cost
-// tells how fast it is.
-fn reading(received: &Received, engine: &route::Engine, model: Option<&id::ModelId>) -> f64 {
-    let tokens = received.facts.tokens.unwrap_or_default().input as f64 / 1_000.0;
-    let most = engine.models.iter().map(|model| model.cost).fold(0.0, f64::max);
-    let found = model.and_then(|name| engine.models.iter().find(|model| model.name == *name));
-    let pace = found.map_or(1.0, |model| model.cost / most.max(f64::MIN_POSITIVE));
-    tokens * pace.clamp(0.1, 1.0)
-}
-
-fn tier(received: &Received, model: Option<&id::ModelId>) -> balance::Tier {
-    let sizes = &received.route.sizes;
-    match model {
-        Some(_) if sizes.len() < 2 => balance::Tier::Any,
-        Some(model) if sizes.first() == Some(model) => balance::Tier::Small,
-        Some(model) if sizes.last() == Some(model) => balance::Tier::Large,
-        _ => balance::Tier::Any,
-    }
-}
-
-// Waits until an endpoint has room, in the order of the line.
-async fn find_room(
-    context: &Shared,
-    received: &Received,
-    avoid: &[id::EndpointId],
-    model: Option<&id::ModelId>,
-) -> Result<Target, Own> {
-    let (service, priority) = (&received.service, received.priority());
-    let is_first = !context.state().line.is_ahead(service, priority);
-    if is_first {
-        match choose(context, received, avoid, model, received.facts.resumed) {
-            Next::Send(target) => return Ok(target),
-            Next::Nobody if !avoid.is_empty() => return Err(Own::NoEndpoint),
-            Next::Nobody | Next::Full => {}
-        }
-    }
-    let now = context.now();
-    let patience = line::patience(received.route.target, received.left(now));
-    let waiter = line::Waiter {
-        ticket: 0,
-        priority,
-        space: received.space.as_ref().map(|space| space.name.clone()),
-        service: service.clone(),
-        since: now,
-    };
-    let ticket = context.state().line.join(waiter);
-    let _waiting = Waiting { context: context.clone(), ticket };
-    log_waits(context, received, patience);
-    let mut own = Own::NoRoom;
-    while context.now() < now + patience {
-        let woken = clock::timeout(LOOK, context.room.notified()).await;
-        drop(woken);
-        if place_in_line(context, service, ticket) >= FRONT {
-            continue;
-        }
-        match choose(context, received, avoid, model, received.facts.resumed) {
-            Next::Send(target) => {
-                context.metrics.waited(context.now().since(now));
-                return Ok(target);
-            }
-            Next::Full => own = Own::NoRoom,
-            Next::Nobody => own = Own::NoEndpoint,
-        }
-    }
-    Err(own)
-}
-
-fn place_in_line(context: &Shared, service: &id::ServiceId, ticket: u64) -> usize {
-    let state = context.state();
-    let running = |space: Option<&id::WorkspaceId>| {
-        state.running.get(&space.cloned()).copied().unwrap_or_default()
-    };
-    let order = state.line.order(service, running);
-    order.iter().position(|found| *found == ticket).unwrap_or(0)
-}
-
 fn engine_models<'a>(catalog: &'a route::Catalog, service: &id::ServiceId) -> &'a [route::Model] {
     let engine = catalog.services.get(service).and_then(|service| service.engine.as_ref());
     engine.map_or(&[], |engine| engine.models.as_slice())
@@ -425,7 +181,7 @@
     drop(running);
     match ended {
         Ok(answer) => answer,
-        Err(own) => decline(context, &request, own, Some(COME_BACK)),
+        Err(why) => own::decline(context, &request, why, Some(own::COME_BACK)),
     }
 }
 
@@ -449,7 +205,7 @@
     let mut last: Option<Response<Bytes>> = None;
     loop {
         let model = sizes.get(size).map(|model| &model.name);
-        let found = find_room(context, &received, &avoid, model).await;
+        let found = room::find_room(context, &received, &avoid, model).await;
         let target = match found {
             Ok(target) => target,
             Err(own) => return give_up(last, may_have_run, own),
@@ -573,59 +329,6 @@
     answer
 }
 
-fn decline(
-    context: &Shared,
-    request: &str,
-    own: Own,
-    after: Option<time::Millis>,
-) -> Response<Body> {
-    let is_refusal = own.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let after = if is_refusal { after.or(Some(COME_BACK)) } else { None };
-    let version = context.state().catalog.as_ref().map_or(0, |catalog| catalog.version);
-    context.metrics.declined(own.reason());
-    event::emit_json(
-        event::Event::RequestDeclined,
-        &[
-            event::field("request", &request),
-            event::field("status", &own.status().as_u16()),
-            event::field("reason", &own.reason()),
-            event::field("after", &after.unwrap_or_default()),
-            event::field("configuration", &version),
-        ],
-    );
-    let mut answer = Response::new(body::whole(Bytes::from_static(own.reason().as_bytes())));
-    *answer.status_mut() = own.status();
-    if let Some(after) = after {
-        let secs = format!("{:.2}", after.0 as f64 / 1_000.0);
-        if let Ok(value) = HeaderValue::from_str(&secs) {
-            answer.headers_mut().insert(header::RETRY_AFTER, value);
-        }
-    }
-    if own == Own::BodyCut || own == Own::TooLarge {
-        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    answer
-}
-
-fn log_waits(context: &Shared, received: &Received, patience: time::Millis) {
-    let (taken, waiting) = {
-        let state = context.state();
-        let now = context.now();
-        let waiting = state.line.waiting(&received.service);
-        (state.balance.taken(&received.service, now), waiting)
-    };
-    event::emit_json(
-        event::Event::RequestWaits,
-        &[
-            event::field("request", &received.facts.id),
-            event::field("service", &received.service),
-            event::field("taken", &taken),
-            event::field("waiting", &waiting),
-            event::field("patience", &patience),
-        ],
-    );
-}
-
 fn log_dropped(received: &Received, reply: &head::Reply) {
     event::emit_json(
         event::Event::AnswerDropped,
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -16,7 +16,7 @@
 use crate::attempt::{self, Ended, Opened, Received, Target};
 use crate::body::{self, Body, Broken};
 use crate::context::Shared;
-use crate::path;
+use crate::{path, room};
 
 /// Parts that wait for a slow caller.
 const PARTS: usize = 4;
@@ -149,8 +149,8 @@
             && path::has_allowance(&self.context, &self.received);
         let model = self.target.model.as_ref();
         let avoid = std::slice::from_ref(&self.target.endpoint);
-        let next = path::choose(&self.context, &self.received, avoid, model, self.last);
-        is_allowed && matches!(next, path::Next::Send(_))
+        let next = room::choose(&self.context, &self.received, avoid, model, self.last);
+        is_allowed && matches!(next, room::Next::Send(_))
     }
 
     // Events must follow each other without a gap.
@@ -182,8 +182,8 @@
             }
             let model = self.target.model.clone();
             let next =
-                path::choose(&self.context, &self.received, &self.tried, model.as_ref(), self.last);
-            let path::Next::Send(target) = next else {
+                room::choose(&self.context, &self.received, &self.tried, model.as_ref(), self.last);
+            let room::Next::Send(target) = next else {
                 self.log_broken(&why);
                 return None;
             };
