--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -42,7 +42,7 @@
     membership: thread::JoinHandle<()>,
 }
 
-/// Checks that no side is open without credentials to others than this machine.
+/// Checks that no side is open without credentials to others than this VM.
 ///
 /// # Errors
 ///
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -1,20 +1,9 @@
 use ibishill_core::{fleet, id, time};
 use ibishill_decide::canary;
 
-const DURATION: u64 = 24_000;
+use crate::bounds;
 
-fn bounds() -> fleet::Bounds {
-    fleet::Bounds {
-        grace: time::Millis(8_000),
-        drain: time::Millis(2_000),
-        apply: time::Millis(2_000),
-        retry_ratio: 0.9,
-        retry_slack: 52.0,
-        retry_window: time::Millis(10_000),
-        expose_share: 0.15,
-        session: time::Millis(5_000),
-    }
-}
+const DURATION: u64 = 24_000;
 
 fn order() -> fleet::Rollout {
     fleet::Rollout {
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -8,3 +8,19 @@
 mod retry;
 mod routing;
 mod sizing;
+
+use ibishill_core::{fleet, time};
+
+// Bounds like those of a small deployment.
+fn bounds() -> fleet::Bounds {
+    fleet::Bounds {
+        grace: time::Millis(8_000),
+        drain: time::Millis(2_000),
+        apply: time::Millis(2_000),
+        retry_ratio: 0.9,
+        retry_slack: 52.0,
+        retry_window: time::Millis(10_000),
+        expose_share: 0.15,
+        session: time::Millis(5_000),
+    }
+}
--- a/crates/ibishill-decide/tests/relay/retry.rs
+++ b/crates/ibishill-decide/tests/relay/retry.rs
@@ -1,18 +1,7 @@
-use ibishill_core::{fleet, time};
+use ibishill_core::time;
 use ibishill_decide::retry;
 
-fn bounds() -> fleet::Bounds {
-    fleet::Bounds {
-        grace: time::Millis(8_000),
-        drain: time::Millis(2_000),
-        apply: time::Millis(2_000),
-        retry_ratio: 0.9,
-        retry_slack: 52.0,
-        retry_window: time::Millis(10_000),
-        expose_share: 0.15,
-        session: time::Millis(5_000),
-    }
-}
+use crate::bounds;
 
 struct Load {
     name: &'static str,
