fix(relay): a verdict on a roll-out waits for no write to the store

Cause: one task judged roll-outs and wrote how they stand. It depended on the speed of the machine, since the time is fixed.

Change: verdicts have a task of their own, and a failed answer of the new version is judged at once, so their number no longer depends on the rate.

--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -11,8 +11,8 @@
 use tokio::time as clock;
 
 use crate::context::Shared;
-use crate::path;
 use crate::upstream::{self, CallError};
+use crate::{duty, path};
 
 /// A request as it was read from the caller.
 pub(crate) struct Received {
@@ -293,7 +293,11 @@
     let counts = if is_new { &mut tally.candidate } else { &mut tally.stable };
     match attempt {
         outlier::Attempt::Good => counts.answered(first),
-        _ => counts.failed(),
+        _ => {
+            counts.failed();
+            // At once, as a busy service sends many requests before the next look.
+            duty::judge(state, &received.service, context.now());
+        }
     }
 }
 
--- a/crates/ibishill-relay/src/duty.rs
+++ b/crates/ibishill-relay/src/duty.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use ibishill_adapter::{row, store};
-use ibishill_core::{event, fleet, id};
+use ibishill_core::{event, fleet, id, time};
+use ibishill_decide::canary;
 use tokio::time as clock;
 
 use crate::context::Shared;
+use crate::state::State;
 use crate::{gossip, upstream};
 
 /// Time between two looks at the counts.
@@ -21,12 +23,12 @@
 /// Pause after a write that failed.
 const PAUSE: Duration = Duration::from_millis(400);
 
-/// Looks after roll-outs.
-pub(crate) async fn run(context: Shared) {
+/// Tells the operator how roll-outs stand; a slow write holds up no verdict.
+pub(crate) async fn report(context: Shared) {
     let mut written: std::collections::BTreeMap<id::ServiceId, Written> = Default::default();
     loop {
         clock::sleep(LOOK).await;
-        for (service, to, progress) in judge(&context) {
+        for (service, to, progress) in standing(&context) {
             let known = written.entry(service.clone()).or_default();
             if known.to.as_ref() != Some(&to) || known.progress != Some(progress) {
                 *known = Written {
@@ -81,34 +83,50 @@
     waited > u32::try_from(rank).unwrap_or(u32::MAX).saturating_mul(LOOKS_PER_RANK)
 }
 
-fn judge(context: &Shared) -> Vec<(id::ServiceId, id::VersionId, fleet::Progress)> {
-    let now = context.now();
-    let mut state = context.state();
-    let state = &mut *state;
-    let mut found = Vec::new();
-    for (service, canary) in &mut state.canaries {
-        let decides = state.peers.rank(service.as_str(), now) < gossip::DECIDERS;
-        let verdict = canary.verdict(decides, now);
-        if verdict != canary.progress() {
-            canary.settle(verdict);
-            let (stable, candidate) = canary.sums();
-            event::emit_json(
-                event::Event::RolloutChanged,
-                &[
-                    event::field("service", service),
-                    event::field("to", &canary.order().to),
-                    event::field("state", &format!("{verdict:?}")),
-                    event::field("age", &canary.age(now)),
-                    event::field("stable", &stable.requests),
-                    event::field("stable_failed", &stable.failed),
-                    event::field("candidate", &candidate.requests),
-                    event::field("candidate_failed", &candidate.failed),
-                ],
-            );
+/// Settles roll-outs whose time is over or that peers' counts decide.
+pub(crate) async fn watch(context: Shared) {
+    loop {
+        clock::sleep(LOOK).await;
+        let now = context.now();
+        let mut state = context.state();
+        let services: Vec<_> = state.canaries.keys().cloned().collect();
+        for service in services {
+            judge(&mut state, &service, now);
         }
-        found.push((service.clone(), canary.order().to.clone(), canary.progress()));
     }
-    found
+}
+
+/// Settles the roll-out of a service by what is known here.
+pub(crate) fn judge(state: &mut State, service: &id::ServiceId, now: time::Tick) {
+    let decides = state.peers.rank(service.as_str(), now) < gossip::DECIDERS;
+    let Some(canary) = state.canaries.get_mut(service) else { return };
+    let verdict = canary.verdict(decides, now);
+    if verdict == canary.progress() {
+        return;
+    }
+    canary.settle(verdict);
+    let (stable, candidate) = canary.sums();
+    event::emit_json(
+        event::Event::RolloutChanged,
+        &[
+            event::field("service", service),
+            event::field("to", &canary.order().to),
+            event::field("state", &format!("{verdict:?}")),
+            event::field("age", &canary.age(now)),
+            event::field("stable", &stable.requests),
+            event::field("stable_failed", &stable.failed),
+            event::field("candidate", &candidate.requests),
+            event::field("candidate_failed", &candidate.failed),
+        ],
+    );
+}
+
+fn standing(context: &Shared) -> Vec<(id::ServiceId, id::VersionId, fleet::Progress)> {
+    let state = context.state();
+    let of = |(service, canary): (&id::ServiceId, &canary::Canary)| {
+        (service.clone(), canary.order().to.clone(), canary.progress())
+    };
+    state.canaries.iter().map(of).collect()
 }
 
 enum Outcome {
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -113,7 +113,8 @@
     tokio::task::spawn_local(gossip::serve(context.clone(), peer));
     tokio::task::spawn_local(gossip::run(context.clone()));
     tokio::task::spawn_local(loads::run(context.clone(), loads));
-    tokio::task::spawn_local(duty::run(context.clone()));
+    tokio::task::spawn_local(duty::watch(context.clone()));
+    tokio::task::spawn_local(duty::report(context.clone()));
     tokio::task::spawn_local(metrics::serve(context.clone(), asked));
     tokio::task::spawn_local(serve::readiness(context.clone(), ready));
     tokio::task::spawn_local(serve::callers(context.clone(), front));
