feat(relay): availability zones out of reach are left after two silent endpoints

Ruled out: too little room in the zone that is left (nothing waited for room there; 14 of 38 refusals were passed deadlines).

Change: two different endpoints that stay silent in a row put their zone in doubt, single requests probe it after 0.4 s and doubling waits; a connection may take 8 times the slowest of late (120 to 400 ms) instead of 400 ms. Silence seen by a process that itself woke late tells nothing.

Requests already sent into the cut still wait 4 s.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{outlier, rate};
+use crate::{outlier, rate, reach};
 
 /// Time after which what an answer told of an endpoint's load no longer counts.
 const HEARD: time::Millis = time::Millis(1_500);
@@ -227,6 +227,7 @@
     zone: id::ZoneId,
     nodes: BTreeMap<id::EndpointId, Node>,
     zones_out: BTreeMap<id::ZoneId, ()>,
+    reach: reach::Reach,
 }
 
 /// What decides whether an endpoint counts as cold, and how much one daemon sends it then.
@@ -242,16 +243,22 @@
 
 impl Balance {
     /// Starts without endpoints, for a daemon in `zone`.
-    pub const fn new(zone: id::ZoneId) -> Self {
+    pub fn new(zone: id::ZoneId) -> Self {
         Self {
             reports: BTreeMap::new(),
             reported: BTreeMap::new(),
             zone,
             nodes: BTreeMap::new(),
             zones_out: BTreeMap::new(),
+            reach: reach::Reach::default(),
         }
     }
 
+    /// Which zones this daemon reaches.
+    pub const fn reach(&mut self) -> &mut reach::Reach {
+        &mut self.reach
+    }
+
     /// What this daemon has under way, for its peers.
     pub fn shares(&self) -> Vec<Share> {
         let busy = self.nodes.iter().filter(|(_, node)| node.running > 0);
@@ -402,7 +409,8 @@
             return Choice::Nobody;
         }
         let fresh = |node: &&&Node| !ask.avoid.contains(&node.entry.id);
-        let trusted = |node: &&&Node| node.breaker.allows(now);
+        let trusted =
+            |node: &&&Node| node.breaker.allows(now) && self.reach.allows(&node.entry.zone, now);
         let mut pool: Vec<&Node> = all.iter().filter(fresh).filter(trusted).copied().collect();
         if pool.is_empty() {
             // All fail or were tried: a second look is better than none.
@@ -478,6 +486,7 @@
         node.opening += 1;
         node.reading += work.reading;
         node.breaker.begin(now);
+        self.reach.begin(&node.entry.zone, now);
         // The bucket runs while the endpoint is warm, too, so that it is not full if that ends.
         if cold.declared > 0.0 {
             node.admitted.take(cold_rate(cold.declared, rank), now);
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod prefix;
 pub mod queue;
 pub mod rate;
+pub mod reach;
 pub mod readers;
 pub mod retry;
 pub mod rollout;
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod canary;
 mod line;
 mod peers;
+mod reach;
 mod readers;
 mod retry;
 mod routing;
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -6,8 +6,9 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use ibishill_adapter::head;
-use ibishill_core::{call, event, id, route, time};
+use ibishill_core::{call, event, fleet, id, route, time};
 use ibishill_decide::{balance, canary, outlier};
+use tokio::net::TcpStream;
 use tokio::time as clock;
 
 use crate::context::Shared;
@@ -164,7 +165,7 @@
     log_sent(received, target, begun, left);
     let request = request(received, target, left);
     let hang = hang(&received.route);
-    let mut work = std::pin::pin!(open(received, entry.address, request, slot));
+    let mut work = std::pin::pin!(open(received, &entry, request, slot));
     let is_short = may_follow && received.route.kind.may_repeat() && hang < left;
     let early = if is_short {
         clock::timeout(Duration::from_millis(hang.0), work.as_mut()).await.ok()
@@ -208,14 +209,18 @@
 
 async fn open(
     received: &Received,
-    address: std::net::SocketAddr,
+    entry: &fleet::Entry,
     request: Request<Bytes>,
     mut slot: Slot,
 ) -> (Ended, String) {
-    let (answer, connection) = match upstream::call(address, request).await {
+    let stream = match connect(&slot.context, entry).await {
+        Ok(stream) => stream,
+        Err(error) => return (Ended::Unsent, error.to_string()),
+    };
+    let (answer, connection) = match upstream::call(stream, request).await {
         Ok(opened) => opened,
-        Err(CallError::Connect(detail)) => return (Ended::Unsent, detail),
         Err(CallError::Unknown(detail)) => return (Ended::Unknown, detail),
+        Err(error) => return (Ended::Unsent, error.to_string()),
     };
     slot.open();
     let (parts, body) = answer.into_parts();
@@ -241,6 +246,33 @@
     }
 }
 
+// Makes a connection, and notes what that tells of the endpoint's zone.
+async fn connect(context: &Shared, entry: &fleet::Entry) -> Result<TcpStream, CallError> {
+    let begun = context.now();
+    let limit = context.state().balance.reach().limit(&entry.zone);
+    let made = upstream::connect(entry.address, limit).await;
+    let now = context.now();
+    let took = now.since(begun);
+    let mut state = context.state();
+    let reach = state.balance.reach();
+    let has_changed = match &made {
+        Err(CallError::Silent(_)) => reach.silent(&entry.zone, &entry.id, limit, took, now),
+        _ => reach.heard(&entry.zone, took),
+    };
+    if has_changed {
+        event::emit_json(
+            event::Event::ZoneReach,
+            &[
+                event::field("zone", &entry.zone),
+                event::field("is_reached", &!matches!(made, Err(CallError::Silent(_)))),
+                event::field("endpoint", &entry.id),
+                event::field("limit", &limit),
+            ],
+        );
+    }
+    made
+}
+
 fn is_failure(status: StatusCode) -> bool {
     status.is_server_error()
 }
--- a/crates/ibishill-relay/src/upstream.rs
+++ b/crates/ibishill-relay/src/upstream.rs
@@ -14,13 +14,11 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use ibishill_core::time;
+use ibishill_decide::reach;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time;
-
-/// Longest time for a connection to be made; within a region it takes a few milliseconds,
-/// and a lost first packet is sent again after a second.
-const CONNECT: Duration = Duration::from_millis(400);
+use tokio::time as clock;
 
 /// Largest head of an answer, in bytes.
 const HEAD_MAX: usize = 64 * 1_024;
@@ -33,6 +31,8 @@
 pub(crate) enum CallError {
     /// No connection was made, so nothing was sent.
     Connect(String),
+    /// The other side did not answer to the connection, so nothing was sent.
+    Silent(time::Millis),
     /// The request may have arrived.
     Unknown(String),
 }
@@ -41,6 +41,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(detail) => write!(f, "no connection: {detail}"),
+            Self::Silent(limit) => write!(f, "no connection within {limit}"),
             Self::Unknown(detail) => write!(f, "no answer: {detail}"),
         }
     }
@@ -58,23 +59,34 @@
     }
 }
 
+/// Makes a connection within `limit`.
+///
+/// # Errors
+///
+/// Tells whether the other side refused it or was silent.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    limit: time::Millis,
+) -> Result<TcpStream, CallError> {
+    let wait = Duration::from_millis(limit.0);
+    let stream = match clock::timeout(wait, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(CallError::Connect(error.to_string())),
+        Err(_) => return Err(CallError::Silent(limit)),
+    };
+    stream.set_nodelay(true).map_err(|error| CallError::Connect(error.to_string()))?;
+    Ok(stream)
+}
+
 /// Sends a request and returns the head of its answer.
 ///
 /// # Errors
 ///
 /// Tells whether the request may have arrived.
 pub(crate) async fn call(
-    address: SocketAddr,
+    stream: TcpStream,
     request: Request<Bytes>,
 ) -> Result<(Response<Incoming>, Connection), CallError> {
-    let stream = match time::timeout(CONNECT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(CallError::Connect(error.to_string())),
-        Err(_) => return Err(CallError::Connect("timed out".into())),
-    };
-    if let Err(error) = stream.set_nodelay(true) {
-        return Err(CallError::Connect(error.to_string()));
-    }
     let mut builder = http1::Builder::new();
     builder.max_buf_size(HEAD_MAX);
     let shaken = builder.handshake(TokioIo::new(stream)).await;
@@ -100,12 +112,13 @@
     limit: Duration,
 ) -> Result<Response<Bytes>, CallError> {
     let whole = async {
-        let (answer, _connection) = call(address, request).await?;
+        let stream = connect(address, reach::CONNECT_MAX).await?;
+        let (answer, _connection) = call(stream, request).await?;
         let (head, body) = answer.into_parts();
         Ok(Response::from_parts(head, read(body).await?))
     };
     let late = || CallError::Unknown(format!("none within {} ms", limit.as_millis()));
-    time::timeout(limit, whole).await.map_err(|_| late())?
+    clock::timeout(limit, whole).await.map_err(|_| late())?
 }
 
 /// Reads a whole body.
