fix(relay): each write of the log is a few whole lines

Cause: lines gathered for 100 ms went out in one write.

Ruled out: the JSON encoder (the cut lines are prefixes of valid ones).

Change: at most 4,096 bytes a write, ending with a line.

--- a/crates/ibishill-relay/src/journal.rs
+++ b/crates/ibishill-relay/src/journal.rs
@@ -2,6 +2,7 @@
 //! the log never holds up a request.
 
 use std::io::{self, Write};
+use std::iter;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -18,6 +19,9 @@
 /// Time between two writes, which saves system calls.
 const FLUSH: Duration = Duration::from_millis(100);
 
+/// Longest write, in bytes: POSIX keeps writes to a pipe whole up to this length (PIPE_BUF).
+const WRITE_MAX: usize = 4_096;
+
 /// Stack of the writing thread, in bytes.
 const STACK: usize = 64 * 1_024;
 
@@ -75,9 +79,7 @@
     let mut out = io::stdout();
     while let Ok(first) = lines.recv() {
         thread::sleep(FLUSH);
-        let mut batch = first;
-        batch.extend(lines.try_iter().flatten());
-        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+        if pour(&mut out, iter::once(first).chain(lines.try_iter())).is_err() {
             // Nobody reads the log; there is no other place to say so.
             return;
         }
@@ -88,6 +90,25 @@
     }
 }
 
+// Writes whole lines together, as far as the write stays whole.
+fn pour<W, I>(out: &mut W, lines: I) -> io::Result<()>
+where
+    W: Write,
+    I: Iterator<Item = Vec<u8>>,
+{
+    let mut part = Vec::with_capacity(WRITE_MAX);
+    for line in lines {
+        if !part.is_empty() && part.len() + line.len() > WRITE_MAX {
+            out.write_all(&part)?;
+            out.flush()?;
+            part.clear();
+        }
+        part.extend(line);
+    }
+    out.write_all(&part)?;
+    out.flush()
+}
+
 /// Waits until lines that were logged just now are written.
 pub(crate) async fn settle() {
     tokio::time::sleep(2 * FLUSH).await;
