--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -22,8 +22,9 @@
 /// Most load that a shared prompt is worth.
 const READ_BONUS_MAX: f64 = 0.25;
 
-/// Load that a request rather meets in its own zone than go to another one.
-const NEAR_BONUS: f64 = 0.05;
+/// Load that a request rather meets in its own zone than go to another one, which costs bytes
+/// between zones and time.
+const NEAR_BONUS: f64 = 0.12;
 
 /// Load by which endpoints differ at random, so that daemons spread.
 const SPREAD: f64 = 0.04;
@@ -53,10 +54,7 @@
 /// Share of an engine's memory that running requests may fill.
 const MEMORY_SHARE: f64 = 0.9;
 
-/// Endpoints that a shared prompt prefers, so that one of them may fail or fill.
-const HOMES: usize = 2;
-
-/// Endpoints that a request compares, besides those that know its prompt. Many daemons know
+/// Endpoints that a request compares, besides the home of its prompt. Many daemons know
 /// the same loads; if all of them compared all endpoints, all would choose the same one.
 const COMPARED: usize = 6;
 
@@ -429,32 +427,30 @@
             Tier::Large => node_hash(node) < small,
         };
         let preferred: Vec<&Node> = open.iter().copied().filter(|n| is_preferred(n)).collect();
-        let homes = homes(if preferred.is_empty() { &open } else { &preferred }, ask);
+        let home = home(if preferred.is_empty() { &open } else { &preferred }, ask);
         let price = |node: &Node| {
             let away = if is_preferred(node) { 0.0 } else { MODEL_BONUS };
-            self.price(node, ask, &homes, now) + away
-        };
-        let is_home = |node: &Node| {
-            ask.shared.is_some_and(|(part, _)| homes.contains(&home(part, &node.entry.id)))
+            self.price(node, ask, home, now) + away
         };
+        let is_home = |node: &Node| home.is_some_and(|home| home == node.short);
         // The sample is drawn from the preferred engines first.
         let mut compared = if preferred.len() > COMPARED { preferred } else { open };
         if compared.len() > COMPARED_ALL {
             compared.sort_by_key(|node| (!is_home(node), spread(node, ask)));
-            compared.truncate(COMPARED + HOMES);
+            compared.truncate(COMPARED + 1);
         }
         let best = compared.into_iter().min_by(|a, b| price(a).total_cmp(&price(b)));
         best.map_or(Choice::Full, |node| Choice::Send(node.entry.id.clone()))
     }
 
-    fn price(&self, node: &Node, ask: &Ask<'_>, homes: &[u64], now: time::Tick) -> f64 {
+    fn price(&self, node: &Node, ask: &Ask<'_>, home: Option<u32>, now: time::Tick) -> f64 {
         let is_engine = ask.capacity > 0;
         let mut price = if is_engine { self.pressure(node, now) } else { self.load(node, now) };
         if node.entry.zone == self.zone {
             price -= NEAR_BONUS;
         }
-        if let Some((part, tokens)) = ask.shared
-            && homes.contains(&home(part, &node.entry.id))
+        if let Some((_, tokens)) = ask.shared
+            && home == Some(node.short)
         {
             price -= (tokens as f64 / 1_000.0 * READ_BONUS).min(READ_BONUS_MAX);
         }
@@ -590,15 +586,10 @@
     xxh3::xxh3_64(id.as_str().as_bytes()) as u32
 }
 
-fn home(part: u64, id: &id::EndpointId) -> u64 {
-    xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), part)
-}
-
-// The highest hashes, on which all daemons that know the same endpoints agree.
-fn homes(nodes: &[&Node], ask: &Ask<'_>) -> Vec<u64> {
-    let Some((part, _)) = ask.shared else { return Vec::new() };
-    let mut hashes: Vec<u64> = nodes.iter().map(|node| home(part, &node.entry.id)).collect();
-    hashes.sort_unstable_by(|a, b| b.cmp(a));
-    hashes.truncate(HOMES);
-    hashes
+// The endpoint of the highest hash, on which all daemons that know the same ones agree; where
+// it fails or is full, the next one takes its place.
+fn home(nodes: &[&Node], ask: &Ask<'_>) -> Option<u32> {
+    let (part, _) = ask.shared?;
+    let weight = |node: &&&Node| xxh3::xxh3_64_with_seed(node.entry.id.as_str().as_bytes(), part);
+    nodes.iter().max_by_key(weight).map(|node| node.short)
 }
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -201,17 +201,35 @@
     assert!(counts.values().all(|count| *count == 4), "{counts:?}");
 }
 
+// Many subjects, each asked about again and again, from daemons that know the same loads.
 #[test]
-fn requests_with_a_shared_prompt_meet_at_few_endpoints() {
+fn a_shared_prompt_is_read_at_one_endpoint_while_that_has_room() {
     let pool = pool(8);
     let service = "pool".parse().unwrap();
-    let mut found = std::collections::BTreeSet::new();
-    for seed in 0..32 {
-        let shared = Some((77, 5_000));
-        let ask = balance::Ask { shared, seed, ..ask(&service, &[]) };
-        found.insert(format!("{:?}", pool.pick(&ask, CALM, first, time::Tick(1_000))));
+    let mut read = std::collections::BTreeSet::new();
+    for seed in 0..400 {
+        let part = seed % 40;
+        let ask = balance::Ask { shared: Some((part, 5_000)), seed, ..ask(&service, &[]) };
+        let choice = pool.pick(&ask, CALM, first, time::Tick(1_000));
+        read.insert((part, format!("{choice:?}")));
+    }
+    assert_eq!(read.len(), 40);
+}
+
+// One subject that all callers ask about at once.
+#[test]
+fn a_shared_prompt_is_read_elsewhere_once_its_endpoint_is_busy() {
+    let mut pool = pool(8);
+    let service = "pool".parse().unwrap();
+    let mut counts: BTreeMap<id::EndpointId, u32> = BTreeMap::new();
+    for seed in 0..u64::from(8 * SLOTS) {
+        let ask = balance::Ask { shared: Some((77, 5_000)), seed, ..ask(&service, &[]) };
+        let choice = pool.pick(&ask, CALM, first, time::Tick(1_000));
+        let balance::Choice::Send(id) = choice else { panic!("no room for request {seed}") };
+        pool.begin(&id, balance::Work::default(), CALM, 0, time::Tick(1_000));
+        *counts.entry(id).or_default() += 1;
     }
-    assert!(found.len() <= 2, "{found:?}");
+    assert!(counts.values().all(|count| *count == SLOTS), "{counts:?}");
 }
 
 #[test]
