feat(relay): metrics of whole requests, repeats, endpoints' states and the line

Cause: the metrics told of attempts and refusals only; how requests ended, what the relay believes of endpoints and why it sent again had to be counted from the log.

Change: relay_answers, relay_duration, relay_repeats by reason, gauges of endpoints by state, waiting requests, roll-outs and zones in doubt; few labels, memory constant. The encoder's text is no longer turned into nothing if it is not UTF-8.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -216,6 +216,19 @@
     shares: Vec<Share>,
 }
 
+/// How many endpoints are in each state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Take requests.
+    pub ready: u32,
+    /// Take few requests, as they have just started.
+    pub cold: u32,
+    /// Failed of late, or are out of reach.
+    pub ejected: u32,
+    /// Take none: they leave, are not ready, or their zone is out of service.
+    pub out: u32,
+}
+
 /// The endpoints that are known.
 #[derive(Debug, Clone)]
 pub struct Balance {
@@ -392,6 +405,25 @@
             && !self.zones_out.contains_key(&node.entry.zone)
     }
 
+    /// How many endpoints are in each state.
+    pub fn census(&self, now: time::Tick) -> Census {
+        let mut census = Census::default();
+        for node in self.nodes.values() {
+            let is_trusted = node.breaker.allows(now) && self.reach.allows(&node.entry.zone, now);
+            let count = if !self.is_in_service(node) {
+                &mut census.out
+            } else if !is_trusted {
+                &mut census.ejected
+            } else if node.was_down || node.cold_until > now {
+                &mut census.cold
+            } else {
+                &mut census.ready
+            };
+            *count += 1;
+        }
+        census
+    }
+
     /// Chooses an endpoint; `rank` is this daemon's place among the sharers of a cold one.
     pub fn pick<R>(&self, ask: &Ask<'_>, cold: ColdRule, rank: R, now: time::Tick) -> Choice
     where
--- a/crates/ibishill-decide/src/line.rs
+++ b/crates/ibishill-decide/src/line.rs
@@ -47,6 +47,16 @@
         self.waiters.remove(&ticket);
     }
 
+    /// Requests that wait, of all services.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
     /// Requests that wait for a service.
     pub fn waiting(&self, service: &id::ServiceId) -> usize {
         self.waiters.values().filter(|waiter| waiter.service == *service).count()
--- a/crates/ibishill-decide/src/reach.rs
+++ b/crates/ibishill-decide/src/reach.rs
@@ -70,6 +70,11 @@
         probe.is_none_or(|probe| probe.at <= now)
     }
 
+    /// Number of zones in doubt.
+    pub fn doubted(&self) -> usize {
+        self.zones.values().filter(|zone| zone.probe.is_some()).count()
+    }
+
     /// Notes that a connection to a zone is begun; if the zone is in doubt, it is the probe.
     pub fn begin(&mut self, zone: &id::ZoneId, now: time::Tick) {
         let found = self.zones.get_mut(zone).and_then(|zone| zone.probe.as_mut());
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -173,7 +173,7 @@
         None
     };
     // Silence ends an attempt early only if another one may follow it.
-    let is_hung = is_short && early.is_none() && path::take(context, received);
+    let is_hung = is_short && early.is_none() && path::take(context, received, "silent");
     let (ended, detail) = match early {
         Some(found) => found,
         None if is_hung => (Ended::Hung, format!("no answer within {hang}")),
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -10,7 +10,8 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
-use ibishill_core::{event, time};
+use ibishill_core::{event, fleet, time};
+use ibishill_decide::canary;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -33,6 +34,9 @@
     registry: prometheus::Registry,
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
+    answers: Counter<u64>,
+    duration: Histogram<f64>,
+    repeats: Counter<u64>,
     attempts: Counter<u64>,
     first: Histogram<f64>,
     waited: Histogram<f64>,
@@ -63,6 +67,9 @@
         };
         Ok(Self {
             requests: counter("relay_requests", "Answers that the relay itself gave, by reason"),
+            answers: counter("relay_answers", "Requests that ended after an answer began, by how"),
+            duration: histogram("relay_duration", "Time from a request to the end of its answer"),
+            repeats: counter("relay_repeats", "Further attempts, by reason"),
             attempts: counter("relay_attempts", "Attempts at endpoints, by outcome"),
             first: histogram("relay_first", "Time from a send to the start of its answer"),
             waited: histogram("relay_waited", "Time for which requests waited for room"),
@@ -78,6 +85,17 @@
         self.requests.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that ended after its answer had begun, with the time since it came.
+    pub(crate) fn ended(&self, outcome: &'static str, took: time::Millis) {
+        self.answers.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.duration.record(took.0 as f64 / 1_000.0, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a further attempt.
+    pub(crate) fn repeated(&self, reason: &'static str) {
+        self.repeats.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts an attempt, with the time to the start of its answer.
     pub(crate) fn attempted(&self, outcome: &'static str, is_stream: bool, took: time::Millis) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
@@ -106,7 +124,8 @@
         if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
             event::emit_json(event::Event::MetricsFailed, &[event::field("error", &error)]);
         }
-        let mut text = String::from_utf8(text).unwrap_or_default();
+        // The encoder writes nothing but UTF-8.
+        let mut text = String::from_utf8_lossy(&text).into_owned();
         text.push_str(&beliefs(context));
         text
     }
@@ -115,13 +134,28 @@
 // What the relay believes now, and how old that is.
 fn beliefs(context: &Shared) -> String {
     let now = context.now();
-    let state = context.state();
+    let mut state = context.state();
+    let running = |canary: &&canary::Canary| canary.progress() == fleet::Progress::Running;
+    let doubted = state.balance.reach().doubted();
     let mut lines = format!(
-        "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\n",
+        "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
+         relay_rollouts_running {}\nrelay_zones_doubted {}\n",
         state.open,
         state.peers.count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
+        state.line.len(),
+        state.canaries.values().filter(running).count(),
+        doubted,
     );
+    let census = state.balance.census(now);
+    for (name, count) in [
+        ("ready", census.ready),
+        ("cold", census.cold),
+        ("ejected", census.ejected),
+        ("out", census.out),
+    ] {
+        lines.push_str(&format!("relay_endpoints{{state=\"{name}\"}} {count}\n"));
+    }
     for kind in Kind::ALL {
         let age = state.age(kind, now).map_or(-1.0, |age| age.0 as f64 / 1_000.0);
         let table = kind.table();
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use ibishill_adapter::head;
 use ibishill_core::{event, id, route, time};
 use ibishill_decide::{routing, sizing};
@@ -54,13 +54,16 @@
 
 /// Logs that the caller left, unless it is told that the request has ended.
 struct Presence {
+    context: Shared,
     request: String,
+    since: time::Tick,
     is_done: bool,
 }
 
 impl Drop for Presence {
     fn drop(&mut self) {
         if !self.is_done {
+            self.context.metrics.ended("left", self.context.now().since(self.since));
             event::emit_json(event::Event::CallerGone, &[event::field("request", &self.request)]);
         }
     }
@@ -70,7 +73,8 @@
 pub(crate) async fn answer(context: Shared, request: Request<Incoming>) -> Response<Body> {
     let since = context.now();
     let facts = head::decode(request.headers());
-    let mut presence = Presence { request: facts.id.clone(), is_done: false };
+    let mut presence =
+        Presence { context: context.clone(), request: facts.id.clone(), since, is_done: false };
     let answer = match receive(&context, request, facts, since).await {
         Ok(received) => run(&context, received).await,
         Err((request, why)) => own::decline(&context, &request, why, None),
@@ -171,7 +175,7 @@
     let until = received.until.since(context.now());
     let deadline = clock::Instant::now() + Duration::from_millis(until.0);
     let mut has_sent = false;
-    let request = received.facts.id.clone();
+    let (request, since) = (received.facts.id.clone(), received.since);
     earn(context, &received);
     let work = attempts(context, received, &mut has_sent);
     let ended = match clock::timeout_at(deadline, work).await {
@@ -180,7 +184,13 @@
     };
     drop(running);
     match ended {
-        Ok(answer) => answer,
+        Ok(answer) => {
+            // A stream is counted where it ends.
+            if answer.body().size_hint().exact().is_some() {
+                context.metrics.ended("whole", context.now().since(since));
+            }
+            answer
+        }
         Err(why) => own::decline(context, &request, why, Some(own::COME_BACK)),
     }
 }
@@ -222,7 +232,7 @@
             Ended::Refused => {
                 *has_sent = was_sent;
                 sends += 1;
-                if sends < received.route.attempts && take(context, &received) {
+                if sends < received.route.attempts && take(context, &received, "refused") {
                     continue;
                 }
                 return give_up(last, may_have_run, Own::Refused);
@@ -236,7 +246,10 @@
                 sends += 1;
                 may_have_run = true;
                 let may_repeat = received.route.kind.may_repeat();
-                if may_repeat && sends < received.route.attempts && take(context, &received) {
+                if may_repeat
+                    && sends < received.route.attempts
+                    && take(context, &received, "unknown")
+                {
                     continue;
                 }
                 return give_up(last, true, Own::Unknown);
@@ -246,7 +259,10 @@
                 may_have_run = true;
                 let may_repeat =
                     answer.status().is_server_error() && received.route.kind.may_repeat();
-                if may_repeat && sends < received.route.attempts && take(context, &received) {
+                if may_repeat
+                    && sends < received.route.attempts
+                    && take(context, &received, "failed")
+                {
                     last = Some(answer);
                     continue;
                 }
@@ -259,7 +275,7 @@
                 if size < larger
                     && sends < received.route.attempts
                     && is_weak(context, &received, &opened.reply, &sizes[larger])
-                    && take(context, &received)
+                    && take(context, &received, "weak")
                 {
                     log_dropped(&received, &opened.reply);
                     size = larger;
@@ -290,14 +306,18 @@
     reply.confidence.is_some_and(|confidence| confidence < threshold)
 }
 
-/// Takes the right to a further attempt at the request's service.
-pub(crate) fn take(context: &Shared, received: &Received) -> bool {
+/// Takes the right to a further attempt at the request's service; `why` is for the metrics.
+pub(crate) fn take(context: &Shared, received: &Received, why: &'static str) -> bool {
     let now = context.now();
     let mut state = context.state();
     let daemons = state.peers.others().count() + 1;
     let bounds = state.place.bounds;
     let allowance = state.allowances.entry(received.service.clone()).or_default();
-    allowance.take(&bounds, daemons, now)
+    let is_granted = allowance.take(&bounds, daemons, now);
+    if is_granted {
+        context.metrics.repeated(why);
+    }
+    is_granted
 }
 
 /// Whether [`take`] would succeed.
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -176,7 +176,7 @@
             self.tried.push(self.target.endpoint.clone());
             let is_allowed = kind.may_repeat() && self.sends < self.received.route.attempts;
             let left = self.received.left(self.context.now());
-            if !is_allowed || left.0 == 0 || !path::take(&self.context, &self.received) {
+            if !is_allowed || left.0 == 0 || !path::take(&self.context, &self.received, "cut") {
                 self.log_broken(&why);
                 return None;
             }
@@ -215,8 +215,14 @@
         attempt::count(&mut state, &self.context, received, target, failed, time::Millis(0));
     }
 
-    fn log_done(&self) {
+    fn count(&self, outcome: &'static str) -> time::Millis {
         let took = self.context.now().since(self.received.since);
+        self.context.metrics.ended(outcome, took);
+        took
+    }
+
+    fn log_done(&self) {
+        let took = self.count("stream");
         event::emit_json(
             event::Event::RequestDone,
             &[
@@ -229,11 +235,13 @@
     }
 
     fn log_left(&self) {
+        let took = self.count("left");
         event::emit_json(
             event::Event::CallerGone,
             &[
                 event::field("request", &self.received.facts.id),
                 event::field("events", &self.events),
+                event::field("took", &took),
             ],
         );
     }
@@ -251,6 +259,7 @@
     }
 
     fn log_broken(&self, why: &str) {
+        let took = self.count("broken");
         event::emit_json(
             event::Event::StreamBroken,
             &[
@@ -258,6 +267,7 @@
                 event::field("endpoint", &self.target.endpoint),
                 event::field("events", &self.events),
                 event::field("sends", &self.sends),
+                event::field("took", &took),
                 event::field("why", &why),
             ],
         );
