--- a/crates/ibishill-state/tests/replica.rs
+++ b/crates/ibishill-state/tests/replica.rs
@@ -42,6 +42,15 @@
             expected: &["a@5"],
             version: 5,
         },
+        Case {
+            name: "a newer delta holds an older row",
+            deltas: vec![
+                delta(true, 5, vec![row("a", 5, Some("new"))]),
+                delta(false, 6, vec![row("a", 4, Some("old")), row("b", 6, Some("x"))]),
+            ],
+            expected: &["a@5", "b@6"],
+            version: 6,
+        },
         Case {
             name: "a removal",
             deltas: vec![
