docs(decide): what ends a zone's doubt, and why the number of an event is always there

Cause: read as a newcomer, the comment on heard spoke of refusals only, while any failure at once counts; the serializer leaned on a key without saying so.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -146,7 +146,8 @@
     }
 }
 
-// Serialized as it is, without a copy of the values.
+// Serialized as it is, without a copy of the values; the key `text`, which comes after
+// `event`, is always among the fields.
 struct Object<'a> {
     number: u16,
     fields: &'a [Field<'a>],
--- a/crates/ibishill-decide/src/reach.rs
+++ b/crates/ibishill-decide/src/reach.rs
@@ -83,9 +83,10 @@
         }
     }
 
-    /// Notes that an endpoint took a connection, or refused it, after `took`.
+    /// Notes that a connection was made or failed at once, after `took`.
     ///
-    /// Returns whether its zone was in doubt.
+    /// A failure of this process itself, such as a lack of descriptors, ends the doubt as well;
+    /// that costs two silent connections. Returns whether the zone was in doubt.
     pub fn heard(&mut self, zone: &id::ZoneId, took: time::Millis) -> bool {
         let found = self.zones.entry(zone.clone()).or_default();
         let kept = found.slowest.map_or(0, |slowest| slowest.0 * CONNECT_KEPT / 100);
