canary: errors by route, slowness by the mean of logarithms of times, doubt stops the growth

Cause: a new version that is slow on half of its answers was found only after about 200 of them, as a threshold at four times the old median with a tolerance of 15 percent keeps little of what times tell; one that fails one kind of request hid among the others and behind old endpoints that failed meanwhile.

Ruled out: lower thresholds (about 130 to 160 answers needed by the same sum); a lost decider, lost tallies. Tolerance 0.2.

The case 'somewhat slower, as its prompts are not read yet' (2.8 times as slow, to be completed) is replaced: the bad version above is slower by just that, and good ones are faster. Two cases in its place: a tenth slower is completed, 2.8 times as slow is rolled back.

Versions that fail under load only still go unseen.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -405,6 +405,11 @@
             && !self.zones_out.contains_key(&node.entry.zone)
     }
 
+    /// Whether an endpoint has just started.
+    pub fn is_cold(&self, id: &id::EndpointId, now: time::Tick) -> bool {
+        self.nodes.get(id).is_some_and(|node| node.was_down || node.cold_until > now)
+    }
+
     /// How many endpoints are in each state.
     pub fn census(&self, now: time::Tick) -> Census {
         let mut census = Census::default();
@@ -414,7 +419,7 @@
                 &mut census.out
             } else if !is_trusted {
                 &mut census.ejected
-            } else if node.was_down || node.cold_until > now {
+            } else if self.is_cold(&node.entry.id, now) {
                 &mut census.cold
             } else {
                 &mut census.ready
--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::rollout::{counts, sequential};
+use crate::rollout::{counts, moments, sequential};
 
 /// Share of the declared exposure that is used, as daemons count apart.
 const EXPOSE_USED: f64 = 0.6;
@@ -31,18 +31,25 @@
 /// Answers of the new version without which it is not complete early.
 const CANDIDATE_MIN: u64 = 20;
 
-/// Chance that a good version is halted.
-const ALPHA: f64 = 0.0005;
+/// Chance that a good version is halted. Operators order it again; a bad version that goes
+/// unseen reaches all callers.
+const ALPHA: f64 = 0.002;
+
+/// Chance of a false alarm from which on the share does not grow, and at which the version is
+/// not taken as complete at the end.
+const DOUBT: f64 = 0.05;
+
+/// Time for which a peer's doubt counts; those that judge tell it in each round.
+const DOUBT_KEPT: time::Millis = time::Millis(1_500);
 
 /// Share of failures by which the new version may be worse.
 const ERRORS_TOLERANCE: f64 = 0.03;
 
-/// Share of slow answers by which the new version may be worse.
-const SLOW_TOLERANCE: f64 = 0.15;
-
-/// Half doublings of the stable version's median time above which an answer is slow: four
-/// times the median, as an endpoint that has just started reads prompts that others know.
-const SLOW_STEPS: usize = 4;
+/// Doublings of the time to the first event by which the new version may be slower. As it
+/// gets the smaller share of the load, a good one is faster by 0.02 to 0.7 doublings on the
+/// days of docs/MEASURES.md, and one that is eight times as slow on half of its answers
+/// slower by 0.6 to 1.7.
+const SLOW_TOLERANCE: f64 = 0.2;
 
 /// Sessions that are remembered.
 const SESSIONS_MAX: usize = 4_096;
@@ -87,20 +94,69 @@
     Candidate,
 }
 
+/// How an answer of a version went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It failed.
+    Failed,
+    /// It came; its time tells nothing, as its endpoint has just started.
+    Cold,
+    /// Its first part came after this time.
+    Answered(time::Millis),
+}
+
+/// Answers of one version on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answers {
+    /// All.
+    pub all: u64,
+    /// Those that failed.
+    pub failed: u64,
+    /// Times of others while the share stood still, so that both versions had the same load.
+    pub times: moments::Moments,
+}
+
+impl Answers {
+    const fn add(&mut self, other: &Self) {
+        self.all += other.all;
+        self.failed += other.failed;
+        self.times.add(&other.times);
+    }
+
+    const fn errors(&self) -> counts::Trials {
+        counts::Trials { hits: self.failed, all: self.all }
+    }
+}
+
+/// Answers of both versions on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pair {
+    /// The old version.
+    pub stable: Answers,
+    /// The new version.
+    pub candidate: Answers,
+}
+
+impl Pair {
+    const fn add(&mut self, other: &Self) {
+        self.stable.add(&other.stable);
+        self.candidate.add(&other.candidate);
+    }
+}
+
 /// One daemon's counts in a roll-out.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
     /// When the daemon's process started.
     pub start: u64,
-    /// The old version.
-    pub stable: counts::Counts,
-    /// The new version.
-    pub candidate: counts::Counts,
+    /// Answers by route, as a version may fail one kind of request only.
+    pub routes: BTreeMap<id::RouteId, Pair>,
 }
 
 impl Tally {
     fn size(&self) -> (u64, u64) {
-        (self.start, self.stable.requests + self.candidate.requests)
+        let all = |pair: &Pair| pair.stable.all + pair.candidate.all;
+        (self.start, self.routes.values().map(all).sum())
     }
 }
 
@@ -117,6 +173,8 @@
     pub progress: fleet::Progress,
     /// Counts by daemon.
     pub tallies: BTreeMap<id::VmId, Tally>,
+    /// Whether the sender judges it and has doubts.
+    pub is_doubted: bool,
     /// Sessions of the first share that began on the old version.
     pub pinned: Vec<u64>,
 }
@@ -130,6 +188,12 @@
     tallies: BTreeMap<id::VmId, Tally>,
     pinned: BTreeSet<u64>,
     expose: f64,
+    // The share that was reached, which does not grow while there is doubt.
+    stage: f64,
+    // Whether the last look at the counts here left doubt.
+    sees_doubt: bool,
+    // When a peer last told of doubt.
+    doubted: Option<time::Tick>,
 }
 
 impl Canary {
@@ -142,6 +206,9 @@
             tallies: BTreeMap::new(),
             pinned: BTreeSet::new(),
             expose: bounds.expose_share * EXPOSE_USED,
+            stage: bounds.expose_share * EXPOSE_USED,
+            sees_doubt: false,
+            doubted: None,
         }
     }
 
@@ -172,7 +239,12 @@
     fn share(&self, now: time::Tick) -> f64 {
         let elapsed = self.elapsed(now);
         let stage = STAGES.iter().rev().find(|(from, _)| elapsed >= *from);
-        stage.map_or(self.expose, |(_, share)| share.max(self.expose))
+        let due = stage.map_or(self.expose, |(_, share)| share.max(self.expose));
+        if self.is_doubted(now) { due.min(self.stage) } else { due }
+    }
+
+    fn is_doubted(&self, now: time::Tick) -> bool {
+        self.sees_doubt || self.doubted.is_some_and(|at| now.since(at) < DOUBT_KEPT)
     }
 
     /// The version that a request of `session` runs on.
@@ -184,7 +256,8 @@
         }
         let is_held =
             self.is_early(now) && (self.age(now) < HOLD || self.pinned.contains(&session));
-        if !is_held && self.slot(session) < self.share(now) {
+        self.stage = self.share(now);
+        if !is_held && self.slot(session) < self.stage {
             return Side::Candidate;
         }
         self.pin(session);
@@ -203,11 +276,27 @@
         }
     }
 
-    /// This daemon's counts.
-    pub fn tally(&mut self, own: &id::VmId, start: u64) -> &mut Tally {
+    /// Counts an answer that this daemon got on a route; `start` is that of its process.
+    pub fn count(
+        &mut self,
+        (own, start): (&id::VmId, u64),
+        route: &id::RouteId,
+        version: &id::VersionId,
+        outcome: Outcome,
+        now: time::Tick,
+    ) {
+        let is_even = self.age(now) >= HOLD && self.share(now) <= self.expose;
         let tally = self.tallies.entry(own.clone()).or_default();
         tally.start = start;
-        tally
+        let pair = tally.routes.entry(route.clone()).or_default();
+        let is_new = *version == self.order.to;
+        let answers = if is_new { &mut pair.candidate } else { &mut pair.stable };
+        answers.all += 1;
+        match outcome {
+            Outcome::Failed => answers.failed += 1,
+            Outcome::Answered(time) if is_even => answers.times.note(time),
+            Outcome::Answered(_) | Outcome::Cold => {}
+        }
     }
 
     /// Takes in what a peer tells.
@@ -226,6 +315,9 @@
         for session in news.pinned {
             self.pin(session);
         }
+        if news.is_doubted {
+            self.doubted = Some(now);
+        }
         self.settle(news.progress);
     }
 
@@ -254,48 +346,74 @@
             age: self.age(now),
             progress: self.progress,
             tallies: own_tally.into_iter().collect(),
+            is_doubted: self.sees_doubt && is_running,
             pinned: if has_pins { self.pinned.iter().copied().collect() } else { Vec::new() },
         }
     }
 
-    /// Counts of all daemons: of the old version, and of the new one.
-    pub fn sums(&self) -> (counts::Counts, counts::Counts) {
-        let mut sums = (counts::Counts::default(), counts::Counts::default());
-        for tally in self.tallies.values() {
-            sums.0.add(&tally.stable);
-            sums.1.add(&tally.candidate);
+    // Answers of all daemons by route.
+    fn routes(&self) -> BTreeMap<&id::RouteId, Pair> {
+        let mut routes: BTreeMap<&id::RouteId, Pair> = BTreeMap::new();
+        for (route, pair) in self.tallies.values().flat_map(|tally| &tally.routes) {
+            routes.entry(route).or_default().add(pair);
+        }
+        routes
+    }
+
+    /// Answers of all daemons.
+    pub fn sums(&self) -> Pair {
+        let mut sums = Pair::default();
+        for pair in self.routes().values() {
+            sums.add(pair);
         }
         sums
     }
 
+    /// Natural logarithm of the likelihood ratio between a worse new version and one that is
+    /// as good, by errors and times, over all routes and on each of them.
+    ///
+    /// By Ville's inequality it exceeds `ln(1 / alpha)` at any look with a chance of at most
+    /// `alpha` if the new version is as good.
+    pub fn evidence(&self) -> f64 {
+        let routes = self.routes();
+        let errors = |pair: &Pair| {
+            let (stable, candidate) = (pair.stable.errors(), pair.candidate.errors());
+            sequential::evidence(stable, candidate, ERRORS_TOLERANCE)
+        };
+        let times = |pair: &Pair| (pair.stable.times, pair.candidate.times);
+        let all: Vec<_> = routes.values().map(times).collect();
+        let slowness = |all: &[(moments::Moments, moments::Moments)]| {
+            sequential::slowness(all.iter().map(|(a, b)| (a, b)), SLOW_TOLERANCE)
+        };
+        // Half of the chance of a false halt goes to the whole, half to its parts.
+        let whole = errors(&self.sums()).max(slowness(&all)) - 4.0_f64.ln();
+        let parts = routes.values().map(|pair| errors(pair).max(slowness(&[times(pair)])));
+        let part = parts.fold(f64::NEG_INFINITY, f64::max) - (4.0 * routes.len() as f64).ln();
+        whole.max(part)
+    }
+
     /// How the roll-out should stand, by what is known here.
     ///
     /// Every daemon halts by what it sees; only those that `decide`, to which the others send
     /// their counts, find it complete, unless the time is nearly over.
-    pub fn verdict(&self, decides: bool, now: time::Tick) -> fleet::Progress {
+    pub fn verdict(&mut self, decides: bool, now: time::Tick) -> fleet::Progress {
         if self.progress != fleet::Progress::Running {
             return self.progress;
         }
-        let (stable, candidate) = self.sums();
-        let errors = sequential::evidence(stable.errors(), candidate.errors(), ERRORS_TOLERANCE);
-        let edge = stable.slow_edge(0.5) + SLOW_STEPS;
-        let (before, after) = (stable.slower(edge), candidate.slower(edge));
-        let slow = if before.all > 0 {
-            sequential::evidence(before, after, SLOW_TOLERANCE)
-        } else {
-            f64::NEG_INFINITY
-        };
-        let limit = (1.0 / ALPHA).ln();
-        if errors > limit || slow > limit {
+        let evidence = self.evidence();
+        self.sees_doubt = evidence > (1.0 / DOUBT).ln();
+        if evidence > (1.0 / ALPHA).ln() {
             return fleet::Progress::RolledBack;
         }
         let elapsed = self.elapsed(now);
-        let is_doubted = errors.max(slow) > 0.0;
-        let is_seen = candidate.requests >= CANDIDATE_MIN && !is_doubted;
+        let is_seen = self.sums().candidate.all >= CANDIDATE_MIN && evidence <= 0.0;
         let is_due = elapsed >= COMPLETE_LATE || (elapsed >= COMPLETE_AT && is_seen);
-        if elapsed >= COMPLETE_ALONE || (decides && is_due) {
-            return fleet::Progress::Completed;
+        if elapsed < COMPLETE_ALONE && !(decides && is_due) {
+            return fleet::Progress::Running;
+        }
+        if self.is_doubted(now) {
+            return fleet::Progress::RolledBack;
         }
-        fleet::Progress::Running
+        fleet::Progress::Completed
     }
 }
--- a/crates/ibishill-decide/src/rollout.rs
+++ b/crates/ibishill-decide/src/rollout.rs
@@ -2,6 +2,7 @@
 //! against the stable one on errors, ratings and latency.
 
 pub mod counts;
+pub mod moments;
 pub mod sequential;
 
 use std::fmt;
--- a/crates/ibishill-decide/src/rollout/sequential.rs
+++ b/crates/ibishill-decide/src/rollout/sequential.rs
@@ -1,12 +1,20 @@
 //! A mixture of sequential probability ratio tests that stays valid however often one looks.
 
 use super::counts::Trials;
+use super::moments::Moments;
 
 const DEVIATIONS: f64 = 1.0;
 const PSEUDO_HITS: f64 = 0.5;
 // Shares of the way from the stable version's share to one.
 const ALTERNATIVES: [f64; 3] = [0.05, 0.1, 0.3];
 const SHARE_MAX: f64 = 0.99;
+// Doublings by which answers may be slower beyond the null shift: a part of them is slow, most
+// are, or all are many times slower.
+const SHIFTS: [f64; 3] = [0.4, 0.8, 1.6];
+// Least variance of logarithms of times, in squared doublings, as few samples look alike.
+const VARIANCE_MIN: f64 = 0.25;
+// Times of the stable version below which nothing is known of how they spread.
+const TIMES_MIN: u64 = 8;
 
 /// Natural logarithm of the likelihood ratio between worse shares and the stable one.
 ///
@@ -20,10 +28,40 @@
         let worse = null + (1.0 - null) * step;
         hits * (worse / null).ln() + misses * ((1.0 - worse) / (1.0 - null)).ln()
     });
-    // The mean of the ratios, computed around the largest so that nothing overflows.
+    mixture(&ratios)
+}
+
+/// Natural logarithm of the likelihood ratio between slower times and those of the stable
+/// version, over pairs of stable and new version that are alike but for the version.
+///
+/// The null mean of each pair is an upper bound of the stable version's mean plus
+/// `tolerance`, in doublings. A pair with few times of the stable version tells
+/// nothing.
+pub fn slowness<'a, I>(pairs: I, tolerance: f64) -> f64
+where
+    I: IntoIterator<Item = (&'a Moments, &'a Moments)>,
+{
+    let mut ratios = SHIFTS.map(|_| 0.0);
+    for (stable, candidate) in pairs {
+        if stable.count < TIMES_MIN || candidate.count == 0 {
+            continue;
+        }
+        let spread = stable.variance().max(VARIANCE_MIN);
+        let null = stable.mean() + DEVIATIONS * (spread / stable.count as f64).sqrt() + tolerance;
+        let variance = candidate.variance().max(spread);
+        let excess = candidate.mean() - null;
+        for (ratio, shift) in ratios.iter_mut().zip(SHIFTS) {
+            *ratio += candidate.count as f64 * shift * (excess - shift / 2.0) / variance;
+        }
+    }
+    mixture(&ratios)
+}
+
+// The mean of the ratios, computed around the largest so that nothing overflows.
+fn mixture(ratios: &[f64]) -> f64 {
     let largest = ratios.iter().copied().fold(f64::NEG_INFINITY, f64::max);
     let sum: f64 = ratios.iter().map(|ratio| (ratio - largest).exp()).sum();
-    largest + (sum / ALTERNATIVES.len() as f64).ln()
+    largest + (sum / ratios.len() as f64).ln()
 }
 
 // Upper bound of a share.
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -19,77 +19,108 @@
 
 struct Case {
     name: &'static str,
+    // Milliseconds between requests.
+    gap: u64,
     // Percent of answers that fail: old version, new version.
     fails: (u64, u64),
+    // The only route on which the new version fails, if it is one.
+    route: Option<u64>,
     // Milliseconds to the first event: old version, new version.
     times: (u64, u64),
+    // Percent of the new version's answers that take eight times as long.
+    slow: u64,
     expected: fleet::Progress,
 }
 
+const BASE: Case = Case {
+    name: "",
+    gap: 16,
+    fails: (0, 0),
+    route: None,
+    times: (100, 100),
+    slow: 0,
+    expected: fleet::Progress::Completed,
+};
+
+// Times spread by a factor of eight, as prompts and answers of all sizes come.
+const SPREAD: [u64; 6] = [50, 70, 100, 140, 200, 400];
+
+const ROUTES: u64 = 3;
+
 // Plays requests at a steady rate until the deadline, judged as they come.
 fn play(case: &Case) -> (fleet::Progress, u64, u64) {
     let own: id::VmId = "vm".parse().unwrap();
     let mut canary = start();
     let (mut all, mut exposed) = (0_u64, 0_u64);
-    for now in (0..DURATION).step_by(16) {
+    for now in (0..DURATION).step_by(case.gap as usize) {
         let at = time::Tick(now);
         all += 1;
         // Sessions of two requests each, in no order of their hashes.
         let side = canary.side((all / 2) * 7_919, at);
         let is_new = side == canary::Side::Candidate;
         exposed += u64::from(is_new);
-        let (percent, first) =
-            if is_new { (case.fails.1, case.times.1) } else { (case.fails.0, case.times.0) };
-        let tally = canary.tally(&own, 1);
-        let counts = if is_new { &mut tally.candidate } else { &mut tally.stable };
-        if (all * 37) % 100 < percent {
-            counts.failed();
+        let dice = xxhash_rust::xxh3::xxh3_64(&all.to_le_bytes());
+        let (route, percent) = (dice % ROUTES, dice / 8 % 100);
+        let fails = if is_new { case.fails.1 } else { case.fails.0 };
+        let is_spared = is_new && case.route.is_some_and(|only| only != route);
+        let mean = if is_new { case.times.1 } else { case.times.0 };
+        let is_slow = is_new && dice / 1_024 % 100 < case.slow;
+        let time = mean * SPREAD[(dice / 4_096) as usize % SPREAD.len()] / 100;
+        let outcome = if percent < fails && !is_spared {
+            canary::Outcome::Failed
         } else {
-            counts.answered(time::Millis(first));
-        }
-        canary.settle(canary.verdict(true, at));
+            canary::Outcome::Answered(time::Millis(if is_slow { 8 * time } else { time }))
+        };
+        let version = if is_new { "v2" } else { "v1" }.parse().unwrap();
+        let route = format!("r-{route}").parse().unwrap();
+        canary.count((&own, 1), &route, &version, outcome, at);
+        let verdict = canary.verdict(true, at);
+        canary.settle(verdict);
     }
     (canary.progress(), all, exposed)
 }
 
 #[test]
 fn a_rollout_ends_by_how_the_new_version_answers() {
+    let bad = fleet::Progress::RolledBack;
     let cases = [
+        Case { name: "as good as the old one", fails: (1, 1), ..BASE },
+        Case { name: "both fail alike, as their network does", fails: (6, 6), ..BASE },
+        Case { name: "a tenth slower, as its prompts are not read yet", times: (100, 110), ..BASE },
+        Case { name: "faster, as it has less load", times: (100, 70), ..BASE },
+        Case { name: "good, with few requests", gap: 160, ..BASE },
+        Case { name: "half of its answers fail", fails: (0, 50), expected: bad, ..BASE },
+        Case { name: "a third of its answers fail", fails: (1, 30), expected: bad, ..BASE },
         Case {
-            name: "as good as the old one",
-            fails: (1, 1),
-            times: (200, 200),
-            expected: fleet::Progress::Completed,
+            name: "half of the answers of one route fail",
+            fails: (0, 50),
+            route: Some(1),
+            expected: bad,
+            ..BASE
         },
         Case {
-            name: "both fail alike, as their network does",
-            fails: (6, 6),
-            times: (200, 200),
-            expected: fleet::Progress::Completed,
+            name: "half of the answers of one route fail beside an endpoint that fails often",
+            fails: (8, 50),
+            route: Some(1),
+            expected: bad,
+            ..BASE
         },
+        Case { name: "nearly three times as slow", times: (100, 280), expected: bad, ..BASE },
+        Case { name: "eight times as slow", times: (100, 800), expected: bad, ..BASE },
         Case {
-            name: "somewhat slower, as its prompts are not read yet",
-            fails: (0, 0),
-            times: (100, 280),
-            expected: fleet::Progress::Completed,
+            name: "half of its answers are slow, with less load",
+            times: (100, 75),
+            slow: 50,
+            expected: bad,
+            ..BASE
         },
         Case {
-            name: "half of its answers fail",
-            fails: (0, 50),
-            times: (200, 200),
-            expected: fleet::Progress::RolledBack,
-        },
-        Case {
-            name: "one of three routes fails",
-            fails: (1, 30),
-            times: (200, 200),
-            expected: fleet::Progress::RolledBack,
-        },
-        Case {
-            name: "eight times as slow",
-            fails: (0, 0),
-            times: (200, 1_600),
-            expected: fleet::Progress::RolledBack,
+            name: "half of its answers are slow, with few requests",
+            gap: 40,
+            times: (100, 75),
+            slow: 50,
+            expected: bad,
+            ..BASE
         },
     ];
     for case in cases {
@@ -102,6 +133,36 @@
     }
 }
 
+#[test]
+fn doubt_of_a_daemon_that_judges_stops_the_growth_at_the_others() {
+    let (one, two): (id::VmId, id::VmId) = ("one".parse().unwrap(), "two".parse().unwrap());
+    let (mut judge, mut other) = (start(), start());
+    let route = "r".parse().unwrap();
+    let mut now = time::Tick(2_000);
+    let mut tell = |version: &str, outcome| {
+        judge.count((&one, 1), &route, &version.parse().unwrap(), outcome, now);
+    };
+    for _ in 0..200 {
+        tell("v1", canary::Outcome::Answered(time::Millis(100)));
+    }
+    for _ in 0..3 {
+        tell("v2", canary::Outcome::Failed);
+    }
+    assert_eq!(judge.verdict(true, now), fleet::Progress::Running);
+    // Told in every round until the share would be at its whole.
+    let count = |other: &mut canary::Canary, now| {
+        let new = |session: &u64| other.side(*session, now) == canary::Side::Candidate;
+        (0..1_000).filter(new).count()
+    };
+    while now.0 < DURATION * 3 / 4 {
+        other.hear(judge.news(&one, true, now), &two, now);
+        now = now + time::Millis(400);
+    }
+    assert!(count(&mut other, now) < 150);
+    // Once it is over, the share grows.
+    assert_eq!(count(&mut other, now + time::Millis(2_000)), 1_000);
+}
+
 #[test]
 fn a_session_that_began_on_the_old_version_stays_there_in_the_first_half() {
     let mut canary = start();
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -318,18 +318,19 @@
     attempt: outlier::Attempt,
     first: time::Millis,
 ) {
-    let vm = state.place.vm.clone();
+    let now = context.now();
+    let is_cold = state.balance.is_cold(&target.endpoint, now);
     let Some(canary) = state.canaries.get_mut(&received.service) else { return };
-    let is_new = canary.order().to == target.version;
-    let tally = canary.tally(&vm, context.start);
-    let counts = if is_new { &mut tally.candidate } else { &mut tally.stable };
-    match attempt {
-        outlier::Attempt::Good => counts.answered(first),
-        _ => {
-            counts.failed();
-            // At once, as a busy service sends many requests before the next look.
-            duty::judge(state, &received.service, context.now());
-        }
+    let outcome = match attempt {
+        outlier::Attempt::Good if is_cold => canary::Outcome::Cold,
+        outlier::Attempt::Good => canary::Outcome::Answered(first),
+        _ => canary::Outcome::Failed,
+    };
+    let own = (&state.place.vm, context.start);
+    canary.count(own, &received.route.name, &target.version, outcome, now);
+    if outcome == canary::Outcome::Failed {
+        // At once, as a busy service sends many requests before the next look.
+        duty::judge(state, &received.service, now);
     }
 }
 
--- a/crates/ibishill-relay/src/duty.rs
+++ b/crates/ibishill-relay/src/duty.rs
@@ -105,7 +105,7 @@
         return;
     }
     canary.settle(verdict);
-    let (stable, candidate) = canary.sums();
+    let sums = canary.sums();
     event::emit_json(
         event::Event::RolloutChanged,
         &[
@@ -113,10 +113,11 @@
             event::field("to", &canary.order().to),
             event::field("state", &format!("{verdict:?}")),
             event::field("age", &canary.age(now)),
-            event::field("stable", &stable.requests),
-            event::field("stable_failed", &stable.failed),
-            event::field("candidate", &candidate.requests),
-            event::field("candidate_failed", &candidate.failed),
+            event::field("evidence", &format!("{:.1}", canary.evidence())),
+            event::field("stable", &sums.stable.all),
+            event::field("stable_failed", &sums.stable.failed),
+            event::field("candidate", &sums.candidate.all),
+            event::field("candidate_failed", &sums.candidate.failed),
         ],
     );
 }
