--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -54,6 +54,11 @@
 /// Share of an engine's memory that running requests may fill.
 const MEMORY_SHARE: f64 = 0.9;
 
+/// Mean load of the old version's endpoints from which on the new version's few requests go to
+/// as few endpoints as bear the same load; below, the loss of an endpoint would pass for a
+/// fault of the version.
+const PACK_FROM: f64 = 0.5;
+
 /// Endpoints that a request compares, besides the home of its prompt. Many daemons know
 /// the same loads; if all of them compared all endpoints, all would choose the same one.
 const COMPARED: usize = 6;
@@ -132,6 +137,8 @@
     pub reading: f64,
     /// Which engines its model prefers.
     pub tier: Tier,
+    /// Whether it tries a new version, whose endpoints are to bear what those of others bear.
+    pub is_trial: bool,
     /// Spreads requests over endpoints that are alike.
     pub seed: u64,
 }
@@ -456,7 +463,10 @@
         }
         let is_open =
             |node: &&&Node| self.has_room(node, ask, now) && admits(node, cold, &rank, now);
-        let open: Vec<&Node> = pool.iter().filter(is_open).copied().collect();
+        let mut open: Vec<&Node> = pool.iter().filter(is_open).copied().collect();
+        if ask.is_trial {
+            self.pack(&mut open, ask, now);
+        }
         let small = smalls(&all);
         let is_preferred = |node: &Node| match ask.tier {
             Tier::Any => true,
@@ -480,6 +490,23 @@
         best.map_or(Choice::Full, |node| Choice::Send(node.entry.id.clone()))
     }
 
+    // Leaves one endpoint of a new version that has less load than those of the others.
+    fn pack(&self, open: &mut Vec<&Node>, ask: &Ask<'_>, now: time::Tick) {
+        let is_other = |node: &&Node| {
+            node.entry.service == *ask.service
+                && !ask.versions.allows(&node.entry.version)
+                && self.is_in_service(node)
+        };
+        let loads = self.nodes.values().filter(is_other).map(|node| self.load(node, now));
+        let (sum, count) = loads.fold((0.0, 0.0), |(sum, count), load| (sum + load, count + 1.0));
+        let mean = sum / f64::max(count, 1.0);
+        let is_less = |node: &&&Node| self.load(node, now) < mean;
+        let first = open.iter().filter(is_less).min_by_key(|node| node_hash(node)).copied();
+        if let Some(first) = first.filter(|_| mean >= PACK_FROM) {
+            open.retain(|node| node.short == first.short);
+        }
+    }
+
     fn price(&self, node: &Node, ask: &Ask<'_>, home: Option<u32>, now: time::Tick) -> f64 {
         let is_engine = ask.capacity > 0;
         let mut price = if is_engine { self.pressure(node, now) } else { self.load(node, now) };
--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -17,7 +17,11 @@
 const EXPOSE_USED: f64 = 0.6;
 
 /// Stages of the second half: share of the duration that is over, and percent of sessions.
-const STAGES: [(f64, f64); 4] = [(0.50, 0.2), (0.56, 0.4), (0.62, 0.7), (0.68, 1.0)];
+const STAGES: [(f64, f64); 4] = [(0.50, 0.2), (0.58, 0.4), (0.64, 0.7), (0.70, 1.0)];
+
+/// Largest share of sessions at which times are compared. Above half, a good version is slower
+/// as it has more load.
+const COMPARED_SHARE: f64 = 0.4;
 
 /// Share of the duration after which a good version is complete.
 const COMPLETE_AT: f64 = 0.78;
@@ -33,7 +37,7 @@
 
 /// Chance that a good version is halted. Operators order it again; a bad version that goes
 /// unseen reaches all callers.
-const ALPHA: f64 = 0.002;
+const ALPHA: f64 = 0.005;
 
 /// Chance of a false alarm from which on the share does not grow, and at which the version is
 /// not taken as complete at the end.
@@ -42,14 +46,18 @@
 /// Time for which a peer's doubt counts; those that judge tell it in each round.
 const DOUBT_KEPT: time::Millis = time::Millis(1_500);
 
+/// Windows of time in which a roll-out's answers are counted; those before a version began to
+/// fail, late or under load, would hide that it does.
+const WINDOWS: f64 = 8.0;
+
 /// Share of failures by which the new version may be worse.
 const ERRORS_TOLERANCE: f64 = 0.03;
 
 /// Doublings of the time to the first event by which the new version may be slower. As it
 /// gets the smaller share of the load, a good one is faster by 0.02 to 0.7 doublings on the
 /// days of docs/MEASURES.md, and one that is eight times as slow on half of its answers
-/// slower by 0.6 to 1.7.
-const SLOW_TOLERANCE: f64 = 0.2;
+/// slower by 0.4 to 2.2.
+const SLOW_TOLERANCE: f64 = 0.1;
 
 /// Sessions that are remembered.
 const SESSIONS_MAX: usize = 4_096;
@@ -112,7 +120,7 @@
     pub all: u64,
     /// Those that failed.
     pub failed: u64,
-    /// Times of others while the share stood still, so that both versions had the same load.
+    /// Times of others while the new version had the smaller share.
     pub times: moments::Moments,
 }
 
@@ -149,14 +157,18 @@
 pub struct Tally {
     /// When the daemon's process started.
     pub start: u64,
-    /// Answers by route, as a version may fail one kind of request only.
-    pub routes: BTreeMap<id::RouteId, Pair>,
+    /// Answers by window of time, as a version may fail late or under load only, and by
+    /// route, as it may fail one kind of request only.
+    pub windows: BTreeMap<u8, Routes>,
 }
 
+/// Answers of both versions by route.
+pub type Routes = BTreeMap<id::RouteId, Pair>;
+
 impl Tally {
     fn size(&self) -> (u64, u64) {
         let all = |pair: &Pair| pair.stable.all + pair.candidate.all;
-        (self.start, self.routes.values().map(all).sum())
+        (self.start, self.windows.values().flat_map(Routes::values).map(all).sum())
     }
 }
 
@@ -243,6 +255,11 @@
         if self.is_doubted(now) { due.min(self.stage) } else { due }
     }
 
+    /// Whether the new version gets a small share still.
+    pub fn is_trial(&self) -> bool {
+        self.progress == fleet::Progress::Running && self.stage <= self.expose
+    }
+
     fn is_doubted(&self, now: time::Tick) -> bool {
         self.sees_doubt || self.doubted.is_some_and(|at| now.since(at) < DOUBT_KEPT)
     }
@@ -285,16 +302,18 @@
         outcome: Outcome,
         now: time::Tick,
     ) {
-        let is_even = self.age(now) >= HOLD && self.share(now) <= self.expose;
+        let is_compared = self.age(now) >= HOLD && self.share(now) <= COMPARED_SHARE;
+        let window = (self.elapsed(now) * WINDOWS).min(WINDOWS - 1.0) as u8;
         let tally = self.tallies.entry(own.clone()).or_default();
         tally.start = start;
-        let pair = tally.routes.entry(route.clone()).or_default();
+        let routes = tally.windows.entry(window).or_default();
+        let pair = routes.entry(route.clone()).or_default();
         let is_new = *version == self.order.to;
         let answers = if is_new { &mut pair.candidate } else { &mut pair.stable };
         answers.all += 1;
         match outcome {
             Outcome::Failed => answers.failed += 1,
-            Outcome::Answered(time) if is_even => answers.times.note(time),
+            Outcome::Answered(time) if is_compared => answers.times.note(time),
             Outcome::Answered(_) | Outcome::Cold => {}
         }
     }
@@ -351,45 +370,60 @@
         }
     }
 
-    // Answers of all daemons by route.
-    fn routes(&self) -> BTreeMap<&id::RouteId, Pair> {
-        let mut routes: BTreeMap<&id::RouteId, Pair> = BTreeMap::new();
-        for (route, pair) in self.tallies.values().flat_map(|tally| &tally.routes) {
-            routes.entry(route).or_default().add(pair);
+    // Answers of all daemons by window.
+    fn windows(&self) -> BTreeMap<u8, Routes> {
+        let mut windows: BTreeMap<u8, Routes> = BTreeMap::new();
+        for (window, routes) in self.tallies.values().flat_map(|tally| &tally.windows) {
+            merge(windows.entry(*window).or_default(), routes);
         }
-        routes
+        windows
     }
 
     /// Answers of all daemons.
     pub fn sums(&self) -> Pair {
         let mut sums = Pair::default();
-        for pair in self.routes().values() {
+        for pair in self.windows().values().flat_map(Routes::values) {
             sums.add(pair);
         }
         sums
     }
 
     /// Natural logarithm of the likelihood ratio between a worse new version and one that is
-    /// as good, by errors and times, over all routes and on each of them.
+    /// as good: by errors since any window, and by all times, over all routes and on each.
     ///
     /// By Ville's inequality it exceeds `ln(1 / alpha)` at any look with a chance of at most
     /// `alpha` if the new version is as good.
     pub fn evidence(&self) -> f64 {
-        let routes = self.routes();
-        let errors = |pair: &Pair| {
-            let (stable, candidate) = (pair.stable.errors(), pair.candidate.errors());
-            sequential::evidence(stable, candidate, ERRORS_TOLERANCE)
-        };
-        let times = |pair: &Pair| (pair.stable.times, pair.candidate.times);
-        let all: Vec<_> = routes.values().map(times).collect();
-        let slowness = |all: &[(moments::Moments, moments::Moments)]| {
-            sequential::slowness(all.iter().map(|(a, b)| (a, b)), SLOW_TOLERANCE)
-        };
-        // Half of the chance of a false halt goes to the whole, half to its parts.
-        let whole = errors(&self.sums()).max(slowness(&all)) - 4.0_f64.ln();
-        let parts = routes.values().map(|pair| errors(pair).max(slowness(&[times(pair)])));
-        let part = parts.fold(f64::NEG_INFINITY, f64::max) - (4.0 * routes.len() as f64).ln();
-        whole.max(part)
+        let windows = self.windows();
+        let mut since = Routes::new();
+        let mut most = f64::NEG_INFINITY;
+        for routes in windows.values().rev() {
+            merge(&mut since, routes);
+            let errors = over_routes(&since, |routes| {
+                let pairs = routes.iter().filter_map(|route| since.get(*route));
+                let mut sum = Pair::default();
+                pairs.for_each(|pair| sum.add(pair));
+                let (stable, candidate) = (sum.stable.errors(), sum.candidate.errors());
+                sequential::evidence(stable, candidate, ERRORS_TOLERANCE)
+            });
+            most = most.max(errors - WINDOWS.ln());
+        }
+        // Answers are alike while the share stands still, in the first half, and in each window
+        // of the second one.
+        let half = (WINDOWS * STAGES[0].0) as u8;
+        let mut first = Routes::new();
+        windows.range(..half).for_each(|(_, routes)| merge(&mut first, routes));
+        let parts: Vec<&Routes> = std::iter::once(&first)
+            .chain(windows.range(half..).map(|(_, routes)| routes))
+            .collect();
+        let times = over_routes(&since, |routes| {
+            let pairs =
+                parts.iter().flat_map(|part| routes.iter().filter_map(|route| part.get(*route)));
+            let times = pairs.map(|pair| (&pair.stable.times, &pair.candidate.times));
+            sequential::slowness(times, SLOW_TOLERANCE)
+        });
+        // Half of the chance of a false halt goes to errors, half to times.
+        most.max(times) - std::f64::consts::LN_2
     }
 
     /// How the roll-out should stand, by what is known here.
@@ -406,7 +440,7 @@
             return fleet::Progress::RolledBack;
         }
         let elapsed = self.elapsed(now);
-        let is_seen = self.sums().candidate.all >= CANDIDATE_MIN && evidence <= 0.0;
+        let is_seen = evidence <= 0.0 && self.sums().candidate.all >= CANDIDATE_MIN;
         let is_due = elapsed >= COMPLETE_LATE || (elapsed >= COMPLETE_AT && is_seen);
         if elapsed < COMPLETE_ALONE && !(decides && is_due) {
             return fleet::Progress::Running;
@@ -417,3 +451,21 @@
         fleet::Progress::Completed
     }
 }
+
+fn merge(routes: &mut Routes, more: &Routes) {
+    for (route, pair) in more {
+        routes.entry(route.clone()).or_default().add(pair);
+    }
+}
+
+// The most evidence on all routes or on any of them, each with its part of the chance of a
+// false halt: half goes to the whole.
+fn over_routes<F>(routes: &Routes, evidence: F) -> f64
+where
+    F: Fn(&[&id::RouteId]) -> f64,
+{
+    let all: Vec<&id::RouteId> = routes.keys().collect();
+    let parts = all.iter().map(|route| evidence(&[*route]));
+    let part = parts.fold(f64::NEG_INFINITY, f64::max) - (2.0 * all.len() as f64).ln();
+    part.max(evidence(&all) - std::f64::consts::LN_2)
+}
--- a/crates/ibishill-decide/src/rollout/sequential.rs
+++ b/crates/ibishill-decide/src/rollout/sequential.rs
@@ -48,10 +48,9 @@
         }
         let spread = stable.variance().max(VARIANCE_MIN);
         let null = stable.mean() + DEVIATIONS * (spread / stable.count as f64).sqrt() + tolerance;
-        let variance = candidate.variance().max(spread);
         let excess = candidate.mean() - null;
         for (ratio, shift) in ratios.iter_mut().zip(SHIFTS) {
-            *ratio += candidate.count as f64 * shift * (excess - shift / 2.0) / variance;
+            *ratio += candidate.count as f64 * shift * (excess - shift / 2.0) / spread;
         }
     }
     mixture(&ratios)
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -39,6 +39,7 @@
         capacity: 100_000,
         reading: 0.0,
         tier: balance::Tier::Any,
+        is_trial: false,
         seed: 1,
     }
 }
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -145,9 +145,12 @@
     for _ in 0..200 {
         tell("v1", canary::Outcome::Answered(time::Millis(100)));
     }
-    for _ in 0..3 {
+    for _ in 0..5 {
         tell("v2", canary::Outcome::Failed);
     }
+    for _ in 0..7 {
+        tell("v2", canary::Outcome::Answered(time::Millis(100)));
+    }
     assert_eq!(judge.verdict(true, now), fleet::Progress::Running);
     // Told in every round until the share would be at its whole.
     let count = |other: &mut canary::Canary, now| {
--- a/crates/ibishill-decide/tests/relay/reach.rs
+++ b/crates/ibishill-decide/tests/relay/reach.rs
@@ -183,6 +183,7 @@
             capacity: 0,
             reading: 0.0,
             tier: balance::Tier::Any,
+            is_trial: false,
             seed: number,
         };
         let choice = pool.pick(&ask, CALM, |_| 0, now);
--- a/crates/ibishill-relay/src/room.rs
+++ b/crates/ibishill-relay/src/room.rs
@@ -71,6 +71,7 @@
         capacity,
         reading,
         tier: tier(received, model),
+        is_trial: false,
         seed: xxh3::xxh3_64(received.facts.id.as_bytes()),
     };
     state.recent.note(session, now);
@@ -81,7 +82,9 @@
         Some(canary) => {
             let side = canary.side(session, now);
             let versions = attempt::versions(side, canary);
-            let mut choice = balance.pick(&balance::Ask { versions, ..ask }, rule, rank, now);
+            let is_trial = side == canary::Side::Candidate && canary.is_trial();
+            let trial = balance::Ask { versions, is_trial, ..ask };
+            let mut choice = balance.pick(&trial, rule, rank, now);
             let is_open = canary.is_early(now) && choice != balance::Choice::Nobody;
             let may_fall_back = side == canary::Side::Candidate
                 && (choice == balance::Choice::Nobody
