--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -19,10 +19,6 @@
 /// Stages of the second half: share of the duration that is over, and percent of sessions.
 const STAGES: [(f64, f64); 4] = [(0.50, 0.2), (0.58, 0.4), (0.64, 0.7), (0.70, 1.0)];
 
-/// Largest share of sessions at which times are compared. Above half, a good version is slower
-/// as it has more load.
-const COMPARED_SHARE: f64 = 0.4;
-
 /// Share of the duration after which a good version is complete.
 const COMPLETE_AT: f64 = 0.78;
 
@@ -40,8 +36,9 @@
 const ALPHA: f64 = 0.005;
 
 /// Chance of a false alarm from which on the share does not grow, and at which the version is
-/// not taken as complete at the end.
-const DOUBT: f64 = 0.05;
+/// not taken as complete at the end: if one of five versions is bad, one with this evidence
+/// is as likely bad as good.
+const DOUBT: f64 = 0.25;
 
 /// Time for which a peer's doubt counts; those that judge tell it in each round.
 const DOUBT_KEPT: time::Millis = time::Millis(1_500);
@@ -59,6 +56,9 @@
 /// slower by 0.4 to 2.2.
 const SLOW_TOLERANCE: f64 = 0.1;
 
+/// The same once the new version has the larger share of the load, from this window on.
+const LATE_TOLERANCE: (u8, f64) = (5, 1.0);
+
 /// Sessions that are remembered.
 const SESSIONS_MAX: usize = 4_096;
 
@@ -120,7 +120,7 @@
     pub all: u64,
     /// Those that failed.
     pub failed: u64,
-    /// Times of others while the new version had the smaller share.
+    /// Times of others while both versions were asked.
     pub times: moments::Moments,
 }
 
@@ -302,7 +302,7 @@
         outcome: Outcome,
         now: time::Tick,
     ) {
-        let is_compared = self.age(now) >= HOLD && self.share(now) <= COMPARED_SHARE;
+        let is_compared = self.age(now) >= HOLD;
         let window = (self.elapsed(now) * WINDOWS).min(WINDOWS - 1.0) as u8;
         let tally = self.tallies.entry(own.clone()).or_default();
         tally.start = start;
@@ -413,14 +413,17 @@
         let half = (WINDOWS * STAGES[0].0) as u8;
         let mut first = Routes::new();
         windows.range(..half).for_each(|(_, routes)| merge(&mut first, routes));
-        let parts: Vec<&Routes> = std::iter::once(&first)
-            .chain(windows.range(half..).map(|(_, routes)| routes))
+        let parts: Vec<(u8, &Routes)> = std::iter::once((0, &first))
+            .chain(windows.range(half..).map(|(window, routes)| (*window, routes)))
             .collect();
         let times = over_routes(&since, |routes| {
-            let pairs =
-                parts.iter().flat_map(|part| routes.iter().filter_map(|route| part.get(*route)));
-            let times = pairs.map(|pair| (&pair.stable.times, &pair.candidate.times));
-            sequential::slowness(times, SLOW_TOLERANCE)
+            let pairs = parts.iter().flat_map(|(window, part)| {
+                let (late, tolerance) = LATE_TOLERANCE;
+                let tolerance = if *window < late { SLOW_TOLERANCE } else { tolerance };
+                let pairs = routes.iter().filter_map(|route| part.get(*route));
+                pairs.map(move |pair| (&pair.stable.times, &pair.candidate.times, tolerance))
+            });
+            sequential::slowness(pairs)
         });
         // Half of the chance of a false halt goes to errors, half to times.
         most.max(times) - std::f64::consts::LN_2
--- a/crates/ibishill-decide/src/rollout/sequential.rs
+++ b/crates/ibishill-decide/src/rollout/sequential.rs
@@ -37,15 +37,15 @@
 /// Natural logarithm of the likelihood ratio between slower times and those of the stable
 /// version, over pairs of stable and new version that are alike but for the version.
 ///
-/// The null mean of each pair is an upper bound of the stable version's mean plus
-/// `tolerance`, in doublings. Few times tell nothing.
-pub fn slowness<'a, I>(pairs: I, tolerance: f64) -> f64
+/// The null mean of each pair is an upper bound of the stable version's mean plus its
+/// tolerance, in doublings. Few times tell nothing.
+pub fn slowness<'a, I>(pairs: I) -> f64
 where
-    I: IntoIterator<Item = (&'a Moments, &'a Moments)>,
+    I: IntoIterator<Item = (&'a Moments, &'a Moments, f64)>,
 {
     let mut ratios = SHIFTS.map(|_| 0.0);
     let mut seen = 0;
-    for (stable, candidate) in pairs {
+    for (stable, candidate, tolerance) in pairs {
         if stable.count < STABLE_MIN || candidate.count == 0 {
             continue;
         }
