relay: a connection that this process could not try tells nothing; reports of peers in a file of their own

Measured: test 'this process lacks descriptors between them' fails with the old meaning (an attempt that fails at once counts as answered) and passes now. Reports of peers and trials of new versions have tests of their own.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -5,10 +5,11 @@
 //! choose the same endpoint; endpoints that restart cold, fail or leave. Each daemon knows
 //! its own work exactly and that of others from what answers tell.
 
+pub mod reports;
+
 use std::collections::BTreeMap;
 
 use ibishill_core::{fleet, id, time};
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
 use crate::{outlier, rate, reach};
@@ -66,12 +67,6 @@
 /// Endpoints up to which all are compared.
 const COMPARED_ALL: usize = 12;
 
-/// Age from which on a peer's report of its work no longer counts.
-pub const REPORT_MAX: time::Millis = time::Millis(1_600);
-
-/// Steps of a thousand tokens at the largest model in which reports tell what is to be read.
-const READING_STEPS: f64 = 4.0;
-
 /// Daemons that share the admissions of one cold endpoint.
 pub const COLD_SHARERS: usize = 6;
 
@@ -206,23 +201,6 @@
     }
 }
 
-/// What one daemon has under way at an endpoint, as it tells its peers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Share {
-    /// Hash of the endpoint's id.
-    pub endpoint: u32,
-    /// Requests.
-    pub running: u8,
-    /// What is still to be read, in quarters of a thousand tokens at the largest model.
-    pub reading: u8,
-}
-
-#[derive(Debug, Clone)]
-struct Report {
-    at: time::Tick,
-    shares: Vec<Share>,
-}
-
 /// How many endpoints are in each state.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Census {
@@ -239,9 +217,7 @@
 /// The endpoints that are known.
 #[derive(Debug, Clone)]
 pub struct Balance {
-    reports: BTreeMap<id::VmId, Report>,
-    // Sums of the reports by hash of the endpoint: requests, and what is to be read.
-    reported: BTreeMap<u32, (f64, f64)>,
+    reports: reports::Reports,
     zone: id::ZoneId,
     nodes: BTreeMap<id::EndpointId, Node>,
     zones_out: BTreeMap<id::ZoneId, ()>,
@@ -263,8 +239,7 @@
     /// Starts without endpoints, for a daemon in `zone`.
     pub fn new(zone: id::ZoneId) -> Self {
         Self {
-            reports: BTreeMap::new(),
-            reported: BTreeMap::new(),
+            reports: reports::Reports::default(),
             zone,
             nodes: BTreeMap::new(),
             zones_out: BTreeMap::new(),
@@ -278,59 +253,20 @@
     }
 
     /// What this daemon has under way, for its peers.
-    pub fn shares(&self) -> Vec<Share> {
-        let busy = self.nodes.iter().filter(|(_, node)| node.running > 0);
-        let share = |(id, node): (&id::EndpointId, &Node)| Share {
-            endpoint: short(id),
-            running: u8::try_from(node.running).unwrap_or(u8::MAX),
-            reading: (node.reading * READING_STEPS).round().min(f64::from(u8::MAX)) as u8,
-        };
-        busy.map(share).collect()
+    pub fn shares(&self) -> Vec<reports::Share> {
+        let busy = self.nodes.values().filter(|node| node.running > 0);
+        busy.map(|node| reports::Share::new(node.short, node.running, node.reading)).collect()
     }
 
-    /// Takes in what a peer has under way.
-    pub fn report(&mut self, vm: &id::VmId, shares: Vec<Share>, now: time::Tick) {
-        let before = self.reports.insert(vm.clone(), Report { at: now, shares: shares.clone() });
-        if let Some(before) = before {
-            self.sum(&before.shares, -1.0);
-        }
-        self.sum(&shares, 1.0);
-    }
-
-    /// Forgets reports of peers that have fallen silent.
-    pub fn expire(&mut self, now: time::Tick) {
-        let is_old = |report: &Report| now.since(report.at) > REPORT_MAX;
-        let old: Vec<id::VmId> = self
-            .reports
-            .iter()
-            .filter(|(_, report)| is_old(report))
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        for vm in old {
-            if let Some(report) = self.reports.remove(&vm) {
-                self.sum(&report.shares, -1.0);
-            }
-        }
-        if self.reports.is_empty() {
-            self.reported.clear();
-        }
-    }
-
-    fn sum(&mut self, shares: &[Share], sign: f64) {
-        for share in shares {
-            let sums = self.reported.entry(share.endpoint).or_default();
-            sums.0 += sign * f64::from(share.running);
-            sums.1 += sign * f64::from(share.reading) / READING_STEPS;
-            if sums.0 <= 0.0 {
-                self.reported.remove(&share.endpoint);
-            }
-        }
+    /// What peers have under way.
+    pub const fn reports(&mut self) -> &mut reports::Reports {
+        &mut self.reports
     }
 
     // Requests that others have under way at an endpoint, and what they have to read there.
     fn others(&self, node: &Node, now: time::Tick) -> (f64, f64) {
         let (held, waiting) = node.heard(now);
-        let (running, reading) = self.reported.get(&node.short).copied().unwrap_or_default();
+        let (running, reading) = self.reports.at(node.short);
         (held.max(running), reading.max(waiting * (WAITING - 1.0) / READING))
     }
 
--- a/crates/ibishill-decide/src/reach.rs
+++ b/crates/ibishill-decide/src/reach.rs
@@ -36,6 +36,17 @@
 /// Lateness of this process's own timers from which on silence tells nothing of others.
 const TIMER_SLACK: time::Millis = time::Millis(60);
 
+/// What an attempt at a connection tells of the other side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contact {
+    /// It took or refused the connection.
+    Answered,
+    /// It did not answer.
+    Silent,
+    /// Nothing: this process could not try, for want of descriptors or a way.
+    Untried,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Zone {
     silent: BTreeSet<id::EndpointId>,
@@ -83,11 +94,27 @@
         }
     }
 
-    /// Notes that a connection was made or failed at once, after `took`.
+    /// Notes how an attempt at a connection to an endpoint went, which had `limit` and took
+    /// `took`.
     ///
-    /// A failure of this process itself, such as a lack of descriptors, ends the doubt as well;
-    /// that costs two silent connections. Returns whether the zone was in doubt.
-    pub fn heard(&mut self, zone: &id::ZoneId, took: time::Millis) -> bool {
+    /// Returns whether the zone is in doubt from now on, or no longer.
+    pub fn note(
+        &mut self,
+        zone: &id::ZoneId,
+        endpoint: &id::EndpointId,
+        contact: Contact,
+        (limit, took): (time::Millis, time::Millis),
+        now: time::Tick,
+    ) -> bool {
+        match contact {
+            Contact::Answered => self.heard(zone, took),
+            Contact::Silent if took.0 > limit.0 + TIMER_SLACK.0 => false,
+            Contact::Silent => self.silent(zone, endpoint, now),
+            Contact::Untried => false,
+        }
+    }
+
+    fn heard(&mut self, zone: &id::ZoneId, took: time::Millis) -> bool {
         let found = self.zones.entry(zone.clone()).or_default();
         let kept = found.slowest.map_or(0, |slowest| slowest.0 * CONNECT_KEPT / 100);
         found.slowest = Some(time::Millis(took.0.max(kept)));
@@ -95,20 +122,7 @@
         found.probe.take().is_some()
     }
 
-    /// Notes that an endpoint took no connection for `took`, with `limit` as its longest time.
-    ///
-    /// Returns whether this puts its zone in doubt.
-    pub fn silent(
-        &mut self,
-        zone: &id::ZoneId,
-        endpoint: &id::EndpointId,
-        limit: time::Millis,
-        took: time::Millis,
-        now: time::Tick,
-    ) -> bool {
-        if took.0 > limit.0 + TIMER_SLACK.0 {
-            return false;
-        }
+    fn silent(&mut self, zone: &id::ZoneId, endpoint: &id::EndpointId, now: time::Tick) -> bool {
         let found = self.zones.entry(zone.clone()).or_default();
         if let Some(probe) = &mut found.probe {
             if probe.at <= now + probe.wait {
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -264,3 +264,81 @@
     }
     assert_eq!(choose(&pool), balance::Choice::Send("far".parse().unwrap()));
 }
+
+#[test]
+fn work_that_a_peer_tells_of_counts_until_its_next_report_or_until_that_is_due() {
+    struct Case {
+        name: &'static str,
+        // Reports of the peer: when, of which requests at e0.
+        reports: &'static [(u64, u8)],
+        now: u64,
+        is_busy: bool,
+    }
+    let slots = SLOTS as u8;
+    let cases = [
+        Case { name: "none", reports: &[], now: 1_000, is_busy: false },
+        Case { name: "full there", reports: &[(900, 12)], now: 1_000, is_busy: true },
+        Case { name: "free again", reports: &[(800, 12), (900, 0)], now: 1_000, is_busy: false },
+        Case { name: "told twice", reports: &[(800, 12), (900, 12)], now: 1_000, is_busy: true },
+        Case { name: "silent since", reports: &[(900, 12)], now: 2_501, is_busy: false },
+    ];
+    let service = "pool".parse().unwrap();
+    for case in cases {
+        let mut pool = pool(1);
+        // What this daemon has at the endpoint is told in the same way.
+        let work = balance::Work::default();
+        pool.begin(&"e0".parse().unwrap(), work, CALM, 0, time::Tick(1));
+        let own = pool.shares()[0];
+        assert_eq!(own.running, 1);
+        for (at, running) in case.reports {
+            let share = balance::reports::Share { running: *running, ..own };
+            pool.reports().hear(&"vm".parse().unwrap(), vec![share], time::Tick(*at));
+        }
+        assert!(case.reports.iter().all(|(_, running)| *running <= slots));
+        pool.reports().expire(time::Tick(case.now));
+        let found = pool.pick(&ask(&service, &[]), CALM, first, time::Tick(case.now));
+        assert_eq!(found == balance::Choice::Full, case.is_busy, "{}", case.name);
+    }
+}
+
+// A burst in which the old version's endpoints are busy, and few requests try the new one.
+#[test]
+fn endpoints_of_a_new_version_bear_what_the_old_ones_bear() {
+    struct Case {
+        name: &'static str,
+        // Requests at each endpoint of the old version.
+        old: u32,
+        // Requests that try the new version, and the endpoints that get them.
+        new: u32,
+        used: usize,
+    }
+    let cases = [
+        Case { name: "calm", old: 2, new: 8, used: 4 },
+        Case { name: "busy", old: 9, new: 8, used: 1 },
+        Case { name: "busy, with more tries", old: 9, new: 18, used: 2 },
+    ];
+    let (service, v2) = ("pool".parse().unwrap(), "v2".parse().unwrap());
+    for case in cases {
+        let (mut pool, now) = (pool(4), time::Tick(10));
+        for at in 0..4 {
+            let id = format!("e{at}").parse().unwrap();
+            for _ in 0..case.old {
+                pool.begin(&id, balance::Work::default(), CALM, 0, now);
+            }
+            let version = "v2".parse().unwrap();
+            pool.register(fleet::Entry { version, ..entry(&format!("n{at}"), "a") }, now);
+        }
+        let mut used = BTreeMap::new();
+        for seed in 0..case.new {
+            let versions = balance::Versions::Only(&v2);
+            let seed = u64::from(seed);
+            let ask = balance::Ask { versions, is_trial: true, seed, ..ask(&service, &[]) };
+            let balance::Choice::Send(id) = pool.pick(&ask, CALM, first, now) else {
+                panic!("{}: no endpoint", case.name);
+            };
+            pool.begin(&id, balance::Work::default(), CALM, 0, now);
+            *used.entry(id).or_insert(0) += 1;
+        }
+        assert_eq!(used.len(), case.used, "{}: {used:?}", case.name);
+    }
+}
--- a/crates/ibishill-decide/tests/relay/reach.rs
+++ b/crates/ibishill-decide/tests/relay/reach.rs
@@ -4,6 +4,12 @@
 const CALM: balance::ColdRule =
     balance::ColdRule { span: time::Millis(3_000), declared: 0.0, is_stale: false };
 
+const SILENT: reach::Contact = reach::Contact::Silent;
+
+const ANSWERED: reach::Contact = reach::Contact::Answered;
+
+const QUICK: time::Millis = time::Millis(2);
+
 fn zone(name: &str) -> id::ZoneId {
     name.parse().unwrap()
 }
@@ -19,6 +25,8 @@
     SilentLate(&'static str),
     /// An endpoint took or refused a connection.
     Heard,
+    /// This process could not try to connect.
+    Untried,
     /// Time passes.
     Wait(u64),
     /// A probe is begun.
@@ -78,6 +86,11 @@
             ],
             allowed: false,
         },
+        Case {
+            name: "this process lacks descriptors between them",
+            steps: &[Step::Silent("e0"), Step::Untried, Step::Silent("e1"), Step::Untried],
+            allowed: false,
+        },
         Case {
             name: "reached again",
             steps: &[Step::Silent("e0"), Step::Silent("e1"), Step::Heard],
@@ -92,13 +105,17 @@
             let late = time::Millis(limit.0 + 500);
             match step {
                 Step::Silent(name) => {
-                    known.silent(&at, &endpoint(name), limit, limit, now);
+                    known.note(&at, &endpoint(name), SILENT, (limit, limit), now);
                 }
                 Step::SilentLate(name) => {
-                    known.silent(&at, &endpoint(name), limit, late, now);
+                    known.note(&at, &endpoint(name), SILENT, (limit, late), now);
                 }
                 Step::Heard => {
-                    known.heard(&at, time::Millis(2));
+                    known.note(&at, &endpoint("e9"), ANSWERED, (limit, QUICK), now);
+                }
+                Step::Untried => {
+                    let untried = reach::Contact::Untried;
+                    known.note(&at, &endpoint("e9"), untried, (limit, QUICK), now);
                 }
                 Step::Wait(wait) => now = now + time::Millis(*wait),
                 Step::Probe => known.begin(&at, now),
@@ -124,7 +141,8 @@
     for case in cases {
         let mut known = reach::Reach::default();
         for took in case.took {
-            known.heard(&zone("b"), time::Millis(*took));
+            let took = (time::Millis(400), time::Millis(*took));
+            known.note(&zone("b"), &endpoint("e0"), ANSWERED, took, time::Tick(0));
         }
         assert_eq!(known.limit(&zone("b")).0, case.limit, "{:?}", case.took);
     }
@@ -161,7 +179,8 @@
         };
         pool.register(entry, time::Tick(0));
     }
-    pool.reach().heard(&zone("b"), time::Millis(2));
+    let took = (time::Millis(400), QUICK);
+    pool.reach().note(&zone("b"), &endpoint("e0"), ANSWERED, took, time::Tick(0));
     let mut pending = Vec::new();
     let mut wasted = 0;
     for number in 0..REQUESTS {
@@ -169,7 +188,7 @@
         pending.retain(|(until, id, limit): &(time::Tick, id::EndpointId, time::Millis)| {
             let is_over = *until <= now;
             if is_over {
-                pool.reach().silent(&zone("b"), id, *limit, *limit, now);
+                pool.reach().note(&zone("b"), id, SILENT, (*limit, *limit), now);
                 pool.judge(id, outlier::Attempt::Unreachable, None, CALM, now);
             }
             !is_over
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{call, event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, outlier};
+use ibishill_decide::{balance, canary, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
@@ -109,6 +109,7 @@
     const fn name(&self) -> &'static str {
         match self {
             Self::Unsent => "unsent",
+            Self::Untried => "untried",
             Self::Refused => "refused",
             Self::Unknown => "unknown",
             Self::Late => "late",
@@ -121,8 +122,10 @@
 
 /// How an attempt ended.
 pub(crate) enum Ended {
-    /// Nothing was sent.
+    /// The endpoint took no connection, so nothing was sent.
     Unsent,
+    /// This process could not try to connect, which tells nothing of the endpoint.
+    Untried,
     /// The endpoint says that it has not run the request.
     Refused,
     /// It may have run.
@@ -215,6 +218,7 @@
 ) -> (Ended, String) {
     let stream = match connect(&slot.context, entry).await {
         Ok(stream) => stream,
+        Err(error @ CallError::Untried(_)) => return (Ended::Untried, error.to_string()),
         Err(error) => return (Ended::Unsent, error.to_string()),
     };
     let (answer, connection) = match upstream::call(stream, request).await {
@@ -255,16 +259,18 @@
     let took = now.since(begun);
     let mut state = context.state();
     let reach = state.balance.reach();
-    let has_changed = match &made {
-        Err(CallError::Silent(_)) => reach.silent(&entry.zone, &entry.id, limit, took, now),
-        _ => reach.heard(&entry.zone, took),
+    let contact = match &made {
+        Ok(_) | Err(CallError::Connect(_)) => reach::Contact::Answered,
+        Err(CallError::Silent(_)) => reach::Contact::Silent,
+        Err(CallError::Untried(_) | CallError::Unknown(_)) => reach::Contact::Untried,
     };
+    let has_changed = reach.note(&entry.zone, &entry.id, contact, (limit, took), now);
     if has_changed {
         event::emit_json(
             event::Event::ZoneReach,
             &[
                 event::field("zone", &entry.zone),
-                event::field("is_reached", &!matches!(made, Err(CallError::Silent(_)))),
+                event::field("is_reached", &(contact == reach::Contact::Answered)),
                 event::field("endpoint", &entry.id),
                 event::field("limit", &limit),
             ],
@@ -284,7 +290,9 @@
         Ended::Unsent => outlier::Attempt::Unreachable,
         Ended::Unknown | Ended::Late | Ended::Hung => outlier::Attempt::Failed,
         Ended::Answer(answer) if is_failure(answer.status()) => outlier::Attempt::Failed,
-        Ended::Refused | Ended::Answer(_) | Ended::Stream(_) => outlier::Attempt::Good,
+        Ended::Untried | Ended::Refused | Ended::Answer(_) | Ended::Stream(_) => {
+            outlier::Attempt::Good
+        }
     };
     let load = match ended {
         Ended::Answer(answer) => head::reply(answer.status(), answer.headers(), "").load,
@@ -296,12 +304,14 @@
     let rule = state.cold_rule(&received.service, now);
     let took = now.since(begun);
     context.metrics.attempted(ended.name(), received.route.kind.is_stream(), took);
-    if received.route.kind.is_stream() && !matches!(ended, Ended::Unsent | Ended::Refused) {
+    if received.route.kind.is_stream()
+        && !matches!(ended, Ended::Unsent | Ended::Untried | Ended::Refused)
+    {
         let strain = state.strains.entry(received.service.clone()).or_default();
         strain.note(took, received.route.target, now);
     }
     // A refusal tells nothing of an endpoint's health.
-    if !matches!(ended, Ended::Refused) {
+    if !matches!(ended, Ended::Refused | Ended::Untried) {
         state.balance.judge(&target.endpoint, attempt, load, rule, now);
         if attempt != outlier::Attempt::Unreachable {
             count(&mut state, context, received, target, attempt, took);
--- a/crates/ibishill-relay/src/loads.rs
+++ b/crates/ibishill-relay/src/loads.rs
@@ -33,7 +33,7 @@
     vm: id::VmId,
     /// Version of each table that the sender has, and the age of its confirmation.
     have: Vec<(u64, Option<u64>)>,
-    shares: Vec<balance::Share>,
+    shares: Vec<balance::reports::Share>,
 }
 
 /// Tells and hears loads.
@@ -97,7 +97,7 @@
                 context.news.notify_one();
             }
             state.hear_ages(&datagram.have, now);
-            state.balance.report(&datagram.vm, datagram.shares, now);
+            state.balance.reports().hear(&datagram.vm, datagram.shares, now);
         }
         Err(error) => {
             event::emit_json(
--- a/crates/ibishill-relay/src/path.rs
+++ b/crates/ibishill-relay/src/path.rs
@@ -225,7 +225,7 @@
         let ended = attempt::run(context, &received, &target, may_follow).await;
         avoid.push(target.endpoint.clone());
         match ended {
-            Ended::Unsent => {
+            Ended::Unsent | Ended::Untried => {
                 *has_sent = was_sent;
                 continue;
             }
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -314,7 +314,7 @@
             self.forget(&id, "lapsed");
         }
         self.peers.expire(now);
-        self.balance.expire(now);
+        self.balance.reports().expire(now);
     }
 
     /// The rule for cold endpoints of a service.
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -196,7 +196,7 @@
                     self.log_resumed(&why);
                     return Some(*opened);
                 }
-                Ended::Unsent => why = "no connection to the next endpoint".into(),
+                Ended::Unsent | Ended::Untried => why = "no connection to the next endpoint".into(),
                 Ended::Refused | Ended::Unknown | Ended::Late | Ended::Hung | Ended::Answer(_) => {
                     self.sends += 1;
                     why = "the next endpoint failed".into();
--- a/crates/ibishill-relay/src/upstream.rs
+++ b/crates/ibishill-relay/src/upstream.rs
@@ -4,9 +4,9 @@
 //! when the next request is sent, whose fate is unknown then. A new one costs a round trip
 //! in the zone, and its failure shows before a byte of the request has left.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::{fmt, io};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -29,8 +29,10 @@
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum CallError {
-    /// No connection was made, so nothing was sent.
+    /// The other side took no connection, so nothing was sent.
     Connect(String),
+    /// This process could not try to connect, so nothing was sent.
+    Untried(String),
     /// The other side did not answer to the connection, so nothing was sent.
     Silent(time::Millis),
     /// The request may have arrived.
@@ -41,6 +43,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(detail) => write!(f, "no connection: {detail}"),
+            Self::Untried(detail) => write!(f, "no connection, on this side: {detail}"),
             Self::Silent(limit) => write!(f, "no connection within {limit}"),
             Self::Unknown(detail) => write!(f, "no answer: {detail}"),
         }
@@ -63,7 +66,7 @@
 ///
 /// # Errors
 ///
-/// Tells whether the other side refused it or was silent.
+/// Tells whether the other side refused it or was silent, or this process could not try.
 pub(crate) async fn connect(
     address: SocketAddr,
     limit: time::Millis,
@@ -71,13 +74,25 @@
     let wait = Duration::from_millis(limit.0);
     let stream = match clock::timeout(wait, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(CallError::Connect(error.to_string())),
+        Ok(Err(error)) => return Err(failed(&error, limit)),
         Err(_) => return Err(CallError::Silent(limit)),
     };
     stream.set_nodelay(true).map_err(|error| CallError::Connect(error.to_string()))?;
     Ok(stream)
 }
 
+fn failed(error: &io::Error, limit: time::Millis) -> CallError {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused
+        | io::ErrorKind::ConnectionReset
+        | io::ErrorKind::ConnectionAborted => CallError::Connect(error.to_string()),
+        io::ErrorKind::HostUnreachable
+        | io::ErrorKind::NetworkUnreachable
+        | io::ErrorKind::TimedOut => CallError::Silent(limit),
+        _ => CallError::Untried(error.to_string()),
+    }
+}
+
 /// Sends a request and returns the head of its answer.
 ///
 /// # Errors
