relay: calls of the store back off in an outage, and only readers call at the first start

Logged one by one (trial): in the outage at 31 to 35 s each of 83 relays is overdue and calls for both tables every 250 ms; at the first start every relay reads both tables whole, as all but the readers count as overdue once relays have found each other.

Ruled out: the readers' waits (6 to 20 calls in 4 s); the restart of all relays at 41 s (332 calls), where a wait for peers cost more than it saved (docs/MEASURES.md).

Test 'an_outage_is_met_by_few_calls_and_its_end_is_seen_at_once' plays 6, 83 and 910 daemons.

--- a/crates/ibishill-decide/src/readers.rs
+++ b/crates/ibishill-decide/src/readers.rs
@@ -18,6 +18,17 @@
 /// Rounds in which no peer has answered after which a daemon reads itself.
 const ALONE_ROUNDS: u32 = 2;
 
+/// Pause of a reader after a failed call: what it reads at the store's return reaches all
+/// others within a second.
+const PAUSE: time::Millis = time::Millis(250);
+
+/// Pause of the others after their first failed call.
+const PAUSE_OTHERS: time::Millis = time::Millis(500);
+
+/// Longest pause of the others; in an outage each of them is overdue, and hundreds that call
+/// four times a second would be what the store meets on its return.
+const PAUSE_MAX: time::Millis = time::Millis(2_000);
+
 /// What one daemon knows when it decides whether to read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Stand {
@@ -41,7 +52,23 @@
 /// Whether a daemon reads.
 pub fn reads(stand: Stand) -> bool {
     let overdue = stand.apply.less(MARGIN);
-    let readers = (stand.count / DAEMONS_PER_READER).max(2);
     let is_overdue = stand.age.is_none_or(|age| age > overdue);
-    is_overdue || stand.alone >= ALONE_ROUNDS || stand.rank < readers
+    is_overdue || stand.alone >= ALONE_ROUNDS || is_reader(stand)
+}
+
+/// Whether a daemon is one of those that read for all.
+pub const fn is_reader(stand: Stand) -> bool {
+    let readers = stand.count / DAEMONS_PER_READER;
+    stand.rank < if readers < 2 { 2 } else { readers }
+}
+
+/// Pause after `failures` failed calls in a row; `spread`, from 0 to 1, keeps daemons apart.
+pub fn pause(stand: Stand, failures: u32, spread: f64) -> time::Millis {
+    if is_reader(stand) {
+        return PAUSE;
+    }
+    let doubled = PAUSE_OTHERS.0.saturating_mul(1 << failures.saturating_sub(1).min(8));
+    let most = doubled.min(PAUSE_MAX.0) as f64;
+    // From half of it on, so that the mean grows, too.
+    time::Millis((most * (0.5 + spread / 2.0)) as u64).max(PAUSE)
 }
--- a/crates/ibishill-decide/tests/relay/readers.rs
+++ b/crates/ibishill-decide/tests/relay/readers.rs
@@ -58,3 +58,43 @@
         assert!(!readers::reads(stand(usual)), "{apply}: read though confirmed {usual} ago");
     }
 }
+
+// The store answers nobody for a while; every daemon is overdue and calls on its own.
+#[test]
+fn an_outage_is_met_by_few_calls_and_its_end_is_seen_at_once() {
+    struct Outage {
+        count: usize,
+        lasts: u64,
+    }
+    let outages = [
+        Outage { count: 6, lasts: 4_300 },
+        Outage { count: 83, lasts: 4_300 },
+        Outage { count: 910, lasts: 30_000 },
+    ];
+    for outage in outages {
+        let mut calls = 0;
+        let mut seen = u64::MAX;
+        for rank in 0..outage.count {
+            let stand = readers::Stand {
+                rank,
+                count: outage.count,
+                age: None,
+                alone: 0,
+                apply: time::Millis(2_000),
+            };
+            let (mut at, mut failures) = (0, 0);
+            while at < outage.lasts {
+                calls += 1;
+                failures += 1;
+                let spread = (rank * 7 + failures as usize * 3) % 10;
+                at += readers::pause(stand, failures, spread as f64 / 10.0).0;
+            }
+            seen = seen.min(at - outage.lasts);
+        }
+        // A call a second of each daemon, and four of those that read for all.
+        let readers = (outage.count / 32).max(2) as u64;
+        let most = (outage.count as u64 + 4 * readers) * (outage.lasts / 1_000 + 1);
+        assert!(calls <= most, "{}: {calls} calls, {most} expected", outage.count);
+        assert!(seen <= 250, "{}: seen after {seen} ms", outage.count);
+    }
+}
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -13,6 +13,7 @@
 use ibishill_decide::readers;
 use ibishill_state::replica;
 use tokio::time as clock;
+use xxhash_rust::xxh3;
 
 use crate::context::Shared;
 use crate::state::Kind;
@@ -21,26 +22,26 @@
 /// Time beyond the wait after which a call is given up, as its connection may be silent.
 const SLACK: Duration = Duration::from_millis(500);
 
-/// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(250);
-
 /// Pause after a change of the orders, in which further changes are collected for one call.
 const COLLECT_ORDERS: Duration = Duration::from_millis(120);
 
 /// The same for endpoints, which change more often and may be known a little later.
 const COLLECT_ENDPOINTS: Duration = Duration::from_millis(350);
 
-/// Time at the deployment's first start in which daemons find each other, so that only the
-/// readers call the store.
+/// Time at the deployment's first start in which daemons find each other.
 const SETTLE: time::Millis = time::Millis(600);
 
+/// Time at the deployment's first start in which only the readers call the store, and pass on
+/// what they read. No caller waits then.
+const SETTLE_OTHERS: time::Millis = time::Millis(2_000);
+
 /// Time between two looks at whether this daemon reads.
 const LOOK: Duration = Duration::from_millis(150);
 
 /// Keeps a table up to date.
 pub(crate) async fn run(context: Shared, kind: Kind) {
     loop {
-        if !is_reader(&context, kind) {
+        if !stand(&context, kind).is_some_and(readers::reads) {
             clock::sleep(LOOK).await;
             continue;
         }
@@ -55,7 +56,7 @@
             }
             Err(detail) => {
                 lost(&context, &detail);
-                clock::sleep(PAUSE).await;
+                pause(&context, kind).await;
             }
         }
     }
@@ -68,19 +69,35 @@
     }
 }
 
-fn is_reader(context: &Shared, kind: Kind) -> bool {
+// Nothing while daemons still find each other at the deployment's first start.
+fn stand(context: &Shared, kind: Kind) -> Option<readers::Stand> {
     let now = context.now();
     let state = context.state();
-    if state.place.is_first && context.age() < SETTLE {
-        return false;
-    }
-    readers::reads(readers::Stand {
+    let stand = readers::Stand {
         rank: state.peers.rank(kind.table(), now),
         count: state.peers.count(now),
         age: state.age(kind, now),
         alone: state.alone,
         apply: state.place.bounds.apply,
-    })
+    };
+    let settle = if readers::is_reader(stand) { SETTLE } else { SETTLE_OTHERS };
+    let is_settling = state.place.is_first && context.age() < settle;
+    (!is_settling).then_some(stand)
+}
+
+// Waits before the next call, unless a peer has brought what is lacking.
+async fn pause(context: &Shared, kind: Kind) {
+    let failures = context.state().failures;
+    let seed = xxh3::xxh3_64_with_seed(context.vm().as_str().as_bytes(), u64::from(failures));
+    let spread = seed as f64 / u64::MAX as f64;
+    let begun = context.now();
+    while let Some(stand) = stand(context, kind).filter(|stand| readers::reads(*stand)) {
+        let left = readers::pause(stand, failures, spread).less(context.now().since(begun));
+        if left.0 == 0 {
+            return;
+        }
+        clock::sleep(left.to_std().min(LOOK)).await;
+    }
 }
 
 async fn read(context: &Shared, kind: Kind) -> Result<Option<replica::Delta>, String> {
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) alone: u32,
     /// Whether the store's last answer is missing.
     is_lost: bool,
+    /// Calls of the store, of any table, that have failed in a row.
+    pub(crate) failures: u32,
     /// When a call of the store last failed here.
     failed: Option<time::Tick>,
     /// Until when a removed endpoint may only have lapsed with the store.
@@ -92,6 +94,7 @@
             open: 0,
             alone: 0,
             is_lost: false,
+            failures: 0,
             failed: None,
             lapse_until: time::Tick(0),
             stale_until: time::Tick(0),
@@ -145,11 +148,13 @@
     /// Notes that the store failed; returns whether that is news.
     pub(crate) fn lose_store(&mut self, now: time::Tick) -> bool {
         self.failed = Some(now);
+        self.failures += 1;
         !std::mem::replace(&mut self.is_lost, true)
     }
 
     /// Notes that the store has answered; returns whether it had failed before.
     pub(crate) fn regain_store(&mut self) -> bool {
+        self.failures = 0;
         std::mem::take(&mut self.is_lost)
     }
 
