--- a/crates/ibishill-state/src/replica.rs
+++ b/crates/ibishill-state/src/replica.rs
@@ -56,6 +56,8 @@
         }
         let mut changed = Vec::new();
         if delta.is_whole {
+            // It tells of no removal of rows that were never known here.
+            self.horizon = delta.version;
             let kept: Vec<&str> = delta.rows.iter().map(|row| row.key.as_str()).collect();
             for row in self.rows.values_mut() {
                 let is_kept = kept.binary_search(&row.key.as_str()).is_ok();
--- a/crates/ibishill-state/tests/replica.rs
+++ b/crates/ibishill-state/tests/replica.rs
@@ -127,3 +127,93 @@
     peer.merge(news);
     assert_eq!(keys(&peer), ["kept@1"]);
 }
+
+// A daemon that has just started has read the table whole, and knows of no earlier removal.
+#[test]
+fn a_peer_that_knows_a_removed_row_loses_it_by_news_of_one_that_read_the_table_whole() {
+    let (mut old, mut fresh) = (replica::Table::default(), replica::Table::default());
+    let rows = vec![row("a", 3, Some("x")), row("b", 5, Some("x"))];
+    old.merge(delta(true, 5, rows));
+    fresh.merge(delta(true, 9, vec![row("a", 3, Some("x")), row("c", 8, Some("x"))]));
+    old.merge(fresh.since(old.version()).unwrap());
+    assert_eq!(keys(&old), ["a@3", "c@8"]);
+    // One that knows as much gets the next change alone.
+    fresh.merge(delta(false, 10, vec![row("a", 10, None)]));
+    let next = fresh.since(9).unwrap();
+    assert!(!next.is_whole);
+    old.merge(next);
+    assert_eq!(keys(&old), ["c@8"]);
+}
+
+// Rows that the store holds, and every change of them.
+#[derive(Default)]
+struct Store {
+    changes: Vec<fleet::Record>,
+}
+
+impl Store {
+    fn since(&self, version: u64) -> replica::Delta {
+        let rows = self.changes[version as usize..].to_vec();
+        replica::Delta { is_whole: false, version: self.changes.len() as u64, rows: newest(rows) }
+    }
+
+    fn at(&self, version: u64) -> Vec<fleet::Record> {
+        let mut rows = newest(self.changes[..version as usize].to_vec());
+        rows.retain(|row| row.value.is_some());
+        rows
+    }
+}
+
+fn newest(rows: Vec<fleet::Record>) -> Vec<fleet::Record> {
+    let of = |row: fleet::Record| (row.key.clone(), row);
+    rows.into_iter().map(of).collect::<std::collections::BTreeMap<_, _>>().into_values().collect()
+}
+
+// Daemons read the store, tell each other and start again in any order; whatever version a
+// daemon knows, it knows just the rows of that version.
+#[test]
+fn a_table_holds_just_the_rows_of_its_version_however_news_arrived() {
+    for seed in 0..24_u64 {
+        let mut state = seed * 2 + 1;
+        let mut dice = |sides: u64| {
+            state = state
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
+            (state >> 33) % sides
+        };
+        let mut store = Store::default();
+        let mut daemons: Vec<replica::Table> = (0..4).map(|_| replica::Table::default()).collect();
+        for _ in 0..400 {
+            let (one, other) = (dice(4) as usize, dice(4) as usize);
+            match dice(8) {
+                0..=2 => {
+                    let key = format!("k{}", dice(12));
+                    let version = store.changes.len() as u64 + 1;
+                    store.changes.push(row(&key, version, (dice(2) == 0).then_some("x")));
+                }
+                3 => {
+                    let version = daemons[one].version();
+                    if daemons[one].is_known() {
+                        daemons[one].merge(store.since(version));
+                    }
+                }
+                4 => {
+                    let version = store.changes.len() as u64;
+                    daemons[one].merge(delta(true, version, store.at(version)));
+                }
+                5 if dice(4) == 0 => daemons[one] = replica::Table::default(),
+                _ => {
+                    if let Some(news) = daemons[one].since(daemons[other].version()) {
+                        daemons[other].merge(news);
+                    }
+                }
+            }
+            for table in daemons.iter().filter(|table| table.is_known()) {
+                let expected = store.at(table.version());
+                let expected: Vec<String> = expected.iter().map(|row| row.key.clone()).collect();
+                let found: Vec<String> = table.rows().map(|row| row.key.clone()).collect();
+                assert_eq!(found, expected, "seed {seed}, version {}", table.version());
+            }
+        }
+    }
+}
