docs, test: how a new version is judged; cases for late and short failures

Cause: the windows of the test of versions had no case that fails without them.

Ruled out: a tenth of the answers as the case; it is found, but not within the exposure.

Conclusion: kept.

--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -27,9 +27,11 @@
     route: Option<u64>,
     // Milliseconds to the first event: old version, new version.
     times: (u64, u64),
-    // Percent of the new version's answers that take eight times as long, and from when on.
+    // Percent of the new version's answers that take eight times as long.
     slow: u64,
+    // When the new version begins to fail or to be slow, and when it ends.
     from: u64,
+    until: u64,
     expected: fleet::Progress,
 }
 
@@ -41,6 +43,7 @@
     times: (100, 100),
     slow: 0,
     from: 0,
+    until: DURATION,
     expected: fleet::Progress::Completed,
 };
 
@@ -63,10 +66,11 @@
         exposed += u64::from(is_new);
         let dice = xxhash_rust::xxh3::xxh3_64(&all.to_le_bytes());
         let (route, percent) = (dice % ROUTES, dice / 8 % 100);
-        let fails = if is_new { case.fails.1 } else { case.fails.0 };
+        let is_bad = is_new && (case.from..case.until).contains(&now);
+        let fails = if is_bad { case.fails.1 } else { case.fails.0 };
         let is_spared = is_new && case.route.is_some_and(|only| only != route);
         let mean = if is_new { case.times.1 } else { case.times.0 };
-        let is_slow = is_new && now >= case.from && dice / 1_024 % 100 < case.slow;
+        let is_slow = is_bad && dice / 1_024 % 100 < case.slow;
         let time = mean * SPREAD[(dice / 4_096) as usize % SPREAD.len()] / 100;
         let outcome = if percent < fails && !is_spared {
             canary::Outcome::Failed
@@ -107,6 +111,23 @@
             expected: bad,
             ..BASE
         },
+        Case {
+            name: "half of its answers fail, after many good ones",
+            gap: 4,
+            fails: (0, 50),
+            from: DURATION * 13 / 20,
+            expected: bad,
+            ..BASE
+        },
+        Case {
+            name: "half of its answers fail in a short burst, after many good ones",
+            gap: 4,
+            fails: (0, 50),
+            from: DURATION * 5 / 8,
+            until: DURATION * 5 / 8 + 400,
+            expected: bad,
+            ..BASE
+        },
         Case { name: "nearly three times as slow", times: (100, 280), expected: bad, ..BASE },
         Case { name: "eight times as slow", times: (100, 800), expected: bad, ..BASE },
         Case {
