--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -4,6 +4,10 @@
 //! has heard and comes to its own verdict, so a bad version is left wherever its failures are
 //! known. Sessions enter by a stable hash. During the first half the share stays small and no
 //! session changes its version; in the second half it grows, and sessions only move forward.
+//!
+//! The load this is for: a few seconds in which a tenth of the requests, of all sizes and amid
+//! other trouble, must tell a bad version from a good one; bad ones may fail on one route, late
+//! or under load only, or be slow.
 
 use std::collections::{BTreeMap, BTreeSet};
 
