relay: logs and metrics tell how a configuration travels

What callers saw: requests handled by old versions; the logs could not tell a slow transfer from a late notice or a busy processor. Added: E2105 with the bytes of a failed exchange, E2106 when a peer has a newer configuration, source, bytes and delay in E2101, relay_received_bytes and relay_configuration_delay. No decision is changed.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -97,6 +97,8 @@
     RowInvalid = 2102, Warn, "row of the store can't be decoded";
     StoreLost = 2103, Warn, "store lost";
     StoreRegained = 2104, Info, "store regained";
+    ExchangeFailed = 2105, Warn, "exchange with a peer failed after bytes had arrived";
+    CatalogAnnounced = 2106, Info, "a peer has a newer configuration";
     EndpointKnown = 2201, Info, "endpoint known";
     EndpointGone = 2202, Info, "endpoint gone";
     ZoneChanged = 2203, Info, "zone taken out or back";
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -164,8 +164,9 @@
     timeout: Duration,
 ) -> Result<store::Rows, Failure> {
     let address = context.state().settings.store;
-    let response = upstream::exchange(address, request, timeout).await;
-    context.metrics.record_store_call(response.is_ok());
+    let received = upstream::Received::default();
+    let response = upstream::exchange(address, request, timeout, &received).await;
+    context.metrics.record_store_call(response.is_ok(), received.get());
     let response = response.map_err(|error| Failure::Other(error.to_string()))?;
     match store::decode_rows(response.status(), response.body()) {
         Ok(rows) => Ok(rows),
@@ -182,12 +183,15 @@
     state.confirm(table, at);
     state.stale_until = state.stale_until.min(now);
     let had_failed = state.record_store_success();
-    let is_changed = delta.is_some_and(|delta| state.merge(table, delta, now));
+    let merged = delta.map(|delta| state.merge(table, delta, &"store", now)).unwrap_or_default();
     drop(state);
+    if let Some(delay) = merged.delay {
+        context.metrics.record_catalog(delay);
+    }
     if had_failed {
         event::emit_json(event::Event::StoreRegained, &[event::field("table", &table.name())]);
     }
-    if is_changed {
+    if merged.is_changed {
         context.rows_changed.notify_one();
     }
 }
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -58,6 +58,9 @@
 /// Maximum size of a message, in bytes.
 const MESSAGE_MAX: usize = 8 * 1_024 * 1_024;
 
+/// Size from which on a message takes noticeable time on a narrow link, in bytes.
+const LARGE_MESSAGE: usize = 16 * 1_024;
+
 /// Message between relays, encoded with postcard.
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
@@ -72,6 +75,8 @@
     #[serde(rename = "news")]
     deltas: Vec<(usize, replica::Delta)>,
     canaries: Vec<canary::Snapshot>,
+    /// Version of the sender's configuration; 0 before the first.
+    configuration: u64,
 }
 
 /// Exchanges messages with peers, in periodic rounds and at once after an update.
@@ -171,7 +176,7 @@
     for _ in 0..2 {
         let Some(response) = exchange(context, target, deltas, round).await else { return false };
         let versions = response.versions.clone();
-        record(context, response);
+        record(context, response, &target.address);
         deltas = missing_deltas(context, &versions);
         if deltas.is_empty() {
             break;
@@ -203,11 +208,28 @@
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(http::header::HOST, host);
     }
-    // A dead peer shows by its missing heartbeats, so a failed exchange is not logged.
-    let response = upstream::exchange(address, request, EXCHANGE_TIMEOUT).await;
-    context.metrics.record_exchange(response.is_ok());
-    let response = response.ok()?;
-    decode(response.body(), address)
+    let sent = request.body().len();
+    let received = upstream::Received::default();
+    let response = upstream::exchange(address, request, EXCHANGE_TIMEOUT, &received).await;
+    context.metrics.record_exchange(response.is_ok(), received.get());
+    match response {
+        Ok(response) => decode(response.body(), address),
+        Err(error) => {
+            // A dead peer shows by its missing heartbeats; only a slow transfer is logged.
+            if received.get() > 0 || sent >= LARGE_MESSAGE {
+                event::emit_json(
+                    event::Event::ExchangeFailed,
+                    &[
+                        event::field("peer", &address),
+                        event::field("sent", &sent),
+                        event::field("received", &received.get()),
+                        event::field("detail", &error),
+                    ],
+                );
+            }
+            None
+        }
+    }
 }
 
 fn decode(body: &[u8], address: SocketAddr) -> Option<Message> {
@@ -248,6 +270,7 @@
         versions: state.table_versions(now),
         deltas,
         canaries,
+        configuration: state.catalog_version(),
     }
 }
 
@@ -264,7 +287,7 @@
         .collect()
 }
 
-fn record(context: &Shared, message: Message) {
+fn record(context: &Shared, message: Message, from: &(dyn std::fmt::Display + Sync)) {
     let now = context.now();
     let own = context.vm();
     let mut state = context.state();
@@ -277,10 +300,14 @@
             );
         }
     }
+    state.record_announcement(message.configuration, now);
     let mut is_changed = false;
+    let mut delay = None;
     for (at, delta) in message.deltas {
         if let Some(table) = Table::ALL.get(at) {
-            is_changed |= state.merge(*table, delta, now);
+            let merged = state.merge(*table, delta, from, now);
+            is_changed |= merged.is_changed;
+            delay = delay.or(merged.delay);
         }
     }
     state.record_confirmations(&message.versions, now);
@@ -294,6 +321,9 @@
         }
     }
     drop(state);
+    if let Some(delay) = delay {
+        context.metrics.record_catalog(delay);
+    }
     if is_changed {
         context.rows_changed.notify_one();
     }
@@ -337,7 +367,7 @@
         return bad(StatusCode::BAD_REQUEST);
     };
     let (versions, receiver_known) = (received.versions.clone(), received.known);
-    record(&context, received);
+    record(&context, received, &"a peer's message");
     let round = context.now().0;
     let response =
         message(&context, missing_deltas(&context, &versions), false, round, Some(receiver_known));
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -38,6 +38,8 @@
     versions: Vec<(u64, Option<u64>)>,
     #[serde(rename = "shares")]
     in_flight: Vec<balance::reports::InFlight>,
+    /// Version of the sender's configuration; 0 before the first.
+    configuration: u64,
 }
 
 /// Sends and receives load reports.
@@ -75,6 +77,7 @@
                 vm: state.settings.vm.clone(),
                 versions: state.table_versions(now),
                 in_flight,
+                configuration: state.catalog_version(),
             },
             peers,
         )
@@ -110,6 +113,7 @@
                 // Starts a gossip round, which fetches the missing rows.
                 context.rows_changed.notify_one();
             }
+            state.record_announcement(datagram.configuration, now);
             state.record_confirmations(&datagram.versions, now);
             state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
         }
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -43,6 +43,8 @@
     wait: Histogram<f64>,
     store_calls: Counter<u64>,
     exchanges: Counter<u64>,
+    received: Counter<u64>,
+    catalog_delay: Histogram<f64>,
 }
 
 impl Metrics {
@@ -79,6 +81,14 @@
             wait: histogram("relay_waited", "Time for which requests waited for room"),
             store_calls: counter("relay_store_calls", "Calls of the store, by result"),
             exchanges: counter("relay_exchanges", "Exchanges with peers, by result"),
+            received: counter(
+                "relay_received_bytes",
+                "Bytes of response bodies, by sender and result of the call",
+            ),
+            catalog_delay: histogram(
+                "relay_configuration_delay",
+                "Time from the first notice of a configuration until it is in force",
+            ),
             registry,
             _provider: provider,
         })
@@ -118,14 +128,27 @@
         self.wait.record(took.0 as f64 / 1_000.0, &[]);
     }
 
-    /// Records a call to the store.
-    pub(crate) fn record_store_call(&self, is_answered: bool) {
+    /// Records a call to the store and the size of its response body, partial if it failed.
+    pub(crate) fn record_store_call(&self, is_answered: bool, received: usize) {
         self.store_calls.add(1, &[KeyValue::new("answered", is_answered)]);
+        self.record_received("store", is_answered, received);
     }
 
-    /// Records a gossip exchange with a peer.
-    pub(crate) fn record_exchange(&self, is_answered: bool) {
+    /// Records a gossip exchange with a peer and the size of its response body, partial if it
+    /// failed.
+    pub(crate) fn record_exchange(&self, is_answered: bool, received: usize) {
         self.exchanges.add(1, &[KeyValue::new("answered", is_answered)]);
+        self.record_received("peer", is_answered, received);
+    }
+
+    fn record_received(&self, sender: &'static str, is_answered: bool, bytes: usize) {
+        let labels = [KeyValue::new("sender", sender), KeyValue::new("answered", is_answered)];
+        self.received.add(bytes as u64, &labels);
+    }
+
+    /// Records the time from the first notice of a configuration until it is in force.
+    pub(crate) fn record_catalog(&self, delay: time::Millis) {
+        self.catalog_delay.record(delay.0 as f64 / 1_000.0, &[]);
     }
 
     fn text(&self, context: &Shared) -> String {
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -150,7 +150,8 @@
     let key = row::status_key(service);
     let value = row::encode_status(to, progress);
     let request = store::write(&address.to_string(), row::STATUS, &key, &value, expected);
-    let response = upstream::exchange(address, request, WRITE_TIMEOUT).await;
+    let received = upstream::Received::default();
+    let response = upstream::exchange(address, request, WRITE_TIMEOUT, &received).await;
     let response = response.map_err(|error| error.to_string())?;
     match store::decode_write(response.status(), response.body()) {
         Ok(store::WriteOutcome::Committed(_)) => Ok(Outcome::Done),
@@ -169,7 +170,8 @@
 ) -> Result<Outcome, String> {
     let address = context.state().settings.store;
     let request = store::read(&address.to_string(), row::STATUS, None);
-    let response = upstream::exchange(address, request, WRITE_TIMEOUT).await;
+    let received = upstream::Received::default();
+    let response = upstream::exchange(address, request, WRITE_TIMEOUT, &received).await;
     let response = response.map_err(|error| error.to_string())?;
     let rows = store::decode_rows(response.status(), response.body());
     let rows = rows.map_err(|error| error.to_string())?.rows;
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, route, time};
 use ibishill_decide::{balance, canary, escalation, peers, retry, wait_queue};
@@ -46,10 +47,25 @@
     confirmed: Option<time::Tick>,
 }
 
+/// Maximum number of announced configurations that are not in force yet; later ones are dropped.
+const ANNOUNCED_MAX: usize = 64;
+
+/// Result of merging a delta.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Merged {
+    /// Whether any row changed.
+    pub(crate) is_changed: bool,
+    /// Time from the first notice of the configuration that came into force.
+    pub(crate) delay: Option<time::Millis>,
+}
+
 /// State of one relay.
 pub(crate) struct State {
     pub(crate) settings: fleet::Settings,
     pub(crate) catalog: Option<Rc<route::Catalog>>,
+    /// Versions of configurations that are not in force here yet, and when this relay first heard
+    /// of them.
+    announced: BTreeMap<u64, time::Tick>,
     pub(crate) balancer: balance::Balancer,
     /// Recently active sessions, which a new roll-out pins to the old version.
     pub(crate) recent_sessions: canary::RecentSessions,
@@ -84,6 +100,7 @@
     pub(crate) fn new(settings: fleet::Settings, own: peers::Member) -> Self {
         Self {
             catalog: None,
+            announced: BTreeMap::new(),
             balancer: balance::Balancer::new(settings.zone.clone()),
             recent_sessions: canary::RecentSessions::default(),
             canaries: BTreeMap::new(),
@@ -111,6 +128,25 @@
         &self.replicas[&table]
     }
 
+    /// Version of the configuration in force; 0 before the first.
+    pub(crate) fn catalog_version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// Records that a peer has a configuration.
+    pub(crate) fn record_announcement(&mut self, version: u64, now: time::Tick) {
+        let own = self.catalog_version();
+        let is_known = version <= own || self.announced.contains_key(&version);
+        if is_known || self.announced.len() >= ANNOUNCED_MAX {
+            return;
+        }
+        event::emit_json(
+            event::Event::CatalogAnnounced,
+            &[event::field("version", &version), event::field("own", &own)],
+        );
+        self.announced.insert(version, now);
+    }
+
     /// Whether the configuration and the endpoints are loaded, so that requests can be served.
     pub(crate) fn is_loaded(&self) -> bool {
         self.catalog.is_some() && self.replica(Table::Endpoints).table.is_loaded()
@@ -175,16 +211,53 @@
         }
     }
 
-    /// Merges a delta into a table and applies its rows; returns whether anything changed.
-    pub(crate) fn merge(&mut self, table: Table, delta: replica::Delta, now: time::Tick) -> bool {
+    /// Merges a delta into a table and applies its rows; `source` is who delivered it.
+    pub(crate) fn merge(
+        &mut self,
+        table: Table,
+        delta: replica::Delta,
+        source: &(dyn std::fmt::Display + Sync),
+        now: time::Tick,
+    ) -> Merged {
         self.record_outage(table, now);
         let replica = self.replicas.entry(table).or_default();
         let is_initial = replica.table.version() == 0;
+        let before = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         let changed = replica.table.merge(delta);
         for record in &changed {
             self.apply_record(table, record, is_initial, now);
         }
-        !changed.is_empty()
+        let delay = self.record_catalog(before, &changed, source, now);
+        Merged { is_changed: !changed.is_empty(), delay }
+    }
+
+    // Logs the configuration if it is newer than `before`; returns the time from its first notice.
+    fn record_catalog(
+        &mut self,
+        before: u64,
+        changed: &[fleet::RawRow],
+        source: &(dyn std::fmt::Display + Sync),
+        now: time::Tick,
+    ) -> Option<time::Millis> {
+        let version = self.catalog_version();
+        if version <= before {
+            return None;
+        }
+        let later = self.announced.split_off(&(version + 1));
+        let heard = std::mem::replace(&mut self.announced, later).into_values().min();
+        let delay = heard.map_or(time::Millis(0), |at| now.since(at));
+        let bytes: usize =
+            changed.iter().filter_map(|row| row.value.as_ref()).map(Bytes::len).sum();
+        event::emit_json(
+            event::Event::CatalogInForce,
+            &[
+                event::field("version", &version),
+                event::field("source", source),
+                event::field("bytes", &bytes),
+                event::field("delay", &delay),
+            ],
+        );
+        Some(delay)
     }
 
     fn apply_record(
@@ -219,10 +292,6 @@
                 if self.catalog.as_ref().is_some_and(|known| known.version >= catalog.version) {
                     return;
                 }
-                event::emit_json(
-                    event::Event::CatalogInForce,
-                    &[event::field("version", &catalog.version), event::field("row", &version)],
-                );
                 self.catalog = Some(Rc::new(*catalog));
             }
             fleet::Row::Rollout(order) => self.apply_rollout(order, now),
--- a/crates/ibishill-relay/src/upstream.rs
+++ b/crates/ibishill-relay/src/upstream.rs
@@ -27,6 +27,9 @@
 /// Maximum size of a response body that is not streamed, in bytes.
 const BODY_MAX: usize = 8 * 1_024 * 1_024;
 
+/// Part of a response body that arrived before a call failed, in bytes.
+pub(crate) type Received = std::cell::Cell<usize>;
+
 /// Error of a call that got no response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum CallError {
@@ -118,7 +121,8 @@
     Ok((response, connection))
 }
 
-/// Sends a request and reads its full response within `timeout`, which includes connecting.
+/// Sends a request and reads its full response within `timeout`, which includes connecting;
+/// `received` counts the body as it arrives.
 ///
 /// # Errors
 ///
@@ -127,11 +131,16 @@
     address: SocketAddr,
     request: Request<Bytes>,
     timeout: Duration,
+    received: &Received,
 ) -> Result<Response<Bytes>, CallError> {
     let call = async {
         let stream = connect(address, reach::CONNECT_TIMEOUT_MAX).await?;
         let (response, _connection) = send(stream, request).await?;
         let (head, body) = response.into_parts();
+        let body = body.map_frame(|frame| {
+            received.set(received.get() + frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
         Ok(Response::from_parts(head, read_body(body).await?))
     };
     let timed_out = || CallError::Unknown(format!("none within {} ms", timeout.as_millis()));
@@ -143,7 +152,10 @@
 /// # Errors
 ///
 /// Fails if the body is truncated or exceeds the size limit.
-pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, CallError> {
+pub(crate) async fn read_body<B>(body: B) -> Result<Bytes, CallError>
+where
+    B: hyper::body::Body<Data = Bytes, Error = hyper::Error>,
+{
     let collected = Limited::new(body, BODY_MAX).collect().await;
     collected.map(|body| body.to_bytes()).map_err(|error| CallError::Unknown(error.to_string()))
 }
