--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -124,6 +124,8 @@
     pub metrics: SocketAddr,
     /// Listen address for other daemons.
     pub peer: SocketAddr,
+    /// Address under which other daemons reach `peer`; the listener may be bound to another one.
+    pub advertised: SocketAddr,
     /// Addresses of some other daemons, possibly outdated.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole deployment is starting for the first time.
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -94,7 +94,7 @@
     let member = peers::Member {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        address: settings.peer,
+        address: settings.advertised,
         start,
         beat: 0,
         is_ready: false,
