relay: peers fetch a large configuration in chunks

Cause: a configuration is one row. Each change sent it whole, 285 KB with 1,400 routes, from several peers at once, in exchanges that ended after 400 ms whatever their size. On links of 10 Mbit/s none ended in time and nothing of it was kept, so relays started again and kept the links full, which also delayed callers. The store's feed repeats every version of the row to a slow reader. Change: deltas carry digests of content-defined chunks in place of large values. A relay fetches what it lacks in small portions, one request at a time, from any peer that has the version, keeps it across failures and newer versions, and serves four such requests at a time. Messages are compressed; a call ends when it stalls, not when it is large. Who hears in a load report that a peer has more asks that peer. VMs with the widest links read the store; a reader that the feed floods reads the table once. An answer of the feed confirms the table as of its head. Why it works: each step fits into its timeout on any link and is never lost.

--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{id, time};
+use crate::{id, link, time};
 
 /// An undecoded row of the platform's store, as cached and replicated to peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -126,6 +126,8 @@
     pub peer: SocketAddr,
     /// Address under which other daemons reach `peer`; the listener may be bound to another one.
     pub advertised: SocketAddr,
+    /// Bandwidth of the VM's link; 0 if unknown.
+    pub link: link::Bandwidth,
     /// Addresses of some other daemons, possibly outdated.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole deployment is starting for the first time.
--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fleet;
 pub mod header;
 pub mod id;
+pub mod link;
 pub mod outcome;
 pub mod prefix;
 pub mod priority;
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod place;
 pub mod plan;
+pub mod portion;
 pub mod prefix;
 pub mod queue;
 pub mod rate;
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use ibishill_core::{id, time};
+use ibishill_core::{id, link, time};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
@@ -32,6 +32,8 @@
     pub beat: u64,
     /// Whether it accepts callers.
     pub is_ready: bool,
+    /// Bandwidth of its VM's link; 0 if unknown.
+    pub link: link::Bandwidth,
 }
 
 #[derive(Debug, Clone)]
@@ -103,6 +105,16 @@
         self.known.values().map(|known| &known.member)
     }
 
+    /// Address of another known daemon.
+    pub fn address(&self, vm: &id::VmId) -> Option<SocketAddr> {
+        self.known.get(vm).map(|known| known.member.address)
+    }
+
+    /// Whether a known daemon with this address is in this daemon's zone.
+    pub fn is_in_own_zone(&self, address: SocketAddr) -> bool {
+        self.others().any(|member| member.address == address && member.zone == self.own.zone)
+    }
+
     /// Number of live daemons, this one included.
     pub fn alive_count(&self, now: time::Tick) -> usize {
         self.alive(now).len()
@@ -137,6 +149,15 @@
         rank_among(self.alive(now).into_iter(), &self.own, duty)
     }
 
+    /// Like [`Peers::rank`], but daemons with wider links come first, for a duty that moves much
+    /// data.
+    pub fn rank_by_link(&self, duty: &str, now: time::Tick) -> usize {
+        let alive = self.alive(now);
+        let wider = alive.iter().filter(|member| member.link > self.own.link).count();
+        let same = alive.into_iter().filter(|member| member.link == self.own.link);
+        wider + rank_among(same, &self.own, duty)
+    }
+
     /// Like [`Peers::rank`], but among all known daemons, so that a partitioned daemon does not
     /// take over the duties of the others.
     pub fn known_rank(&self, duty: &str) -> usize {
--- a/crates/ibishill-decide/src/readers.rs
+++ b/crates/ibishill-decide/src/readers.rs
@@ -15,6 +15,10 @@
 /// Daemons per reader; there are at least two readers.
 const DAEMONS_PER_READER: usize = 32;
 
+/// Size of superseded rows in a feed's answer from which on the next read is of the whole table:
+/// the feed returns every version of a row that changes faster than it can be read.
+const SUPERSEDED_MAX: usize = 64 * 1_024;
+
 /// Consecutive rounds without an answer from any peer after which a daemon reads itself.
 const SILENT_ROUNDS_MAX: u32 = 2;
 
@@ -32,7 +36,7 @@
 /// State of one daemon that decides whether it reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Status {
-    /// Its rank among the live daemons, from 0.
+    /// Its rank among the live daemons, those with the widest links first, from 0.
     pub rank: usize,
     /// Number of live daemons.
     pub count: usize,
@@ -56,6 +60,12 @@
     is_overdue || status.silent_rounds >= SILENT_ROUNDS_MAX || is_reader(status)
 }
 
+/// Whether to read the whole table instead of the feed, after an answer in which `superseded` bytes
+/// were of rows that the same answer replaced, or if a newer configuration is known to exist.
+pub const fn should_read_whole(superseded: usize, is_behind: bool) -> bool {
+    superseded >= SUPERSEDED_MAX || is_behind
+}
+
 /// Whether a daemon is one of the readers, which read for all.
 pub const fn is_reader(status: Status) -> bool {
     let readers = status.count / DAEMONS_PER_READER;
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod canary;
 mod escalation;
 mod peers;
+mod portion;
 mod reach;
 mod readers;
 mod retry;
--- a/crates/ibishill-decide/tests/relay/peers.rs
+++ b/crates/ibishill-decide/tests/relay/peers.rs
@@ -1,4 +1,4 @@
-use ibishill_core::time;
+use ibishill_core::{link, time};
 use ibishill_decide::peers;
 
 fn member(name: &str, start: u64, beat: u64) -> peers::Member {
@@ -9,6 +9,7 @@
         start,
         beat,
         is_ready: true,
+        link: link::Bandwidth::default(),
     }
 }
 
@@ -61,3 +62,23 @@
     view.record(member("vm", 2, 2), later);
     assert_eq!(view.alive(later).len(), 2);
 }
+
+#[test]
+fn duty_that_moves_much_data_goes_to_wide_links() {
+    let wide = ["vm3", "vm7"];
+    let link = |name: &str| link::Bandwidth(if wide.contains(&name) { 200_000 } else { 10_000 });
+    let names: Vec<String> = (0..9).map(|at| format!("vm{at}")).collect();
+    let member = |name: &String| peers::Member { link: link(name), ..member(name, 1, 1) };
+    let mut ranks = Vec::new();
+    for own in &names {
+        let mut view = peers::Peers::new(member(own));
+        for name in &names {
+            view.record(member(name), time::Tick(0));
+        }
+        let rank = view.rank_by_link("read", time::Tick(0));
+        assert_eq!(rank < wide.len(), wide.contains(&own.as_str()), "{own}: rank {rank}");
+        ranks.push(rank);
+    }
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..names.len()).collect::<Vec<_>>());
+}
--- a/crates/ibishill-decide/tests/relay/readers.rs
+++ b/crates/ibishill-decide/tests/relay/readers.rs
@@ -108,3 +108,23 @@
         assert!(seen <= 250, "{}: seen after {seen} ms", outage.count);
     }
 }
+
+#[test]
+fn whole_table_is_read_when_the_feed_repeats_a_large_row() {
+    struct Reading {
+        name: &'static str,
+        superseded: usize,
+        is_behind: bool,
+        expected: bool,
+    }
+    let readings = [
+        Reading { name: "one change", superseded: 0, is_behind: false, expected: false },
+        Reading { name: "small rows", superseded: 13_000, is_behind: false, expected: false },
+        Reading { name: "large row", superseded: 285_000, is_behind: false, expected: true },
+        Reading { name: "behind its peers", superseded: 0, is_behind: true, expected: true },
+    ];
+    for case in readings {
+        let found = readers::should_read_whole(case.superseded, case.is_behind);
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -1,6 +1,6 @@
 //! Context shared by all tasks of a relay.
 
-use std::cell::{RefCell, RefMut};
+use std::cell::{Cell, RefCell, RefMut};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -24,6 +24,10 @@
     pub(crate) capacity_freed: Notify,
     /// Notified when rows have changed, to start a gossip round at once.
     pub(crate) rows_changed: Notify,
+    /// Notified when chunks of a delta are missing.
+    pub(crate) chunks_wanted: Notify,
+    /// Number of requests for chunks that are being served.
+    pub(crate) chunks_serving: Cell<u32>,
     /// Notified when connections must be closed because the process is stopping.
     pub(crate) shutdown: Notify,
 }
@@ -40,6 +44,8 @@
             start,
             capacity_freed: Notify::new(),
             rows_changed: Notify::new(),
+            chunks_wanted: Notify::new(),
+            chunks_serving: Cell::new(0),
             shutdown: Notify::new(),
         })
     }
@@ -51,7 +57,12 @@
 
     /// Monotonic time since the start, plus a fixed offset.
     pub(crate) fn now(&self) -> time::Tick {
-        let millis = self.origin.elapsed().as_millis();
+        self.at(Instant::now())
+    }
+
+    /// An instant as a time since the start, plus a fixed offset.
+    pub(crate) fn at(&self, instant: Instant) -> time::Tick {
+        let millis = instant.saturating_duration_since(self.origin).as_millis();
         time::Tick(ORIGIN_MS + u64::try_from(millis).unwrap_or(u64::MAX))
     }
 
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -9,7 +9,7 @@
 use http::Request;
 use ibishill_adapter::error::DecodeError;
 use ibishill_adapter::store;
-use ibishill_core::{event, time};
+use ibishill_core::{event, fleet, time};
 use ibishill_decide::readers;
 use ibishill_state::replica;
 use tokio::time as clock;
@@ -17,12 +17,16 @@
 
 use crate::context::Shared;
 use crate::state::Table;
-use crate::upstream;
+use crate::{gossip, upstream};
 
 /// Time beyond the poll's own wait after which a call is abandoned, since its connection may be
 /// dead. Reads of a whole table do not wait, so this is their whole timeout for each page.
 const CALL_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time beyond the timeout of a call for the body of its response: a large configuration takes
+/// several hundred milliseconds on a narrow link.
+const BODY_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Delay after a change of the orders, during which further changes accumulate for one call.
 const ORDERS_BATCH_DELAY: Duration = Duration::from_millis(120);
 
@@ -41,16 +45,17 @@
 
 /// Keeps the replica of a table up to date.
 pub(crate) async fn run(context: Shared, table: Table) {
+    let mut superseded = 0;
     loop {
         if !reader_status(&context, table).is_some_and(readers::should_read) {
             clock::sleep(POLL_INTERVAL).await;
             continue;
         }
-        let started = context.now();
-        match read_changes(&context, table).await {
-            Ok(delta) => {
-                let is_changed = delta.is_some();
-                record_read(&context, table, delta, started);
+        match read_changes(&context, table, superseded).await {
+            Ok(read) => {
+                let is_changed = read.delta.is_some();
+                superseded = read.superseded;
+                record_read(&context, table, read);
                 if is_changed {
                     clock::sleep(batch_delay(table)).await;
                 }
@@ -75,7 +80,7 @@
     let now = context.now();
     let state = context.state();
     let status = readers::Status {
-        rank: state.peers.rank(table.name(), now),
+        rank: state.peers.rank_by_link(table.name(), now),
         count: state.peers.alive_count(now),
         age: state.table_age(table, now),
         silent_rounds: state.silent_rounds,
@@ -104,40 +109,59 @@
     }
 }
 
-async fn read_changes(context: &Shared, table: Table) -> Result<Option<replica::Delta>, String> {
-    let (version, is_loaded, wait) = {
+/// Result of a read.
+struct Read {
+    /// Changes; none if there were none.
+    delta: Option<replica::Delta>,
+    /// Time as of which the replica is current.
+    at: time::Tick,
+    /// Size of rows that the same answer replaced, in bytes.
+    superseded: usize,
+}
+
+async fn read_changes(context: &Shared, table: Table, superseded: usize) -> Result<Read, String> {
+    let (version, is_loaded, is_behind, wait) = {
         let state = context.state();
-        let table = &state.replica(table).table;
-        (table.version(), table.is_loaded(), readers::feed_timeout(state.settings.bounds.apply))
+        let known = &state.replica(table).table;
+        let is_behind = table == Table::Orders && state.is_catalog_behind();
+        let wait = readers::feed_timeout(state.settings.bounds.apply);
+        (known.version(), known.is_loaded(), is_behind, wait)
     };
-    if !is_loaded {
-        return read_all(context, table).await.map(Some);
+    if !is_loaded || readers::should_read_whole(superseded, is_behind) {
+        return read_all(context, table).await;
     }
     let host = context.state().settings.store.to_string();
     let request = store::feed(&host, table.name(), version, wait);
     match call(context, request, wait.to_std() + CALL_MARGIN).await {
-        Ok(rows) if rows.rows.is_empty() && rows.version <= version => Ok(None),
-        Ok(rows) => {
+        Ok((rows, at)) if rows.rows.is_empty() && rows.version <= version => {
+            Ok(Read { delta: None, at, superseded: 0 })
+        }
+        Ok((rows, at)) => {
             let mut sorted = rows.rows;
             sorted.sort_by(|a, b| a.key.cmp(&b.key).then(a.version.cmp(&b.version)));
+            let replaced = sorted.windows(2).filter(|pair| pair[0].key == pair[1].key);
+            let size = |row: &fleet::RawRow| row.value.as_ref().map_or(0, Bytes::len);
+            let superseded = replaced.map(|pair| size(&pair[0])).sum();
             let version = rows.version;
-            Ok(Some(replica::Delta { is_whole: false, version, rows: sorted }))
+            let delta = replica::Delta { is_whole: false, version, rows: sorted };
+            Ok(Read { delta: Some(delta), at, superseded })
         }
         // The feed no longer has the changes since this version.
-        Err(Failure::Gone) => read_all(context, table).await.map(Some),
+        Err(Failure::Gone) => read_all(context, table).await,
         Err(Failure::Other(detail)) => Err(detail),
     }
 }
 
-async fn read_all(context: &Shared, table: Table) -> Result<replica::Delta, String> {
+async fn read_all(context: &Shared, table: Table) -> Result<Read, String> {
+    let at = context.now();
     let host = context.state().settings.store.to_string();
     let mut all = Vec::new();
     let mut oldest: Option<u64> = None;
     loop {
-        let after = all.last().map(|row: &ibishill_core::fleet::RawRow| row.key.clone());
+        let after = all.last().map(|row: &fleet::RawRow| row.key.clone());
         let request = store::read(&host, table.name(), after.as_deref());
         let rows = match call(context, request, CALL_MARGIN).await {
-            Ok(rows) => rows,
+            Ok((rows, _)) => rows,
             Err(Failure::Gone) => return Err("store responded 410 to a full read".into()),
             Err(Failure::Other(detail)) => return Err(detail),
         };
@@ -147,7 +171,8 @@
         let is_last = !rows.truncated || rows.rows.is_empty();
         all.extend(rows.rows);
         if is_last {
-            return Ok(replica::Delta { is_whole: true, version, rows: all });
+            let delta = replica::Delta { is_whole: true, version, rows: all };
+            return Ok(Read { delta: Some(delta), at, superseded: 0 });
         }
     }
 }
@@ -158,42 +183,40 @@
     Other(String),
 }
 
+// Rows, and when the store had begun to answer.
 async fn call(
     context: &Shared,
     request: Request<Bytes>,
     timeout: Duration,
-) -> Result<store::Rows, Failure> {
+) -> Result<(store::Rows, time::Tick), Failure> {
     let address = context.state().settings.store;
-    let received = upstream::Received::default();
-    let response = upstream::exchange(address, request, timeout, &received).await;
-    context.metrics.record_store_call(response.is_ok(), received.get());
+    let progress = upstream::Progress::default();
+    let limits =
+        upstream::Limits { head: timeout, pause: CALL_MARGIN, total: timeout + BODY_TIMEOUT };
+    let response = upstream::exchange(address, request, limits, &progress).await;
+    context.metrics.record_store_call(response.is_ok(), progress.received.get());
     let response = response.map_err(|error| Failure::Other(error.to_string()))?;
+    let answered = progress.head.get().map_or_else(|| context.now(), |head| context.at(head));
     match store::decode_rows(response.status(), response.body()) {
-        Ok(rows) => Ok(rows),
+        Ok(rows) => Ok((rows, answered)),
         Err(DecodeError::Refused { status: 410 }) => Err(Failure::Gone),
         Err(error) => Err(Failure::Other(error.to_string())),
     }
 }
 
-fn record_read(context: &Shared, table: Table, delta: Option<replica::Delta>, started: time::Tick) {
+fn record_read(context: &Shared, table: Table, read: Read) {
     let now = context.now();
     let mut state = context.state();
-    // A poll that ended without changes confirms the table as of its end, a read as of its start.
-    let at = if delta.is_some() { started } else { now };
-    state.confirm(table, at);
+    state.confirm(table, read.at);
     state.stale_until = state.stale_until.min(now);
     let had_failed = state.record_store_success();
-    let merged = delta.map(|delta| state.merge(table, delta, &"store", now)).unwrap_or_default();
+    let merged =
+        read.delta.map(|delta| state.merge(table, delta, &"store", now)).unwrap_or_default();
     drop(state);
-    if let Some(delay) = merged.delay {
-        context.metrics.record_catalog(delay);
-    }
     if had_failed {
         event::emit_json(event::Event::StoreRegained, &[event::field("table", &table.name())]);
     }
-    if merged.is_changed {
-        context.rows_changed.notify_one();
-    }
+    gossip::finish_merge(context, merged);
 }
 
 fn record_failure(context: &Shared, detail: &str) {
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -1,11 +1,14 @@
 //! Gossip between relays: liveness, table rows and the counts of roll-outs.
 //!
 //! Every message carries the table versions of its sender, and the reply contains the deltas that
-//! the sender lacks. Updates spread in a few rounds, also to daemons that can't reach the store.
+//! the sender lacks; large values are fetched in chunks by [`chunks`]. Updates spread in a few
+//! rounds, also to daemons that can't reach the store.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,15 +20,16 @@
 use hyper_util::rt::TokioIo;
 use ibishill_core::{event, time};
 use ibishill_decide::{canary, peers};
-use ibishill_state::replica;
+use ibishill_state::{chunk, transfer};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
-use crate::state::Table;
-use crate::upstream;
+use crate::state::{Announcement, Merged, Table};
+use crate::{chunks, message, upstream};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -43,6 +47,9 @@
 /// healed.
 const PROBE_ROUNDS: u64 = 5;
 
+/// Longest wait for the exchanges of an update before the next one starts.
+const UPDATE_WAIT: Duration = Duration::from_millis(100);
+
 /// Heartbeats of other daemons in a message.
 const HEARTBEATS_PER_MESSAGE: usize = 6;
 
@@ -52,18 +59,30 @@
 /// Daemons that decide on a roll-out; two, so that one may fail.
 pub(crate) const DECIDERS: usize = 2;
 
-/// Timeout of an exchange.
+/// Timeout of a peer that does not respond.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum size of a message, in bytes.
+/// Time limits of an exchange. A table of thousands of rows takes longer than a response.
+const EXCHANGE_LIMITS: upstream::Limits = upstream::Limits {
+    head: EXCHANGE_TIMEOUT,
+    pause: EXCHANGE_TIMEOUT,
+    total: Duration::from_millis(2_000),
+};
+
+/// Longest time that a connection of a peer is served.
+const SERVING_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Maximum size of an encoded message, in bytes.
 const MESSAGE_MAX: usize = 8 * 1_024 * 1_024;
 
 /// Size from which on a message takes noticeable time on a narrow link, in bytes.
 const LARGE_MESSAGE: usize = 16 * 1_024;
 
-/// Message between relays, encoded with postcard.
+/// Message between relays.
 #[derive(Debug, Serialize, Deserialize)]
 struct Message {
+    /// Address of the sender for its peers.
+    address: SocketAddr,
     members: Vec<peers::Member>,
     /// Number of daemons that the sender knows, including itself.
     known: usize,
@@ -73,24 +92,33 @@
     versions: Vec<(u64, Option<u64>)>,
     /// Deltas that the receiver lacks, with the index of their table in `Table::ALL`.
     #[serde(rename = "news")]
-    deltas: Vec<(usize, replica::Delta)>,
+    deltas: Vec<(usize, transfer::Delta)>,
     canaries: Vec<canary::Snapshot>,
-    /// Version of the sender's configuration; 0 before the first.
-    configuration: u64,
+    configuration: Announcement,
 }
 
 /// Exchanges messages with peers, in periodic rounds and at once after an update.
 pub(crate) async fn run(context: Shared) {
     let mut round = 0_u64;
     loop {
-        let is_update =
+        let is_notified =
             clock::timeout(ROUND_INTERVAL, context.rows_changed.notified()).await.is_ok();
         round += 1;
-        let targets = targets(&context, round, is_update);
-        let exchanges = targets.into_iter().map(|target| sync(&context, target, round));
-        let results = futures::future::join_all(exchanges).await;
+        let targets = targets(&context, round, is_notified);
+        let exchanges = targets.into_iter().map(|target| {
+            let context = context.clone();
+            tokio::task::spawn_local(async move { sync(&context, target, round).await })
+        });
+        let exchanges = futures::future::join_all(exchanges);
+        if is_notified {
+            // A peer that does not respond must not hold up the next update.
+            let _unfinished = clock::timeout(UPDATE_WAIT, exchanges).await;
+            continue;
+        }
+        let results = exchanges.await;
+        let is_silent = |result: &Result<bool, _>| !matches!(result, Ok(true));
+        let is_alone = !results.is_empty() && results.iter().all(is_silent);
         let mut state = context.state();
-        let is_alone = !results.is_empty() && results.iter().all(|is_answered| !is_answered);
         state.silent_rounds = if is_alone { state.silent_rounds + 1 } else { 0 };
     }
 }
@@ -103,16 +131,18 @@
     is_decider: bool,
 }
 
-fn targets(context: &Shared, round: u64, is_update: bool) -> Vec<Target> {
+fn targets(context: &Shared, round: u64, is_notified: bool) -> Vec<Target> {
     let now = context.now();
     let mut state = context.state();
-    let is_ready = state.is_loaded() && !state.is_stopping;
+    let is_update = std::mem::take(&mut state.is_update_due);
+    let ahead = state.ahead.take();
+    let is_ready = state.is_ready();
     state.peers.heartbeat(is_ready);
     let own = state.peers.own().clone();
     let seed = round ^ hash(own.address);
     let shuffle = |address: &SocketAddr| xxh3::xxh3_64_with_seed(&[], seed ^ hash(*address));
     let alive: Vec<&peers::Member> = state.peers.alive(now).into_iter().skip(1).collect();
-    let stays_in_zone = !is_update && !round.is_multiple_of(CROSS_ZONE_ROUNDS);
+    let stays_in_zone = !is_notified && !round.is_multiple_of(CROSS_ZONE_ROUNDS);
     let mut chosen: Vec<SocketAddr> = alive
         .iter()
         .filter(|member| !stays_in_zone || member.zone == own.zone)
@@ -123,6 +153,14 @@
     }
     chosen.sort_by_key(shuffle);
     chosen.truncate(if is_update { UPDATE_FANOUT } else { FANOUT });
+    if let Some(ahead) = ahead {
+        if !is_update {
+            chosen.clear();
+        }
+        if !chosen.contains(&ahead) {
+            chosen.push(ahead);
+        }
+    }
     let known = state.peers.others().map(|member| member.address);
     let mut unresponsive: Vec<SocketAddr> =
         state.settings.seeds.iter().copied().chain(known).collect();
@@ -133,7 +171,7 @@
     let probes = if chosen.is_empty() {
         UPDATE_FANOUT
     } else {
-        usize::from(round.is_multiple_of(PROBE_ROUNDS))
+        usize::from(!is_notified && round.is_multiple_of(PROBE_ROUNDS))
     };
     chosen.extend(unresponsive.into_iter().take(probes));
     let deciders = deciders(&state, now);
@@ -176,7 +214,7 @@
     for _ in 0..2 {
         let Some(response) = exchange(context, target, deltas, round).await else { return false };
         let versions = response.versions.clone();
-        record(context, response, &target.address);
+        record(context, response);
         deltas = missing_deltas(context, &versions);
         if deltas.is_empty() {
             break;
@@ -188,12 +226,12 @@
 async fn exchange(
     context: &Shared,
     target: Target,
-    deltas: Vec<(usize, replica::Delta)>,
+    deltas: Vec<(usize, transfer::Delta)>,
     round: u64,
 ) -> Option<Message> {
     let address = target.address;
-    let message = message(context, deltas, target.is_decider, round, None);
-    let body = match postcard::to_stdvec(&message) {
+    let message = build_message(context, deltas, target.is_decider, round, None);
+    let body = match message::encode(&message) {
         Ok(body) => body,
         Err(error) => {
             event::emit_json(
@@ -203,26 +241,27 @@
             return None;
         }
     };
-    let mut request = Request::new(Bytes::from(body));
+    let mut request = Request::new(body);
     *request.method_mut() = Method::POST;
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(http::header::HOST, host);
     }
     let sent = request.body().len();
-    let received = upstream::Received::default();
-    let response = upstream::exchange(address, request, EXCHANGE_TIMEOUT, &received).await;
-    context.metrics.record_exchange(response.is_ok(), received.get());
+    let progress = upstream::Progress::default();
+    let response = upstream::exchange(address, request, EXCHANGE_LIMITS, &progress).await;
+    let received = progress.received.get();
+    context.metrics.record_exchange(response.is_ok(), received);
     match response {
         Ok(response) => decode(response.body(), address),
         Err(error) => {
             // A dead peer shows by its missing heartbeats; only a slow transfer is logged.
-            if received.get() > 0 || sent >= LARGE_MESSAGE {
+            if received > 0 || sent >= LARGE_MESSAGE {
                 event::emit_json(
                     event::Event::ExchangeFailed,
                     &[
                         event::field("peer", &address),
                         event::field("sent", &sent),
-                        event::field("received", &received.get()),
+                        event::field("received", &received),
                         event::field("detail", &error),
                     ],
                 );
@@ -232,8 +271,11 @@
     }
 }
 
-fn decode(body: &[u8], address: SocketAddr) -> Option<Message> {
-    match postcard::from_bytes(body) {
+fn decode<T>(body: &[u8], address: SocketAddr) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    match message::decode(body) {
         Ok(message) => Some(message),
         Err(error) => {
             event::emit_json(
@@ -246,9 +288,9 @@
 }
 
 // `receiver_known` is the number of daemons that the receiver knows, if it is known.
-fn message(
+fn build_message(
     context: &Shared,
-    deltas: Vec<(usize, replica::Delta)>,
+    deltas: Vec<(usize, transfer::Delta)>,
     is_decider: bool,
     round: u64,
     receiver_known: Option<usize>,
@@ -265,29 +307,28 @@
     let canaries =
         state.canaries.values().map(|canary| canary.snapshot(own, is_decider, now)).collect();
     Message {
+        address: state.settings.advertised,
         members: state.peers.sample(count, round, now),
         known,
         versions: state.table_versions(now),
         deltas,
         canaries,
-        configuration: state.catalog_version(),
+        configuration: state.announcement(now),
     }
 }
 
 fn missing_deltas(
     context: &Shared,
     versions: &[(u64, Option<u64>)],
-) -> Vec<(usize, replica::Delta)> {
+) -> Vec<(usize, transfer::Delta)> {
     let state = context.state();
     let tables = Table::ALL.into_iter().zip(versions).enumerate();
     tables
-        .filter_map(|(at, (table, (version, _)))| {
-            Some((at, state.replica(table).table.since(*version)?))
-        })
+        .filter_map(|(at, (table, (version, _)))| Some((at, state.delta(table, *version)?)))
         .collect()
 }
 
-fn record(context: &Shared, message: Message, from: &(dyn std::fmt::Display + Sync)) {
+fn record(context: &Shared, message: Message) {
     let now = context.now();
     let own = context.vm();
     let mut state = context.state();
@@ -300,14 +341,11 @@
             );
         }
     }
-    state.record_announcement(message.configuration, now);
-    let mut is_changed = false;
-    let mut delay = None;
+    state.record_announcement(&message.configuration, now);
+    let mut merged = Merged::default();
     for (at, delta) in message.deltas {
         if let Some(table) = Table::ALL.get(at) {
-            let merged = state.merge(*table, delta, from, now);
-            is_changed |= merged.is_changed;
-            delay = delay.or(merged.delay);
+            merged = merged.and(state.accept(*table, delta, message.address, now));
         }
     }
     state.record_confirmations(&message.versions, now);
@@ -321,12 +359,20 @@
         }
     }
     drop(state);
-    if let Some(delay) = delay {
+    finish_merge(context, merged);
+}
+
+/// Starts what follows from a merge: passing on changed rows, and fetching missing chunks.
+pub(crate) fn finish_merge(context: &Shared, merged: Merged) {
+    if let Some(delay) = merged.delay {
         context.metrics.record_catalog(delay);
     }
-    if is_changed {
+    if merged.is_changed {
         context.rows_changed.notify_one();
     }
+    if merged.is_pending {
+        context.chunks_wanted.notify_one();
+    }
 }
 
 /// Serves the messages of peers.
@@ -342,37 +388,64 @@
         };
         let context = context.clone();
         tokio::task::spawn_local(async move {
-            let service = service::service_fn(move |request| handle(context.clone(), request));
+            let place = Rc::new(RefCell::new(None));
+            let service =
+                service::service_fn(move |request| handle(context.clone(), place.clone(), request));
             let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // On failure the peer sees the connection close and counts the exchange as failed.
-            let _ended = clock::timeout(EXCHANGE_TIMEOUT * 2, serving).await;
+            let _ended = clock::timeout(SERVING_TIMEOUT, serving).await;
         });
     }
 }
 
 async fn handle(
     context: Shared,
+    place: Rc<RefCell<Option<chunks::Place>>>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let bad = |status| {
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = status;
-        Ok(response)
-    };
+    let path = request.uri().path().to_owned();
     let Ok(body) = Limited::new(request.into_body(), MESSAGE_MAX).collect().await else {
-        return bad(StatusCode::BAD_REQUEST);
+        return Ok(respond(Err(StatusCode::BAD_REQUEST)));
     };
+    let body = body.to_bytes();
+    if path == chunks::PATH {
+        let taken = chunks::Place::take(&context);
+        let is_full = taken.is_none();
+        *place.borrow_mut() = taken;
+        let result = if is_full {
+            Err(StatusCode::SERVICE_UNAVAILABLE)
+        } else {
+            answer_chunks(&context, &body)
+        };
+        return Ok(respond(result));
+    }
+    Ok(respond(answer_message(&context, &body)))
+}
+
+fn answer_chunks(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
     let own_address = context.state().settings.peer;
-    let Some(received) = decode(&body.to_bytes(), own_address) else {
-        return bad(StatusCode::BAD_REQUEST);
-    };
+    let wanted: Vec<chunk::Digest> = decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
+    let found = chunks::found(context, &wanted);
+    message::encode(&found).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn answer_message(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
+    let own_address = context.state().settings.peer;
+    let received: Message = decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
     let (versions, receiver_known) = (received.versions.clone(), received.known);
-    record(&context, received, &"a peer's message");
+    record(context, received);
     let round = context.now().0;
-    let response =
-        message(&context, missing_deltas(&context, &versions), false, round, Some(receiver_known));
-    match postcard::to_stdvec(&response) {
-        Ok(bytes) => Ok(Response::new(Full::new(Bytes::from(bytes)))),
-        Err(_) => bad(StatusCode::INTERNAL_SERVER_ERROR),
-    }
+    let deltas = missing_deltas(context, &versions);
+    let response = build_message(context, deltas, false, round, Some(receiver_known));
+    message::encode(&response).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn respond(result: Result<Bytes, StatusCode>) -> Response<Full<Bytes>> {
+    let (status, body) = match result {
+        Ok(body) => (StatusCode::OK, body),
+        Err(status) => (status, Bytes::new()),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
 }
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 mod body;
+mod chunks;
 mod context;
 mod feed;
 mod gossip;
@@ -15,6 +16,7 @@
 mod load_reports;
 mod local_reply;
 mod log_writer;
+mod message;
 mod metrics;
 mod rollout;
 mod selection;
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -5,6 +5,7 @@
 //! one. The datagrams also carry the confirmations of the tables, since they reach every peer in
 //! one hop.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ibishill_core::{event, id};
@@ -15,6 +16,7 @@
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
+use crate::state::{Announcement, State, Table};
 
 /// Interval between reports; requests take about a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -38,8 +40,7 @@
     versions: Vec<(u64, Option<u64>)>,
     #[serde(rename = "shares")]
     in_flight: Vec<balance::reports::InFlight>,
-    /// Version of the sender's configuration; 0 before the first.
-    configuration: u64,
+    configuration: Announcement,
 }
 
 /// Sends and receives load reports.
@@ -77,7 +78,7 @@
                 vm: state.settings.vm.clone(),
                 versions: state.table_versions(now),
                 in_flight,
-                configuration: state.catalog_version(),
+                configuration: state.announcement(now),
             },
             peers,
         )
@@ -99,21 +100,20 @@
     }
 }
 
-fn receive(context: &Shared, bytes: &[u8], from: std::net::SocketAddr) {
+fn receive(context: &Shared, bytes: &[u8], from: SocketAddr) {
     match postcard::from_bytes::<Datagram>(bytes) {
         Ok(datagram) => {
             let now = context.now();
             let mut state = context.state();
-            let is_behind = state
-                .table_versions(now)
-                .iter()
-                .zip(&datagram.versions)
-                .any(|(own, reported)| own.0 < reported.0);
-            if is_behind {
-                // Starts a gossip round, which fetches the missing rows.
-                context.rows_changed.notify_one();
+            if let Some(sender) = state.peers.address(&datagram.vm) {
+                let reported = datagram.versions.iter().map(|(version, _)| *version);
+                if record_versions(&mut state, reported, sender) {
+                    // Starts a gossip round, which gets the missing rows from the sender.
+                    state.ahead = Some(sender);
+                    context.rows_changed.notify_one();
+                }
             }
-            state.record_announcement(datagram.configuration, now);
+            state.record_announcement(&datagram.configuration, now);
             state.record_confirmations(&datagram.versions, now);
             state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
         }
@@ -125,3 +125,18 @@
         }
     }
 }
+
+// Records which versions a peer has; returns whether this relay lacks one that it isn't fetching.
+fn record_versions<I>(state: &mut State, reported: I, sender: SocketAddr) -> bool
+where
+    I: Iterator<Item = u64>,
+{
+    let mut is_behind = false;
+    for (table, version) in Table::ALL.into_iter().zip(reported) {
+        let own = state.replica(table).table.version();
+        let transfer = state.transfer(table);
+        transfer.add_source(version, sender);
+        is_behind |= version > own.max(transfer.pending_version().unwrap_or(0));
+    }
+    is_behind
+}
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -150,8 +150,9 @@
     let key = row::status_key(service);
     let value = row::encode_status(to, progress);
     let request = store::write(&address.to_string(), row::STATUS, &key, &value, expected);
-    let received = upstream::Received::default();
-    let response = upstream::exchange(address, request, WRITE_TIMEOUT, &received).await;
+    let call = upstream::Progress::default();
+    let response =
+        upstream::exchange(address, request, upstream::Limits::small(WRITE_TIMEOUT), &call).await;
     let response = response.map_err(|error| error.to_string())?;
     match store::decode_write(response.status(), response.body()) {
         Ok(store::WriteOutcome::Committed(_)) => Ok(Outcome::Done),
@@ -170,8 +171,9 @@
 ) -> Result<Outcome, String> {
     let address = context.state().settings.store;
     let request = store::read(&address.to_string(), row::STATUS, None);
-    let received = upstream::Received::default();
-    let response = upstream::exchange(address, request, WRITE_TIMEOUT, &received).await;
+    let call = upstream::Progress::default();
+    let response =
+        upstream::exchange(address, request, upstream::Limits::small(WRITE_TIMEOUT), &call).await;
     let response = response.map_err(|error| error.to_string())?;
     let rows = store::decode_rows(response.status(), response.body());
     let rows = rows.map_err(|error| error.to_string())?.rows;
--- a/crates/ibishill-relay/src/serve.rs
+++ b/crates/ibishill-relay/src/serve.rs
@@ -128,8 +128,7 @@
 }
 
 fn readiness_response(context: &Shared) -> Response<Full<Bytes>> {
-    let state = context.state();
-    let is_ready = state.is_loaded() && !state.is_stopping;
+    let is_ready = context.state().is_ready();
     let mut response = Response::new(Full::default());
     if !is_ready {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -15,7 +15,7 @@
 use crate::context::{self, Shared};
 use crate::error::RelayError;
 use crate::state::{State, Table};
-use crate::{feed, gossip, load_reports, log_writer, metrics, rollout, serve};
+use crate::{chunks, feed, gossip, load_reports, log_writer, metrics, rollout, serve};
 
 /// Interval of the checks for expired state and for suspensions.
 const TICK_INTERVAL: time::Millis = time::Millis(200);
@@ -98,6 +98,7 @@
         start,
         beat: 0,
         is_ready: false,
+        link: settings.link,
     };
     event::emit_json(
         event::Event::RelayStarted,
@@ -115,6 +116,7 @@
     }
     tokio::task::spawn_local(gossip::serve(context.clone(), peer));
     tokio::task::spawn_local(gossip::run(context.clone()));
+    tokio::task::spawn_local(chunks::run(context.clone()));
     tokio::task::spawn_local(load_reports::run(context.clone(), reports));
     tokio::task::spawn_local(rollout::watch(context.clone()));
     tokio::task::spawn_local(rollout::report(context.clone()));
@@ -163,7 +165,7 @@
             state.stale_until = now + STALE_MAX;
         }
         state.expire(now);
-        let is_ready = state.is_loaded() && !state.is_stopping;
+        let is_ready = state.is_ready();
         let version = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
         drop(state);
         if suspended > SUSPENSION_MIN {
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -1,13 +1,15 @@
 //! State of one relay, updated from store rows, peers and responses.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, route, time};
 use ibishill_decide::{balance, canary, escalation, peers, retry, wait_queue};
-use ibishill_state::replica;
+use ibishill_state::{chunk, replica, transfer};
+use serde::{Deserialize, Serialize};
 
 /// Time after a store outage for which endpoints whose registration lapsed are kept: live ones
 /// register again within about two seconds.
@@ -45,20 +47,43 @@
     pub(crate) table: replica::Table,
     /// When the store last confirmed to any daemon that it is current.
     confirmed: Option<time::Tick>,
+    transfer: transfer::Transfer,
 }
 
 /// Maximum number of announced configurations that are not in force yet; later ones are dropped.
 const ANNOUNCED_MAX: usize = 64;
 
+/// Configuration that a relay has in force, as it tells its peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Announcement {
+    /// Version; 0 before the first.
+    version: u64,
+    /// Time since any relay first had it, as far as the sender knows.
+    age: time::Millis,
+}
+
 /// Result of merging a delta.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Merged {
     /// Whether any row changed.
     pub(crate) is_changed: bool,
+    /// Whether chunks are missing.
+    pub(crate) is_pending: bool,
     /// Time from the first notice of the configuration that came into force.
     pub(crate) delay: Option<time::Millis>,
 }
 
+impl Merged {
+    /// Combines the results for two tables.
+    pub(crate) fn and(self, other: Self) -> Self {
+        Self {
+            is_changed: self.is_changed || other.is_changed,
+            is_pending: self.is_pending || other.is_pending,
+            delay: self.delay.or(other.delay),
+        }
+    }
+}
+
 /// State of one relay.
 pub(crate) struct State {
     pub(crate) settings: fleet::Settings,
@@ -66,6 +91,12 @@
     /// Versions of configurations that are not in force here yet, and when this relay first heard
     /// of them.
     announced: BTreeMap<u64, time::Tick>,
+    /// When any relay first had the configuration in force.
+    catalog_since: time::Tick,
+    /// Peer that is known to have rows which this relay lacks.
+    pub(crate) ahead: Option<SocketAddr>,
+    /// Whether rows have changed that peers may lack.
+    pub(crate) is_update_due: bool,
     pub(crate) balancer: balance::Balancer,
     /// Recently active sessions, which a new roll-out pins to the old version.
     pub(crate) recent_sessions: canary::RecentSessions,
@@ -101,6 +132,9 @@
         Self {
             catalog: None,
             announced: BTreeMap::new(),
+            catalog_since: time::Tick(0),
+            ahead: None,
+            is_update_due: false,
             balancer: balance::Balancer::new(settings.zone.clone()),
             recent_sessions: canary::RecentSessions::default(),
             canaries: BTreeMap::new(),
@@ -133,18 +167,97 @@
         self.catalog.as_ref().map_or(0, |catalog| catalog.version)
     }
 
+    /// Configuration in force, to be told to peers.
+    pub(crate) fn announcement(&self, now: time::Tick) -> Announcement {
+        Announcement { version: self.catalog_version(), age: now.since(self.catalog_since) }
+    }
+
     /// Records that a peer has a configuration.
-    pub(crate) fn record_announcement(&mut self, version: u64, now: time::Tick) {
+    pub(crate) fn record_announcement(&mut self, announcement: &Announcement, now: time::Tick) {
+        let Announcement { version, age } = *announcement;
         let own = self.catalog_version();
-        let is_known = version <= own || self.announced.contains_key(&version);
-        if is_known || self.announced.len() >= ANNOUNCED_MAX {
+        let first = time::Tick(now.0.saturating_sub(age.0));
+        if version == own {
+            self.catalog_since = self.catalog_since.min(first);
+        }
+        if version <= own {
             return;
         }
-        event::emit_json(
-            event::Event::CatalogAnnounced,
-            &[event::field("version", &version), event::field("own", &own)],
-        );
-        self.announced.insert(version, now);
+        if let Some(known) = self.announced.get_mut(&version) {
+            *known = first.min(*known);
+        } else if self.announced.len() < ANNOUNCED_MAX {
+            event::emit_json(
+                event::Event::CatalogAnnounced,
+                &[
+                    event::field("version", &version),
+                    event::field("own", &own),
+                    event::field("age", &age),
+                ],
+            );
+            self.announced.insert(version, first);
+        }
+    }
+
+    /// Whether a peer has a newer configuration.
+    pub(crate) fn is_catalog_behind(&self) -> bool {
+        !self.announced.is_empty()
+    }
+
+    /// Whether new requests of callers are served.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_loaded() && !self.is_stopping
+    }
+
+    /// Transfer of a table's deltas.
+    pub(crate) fn transfer(&mut self, table: Table) -> &mut transfer::Transfer {
+        &mut self.replicas.entry(table).or_default().transfer
+    }
+
+    /// Content of a chunk of any table.
+    pub(crate) fn chunk(&self, digest: chunk::Digest) -> Option<&Bytes> {
+        self.replicas.values().find_map(|replica| replica.transfer.chunk(digest))
+    }
+
+    /// Delta for a peer whose replica of a table is at `version`; none if it lacks nothing.
+    pub(crate) fn delta(&self, table: Table, version: u64) -> Option<transfer::Delta> {
+        let replica = self.replica(table);
+        Some(replica.transfer.pack(replica.table.since(version)?))
+    }
+
+    /// Accepts a delta from a peer, and merges it unless chunks are missing.
+    pub(crate) fn accept(
+        &mut self,
+        table: Table,
+        delta: transfer::Delta,
+        source: SocketAddr,
+        now: time::Tick,
+    ) -> Merged {
+        let version = self.replica(table).table.version();
+        let complete = self.transfer(table).accept(delta, source, version);
+        self.merge_if_complete(table, complete, &source, now)
+    }
+
+    /// Records chunks from a peer, and merges the delta that lacked them if it is complete.
+    pub(crate) fn receive_chunks(
+        &mut self,
+        table: Table,
+        contents: Vec<Bytes>,
+        now: time::Tick,
+    ) -> Merged {
+        let complete = self.transfer(table).receive(contents);
+        self.merge_if_complete(table, complete, &"chunks of peers", now)
+    }
+
+    fn merge_if_complete(
+        &mut self,
+        table: Table,
+        complete: Option<replica::Delta>,
+        source: &(dyn std::fmt::Display + Sync),
+        now: time::Tick,
+    ) -> Merged {
+        let merged = complete.map(|delta| self.merge(table, delta, source, now));
+        let is_pending = self.transfer(table).missing_count() > 0;
+        Merged { is_pending, ..merged.unwrap_or_default() }
     }
 
     /// Whether the configuration and the endpoints are loaded, so that requests can be served.
@@ -224,11 +337,13 @@
         let is_initial = replica.table.version() == 0;
         let before = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         let changed = replica.table.merge(delta);
+        replica.transfer.record(&changed, replica.table.version());
         for record in &changed {
             self.apply_record(table, record, is_initial, now);
         }
         let delay = self.record_catalog(before, &changed, source, now);
-        Merged { is_changed: !changed.is_empty(), delay }
+        self.is_update_due |= !changed.is_empty();
+        Merged { is_changed: !changed.is_empty(), is_pending: false, delay }
     }
 
     // Logs the configuration if it is newer than `before`; returns the time from its first notice.
@@ -244,8 +359,10 @@
             return None;
         }
         let later = self.announced.split_off(&(version + 1));
-        let heard = std::mem::replace(&mut self.announced, later).into_values().min();
-        let delay = heard.map_or(time::Millis(0), |at| now.since(at));
+        let announced = std::mem::replace(&mut self.announced, later);
+        self.catalog_since = announced.get(&version).copied().unwrap_or(now);
+        let first = announced.into_values().min();
+        let delay = first.map_or(time::Millis(0), |at| now.since(at));
         let bytes: usize =
             changed.iter().filter_map(|row| row.value.as_ref()).map(Bytes::len).sum();
         event::emit_json(
--- a/crates/ibishill-relay/src/upstream.rs
+++ b/crates/ibishill-relay/src/upstream.rs
@@ -5,11 +5,12 @@
 //! whether that request has run. A new connection costs a round trip within the zone, and fails
 //! before any byte of the request is sent.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use std::{fmt, io};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -27,8 +28,33 @@
 /// Maximum size of a response body that is not streamed, in bytes.
 const BODY_MAX: usize = 8 * 1_024 * 1_024;
 
-/// Part of a response body that arrived before a call failed, in bytes.
-pub(crate) type Received = std::cell::Cell<usize>;
+/// Time limits of a call. Its duration is not limited as such, since the size of a response and
+/// the bandwidth are unknown; a transfer that stalls is ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Until the response's head has arrived, which includes connecting.
+    pub(crate) head: Duration,
+    /// Between two parts of the response's body.
+    pub(crate) pause: Duration,
+    /// Until the whole response has arrived.
+    pub(crate) total: Duration,
+}
+
+impl Limits {
+    /// Limits of a call whose response is small.
+    pub(crate) const fn small(timeout: Duration) -> Self {
+        Self { head: timeout, pause: timeout, total: timeout }
+    }
+}
+
+/// Progress of a call, also of one that failed.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Part of the response's body that has arrived, in bytes.
+    pub(crate) received: Cell<usize>,
+    /// When the response's head arrived.
+    pub(crate) head: Cell<Option<Instant>>,
+}
 
 /// Error of a call that got no response.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -121,30 +147,46 @@
     Ok((response, connection))
 }
 
-/// Sends a request and reads its full response within `timeout`, which includes connecting;
-/// `received` counts the body as it arrives.
+/// Sends a request and reads its full response within `limits`, recording its progress.
 ///
 /// # Errors
 ///
-/// Distinguishes whether the request may have been received; after `timeout` it may have been.
+/// Distinguishes whether the request may have been received; after a timeout it may have been.
 pub(crate) async fn exchange(
     address: SocketAddr,
     request: Request<Bytes>,
-    timeout: Duration,
-    received: &Received,
+    limits: Limits,
+    progress: &Progress,
 ) -> Result<Response<Bytes>, CallError> {
     let call = async {
-        let stream = connect(address, reach::CONNECT_TIMEOUT_MAX).await?;
-        let (response, _connection) = send(stream, request).await?;
-        let (head, body) = response.into_parts();
-        let body = body.map_frame(|frame| {
-            received.set(received.get() + frame.data_ref().map_or(0, Bytes::len));
-            frame
-        });
-        Ok(Response::from_parts(head, read_body(body).await?))
+        let head = async {
+            let stream = connect(address, reach::CONNECT_TIMEOUT_MAX).await?;
+            send(stream, request).await
+        };
+        let (response, _connection) = within(limits.head, head).await??;
+        progress.head.set(Some(Instant::now()));
+        let (head, mut body) = response.into_parts();
+        let mut content = BytesMut::new();
+        while let Some(frame) = within(limits.pause, body.frame()).await? {
+            let frame = frame.map_err(|error| CallError::Unknown(error.to_string()))?;
+            let data = frame.into_data().unwrap_or_default();
+            progress.received.set(progress.received.get() + data.len());
+            if progress.received.get() > BODY_MAX {
+                return Err(CallError::Unknown(format!("body exceeds {BODY_MAX} bytes")));
+            }
+            content.extend_from_slice(&data);
+        }
+        Ok(Response::from_parts(head, content.freeze()))
     };
-    let timed_out = || CallError::Unknown(format!("none within {} ms", timeout.as_millis()));
-    clock::timeout(timeout, call).await.map_err(|_| timed_out())?
+    within(limits.total, call).await?
+}
+
+async fn within<F>(timeout: Duration, work: F) -> Result<F::Output, CallError>
+where
+    F: Future,
+{
+    let timed_out = |_| CallError::Unknown(format!("none within {} ms", timeout.as_millis()));
+    clock::timeout(timeout, work).await.map_err(timed_out)
 }
 
 /// Reads a full response body.
@@ -152,10 +194,7 @@
 /// # Errors
 ///
 /// Fails if the body is truncated or exceeds the size limit.
-pub(crate) async fn read_body<B>(body: B) -> Result<Bytes, CallError>
-where
-    B: hyper::body::Body<Data = Bytes, Error = hyper::Error>,
-{
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, CallError> {
     let collected = Limited::new(body, BODY_MAX).collect().await;
     collected.map(|body| body.to_bytes()).map_err(|error| CallError::Unknown(error.to_string()))
 }
--- a/crates/ibishill-state/src/lib.rs
+++ b/crates/ibishill-state/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod batch;
 pub mod billing;
+pub mod chunk;
 pub mod claim;
 pub mod error;
 pub mod holder;
@@ -11,4 +12,5 @@
 pub mod refusal;
 pub mod replica;
 pub mod snapshot;
+pub mod transfer;
 pub mod view;
