rollout: a version is judged by the pace of its streams, too

Its evidence was also summed from the start, so that a version which is faster with little load had credit when it turned slow. Change: the time of four events after the first counts as a third kind of evidence, and times and paces are considered since each part of the roll-out; the false alarm probability is split further.

--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -52,6 +52,9 @@
 /// under load, its earlier answers would otherwise hide the failures.
 const WINDOW_COUNT: f64 = 8.0;
 
+/// Parts of a roll-out in which times are compared: its first half, and each window of the second.
+const PART_COUNT: f64 = WINDOW_COUNT / 2.0 + 1.0;
+
 /// Amount by which the new version's failure share may exceed the old version's.
 const ERRORS_TOLERANCE: f64 = 0.03;
 
@@ -69,6 +72,18 @@
 /// version then looks slow, by up to 1.4 doublings with 65 or 83 daemons, and is rolled back.
 const SUBSET_DAEMONS_MAX: usize = 8;
 
+/// Events after the first one over which the pace of a stream is measured. A version that works
+/// slowly on some requests may begin its answers in time: the first event depends on the prompt and
+/// on the wait for a place, the pace on the work alone.
+pub const PACE_EVENTS: u64 = 4;
+
+/// Times to the first event that are needed to judge by them. With fewer, a few prompts that none
+/// of the new version's endpoints has cached would decide.
+const TIMES_MIN: u64 = 16;
+
+/// Paces that are needed to judge by them; they hardly depend on the prompt.
+const PACES_MIN: u64 = 8;
+
 /// Maximum number of sessions that are remembered.
 const SESSIONS_MAX: usize = 4_096;
 
@@ -133,6 +148,8 @@
     pub failed: u64,
     /// Times to the first part of the answers received since both versions get requests.
     pub times: moments::Moments,
+    /// Times of [`PACE_EVENTS`] events of streams, in the same period.
+    pub paces: moments::Moments,
 }
 
 impl Answers {
@@ -140,6 +157,7 @@
         self.all += other.all;
         self.failed += other.failed;
         self.times.add(&other.times);
+        self.paces.add(&other.paces);
     }
 
     const fn errors(&self) -> counts::Proportion {
@@ -178,7 +196,8 @@
 
 impl Tally {
     fn size(&self) -> (u64, u64) {
-        let all = |pair: &Comparison| pair.stable.all + pair.candidate.all;
+        let count = |answers: &Answers| answers.all + answers.paces.count;
+        let all = |pair: &Comparison| count(&pair.stable) + count(&pair.candidate);
         (self.start, self.windows.values().flat_map(Routes::values).map(all).sum())
     }
 }
@@ -319,13 +338,7 @@
         now: time::Tick,
     ) {
         let is_compared = self.age(now) >= SYNC_PERIOD;
-        let window = (self.elapsed(now) * WINDOW_COUNT).min(WINDOW_COUNT - 1.0) as u8;
-        let tally = self.tallies.entry(own.clone()).or_default();
-        tally.start = start;
-        let routes = tally.windows.entry(window).or_default();
-        let pair = routes.entry(route.clone()).or_default();
-        let is_new = *version == self.order.to;
-        let answers = if is_new { &mut pair.candidate } else { &mut pair.stable };
+        let answers = self.answers((own, start), route, version, now);
         answers.all += 1;
         match outcome {
             Outcome::Failed => answers.failed += 1,
@@ -334,6 +347,37 @@
         }
     }
 
+    /// Records the time that [`PACE_EVENTS`] events of a stream took, from an endpoint that has not
+    /// just started.
+    pub fn record_pace(
+        &mut self,
+        daemon: (&id::VmId, u64),
+        route: &id::RouteId,
+        version: &id::VersionId,
+        pace: time::Millis,
+        now: time::Tick,
+    ) {
+        if self.age(now) >= SYNC_PERIOD {
+            self.answers(daemon, route, version, now).paces.record(pace);
+        }
+    }
+
+    // Answers that this daemon counts in the current window.
+    fn answers(
+        &mut self,
+        (own, start): (&id::VmId, u64),
+        route: &id::RouteId,
+        version: &id::VersionId,
+        now: time::Tick,
+    ) -> &mut Answers {
+        let window = (self.elapsed(now) * WINDOW_COUNT).min(WINDOW_COUNT - 1.0) as u8;
+        let tally = self.tallies.entry(own.clone()).or_default();
+        tally.start = start;
+        let routes = tally.windows.entry(window).or_default();
+        let pair = routes.entry(route.clone()).or_default();
+        if *version == self.order.to { &mut pair.candidate } else { &mut pair.stable }
+    }
+
     /// Merges a peer's snapshot; ignored if it is of a roll-out to another version.
     pub fn merge(&mut self, snapshot: Snapshot, own: &id::VmId, now: time::Tick) {
         if snapshot.to != self.order.to {
@@ -408,7 +452,7 @@
     }
 
     /// Natural logarithm of the likelihood ratio between a worse new version and an equally good
-    /// one. Considers the errors since the start of each window and the times of all windows,
+    /// one. Considers the errors since the start of each window, and the times and paces since that of each part,
     /// each over all routes together and on every single route.
     ///
     /// By Ville's inequality, it ever exceeds `ln(1 / alpha)` with a probability of at most
@@ -436,17 +480,28 @@
         let parts: Vec<(u8, &Routes)> = std::iter::once((0, &first))
             .chain(windows.range(half..).map(|(window, routes)| (*window, routes)))
             .collect();
-        let times = over_routes(&since, |routes| {
-            let pairs = parts.iter().flat_map(|(window, part)| {
-                let (late, tolerance) = LATE_TOLERANCE;
-                let tolerance = if *window < late { SLOW_TOLERANCE } else { tolerance };
-                let pairs = routes.iter().filter_map(|route| part.get(*route));
-                pairs.map(move |pair| (&pair.stable.times, &pair.candidate.times, tolerance))
+        // Considered since the start of each part, as a version that turns slow late may have been
+        // faster before, with less load.
+        let slowdown = |select: fn(&Answers) -> &moments::Moments, min| {
+            let since_parts = (0..parts.len()).map(|start| {
+                over_routes(&since, |routes| {
+                    let pairs = parts[start..].iter().flat_map(|(window, part)| {
+                        let (late, tolerance) = LATE_TOLERANCE;
+                        let tolerance = if *window < late { SLOW_TOLERANCE } else { tolerance };
+                        let pairs = routes.iter().filter_map(|route| part.get(*route));
+                        pairs.map(move |pair| {
+                            (select(&pair.stable), select(&pair.candidate), tolerance)
+                        })
+                    });
+                    sequential::slowdown_evidence(pairs, min)
+                })
             });
-            sequential::slowdown_evidence(pairs)
-        });
-        // The false alarm probability is split evenly between errors and times.
-        strongest.max(times) - std::f64::consts::LN_2
+            since_parts.fold(f64::NEG_INFINITY, f64::max) - PART_COUNT.ln()
+        };
+        let times = slowdown(|answers| &answers.times, TIMES_MIN);
+        let paces = slowdown(|answers| &answers.paces, PACES_MIN);
+        // The false alarm probability is split evenly between errors, times and paces.
+        strongest.max(times).max(paces) - 3_f64.ln()
     }
 
     /// The progress that the roll-out should have, judged by the counts that are known here.
--- a/crates/ibishill-decide/src/rollout/sequential.rs
+++ b/crates/ibishill-decide/src/rollout/sequential.rs
@@ -16,9 +16,6 @@
 const VARIANCE_MIN: f64 = 0.25;
 // Times of the stable version that are needed to estimate their variance.
 const STABLE_MIN: u64 = 8;
-// Times of the new version that are needed for a result. With fewer, a few prompts that none of
-// its endpoints has cached would decide.
-const CANDIDATE_MIN: u64 = 16;
 
 /// Natural logarithm of the likelihood ratio between a higher share and the null share.
 ///
@@ -39,8 +36,8 @@
 /// of stable and new version that are comparable except for the version.
 ///
 /// The null mean of each pair is an upper bound of the stable version's mean, plus the pair's
-/// tolerance in doublings. Negative infinity with too few times.
-pub fn slowdown_evidence<'a, I>(pairs: I) -> f64
+/// tolerance in doublings. Negative infinity with fewer than `min` times of the new version.
+pub fn slowdown_evidence<'a, I>(pairs: I, min: u64) -> f64
 where
     I: IntoIterator<Item = (&'a Moments, &'a Moments, f64)>,
 {
@@ -58,7 +55,7 @@
             *ratio += candidate.count as f64 * shift * (excess - shift / 2.0) / spread;
         }
     }
-    if samples < CANDIDATE_MIN {
+    if samples < min {
         return f64::NEG_INFINITY;
     }
     mixture(&ratios)
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -29,6 +29,9 @@
     times: (u64, u64),
     // Percentage of the new version's answers that take eight times as long.
     slow: u64,
+    // Milliseconds for the events by which the pace is measured: old version, new version, new
+    // version with the larger share of the load.
+    paces: (u64, u64, u64),
     // Period in which the new version fails or is slow, in milliseconds since the order.
     from: u64,
     until: u64,
@@ -42,6 +45,7 @@
     route: None,
     times: (100, 100),
     slow: 0,
+    paces: (250, 125, 450),
     from: 0,
     until: DURATION,
     expected: fleet::Progress::Completed,
@@ -50,6 +54,12 @@
 // Percentages of the mean time. They span a factor of eight, as prompts and answers differ in size.
 const SPREAD: [u64; 6] = [50, 70, 100, 140, 200, 400];
 
+// Percentages of the mean pace, which hardly depends on the request.
+const PACE_SPREAD: [u64; 5] = [70, 85, 100, 120, 160];
+
+// Time from which on the new version has the larger share of the load.
+const LOADED: u64 = DURATION * 5 / 8;
+
 const ROUTES: u64 = 3;
 
 // Sends requests at a constant rate until the deadline, with a verdict after each one. Returns
@@ -58,6 +68,8 @@
     let own: id::VmId = "vm".parse().unwrap();
     let mut canary = start();
     let (mut all, mut exposed) = (0_u64, 0_u64);
+    let mut streams: std::collections::BTreeMap<u64, Vec<(id::RouteId, id::VersionId, u64)>> =
+        std::collections::BTreeMap::new();
     for now in (0..DURATION).step_by(case.gap as usize) {
         let at = time::Tick(now);
         all += 1;
@@ -79,8 +91,20 @@
             canary::Outcome::Answered(time::Millis(if is_slow { 8 * time } else { time }))
         };
         let version = if is_new { "v2" } else { "v1" }.parse().unwrap();
-        let route = format!("r-{route}").parse().unwrap();
+        let route: id::RouteId = format!("r-{route}").parse().unwrap();
         canary.record_answer((&own, 1), &route, &version, outcome, at);
+        let pace = match (is_new, now < LOADED) {
+            (false, _) => case.paces.0,
+            (true, true) => case.paces.1,
+            (true, false) => case.paces.2,
+        };
+        let pace = pace * PACE_SPREAD[(hash / 65_536) as usize % PACE_SPREAD.len()] / 100;
+        streams.entry(now + pace).or_default().push((route, version, pace));
+        let later = streams.split_off(&(now + 1));
+        for (route, version, pace) in std::mem::replace(&mut streams, later).into_values().flatten()
+        {
+            canary.record_pace((&own, 1), &route, &version, time::Millis(pace), at);
+        }
         let verdict = canary.verdict(true, at);
         canary.merge_progress(verdict);
     }
@@ -96,6 +120,7 @@
         Case { name: "a tenth slower, as its prompts are not read yet", times: (100, 110), ..BASE },
         Case { name: "faster, as it has less load", times: (100, 70), ..BASE },
         Case { name: "good, with few requests", gap: 160, ..BASE },
+        Case { name: "as fast as the old one at the same load", paces: (250, 250, 250), ..BASE },
         Case { name: "half of its answers fail", fails: (0, 50), expected: bad, ..BASE },
         Case { name: "a third of its answers fail", fails: (1, 30), expected: bad, ..BASE },
         Case {
@@ -153,6 +178,20 @@
             expected: bad,
             ..BASE
         },
+        // Regression: such a version was completed and kept.
+        Case {
+            name: "its answers begin in time and go on slowly, with few requests",
+            gap: 80,
+            paces: (250, 600, 1_200),
+            expected: bad,
+            ..BASE
+        },
+        Case {
+            name: "its answers go on slowly from the second half on",
+            paces: (250, 125, 1_500),
+            expected: bad,
+            ..BASE
+        },
     ];
     for case in cases {
         let (progress, all, exposed) = simulate(&case);
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -364,6 +364,25 @@
     }
 }
 
+/// Counts the pace of a stream for the roll-out of the service, if there is one.
+pub(crate) fn record_pace(
+    context: &Shared,
+    received: &Received,
+    target: &Target,
+    pace: time::Millis,
+) {
+    let now = context.now();
+    let mut state = context.state();
+    if state.balancer.is_cold(&target.endpoint, now) {
+        return;
+    }
+    let own = (state.settings.vm.clone(), context.start);
+    if let Some(canary) = state.canaries.get_mut(&received.service) {
+        let route = &received.route.name;
+        canary.record_pace((&own.0, own.1), route, &target.version, pace, now);
+    }
+}
+
 /// Versions that belong to a variant of a roll-out.
 pub(crate) fn versions(variant: canary::Variant, canary: &canary::Canary) -> balance::Versions<'_> {
     match variant {
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, id, time};
-use ibishill_decide::outlier;
+use ibishill_decide::{canary, outlier};
 use tokio::sync::mpsc;
 use tokio::time as clock;
 
@@ -76,6 +76,14 @@
     tried: Vec<id::EndpointId>,
 }
 
+/// Measures the pace of one endpoint's events.
+struct Pace {
+    /// When its first event arrived.
+    began: Option<time::Tick>,
+    /// Events forwarded until then.
+    before: u64,
+}
+
 /// How the stream from one endpoint ended.
 enum End {
     /// The stream is complete.
@@ -115,6 +123,7 @@
         let idle_timeout = self.received.route.latency_target.0 * IDLE_TIMEOUT_PERCENT / 100;
         let idle_timeout = idle_timeout.max(IDLE_TIMEOUT_MIN_MS);
         let mut buffer = BytesMut::new();
+        let mut pace = Some(Pace { began: None, before: 0 });
         loop {
             let frame = tokio::select! {
                 frame = clock::timeout(Duration::from_millis(idle_timeout), body.frame()) => frame,
@@ -141,12 +150,30 @@
                 Ok(()) => {}
                 Err(detail) => return End::Broken(detail),
             }
+            self.measure(&mut pace);
             if self.sender.send(Ok(events)).await.is_err() {
                 return End::CallerLeft;
             }
         }
     }
 
+    // Counts the pace for a roll-out once enough events of this endpoint have arrived.
+    fn measure(&self, pace: &mut Option<Pace>) {
+        let Some(measured) = pace else { return };
+        let now = self.context.now();
+        let Some(began) = measured.began else {
+            *measured = Pace { began: Some(now), before: self.events };
+            return;
+        };
+        let events = self.events - measured.before;
+        if events < canary::PACE_EVENTS {
+            return;
+        }
+        let took = time::Millis(now.since(began).0 * canary::PACE_EVENTS / events);
+        attempt::record_pace(&self.context, &self.received, &self.target, took);
+        *pace = None;
+    }
+
     // Whether the stream could be resumed at another endpoint.
     fn can_resume(&self) -> bool {
         let is_allowed = self.received.route.kind.may_retry()
