relay: answers without end are given up early, within bounded memory

What callers saw (test, not yet in the field): while an endpoint sent interim responses without end, a relay with 24 such requests answered nobody for 18.7 s, though the deadline was 2 s; with bodies without end it used 228 MB, and VMs have as little as 88 MB. Cause: the HTTP library limits one head but skips any number of interim responses without yielding; each whole answer was read up to 8 MiB; an event of a stream up to 1 MiB, and blocks without an id were forwarded without a limit. Change: 128 KiB at most may precede the end of a response's head; answers share 16 MiB, of which one may take no more than the others leave free; 64 KiB may pass between two events of a stream. Why it works: each limit counts bytes as they arrive, and the connection closes when it is exceeded.

--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -251,7 +251,8 @@
         let start = StreamStart { head, reply, body, connection, guard };
         return (Outcome::Stream(Box::new(start)), String::new());
     }
-    match upstream::read_body(body).await {
+    let buffers = guard.context.answers.clone();
+    match buffers.read(body).await {
         Ok(bytes) => (Outcome::Response(head.map(|()| bytes)), String::new()),
         Err(error) => (Outcome::Unknown, error.to_string()),
     }
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -7,7 +7,7 @@
 use ibishill_core::{clock, id, time};
 use tokio::sync::Notify;
 
-use crate::{metrics, state};
+use crate::{answer, metrics, state};
 
 /// Offset of the clock at start, in milliseconds, so that times before the start are representable.
 const ORIGIN_MS: u64 = 10_000_000;
@@ -16,6 +16,8 @@
 pub(crate) struct Context {
     state: RefCell<state::State>,
     pub(crate) metrics: metrics::Metrics,
+    /// Memory of answers that are being read.
+    pub(crate) answers: answer::Buffers,
     origin: Instant,
     /// Start time of the process, in milliseconds since the Unix epoch; distinguishes it from
     /// earlier processes on the same VM.
@@ -40,6 +42,7 @@
         Rc::new(Self {
             state: RefCell::new(state),
             metrics,
+            answers: answer::Buffers::default(),
             origin: Instant::now(),
             start,
             capacity_freed: Notify::new(),
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod start;
 
+mod answer;
 mod attempt;
 mod body;
 mod chunks;
@@ -13,6 +14,7 @@
 mod feed;
 mod gossip;
 mod handler;
+mod head_limit;
 mod load_reports;
 mod local_reply;
 mod log_writer;
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -28,8 +28,9 @@
 /// Minimum of this time, in milliseconds; callers leave after two seconds at the earliest.
 const IDLE_TIMEOUT_MIN_MS: u64 = 1_800;
 
-/// Maximum size of an incomplete event in the buffer, in bytes.
-const EVENT_MAX: usize = 1_024 * 1_024;
+/// Maximum size of an incomplete event in the buffer, and of all that is forwarded between two
+/// events with an id, in bytes.
+const EVENT_MAX: usize = 64 * 1_024;
 
 const SEPARATOR: &[u8] = b"\n\n";
 
@@ -123,6 +124,7 @@
         let idle_timeout = self.received.route.latency_target.0 * IDLE_TIMEOUT_PERCENT / 100;
         let idle_timeout = idle_timeout.max(IDLE_TIMEOUT_MIN_MS);
         let mut buffer = BytesMut::new();
+        let mut unnumbered = 0;
         let mut pace = Some(Pace { began: None, before: 0 });
         loop {
             let frame = tokio::select! {
@@ -146,10 +148,15 @@
                 continue;
             };
             let events = buffer.split_to(at + SEPARATOR.len()).freeze();
+            let before = self.events;
             match self.record_ids(&events) {
                 Ok(()) => {}
                 Err(detail) => return End::Broken(detail),
             }
+            unnumbered = if self.events == before { unnumbered + events.len() } else { 0 };
+            if unnumbered > EVENT_MAX {
+                return End::Broken(format!("no event within {EVENT_MAX} bytes"));
+            }
             self.measure(&mut pace);
             if self.sender.send(Ok(events)).await.is_err() {
                 return End::CallerLeft;
--- a/crates/ibishill-relay/src/upstream.rs
+++ b/crates/ibishill-relay/src/upstream.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -22,9 +22,15 @@
 use tokio::task::JoinHandle;
 use tokio::time as clock;
 
+use crate::head_limit::HeadLimited;
+
 /// Maximum size of a response head, in bytes.
 const HEAD_MAX: usize = 64 * 1_024;
 
+/// Maximum size of all that precedes the end of a response's head, interim responses and a first
+/// part of the body included, in bytes.
+const HEADS_MAX: usize = 2 * HEAD_MAX;
+
 /// Maximum size of a response body that is not streamed, in bytes.
 const BODY_MAX: usize = 8 * 1_024 * 1_024;
 
@@ -134,6 +140,7 @@
 ) -> Result<(Response<Incoming>, Connection), CallError> {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(HEAD_MAX);
+    let (stream, limit) = HeadLimited::new(stream, HEADS_MAX);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) =
         handshake.map_err(|error| CallError::Connect(error.to_string()))?;
@@ -144,6 +151,7 @@
     let connection = Connection { task };
     let response = sender.send_request(request.map(Full::new)).await;
     let response = response.map_err(|error| CallError::Unknown(error.to_string()))?;
+    limit.lift();
     Ok((response, connection))
 }
 
@@ -188,13 +196,3 @@
     let timed_out = |_| CallError::Unknown(format!("none within {} ms", timeout.as_millis()));
     clock::timeout(timeout, work).await.map_err(timed_out)
 }
-
-/// Reads a full response body.
-///
-/// # Errors
-///
-/// Fails if the body is truncated or exceeds the size limit.
-pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, CallError> {
-    let collected = Limited::new(body, BODY_MAX).collect().await;
-    collected.map(|body| body.to_bytes()).map_err(|error| CallError::Unknown(error.to_string()))
-}
