rollout: the pace is the median gap of half a second at most

Cause: a pause in which the engine reads other prompts made the old version's paces vary by 1.1 to 1.7 doublings and their mean high; slow streams were the last to be counted. Change: the median of eight gaps, measured half a second after the first event at the latest, with a tolerance of 0.5 doublings once the new version has the larger share.

--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -63,19 +63,19 @@
 /// the load; one with half of its answers eight times as slow is slower by 0.4 to 2.2.
 const SLOW_TOLERANCE: f64 = 0.1;
 
-/// First window in which the new version has the larger share of the load, and the tolerance
-/// that replaces [`SLOW_TOLERANCE`] from then on.
-const LATE_TOLERANCE: (u8, f64) = (5, 1.0);
+/// First window in which the new version has the larger share of the load.
+const LATE_WINDOW: u8 = 5;
+
+/// Tolerance that replaces [`SLOW_TOLERANCE`] from [`LATE_WINDOW`] on.
+const LATE_TIME_TOLERANCE: f64 = 1.0;
 
 /// Largest number of daemons that send the new version's requests to a subset of its endpoints.
 /// More daemons would choose the same endpoint before they learn of each other's load; a good
 /// version then looks slow, by up to 1.4 doublings with 65 or 83 daemons, and is rolled back.
 const SUBSET_DAEMONS_MAX: usize = 8;
 
-/// Events after the first one over which the pace of a stream is measured. A version that works
-/// slowly on some requests may begin its answers in time: the first event depends on the prompt and
-/// on the wait for a place, the pace on the work alone.
-pub const PACE_EVENTS: u64 = 4;
+/// The same for paces, which depend less on the load.
+const LATE_PACE_TOLERANCE: f64 = 0.5;
 
 /// Times to the first event that are needed to judge by them. With fewer, a few prompts that none
 /// of the new version's endpoints has cached would decide.
@@ -148,7 +148,7 @@
     pub failed: u64,
     /// Times to the first part of the answers received since both versions get requests.
     pub times: moments::Moments,
-    /// Times of [`PACE_EVENTS`] events of streams, in the same period.
+    /// Paces of streams, in the same period.
     pub paces: moments::Moments,
 }
 
@@ -347,8 +347,7 @@
         }
     }
 
-    /// Records the time that [`PACE_EVENTS`] events of a stream took, from an endpoint that has not
-    /// just started.
+    /// Records the pace of a stream from an endpoint that has not just started.
     pub fn record_pace(
         &mut self,
         daemon: (&id::VmId, u64),
@@ -482,12 +481,12 @@
             .collect();
         // Considered since the start of each part, as a version that turns slow late may have been
         // faster before, with less load.
-        let slowdown = |select: fn(&Answers) -> &moments::Moments, min| {
+        let slowdown = |select: fn(&Answers) -> &moments::Moments, late_tolerance, min| {
             let since_parts = (0..parts.len()).map(|start| {
                 over_routes(&since, |routes| {
                     let pairs = parts[start..].iter().flat_map(|(window, part)| {
-                        let (late, tolerance) = LATE_TOLERANCE;
-                        let tolerance = if *window < late { SLOW_TOLERANCE } else { tolerance };
+                        let is_late = *window >= LATE_WINDOW;
+                        let tolerance = if is_late { late_tolerance } else { SLOW_TOLERANCE };
                         let pairs = routes.iter().filter_map(|route| part.get(*route));
                         pairs.map(move |pair| {
                             (select(&pair.stable), select(&pair.candidate), tolerance)
@@ -498,8 +497,8 @@
             });
             since_parts.fold(f64::NEG_INFINITY, f64::max) - PART_COUNT.ln()
         };
-        let times = slowdown(|answers| &answers.times, TIMES_MIN);
-        let paces = slowdown(|answers| &answers.paces, PACES_MIN);
+        let times = slowdown(|answers| &answers.times, LATE_TIME_TOLERANCE, TIMES_MIN);
+        let paces = slowdown(|answers| &answers.paces, LATE_PACE_TOLERANCE, PACES_MIN);
         // The false alarm probability is split evenly between errors, times and paces.
         strongest.max(times).max(paces) - 3_f64.ln()
     }
--- a/crates/ibishill-decide/src/rollout.rs
+++ b/crates/ibishill-decide/src/rollout.rs
@@ -3,6 +3,7 @@
 
 pub mod counts;
 pub mod moments;
+pub mod pace;
 pub mod sequential;
 
 use std::fmt;
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod canary;
 mod escalation;
+mod pace;
 mod peers;
 mod portion;
 mod reach;
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -9,7 +9,8 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, id, time};
-use ibishill_decide::{canary, outlier};
+use ibishill_decide::outlier;
+use ibishill_decide::rollout::pace;
 use tokio::sync::mpsc;
 use tokio::time as clock;
 
@@ -77,14 +78,6 @@
     tried: Vec<id::EndpointId>,
 }
 
-/// Measures the pace of one endpoint's events.
-struct Pace {
-    /// When its first event arrived.
-    began: Option<time::Tick>,
-    /// Events forwarded until then.
-    before: u64,
-}
-
 /// How the stream from one endpoint ended.
 enum End {
     /// The stream is complete.
@@ -125,11 +118,15 @@
         let idle_timeout = idle_timeout.max(IDLE_TIMEOUT_MIN_MS);
         let mut buffer = BytesMut::new();
         let mut unnumbered = 0;
-        let mut pace = Some(Pace { began: None, before: 0 });
+        let mut pace = pace::Pace::default();
         loop {
             let frame = tokio::select! {
                 frame = clock::timeout(Duration::from_millis(idle_timeout), body.frame()) => frame,
                 () = self.sender.closed() => return End::CallerLeft,
+                () = self.pace_due(&pace) => {
+                    self.measure(&mut pace);
+                    continue;
+                }
             };
             let data = match frame {
                 // A timeout does not end a stream that can't be resumed elsewhere.
@@ -164,21 +161,18 @@
         }
     }
 
-    // Counts the pace for a roll-out once enough events of this endpoint have arrived.
-    fn measure(&self, pace: &mut Option<Pace>) {
-        let Some(measured) = pace else { return };
-        let now = self.context.now();
-        let Some(began) = measured.began else {
-            *measured = Pace { began: Some(now), before: self.events };
-            return;
-        };
-        let events = self.events - measured.before;
-        if events < canary::PACE_EVENTS {
-            return;
+    async fn pace_due(&self, pace: &pace::Pace) {
+        match pace.due() {
+            Some(at) => clock::sleep(at.since(self.context.now()).to_std()).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    // Counts the pace for a roll-out once it is known.
+    fn measure(&self, pace: &mut pace::Pace) {
+        if let Some(took) = pace.record(self.events, self.context.now()) {
+            attempt::record_pace(&self.context, &self.received, &self.target, took);
         }
-        let took = time::Millis(now.since(began).0 * canary::PACE_EVENTS / events);
-        attempt::record_pace(&self.context, &self.received, &self.target, took);
-        *pace = None;
     }
 
     // Whether the stream could be resumed at another endpoint.
