relay: who lacks an announced configuration reads the store before it would refuse

What callers would see: a relay whose peers announce a version and don't deliver it read the store only 300 ms before the bound since its last confirmation, up to 200 ms after it had begun to refuse requests. Change: it reads the table once when another relay has had the version for 45% of the time in which it has to be in force, unless the store has confirmed something since. A fetch that brings nothing drops its source. E2101 has the row's version again, E2105 the bytes of a fetch. Result: the cases of whole_table_is_read_when_the_feed_repeats_a_large_row_or_peers_do_not_deliver.

--- a/crates/ibishill-decide/src/readers.rs
+++ b/crates/ibishill-decide/src/readers.rs
@@ -42,6 +42,9 @@
     pub count: usize,
     /// Time since the store last confirmed the table to any daemon; `None` if it never has.
     pub age: Option<time::Millis>,
+    /// Time since a configuration that this daemon lacks was first in force anywhere; `None` if it
+    /// knows of none.
+    pub behind: Option<time::Millis>,
     /// Consecutive rounds in which no peer has answered.
     pub silent_rounds: u32,
     /// Time within which a configuration must be in force.
@@ -53,17 +56,26 @@
     time::Millis(apply.0 * FEED_TIMEOUT_PERCENT / 100)
 }
 
-/// Whether a daemon reads: readers always do, others if confirmations or peers are missing.
+/// Whether a daemon reads: readers always do, others if confirmations, peers or a configuration that
+/// peers have are missing.
 pub fn should_read(status: Status) -> bool {
     let age_max = status.apply.saturating_sub(READ_MARGIN);
     let is_overdue = status.age.is_none_or(|age| age > age_max);
-    is_overdue || status.silent_rounds >= SILENT_ROUNDS_MAX || is_reader(status)
+    let is_cut_off = status.silent_rounds >= SILENT_ROUNDS_MAX;
+    is_overdue || is_missing(status) || is_cut_off || is_reader(status)
+}
+
+// Whether peers have had a configuration for long enough that they won't deliver it in time. The
+// store has confirmed nothing since, as it would have delivered the configuration, too.
+fn is_missing(status: Status) -> bool {
+    let limit = feed_timeout(status.apply);
+    status.behind.is_some_and(|behind| behind >= limit) && status.age.is_none_or(|age| age >= limit)
 }
 
 /// Whether to read the whole table instead of the feed, after an answer in which `superseded` bytes
-/// were of rows that the same answer replaced, or if a newer configuration is known to exist.
-pub const fn should_read_whole(superseded: usize, is_behind: bool) -> bool {
-    superseded >= SUPERSEDED_MAX || is_behind
+/// were of rows that the same answer replaced, or if the daemon lacks a configuration.
+pub fn should_read_whole(superseded: usize, status: Status) -> bool {
+    superseded >= SUPERSEDED_MAX || is_missing(status)
 }
 
 /// Whether a daemon is one of the readers, which read for all.
--- a/crates/ibishill-decide/tests/relay/readers.rs
+++ b/crates/ibishill-decide/tests/relay/readers.rs
@@ -39,6 +39,7 @@
             rank: case.rank,
             count: case.count,
             age: case.age.map(time::Millis),
+            behind: None,
             silent_rounds: case.silent,
             apply: time::Millis(2_000),
         };
@@ -55,6 +56,7 @@
             rank: 5,
             count: 6,
             age: Some(time::Millis(age)),
+            behind: None,
             silent_rounds: 0,
             apply,
         };
@@ -89,6 +91,7 @@
                 rank,
                 count: outage.count,
                 age: None,
+                behind: None,
                 silent_rounds: 0,
                 apply: time::Millis(2_000),
             };
@@ -110,21 +113,48 @@
 }
 
 #[test]
-fn whole_table_is_read_when_the_feed_repeats_a_large_row() {
+fn whole_table_is_read_when_the_feed_repeats_a_large_row_or_peers_do_not_deliver() {
     struct Reading {
         name: &'static str,
         superseded: usize,
-        is_behind: bool,
-        expected: bool,
+        behind: Option<u64>,
+        age: u64,
+        reads: bool,
+        is_whole: bool,
     }
+    let base = Reading {
+        name: "nothing is known to be missing",
+        superseded: 0,
+        behind: None,
+        age: 1_800,
+        reads: false,
+        is_whole: false,
+    };
     let readings = [
-        Reading { name: "one change", superseded: 0, is_behind: false, expected: false },
-        Reading { name: "small rows", superseded: 13_000, is_behind: false, expected: false },
-        Reading { name: "large row", superseded: 285_000, is_behind: false, expected: true },
-        Reading { name: "behind its peers", superseded: 0, is_behind: true, expected: true },
+        Reading { name: "repeated small rows", superseded: 13_000, ..base },
+        Reading { name: "repeated large row", superseded: 285_000, is_whole: true, ..base },
+        Reading { name: "peers are delivering", behind: Some(600), ..base },
+        Reading {
+            name: "peers have not delivered",
+            behind: Some(1_400),
+            reads: true,
+            is_whole: true,
+            ..base
+        },
+        Reading { name: "already read", behind: Some(1_400), age: 100, ..base },
+        base,
     ];
     for case in readings {
-        let found = readers::should_read_whole(case.superseded, case.is_behind);
-        assert_eq!(found, case.expected, "{}", case.name);
+        let status = readers::Status {
+            rank: 5,
+            count: 83,
+            age: Some(time::Millis(case.age)),
+            behind: case.behind.map(time::Millis),
+            silent_rounds: 0,
+            apply: time::Millis(3_000),
+        };
+        assert_eq!(readers::should_read(status), case.reads, "{}", case.name);
+        let is_whole = readers::should_read_whole(case.superseded, status);
+        assert_eq!(is_whole, case.is_whole, "{}", case.name);
     }
 }
--- a/crates/ibishill-relay/src/chunks.rs
+++ b/crates/ibishill-relay/src/chunks.rs
@@ -54,8 +54,16 @@
             Ok(Some(contents)) if !contents.is_empty() => {
                 portion.record_success();
                 let now = context.now();
-                let merged = context.state().receive_chunks(job.table, contents, now);
+                let (merged, is_progress) = {
+                    let mut state = context.state();
+                    let before = state.transfer(job.table).missing_count();
+                    let merged = state.receive_chunks(job.table, contents, now);
+                    (merged, state.transfer(job.table).missing_count() < before)
+                };
                 gossip::finish_merge(&context, merged);
+                if !is_progress {
+                    drop_source(&context, &job).await;
+                }
             }
             // The peer has moved on to another version.
             Ok(Some(_)) => drop_source(&context, &job).await,
@@ -67,7 +75,8 @@
                     &[
                         event::field("peer", &job.source),
                         event::field("chunks", &job.wanted.len()),
-                        event::field("detail", &error),
+                        event::field("received", &error.received),
+                        event::field("detail", &error.detail),
                     ],
                 );
                 drop_source(&context, &job).await;
@@ -107,9 +116,17 @@
     None
 }
 
+#[derive(Debug)]
+struct FetchError {
+    detail: String,
+    /// Part of the response's body that had arrived, in bytes.
+    received: usize,
+}
+
 // None if the peer has no room for the request.
-async fn fetch(context: &Shared, job: &Job) -> Result<Option<Vec<Bytes>>, String> {
-    let body = message::encode(&job.wanted)?;
+async fn fetch(context: &Shared, job: &Job) -> Result<Option<Vec<Bytes>>, FetchError> {
+    let body = message::encode(&job.wanted);
+    let body = body.map_err(|detail| FetchError { detail, received: 0 })?;
     let mut request = Request::new(body);
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(PATH);
@@ -119,12 +136,14 @@
     let progress = upstream::Progress::default();
     let limits = upstream::Limits::small(TIMEOUT);
     let response = upstream::exchange(job.source, request, limits, &progress).await;
-    context.metrics.record_exchange(response.is_ok(), progress.received.get());
-    let response = response.map_err(|error| error.to_string())?;
+    let received = progress.received.get();
+    context.metrics.record_exchange(response.is_ok(), received);
+    let fail = |detail: String| FetchError { detail, received };
+    let response = response.map_err(|error| fail(error.to_string()))?;
     match response.status() {
-        StatusCode::OK => message::decode(response.body()).map(Some),
+        StatusCode::OK => message::decode(response.body()).map(Some).map_err(fail),
         StatusCode::SERVICE_UNAVAILABLE => Ok(None),
-        status => Err(format!("peer responded {status}")),
+        status => Err(fail(format!("peer responded {status}"))),
     }
 }
 
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -83,6 +83,7 @@
         rank: state.peers.rank_by_link(table.name(), now),
         count: state.peers.alive_count(now),
         age: state.table_age(table, now),
+        behind: state.catalog_missing_for(now).filter(|_| table == Table::Orders),
         silent_rounds: state.silent_rounds,
         apply: state.settings.bounds.apply,
     };
@@ -120,14 +121,15 @@
 }
 
 async fn read_changes(context: &Shared, table: Table, superseded: usize) -> Result<Read, String> {
-    let (version, is_loaded, is_behind, wait) = {
+    let (version, is_loaded, wait) = {
         let state = context.state();
         let known = &state.replica(table).table;
-        let is_behind = table == Table::Orders && state.is_catalog_behind();
         let wait = readers::feed_timeout(state.settings.bounds.apply);
-        (known.version(), known.is_loaded(), is_behind, wait)
+        (known.version(), known.is_loaded(), wait)
     };
-    if !is_loaded || readers::should_read_whole(superseded, is_behind) {
+    let status = reader_status(context, table);
+    let is_whole = status.is_some_and(|status| readers::should_read_whole(superseded, status));
+    if !is_loaded || is_whole {
         return read_all(context, table).await;
     }
     let host = context.state().settings.store.to_string();
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -210,9 +210,10 @@
         }
     }
 
-    /// Whether a peer has a newer configuration.
-    pub(crate) fn is_catalog_behind(&self) -> bool {
-        !self.announced.is_empty()
+    /// Time since a configuration that is not in force here was first in force at another relay;
+    /// none if there is no such configuration.
+    pub(crate) fn catalog_missing_for(&self, now: time::Tick) -> Option<time::Millis> {
+        self.announced.values().min().map(|first| now.since(*first))
     }
 
     /// Whether the configuration in force is known to be the newest, so that a route or key that it
@@ -220,14 +221,14 @@
     pub(crate) fn is_catalog_confirmed(&self, now: time::Tick) -> bool {
         let apply = self.settings.bounds.apply;
         let is_recent = self.table_age(Table::Orders, now).is_some_and(|age| age <= apply);
-        is_recent && !self.is_catalog_behind()
+        is_recent && self.announced.is_empty()
     }
 
     /// Whether a newer configuration ought to be in force by now, which peers within reach have. A
     /// relay that is cut off from them serves by what it knows.
     pub(crate) fn is_catalog_outdated(&self, now: time::Tick) -> bool {
         let limit = self.settings.bounds.apply.saturating_sub(OUTDATED_MARGIN);
-        let is_late = self.announced.values().any(|first| now.since(*first) >= limit);
+        let is_late = self.catalog_missing_for(now).is_some_and(|missing| missing >= limit);
         is_late && now.since(self.notice) <= NOTICE_MAX
     }
 
@@ -397,6 +398,7 @@
             event::Event::CatalogInForce,
             &[
                 event::field("version", &version),
+                event::field("row", &changed.iter().map(|row| row.version).max().unwrap_or(0)),
                 event::field("source", source),
                 event::field("bytes", &bytes),
                 event::field("delay", &delay),
