relay: a confirmation that is passed on doesn't seem newer than it is

Cause: the store fell silent to both readers at 2.5 s. Relays tell each other the age of the store's last confirmation; each message made it too small by its delay, and the smallest age won, 20 times a second over 83 relays. So the confirmation of 2.05 s seemed to be of 3.3 s, and the others read the store themselves at 6.0 s instead of 4.75 s. Change: the store's steady clock, which its answers carry, identifies a confirmation. A peer's one counts only if its stamp is newer than the known one.

--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -116,6 +116,8 @@
     delta: Option<replica::Delta>,
     /// Time as of which the replica is current.
     at: time::Tick,
+    /// The same by the store's clock.
+    stamp: u64,
     /// Size of rows that the same answer replaced, in bytes.
     superseded: usize,
 }
@@ -136,7 +138,7 @@
     let request = store::feed(&host, table.name(), version, wait);
     match call(context, request, wait.to_std() + CALL_MARGIN).await {
         Ok((rows, at)) if rows.rows.is_empty() && rows.version <= version => {
-            Ok(Read { delta: None, at, superseded: 0 })
+            Ok(Read { delta: None, at, stamp: rows.stamp, superseded: 0 })
         }
         Ok((rows, at)) => {
             let mut sorted = rows.rows;
@@ -144,9 +146,9 @@
             let replaced = sorted.windows(2).filter(|pair| pair[0].key == pair[1].key);
             let size = |row: &fleet::RawRow| row.value.as_ref().map_or(0, Bytes::len);
             let superseded = replaced.map(|pair| size(&pair[0])).sum();
-            let version = rows.version;
+            let (version, stamp) = (rows.version, rows.stamp);
             let delta = replica::Delta { is_whole: false, version, rows: sorted };
-            Ok(Read { delta: Some(delta), at, superseded })
+            Ok(Read { delta: Some(delta), at, stamp, superseded })
         }
         // The feed no longer has the changes since this version.
         Err(Failure::Gone) => read_all(context, table).await,
@@ -158,7 +160,7 @@
     let at = context.now();
     let host = context.state().settings.store.to_string();
     let mut all = Vec::new();
-    let mut oldest: Option<u64> = None;
+    let mut oldest: Option<(u64, u64)> = None;
     loop {
         let after = all.last().map(|row: &fleet::RawRow| row.key.clone());
         let request = store::read(&host, table.name(), after.as_deref());
@@ -169,12 +171,12 @@
         };
         // Pages may be of different versions; the feed continues from the first one's, so that no
         // change is missed.
-        let version = *oldest.get_or_insert(rows.version);
+        let (version, stamp) = *oldest.get_or_insert((rows.version, rows.stamp));
         let is_last = !rows.truncated || rows.rows.is_empty();
         all.extend(rows.rows);
         if is_last {
             let delta = replica::Delta { is_whole: true, version, rows: all };
-            return Ok(Read { delta: Some(delta), at, superseded: 0 });
+            return Ok(Read { delta: Some(delta), at, stamp, superseded: 0 });
         }
     }
 }
@@ -209,7 +211,7 @@
 fn record_read(context: &Shared, table: Table, read: Read) {
     let now = context.now();
     let mut state = context.state();
-    state.confirm(table, read.at);
+    state.confirm(table, read.stamp, read.at);
     state.stale_until = state.stale_until.min(now);
     let had_failed = state.record_store_success();
     let merged =
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use ibishill_core::{event, time};
 use ibishill_decide::{canary, peers};
-use ibishill_state::{chunk, transfer};
+use ibishill_state::{chunk, confirmation, transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -86,10 +86,9 @@
     members: Vec<peers::Member>,
     /// Number of daemons that the sender knows, including itself.
     known: usize,
-    /// By table, the sender's version and the milliseconds since its confirmation; `None` if it
-    /// was never confirmed.
+    /// By table, the sender's version and its confirmation.
     #[serde(rename = "have")]
-    versions: Vec<(u64, Option<u64>)>,
+    versions: Vec<confirmation::Told>,
     /// Deltas that the receiver lacks, with the index of their table in `Table::ALL`.
     #[serde(rename = "news")]
     deltas: Vec<(usize, transfer::Delta)>,
@@ -319,13 +318,11 @@
 
 fn missing_deltas(
     context: &Shared,
-    versions: &[(u64, Option<u64>)],
+    versions: &[confirmation::Told],
 ) -> Vec<(usize, transfer::Delta)> {
     let state = context.state();
     let tables = Table::ALL.into_iter().zip(versions).enumerate();
-    tables
-        .filter_map(|(at, (table, (version, _)))| Some((at, state.delta(table, *version)?)))
-        .collect()
+    tables.filter_map(|(at, (table, told))| Some((at, state.delta(table, told.version)?))).collect()
 }
 
 fn record(context: &Shared, message: Message) {
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -10,6 +10,7 @@
 
 use ibishill_core::{event, id};
 use ibishill_decide::balance;
+use ibishill_state::confirmation;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time as clock;
@@ -34,10 +35,9 @@
 #[derive(Serialize, Deserialize)]
 struct Datagram {
     vm: id::VmId,
-    /// By table, the sender's version and the milliseconds since its confirmation; `None` if it
-    /// was never confirmed.
+    /// By table, the sender's version and its confirmation.
     #[serde(rename = "have")]
-    versions: Vec<(u64, Option<u64>)>,
+    versions: Vec<confirmation::Told>,
     #[serde(rename = "shares")]
     in_flight: Vec<balance::reports::InFlight>,
     configuration: Announcement,
@@ -106,7 +106,7 @@
             let now = context.now();
             let mut state = context.state();
             if let Some(sender) = state.peers.address(&datagram.vm) {
-                let reported = datagram.versions.iter().map(|(version, _)| *version);
+                let reported = datagram.versions.iter().map(|told| told.version);
                 if record_versions(&mut state, reported, sender) {
                     // Starts a gossip round, which gets the missing rows from the sender.
                     state.ahead = Some(sender);
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -8,7 +8,7 @@
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, route, time};
 use ibishill_decide::{balance, canary, escalation, peers, retry, wait_queue};
-use ibishill_state::{chunk, replica, transfer};
+use ibishill_state::{chunk, confirmation, replica, transfer};
 use serde::{Deserialize, Serialize};
 
 /// Time after a store outage for which endpoints whose registration lapsed are kept: live ones
@@ -46,7 +46,7 @@
 pub(crate) struct Replica {
     pub(crate) table: replica::Table,
     /// When the store last confirmed to any daemon that it is current.
-    confirmed: Option<time::Tick>,
+    confirmed: confirmation::Confirmation,
     transfer: transfer::Transfer,
 }
 
@@ -296,37 +296,33 @@
 
     /// Time since the store last confirmed the replica to any daemon; `None` if it never has.
     pub(crate) fn table_age(&self, table: Table, now: time::Tick) -> Option<time::Millis> {
-        self.replica(table).confirmed.map(|at| now.since(at))
+        self.replica(table).confirmed.at().map(|at| now.since(at))
     }
 
-    /// Versions of the replicas and the milliseconds since their confirmation, for peers.
-    pub(crate) fn table_versions(&self, now: time::Tick) -> Vec<(u64, Option<u64>)> {
-        let versions = |table: &Table| {
-            let age = self.table_age(*table, now).map(|age| age.0);
-            (self.replica(*table).table.version(), age)
+    /// Versions of the replicas and their confirmations, for peers.
+    pub(crate) fn table_versions(&self, now: time::Tick) -> Vec<confirmation::Told> {
+        let told = |table: &Table| {
+            let replica = self.replica(*table);
+            replica.confirmed.tell(replica.table.version(), now)
         };
-        Table::ALL.iter().map(versions).collect()
+        Table::ALL.iter().map(told).collect()
     }
 
     /// Records a peer's confirmations of tables whose versions are the same here.
-    pub(crate) fn record_confirmations(
-        &mut self,
-        versions: &[(u64, Option<u64>)],
-        now: time::Tick,
-    ) {
-        for (table, (version, age)) in Table::ALL.into_iter().zip(versions) {
-            let is_same = self.replica(table).table.version() == *version;
-            if let Some(age) = age.filter(|_| is_same) {
-                self.confirm(table, time::Tick(now.0.saturating_sub(age)));
+    pub(crate) fn record_confirmations(&mut self, told: &[confirmation::Told], now: time::Tick) {
+        for (table, told) in Table::ALL.into_iter().zip(told) {
+            let is_same = self.replica(table).table.version() == told.version;
+            if let Some(age) = told.age.filter(|_| is_same) {
+                self.record_outage(table, time::Tick(now.0.saturating_sub(age.0)));
+                self.replicas.entry(table).or_default().confirmed.hear(told, now);
             }
         }
     }
 
-    /// Records that the store confirmed a replica as of `at`.
-    pub(crate) fn confirm(&mut self, table: Table, at: time::Tick) {
+    /// Records that the store confirmed a replica as of `at`, at `stamp` by its own clock.
+    pub(crate) fn confirm(&mut self, table: Table, stamp: u64, at: time::Tick) {
         self.record_outage(table, at);
-        let replica = self.replicas.entry(table).or_default();
-        replica.confirmed = replica.confirmed.max(Some(at));
+        self.replicas.entry(table).or_default().confirmed.record(stamp, at);
     }
 
     /// Records a failed call to the store; returns whether the previous call succeeded.
@@ -346,7 +342,7 @@
     // this relay failed meanwhile. Both are required: the store may fail for this relay only, while
     // peers still confirm the table, or just the reading daemons may be cut off.
     fn record_outage(&mut self, table: Table, at: time::Tick) {
-        let Some(last) = self.replica(table).confirmed else { return };
+        let Some(last) = self.replica(table).confirmed.at() else { return };
         let has_failed = self.store_failed.is_some_and(|failed| failed >= last);
         if table == Table::Endpoints && has_failed && at.since(last) >= OUTAGE_MIN {
             self.lapse_until = self.lapse_until.max(at + LAPSE_GRACE);
--- a/crates/ibishill-state/src/lib.rs
+++ b/crates/ibishill-state/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod billing;
 pub mod chunk;
 pub mod claim;
+pub mod confirmation;
 pub mod error;
 pub mod holder;
 pub mod lease;
