--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -451,8 +451,8 @@
     }
 
     /// Natural logarithm of the likelihood ratio between a worse new version and an equally good
-    /// one. Considers the errors since the start of each window, and the times and paces since that of each part,
-    /// each over all routes together and on every single route.
+    /// one. Considers the errors since the start of each window, and the times and paces since the
+    /// start of each part, each over all routes together and on every single route.
     ///
     /// By Ville's inequality, it ever exceeds `ln(1 / alpha)` with a probability of at most
     /// `alpha` if the new version is as good, however often it is evaluated.
