relay: logs tell which endpoints end as an answer begins, and the segments of its prompt

An on-call engineer could not tell a segment that ends endpoints from a wave of crashes: no line named the segments of a prompt, how long a broken answer had been going on, or whether its endpoint had ended or only the connection. E2401 has the shared segments; E2406 and E2407 the time since the answer began; E2206 is a connection check after an answer that ended early: an endpoint that has ended refuses connections, one that only cut the answer does not. A counter goes with it. No decision changes.

--- a/crates/ibishill-core/src/call.rs
+++ b/crates/ibishill-core/src/call.rs
@@ -1,12 +1,37 @@
 //! Metadata that a caller sends with a request.
 
+use std::fmt;
+use std::num;
+use std::str;
+
+use serde::{Deserialize, Serialize};
+
 use crate::time;
 
+/// Identifier of a prompt segment's text, equal for equal texts; written in hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SegmentId(pub u64);
+
+impl fmt::Display for SegmentId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl str::FromStr for SegmentId {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// A segment of a prompt; requests with the same leading segments can share cached prefill work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Segment {
-    /// Identifier of the text, equal for equal texts.
-    pub id: u64,
+    /// Identifier of its text.
+    pub id: SegmentId,
     /// Length in tokens.
     pub tokens: u64,
 }
@@ -46,8 +71,13 @@
 impl Metadata {
     /// Id of the last segment that other requests can share, the one before the request's own;
     /// none if there are fewer than two segments.
-    pub fn shared_segment(&self) -> Option<u64> {
-        let at = self.segments.len().checked_sub(2)?;
-        self.segments.get(at).map(|segment| segment.id)
+    pub fn shared_segment(&self) -> Option<SegmentId> {
+        self.shared_segments().last().copied()
+    }
+
+    /// Ids of the segments that other requests can share, in order: all but the last one.
+    pub fn shared_segments(&self) -> Vec<SegmentId> {
+        let shared = self.segments.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|segment| segment.id).collect()
     }
 }
--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -104,6 +104,7 @@
     ZoneChanged = 2203, Info, "zone taken out or back";
     PeerKnown = 2204, Info, "peer known";
     ZoneReach = 2205, Warn, "zone out of reach or reached again";
+    EndpointEnded = 2206, Warn, "endpoint ended as an answer began";
     RolloutChanged = 2301, Info, "roll-out changed";
     StatusDelayed = 2302, Warn, "state of a roll-out could not be written yet";
     RequestSent = 2401, Info, "request sent to an endpoint";
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -13,7 +13,7 @@
 
 use crate::context::Shared;
 use crate::upstream::{self, CallError};
-use crate::{handler, rollout};
+use crate::{early_end, handler, rollout};
 
 /// A request received from a caller, with its resolved route and service.
 pub(crate) struct Received {
@@ -405,6 +405,7 @@
             event::field("waited", &now.since(received.arrived)),
             event::field("left", &remaining),
             event::field("session", &received.metadata.session.as_deref().unwrap_or("-")),
+            event::field("segments", &early_end::segment_list(&received.metadata)),
         ],
     );
 }
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -30,6 +30,8 @@
     pub(crate) chunks_wanted: Notify,
     /// Number of requests for chunks that are being served.
     pub(crate) chunks_serving: Cell<u32>,
+    /// Number of running checks of endpoints that may have ended.
+    pub(crate) end_checks: Cell<u32>,
     /// Notified when connections must be closed because the process is stopping.
     pub(crate) shutdown: Notify,
 }
@@ -49,6 +51,7 @@
             rows_changed: Notify::new(),
             chunks_wanted: Notify::new(),
             chunks_serving: Cell::new(0),
+            end_checks: Cell::new(0),
             shutdown: Notify::new(),
         })
     }
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod body;
 mod chunks;
 mod context;
+mod early_end;
 mod feed;
 mod gossip;
 mod handler;
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -45,6 +45,7 @@
     exchanges: Counter<u64>,
     received: Counter<u64>,
     catalog_delay: Histogram<f64>,
+    early_ends: Counter<u64>,
 }
 
 impl Metrics {
@@ -89,6 +90,10 @@
                 "relay_configuration_delay",
                 "Time from the first notice of a configuration until it is in force",
             ),
+            early_ends: counter(
+                "relay_early_ends",
+                "Endpoints that ended just after an answer began, as seen by this relay",
+            ),
             registry,
             _provider: provider,
         })
@@ -151,6 +156,11 @@
         self.catalog_delay.record(delay.0 as f64 / 1_000.0, &[]);
     }
 
+    /// Counts an endpoint that ended just after an answer began.
+    pub(crate) fn record_early_end(&self) {
+        self.early_ends.add(1, &[]);
+    }
+
     fn text(&self, context: &Shared) -> String {
         let mut text = Vec::new();
         let encoder = prometheus::TextEncoder::new();
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -72,7 +72,7 @@
         service: &received.service,
         versions: balance::Versions::Any,
         tried,
-        prefix: prefix.map(|segment| (segment, prefix_tokens)),
+        prefix: prefix.map(|segment| (segment.0, prefix_tokens)),
         tokens: received.kv_tokens(),
         capacity,
         prefill,
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::attempt::{self, Outcome, Received, StreamStart, Target};
 use crate::body::{self, Body, Incomplete};
 use crate::context::Shared;
-use crate::{handler, selection};
+use crate::{early_end, handler, selection};
 
 /// Chunks buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 4;
@@ -58,6 +58,7 @@
         last_event,
         sends,
         events: 0,
+        beginning: early_end::Beginning::at(context.now()),
         tried: Vec::new(),
     };
     tokio::task::spawn_local(forwarder.run(start));
@@ -75,6 +76,8 @@
     sends: u32,
     /// Events forwarded so far.
     events: u64,
+    /// How the answer of the present endpoint has begun.
+    beginning: early_end::Beginning,
     tried: Vec<id::EndpointId>,
 }
 
@@ -84,7 +87,9 @@
     Complete,
     /// The caller disconnected.
     CallerLeft,
-    /// The stream failed or timed out; the text says how.
+    /// The connection was closed or reset before the end; the text says how.
+    Cut(String),
+    /// The stream is not valid or has timed out; the text says how.
     Broken(String),
 }
 
@@ -93,15 +98,20 @@
         let mut start = start;
         loop {
             let StreamStart { body, connection, guard, .. } = start;
+            self.beginning = early_end::Beginning::at(self.context.now());
             let end = self.forward_events(body).await;
             // Closes the connection, so that the endpoint stops before the stream is resumed
             // elsewhere.
             drop(connection);
             drop(guard);
+            if matches!(end, End::Cut(_)) && self.beginning.is_early(self.context.now()) {
+                let endpoint = &self.target.endpoint;
+                early_end::check(&self.context, &self.received, endpoint);
+            }
             match end {
                 End::Complete => return self.log_done(),
                 End::CallerLeft => return self.log_caller_left(),
-                End::Broken(detail) => match self.resume(detail).await {
+                End::Cut(detail) | End::Broken(detail) => match self.resume(detail).await {
                     Some(next) => start = next,
                     None => {
                         // Fails only if the caller has disconnected.
@@ -133,8 +143,8 @@
                 Err(_) if !self.can_resume() => continue,
                 Err(_) => return End::Broken(format!("silent for {idle_timeout} ms")),
                 Ok(None) if buffer.is_empty() => return End::Complete,
-                Ok(None) => return End::Broken("stream ended inside an event".into()),
-                Ok(Some(Err(error))) => return End::Broken(error.to_string()),
+                Ok(None) => return End::Cut("stream ended inside an event".into()),
+                Ok(Some(Err(error))) => return End::Cut(error.to_string()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             buffer.extend_from_slice(&data);
@@ -200,6 +210,7 @@
             }
             self.last_event = Some(number);
             self.events += 1;
+            self.beginning.record_event();
         }
         Ok(())
     }
@@ -279,6 +290,11 @@
         took
     }
 
+    // Time since the last answer of an endpoint began.
+    fn began_before(&self) -> time::Millis {
+        self.context.now().since(self.beginning.began())
+    }
+
     fn log_done(&self) {
         let took = self.record_end("stream");
         event::emit_json(
@@ -311,6 +327,7 @@
                 event::field("request", &self.received.metadata.id),
                 event::field("endpoint", &self.target.endpoint),
                 event::field("events", &self.events),
+                event::field("began", &self.began_before()),
                 event::field("why", &why),
             ],
         );
@@ -326,6 +343,7 @@
                 event::field("events", &self.events),
                 event::field("sends", &self.sends),
                 event::field("took", &took),
+                event::field("began", &self.began_before()),
                 event::field("why", &why),
             ],
         );
