stream: a connection that ends before the first event does not complete a stream

Callers got a complete, empty stream if an endpoint that tells neither length nor chunks closed the connection after the head of its answer, as one that ends there does. Cause: the end of the connection is the end of such a body, and nothing is left in the buffer that would show an event broken off. The stream is resumed elsewhere now; a caller that resumes itself may have all events already, so an empty rest is complete for it.

--- /dev/null
+++ b/crates/ibishill-decide/src/quarantine/evidence.rs
@@ -0,0 +1,128 @@
+//! Evidence about prompt segments, as daemons tell it each other. Merging is idempotent: an end is
+//! identified by its endpoint, however many daemons have seen it.
+
+use ibishill_core::{call, id, time};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use super::{Change, End, Hold, Quarantine, Survival};
+
+/// Time for which a change is told in every report.
+const NEWS_TTL: time::Millis = time::Millis(2_000);
+
+/// One incarnation of an endpoint: the low 32 bits of a hash of its id and start time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EndpointKey(u32);
+
+impl EndpointKey {
+    /// Key of the incarnation with this id and start time, in milliseconds since the Unix epoch.
+    pub fn new(id: &id::EndpointId, started: Option<u64>) -> Self {
+        let seed = started.unwrap_or_default();
+        Self(xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), seed) as u32)
+    }
+}
+
+/// How long a segment has been refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Held {
+    age: time::Millis,
+    relapses: u8,
+}
+
+/// What a daemon knows of one segment; times are ages as of sending.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    segment: call::SegmentId,
+    depth: u8,
+    ends: Vec<(EndpointKey, time::Millis)>,
+    // Since the last answer began that has gone on, if the sender has seen it itself.
+    survival: Option<time::Millis>,
+    // Number of changes of `held`.
+    epoch: u32,
+    held: Option<Held>,
+}
+
+impl Quarantine {
+    /// Evidence for a peer about at most `count` segments, refused ones first: all of them, or only
+    /// what has changed lately.
+    pub fn evidence(&self, count: usize, is_complete: bool, now: time::Tick) -> Vec<Evidence> {
+        let is_told = |changed: time::Tick| is_complete || now.since(changed) < NEWS_TTL;
+        let mut told: Vec<_> =
+            self.records.iter().filter(|(_, record)| is_told(record.changed)).collect();
+        told.sort_by_key(|(_, record)| {
+            std::cmp::Reverse((record.hold.is_some(), record.ends.len(), record.changed))
+        });
+        told.truncate(count);
+        let evidence = told.into_iter().map(|(segment, record)| Evidence {
+            segment: *segment,
+            depth: record.depth,
+            ends: record.ends.iter().map(|end| (end.endpoint, now.since(end.at))).collect(),
+            survival: self
+                .survivals
+                .last(*segment)
+                .filter(|survival| survival.is_own)
+                .map(|survival| now.since(survival.began)),
+            epoch: record.epoch,
+            held: record
+                .hold
+                .map(|hold| Held { age: now.since(hold.since), relapses: hold.relapses }),
+        });
+        evidence.collect()
+    }
+
+    /// Merges a peer's evidence.
+    pub fn merge(&mut self, evidence: Vec<Evidence>, now: time::Tick) {
+        let at = |age: time::Millis| time::Tick(now.0.saturating_sub(age.0));
+        for found in evidence {
+            let Evidence { segment, depth, epoch, .. } = found;
+            if let Some(age) = found.survival {
+                self.clear(segment, Survival { began: at(age), is_own: false }, now);
+            }
+            let survived = self.survivals.last(segment).map(|survival| survival.began);
+            let ends = found.ends.into_iter();
+            let ends: Vec<End> = ends
+                .map(|(endpoint, age)| End { endpoint, at: at(age) })
+                .filter(|end| survived.is_none_or(|began| end.at > began))
+                .collect();
+            let hold = found.held.map(|held| Hold { since: at(held.age), relapses: held.relapses });
+            if !ends.is_empty() || epoch > 0 {
+                self.merge_ends(segment, depth, &ends, now);
+                self.merge_hold(segment, hold, epoch, now);
+            }
+        }
+    }
+
+    fn merge_ends(&mut self, segment: call::SegmentId, depth: u8, ends: &[End], now: time::Tick) {
+        let record = self.record(segment, usize::from(depth), now);
+        for end in ends {
+            if record.add_end(*end) {
+                record.changed = now;
+            }
+        }
+    }
+
+    // The state with more changes wins; of two with as many, the one that refuses.
+    fn merge_hold(
+        &mut self,
+        segment: call::SegmentId,
+        hold: Option<Hold>,
+        epoch: u32,
+        now: time::Tick,
+    ) {
+        let Some(record) = self.records.get_mut(&segment) else { return };
+        let is_stricter = epoch == record.epoch && hold.is_some() && record.hold.is_none();
+        if epoch < record.epoch || (epoch == record.epoch && !is_stricter) {
+            return;
+        }
+        let was_refused = record.hold.is_some();
+        record.set_hold(hold, epoch, now);
+        if hold.is_none() {
+            record.ends.clear();
+        }
+        if was_refused != hold.is_some() {
+            let (is_refused, ends) = (hold.is_some(), record.ends.len());
+            self.changes.push(Change { segment, is_refused, ends });
+        }
+    }
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{call, event, fleet, id, route, time};
@@ -102,6 +102,8 @@
     pub(crate) head: Response<()>,
     pub(crate) reply: head::Reply,
     pub(crate) body: Incoming,
+    /// Whether the body has neither a length nor chunks and ends with the connection.
+    pub(crate) is_until_close: bool,
     pub(crate) connection: upstream::Connection,
     pub(crate) guard: AttemptGuard,
 }
@@ -246,9 +248,11 @@
     if reply.is_encoded || !reply.has_signature {
         return (Outcome::Unknown, "the answer is not signed".into());
     }
+    let is_until_close = !parts.headers.contains_key(header::CONTENT_LENGTH)
+        && !parts.headers.contains_key(header::TRANSFER_ENCODING);
     let head = Response::from_parts(parts, ());
     if received.route.kind.is_stream() && head.status().is_success() {
-        let start = StreamStart { head, reply, body, connection, guard };
+        let start = StreamStart { head, reply, body, is_until_close, connection, guard };
         return (Outcome::Stream(Box::new(start)), String::new());
     }
     let buffers = guard.context.answers.clone();
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -40,6 +40,11 @@
         self.began
     }
 
+    /// Number of complete events.
+    pub(crate) const fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Records a complete event.
     pub(crate) const fn record_event(&mut self) {
         self.events += 1;
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -97,9 +97,9 @@
     async fn run(mut self, start: StreamStart) {
         let mut start = start;
         loop {
-            let StreamStart { body, connection, guard, .. } = start;
+            let StreamStart { body, is_until_close, connection, guard, .. } = start;
             self.beginning = early_end::Beginning::at(self.context.now());
-            let end = self.forward_events(body).await;
+            let end = self.forward_events(body, is_until_close).await;
             // Closes the connection, so that the endpoint stops before the stream is resumed
             // elsewhere.
             drop(connection);
@@ -123,7 +123,7 @@
         }
     }
 
-    async fn forward_events(&mut self, mut body: Incoming) -> End {
+    async fn forward_events(&mut self, mut body: Incoming, is_until_close: bool) -> End {
         let idle_timeout = self.received.route.latency_target.0 * IDLE_TIMEOUT_PERCENT / 100;
         let idle_timeout = idle_timeout.max(IDLE_TIMEOUT_MIN_MS);
         let mut buffer = BytesMut::new();
@@ -142,6 +142,9 @@
                 // A timeout does not end a stream that can't be resumed elsewhere.
                 Err(_) if !self.can_resume() => continue,
                 Err(_) => return End::Broken(format!("silent for {idle_timeout} ms")),
+                Ok(None) if is_until_close && self.has_missed_all() => {
+                    return End::Cut("connection ended before the first event".into());
+                }
                 Ok(None) if buffer.is_empty() => return End::Complete,
                 Ok(None) => return End::Cut("stream ended inside an event".into()),
                 Ok(Some(Err(error))) => return End::Cut(error.to_string()),
@@ -171,6 +174,13 @@
         }
     }
 
+    // Whether the present endpoint has sent no event, although the caller lacks some: a caller that
+    // resumes may have them all.
+    fn has_missed_all(&self) -> bool {
+        let is_callers = self.last_event.is_some() && self.events == 0 && self.tried.is_empty();
+        self.beginning.events() == 0 && !is_callers
+    }
+
     async fn pace_due(&self, pace: &pace::Pace) {
         match pace.due() {
             Some(at) => clock::sleep(at.since(self.context.now()).to_std()).await,
