relay: a prompt segment that ends endpoints is refused by all relays

Cause: the class of a poison request. A relay kept nothing of what ends endpoints, and no relay knew of the ends that others saw. Ruled out by the record: ends are not tied to starts, and the service without prompts has none. Fix: an end of an endpoint just after the head of an answer counts against the shared segments of its prompt, an answer that goes on clears them; relays tell each other which endpoints have ended. A segment with four ends that nothing clears is refused at once, before any attempt; after two ends a request gets one attempt. Sound requests with the same caller and first segment clear that one all the time, so they go on; a wave of crashes leaves answers that go on elsewhere.

--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod plan;
 pub mod portion;
 pub mod prefix;
+pub mod quarantine;
 pub mod queue;
 pub mod rate;
 pub mod reach;
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod pace;
 mod peers;
 mod portion;
+mod quarantine;
 mod reach;
 mod readers;
 mod retry;
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -0,0 +1,325 @@
+use ibishill_core::{call, id, time};
+use ibishill_decide::quarantine::evidence::{EndpointKey, Evidence};
+use ibishill_decide::quarantine::{Quarantine, Verdict};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const START: time::Tick = time::Tick(10_000_000);
+
+// Shared by sound and poison prompts.
+const FIRST: call::SegmentId = call::SegmentId(0xf1);
+const SOUND: call::SegmentId = call::SegmentId(0xaa);
+const POISON: call::SegmentId = call::SegmentId(0xbad);
+
+const POISON_PROMPT: &[call::SegmentId] = &[FIRST, POISON];
+const SOUND_PROMPT: &[call::SegmentId] = &[FIRST, SOUND];
+
+fn key(number: usize) -> EndpointKey {
+    let name: id::EndpointId = format!("e{number}").parse().unwrap();
+    EndpointKey::new(&name, Some(1))
+}
+
+fn verdict(quarantine: &Quarantine, prompt: &[call::SegmentId], now: time::Tick) -> Verdict {
+    quarantine.verdict(prompt, |_| 0, now)
+}
+
+fn is_refused(quarantine: &Quarantine, prompt: &[call::SegmentId], now: time::Tick) -> bool {
+    matches!(verdict(quarantine, prompt, now), Verdict::Refused(_))
+}
+
+enum Step {
+    /// An endpoint ends as it begins an answer.
+    End(&'static [call::SegmentId], usize),
+    /// As many endpoints end one after the other, 200 ms apart.
+    Ends(&'static [call::SegmentId], usize),
+    /// An answer that began 200 ms ago goes on.
+    Survival(&'static [call::SegmentId]),
+    Wait(u64),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Expected {
+    Allowed,
+    Contained,
+    Refused,
+}
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    poison: Expected,
+    sound: Expected,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "nothing", steps: &[], poison: Expected::Allowed, sound: Expected::Allowed },
+    Case {
+        name: "one end",
+        steps: &[Step::Ends(POISON_PROMPT, 1), Step::Wait(2_000)],
+        poison: Expected::Allowed,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "two ends, and the first segment is cleared",
+        steps: &[
+            Step::Ends(POISON_PROMPT, 2),
+            Step::Wait(200),
+            Step::Survival(SOUND_PROMPT),
+            Step::Wait(2_000),
+        ],
+        poison: Expected::Contained,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "four ends, and the first segment is cleared",
+        steps: &[Step::Survival(SOUND_PROMPT), Step::Ends(POISON_PROMPT, 4), Step::Wait(1_000)],
+        poison: Expected::Refused,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "four ends, and nothing is cleared: the deeper segment is to blame",
+        steps: &[Step::Ends(POISON_PROMPT, 4), Step::Wait(1_000)],
+        poison: Expected::Refused,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "one endpoint, told four times",
+        steps: &[
+            Step::End(POISON_PROMPT, 1),
+            Step::End(POISON_PROMPT, 1),
+            Step::End(POISON_PROMPT, 1),
+            Step::End(POISON_PROMPT, 1),
+            Step::Wait(2_000),
+        ],
+        poison: Expected::Allowed,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "four endpoints at the same moment, before answers could clear the segment",
+        steps: &[
+            Step::End(POISON_PROMPT, 1),
+            Step::End(POISON_PROMPT, 2),
+            Step::End(POISON_PROMPT, 3),
+            Step::End(POISON_PROMPT, 4),
+        ],
+        poison: Expected::Contained,
+        sound: Expected::Contained,
+    },
+    Case {
+        name: "a wave of crashes, and a later answer goes on",
+        steps: &[
+            Step::Ends(SOUND_PROMPT, 3),
+            Step::Wait(300),
+            Step::Survival(SOUND_PROMPT),
+            Step::Ends(SOUND_PROMPT, 3),
+            Step::Wait(2_000),
+        ],
+        poison: Expected::Allowed,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "seven ends of a segment that was sound",
+        steps: &[Step::Survival(SOUND_PROMPT), Step::Ends(SOUND_PROMPT, 7), Step::Wait(2_000)],
+        poison: Expected::Allowed,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "eight ends of a segment that was sound: it has turned",
+        steps: &[Step::Survival(SOUND_PROMPT), Step::Ends(SOUND_PROMPT, 8), Step::Wait(2_000)],
+        poison: Expected::Allowed,
+        sound: Expected::Refused,
+    },
+    Case {
+        name: "ends that the segment in quarantine explains",
+        steps: &[
+            Step::Ends(POISON_PROMPT, 4),
+            Step::Wait(1_000),
+            Step::End(SOUND_PROMPT, 0),
+            Step::End(SOUND_PROMPT, 1),
+            Step::End(SOUND_PROMPT, 2),
+            Step::End(SOUND_PROMPT, 3),
+            Step::Wait(2_000),
+        ],
+        poison: Expected::Refused,
+        sound: Expected::Allowed,
+    },
+];
+
+#[test]
+fn ends_are_blamed_on_the_segment_that_nothing_clears() {
+    for case in CASES {
+        let mut quarantine = Quarantine::default();
+        let mut now = START;
+        for step in case.steps {
+            match step {
+                Step::End(prompt, endpoint) => {
+                    quarantine.record_end(prompt, key(*endpoint), now);
+                }
+                Step::Ends(prompt, count) => {
+                    for number in 0..*count {
+                        quarantine.record_end(prompt, key(number), now);
+                        now = now + time::Millis(200);
+                    }
+                }
+                Step::Survival(prompt) => {
+                    let began = time::Tick(now.0 - 200);
+                    quarantine.record_survival(prompt, began, now);
+                }
+                Step::Wait(millis) => now = now + time::Millis(*millis),
+            }
+            quarantine.judge(now);
+        }
+        for (prompt, expected) in [(POISON_PROMPT, case.poison), (SOUND_PROMPT, case.sound)] {
+            let found = match verdict(&quarantine, prompt, now) {
+                Verdict::Allowed => Expected::Allowed,
+                Verdict::Contained => Expected::Contained,
+                Verdict::Refused(_) => Expected::Refused,
+            };
+            assert_eq!(found, expected, "{}: {prompt:?}", case.name);
+        }
+    }
+}
+
+fn refusing(now: time::Tick) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for number in 0..4 {
+        quarantine.record_end(POISON_PROMPT, key(number), time::Tick(now.0 - 2_000));
+    }
+    quarantine.judge(now);
+    assert!(is_refused(&quarantine, POISON_PROMPT, now));
+    quarantine
+}
+
+#[test]
+fn one_daemon_tries_a_segment_again_when_its_hold_has_ended() {
+    let mut quarantine = refusing(START);
+    let due = START + time::Millis::from_secs(120);
+    assert!(is_refused(&quarantine, POISON_PROMPT, time::Tick(due.0 - 1)));
+    let second = quarantine.verdict(POISON_PROMPT, |_| 1, due);
+    assert!(matches!(second, Verdict::Refused(_)), "the next daemon waits for the first");
+    assert_eq!(verdict(&quarantine, POISON_PROMPT, due), Verdict::Contained);
+    quarantine.record_send(POISON_PROMPT, due);
+    assert!(is_refused(&quarantine, POISON_PROMPT, due), "one trial at a time");
+    let after = due + time::Millis(300);
+    quarantine.record_end(POISON_PROMPT, key(9), after);
+    quarantine.judge(after);
+    let again = after + time::Millis::from_secs(240);
+    assert!(is_refused(&quarantine, POISON_PROMPT, time::Tick(again.0 - 1)));
+    assert_eq!(verdict(&quarantine, POISON_PROMPT, again), Verdict::Contained);
+}
+
+#[test]
+fn trial_that_goes_on_releases_the_segment_at_all_daemons() {
+    let mut first = refusing(START);
+    let mut second = Quarantine::default();
+    second.merge(first.evidence(8, false, START), START);
+    assert!(is_refused(&second, POISON_PROMPT, START));
+    let began = START + time::Millis::from_secs(120);
+    first.record_send(POISON_PROMPT, began);
+    let now = began + time::Millis(500);
+    first.record_survival(POISON_PROMPT, began, now);
+    assert_eq!(verdict(&first, POISON_PROMPT, now), Verdict::Allowed);
+    // The second daemon knows nothing of the trial until then, and its old verdict does not win.
+    first.merge(second.evidence(8, true, now), now);
+    second.merge(first.evidence(8, false, now), now);
+    assert_eq!(verdict(&first, POISON_PROMPT, now), Verdict::Allowed);
+    assert_eq!(verdict(&second, POISON_PROMPT, now), Verdict::Allowed);
+}
+
+#[test]
+fn memory_stays_bounded_and_keeps_what_is_refused() {
+    let mut quarantine = refusing(START);
+    for number in 0..10_000 {
+        let segment = call::SegmentId(0x1000 + number);
+        let now = START + time::Millis(number);
+        quarantine.record_end(&[segment], key(number as usize), now);
+        quarantine.record_survival(&[call::SegmentId(0x100_0000 + number)], now, now);
+    }
+    let now = START + time::Millis(10_000);
+    assert!(is_refused(&quarantine, POISON_PROMPT, now));
+    assert!(quarantine.evidence(usize::MAX, true, now).len() <= 512);
+}
+
+/// Peers that a datagram is sent to, as in the relay.
+const FANOUT: usize = 64;
+
+/// Interval between datagrams of one daemon.
+const REPORT_INTERVAL: u64 = 500;
+
+const EVIDENCE_MAX: usize = 4;
+
+struct Fleet {
+    name: &'static str,
+    daemons: usize,
+    /// Lost datagrams, in percent.
+    loss: u32,
+}
+
+// Five ends are seen by five daemons, each also sees sound answers. Returns the time until all
+// daemons refuse the segment, and the evidence that the busiest one sent, in bytes.
+fn spread(fleet: &Fleet, seed: u64) -> (u64, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut daemons = vec![Quarantine::default(); fleet.daemons];
+    let phases: Vec<u64> =
+        (0..fleet.daemons).map(|_| rng.random_range(0..REPORT_INTERVAL)).collect();
+    let mut sent = vec![0; fleet.daemons];
+    let last_end = 1_000;
+    for at in 0..10_000_u64 {
+        let now = START + time::Millis(at);
+        let is_end = at <= last_end && at % 250 == 0;
+        if is_end {
+            let number = (at / 250) as usize;
+            let seer = (number * 7919) % fleet.daemons;
+            daemons[seer].record_end(POISON_PROMPT, key(number), now);
+        }
+        if at % 100 == 0 {
+            let seer = rng.random_range(0..fleet.daemons);
+            daemons[seer].record_survival(SOUND_PROMPT, time::Tick(now.0 - 200), now);
+        }
+        let mut datagrams: Vec<(usize, Vec<Evidence>)> = Vec::new();
+        for daemon in 0..fleet.daemons {
+            let is_due = (at + phases[daemon]).is_multiple_of(REPORT_INTERVAL);
+            if is_due || (is_end && (at as usize / 250 * 7919) % fleet.daemons == daemon) {
+                daemons[daemon].judge(now);
+                let evidence = daemons[daemon].evidence(EVIDENCE_MAX, false, now);
+                if evidence.is_empty() {
+                    continue;
+                }
+                let size = postcard::to_stdvec(&evidence).unwrap().len();
+                for _ in 0..FANOUT.min(fleet.daemons - 1) {
+                    sent[daemon] += size;
+                    if rng.random_range(0..100) >= fleet.loss {
+                        datagrams.push((rng.random_range(0..fleet.daemons), evidence.clone()));
+                    }
+                }
+            }
+        }
+        for (daemon, evidence) in datagrams {
+            daemons[daemon].merge(evidence, now);
+            daemons[daemon].judge(now);
+        }
+        let refuse = |daemon: &Quarantine| is_refused(daemon, POISON_PROMPT, now);
+        if at > last_end && daemons.iter().all(refuse) {
+            let sound = daemons.iter().filter(|daemon| is_refused(daemon, SOUND_PROMPT, now));
+            assert_eq!(sound.count(), 0, "{}", fleet.name);
+            return (at - last_end, sent.into_iter().max().unwrap_or(0));
+        }
+    }
+    panic!("{}: not all daemons refuse the segment", fleet.name);
+}
+
+#[test]
+fn ends_seen_by_five_daemons_are_known_to_all_in_time() {
+    let fleets = [
+        Fleet { name: "six daemons", daemons: 6, loss: 5 },
+        Fleet { name: "83 daemons", daemons: 83, loss: 5 },
+        Fleet { name: "910 daemons", daemons: 910, loss: 5 },
+    ];
+    for fleet in &fleets {
+        for seed in 0..3 {
+            let (took, bytes) = spread(fleet, seed);
+            println!("{}: {took} ms, {bytes} bytes sent by the busiest", fleet.name);
+            assert!(took <= 3_000, "{}: {took} ms", fleet.name);
+        }
+    }
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -77,6 +77,7 @@
         let slow_start = state.slow_start(&received.service, now);
         let rank = state.cold_rank(endpoint);
         state.balancer.begin(endpoint, work, slow_start, rank, now);
+        state.quarantine.record_send(&received.metadata.shared_segments(), now);
         drop(state);
         Self { context: context.clone(), endpoint: endpoint.clone(), work, is_answering: false }
     }
@@ -182,8 +183,9 @@
         None
     };
     // An unresponsive endpoint ends the attempt early only if a retry is granted.
-    let is_hung =
-        has_hang_timeout && early.is_none() && handler::acquire_retry(context, received, "silent");
+    let is_hung = has_hang_timeout
+        && early.is_none()
+        && handler::acquire_retry(context, received, handler::Retry::Silent);
     let (outcome, detail) = match early {
         Some(found) => found,
         None if is_hung => (Outcome::Unresponsive, format!("no answer within {hang_timeout}")),
@@ -334,6 +336,13 @@
         let pressure = state.pressures.entry(received.service.clone()).or_default();
         pressure.record(took, received.route.latency_target, now);
     }
+    if let Outcome::Response(response) = outcome
+        && response.status().is_success()
+    {
+        // The whole answer has arrived, so it has begun without an end of the endpoint.
+        let segments = received.metadata.shared_segments();
+        state.quarantine.record_survival(&segments, now, now);
+    }
     // A refusal or a local error says nothing about the endpoint's health.
     if !matches!(outcome, Outcome::Refused | Outcome::NotAttempted) {
         state.balancer.record_attempt(&target.endpoint, attempt, load, slow_start, now);
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -32,6 +32,8 @@
     pub(crate) chunks_serving: Cell<u32>,
     /// Number of running checks of endpoints that may have ended.
     pub(crate) end_checks: Cell<u32>,
+    /// Notified when this relay has seen an endpoint end as an answer began.
+    pub(crate) evidence_added: Notify,
     /// Notified when connections must be closed because the process is stopping.
     pub(crate) shutdown: Notify,
 }
@@ -52,6 +54,7 @@
             chunks_wanted: Notify::new(),
             chunks_serving: Cell::new(0),
             end_checks: Cell::new(0),
+            evidence_added: Notify::new(),
             shutdown: Notify::new(),
         })
     }
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -1,17 +1,22 @@
 //! Detects endpoints that end just after they have begun an answer, as opposed to a connection that
-//! was cut.
+//! was cut, and has the segments of the prompt judged by it.
 
 use std::time::Duration;
 
 use ibishill_core::{call, event, id, time};
+use ibishill_decide::quarantine::evidence;
 use tokio::time as clock;
 
 use crate::attempt::Received;
 use crate::context::Shared;
+use crate::state::State;
 use crate::upstream::{self, CallError};
 
 /// Time from the head of an answer within which its end counts as early.
-const BEGIN_WINDOW: time::Millis = time::Millis(400);
+const BEGIN_WINDOW: time::Millis = time::Millis(150);
+
+/// The same for an answer without any event, as a full engine takes longer to send the first one.
+const FIRST_EVENT_WINDOW: time::Millis = time::Millis(400);
 
 /// Delay of the check, within which a process that has crashed stops listening.
 const CHECK_DELAY: Duration = Duration::from_millis(100);
@@ -27,12 +32,13 @@
 pub(crate) struct Beginning {
     began: time::Tick,
     events: u64,
+    is_recorded: bool,
 }
 
 impl Beginning {
     /// The head of the answer has arrived at `began`.
     pub(crate) const fn at(began: time::Tick) -> Self {
-        Self { began, events: 0 }
+        Self { began, events: 0, is_recorded: false }
     }
 
     /// Arrival of the answer's head.
@@ -50,9 +56,15 @@
         self.events += 1;
     }
 
+    /// Whether it has yet to be recorded that the answer has gone on; true once.
+    pub(crate) const fn take_survival(&mut self) -> bool {
+        self.events > 0 && !std::mem::replace(&mut self.is_recorded, true)
+    }
+
     /// Whether an end at `now` is early.
     pub(crate) fn is_early(&self, now: time::Tick) -> bool {
-        self.events == 0 || now.since(self.began) < BEGIN_WINDOW
+        let window = if self.events == 0 { FIRST_EVENT_WINDOW } else { BEGIN_WINDOW };
+        now.since(self.began) < window
     }
 }
 
@@ -87,7 +99,7 @@
     let Some(registration) = context.state().balancer.entry(endpoint).cloned() else { return };
     let Some(guard) = CheckGuard::begin(context) else { return };
     let (context, request) = (context.clone(), received.metadata.id.clone());
-    let segments = segment_list(&received.metadata);
+    let (segments, list) = (received.metadata.shared_segments(), segment_list(&received.metadata));
     tokio::task::spawn_local(async move {
         let _guard = guard;
         clock::sleep(CHECK_DELAY).await;
@@ -99,9 +111,30 @@
                 &[
                     event::field("endpoint", &registration.id),
                     event::field("request", &request),
-                    event::field("segments", &segments),
+                    event::field("segments", &list),
                 ],
             );
+            let key = evidence::EndpointKey::new(&registration.id, registration.started);
+            let now = context.now();
+            let mut state = context.state();
+            if state.quarantine.record_end(&segments, key, now) {
+                context.evidence_added.notify_one();
+            }
+            judge(&mut state, now);
         }
     });
 }
+
+/// Refuses or releases segments by the evidence so far, and logs it.
+pub(crate) fn judge(state: &mut State, now: time::Tick) {
+    for change in state.quarantine.judge(now) {
+        event::emit_json(
+            event::Event::SegmentJudged,
+            &[
+                event::field("segment", &change.segment),
+                event::field("is_refused", &change.is_refused),
+                event::field("ends", &change.ends),
+            ],
+        );
+    }
+}
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -19,7 +19,7 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use ibishill_core::{event, time};
-use ibishill_decide::{canary, peers};
+use ibishill_decide::{canary, peers, quarantine};
 use ibishill_state::{chunk, confirmation, transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -29,7 +29,7 @@
 
 use crate::context::Shared;
 use crate::state::{Announcement, Merged, Table};
-use crate::{chunks, message, upstream};
+use crate::{chunks, early_end, message, upstream};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -56,6 +56,9 @@
 /// Maximum number of heartbeats in a reply to a daemon that knows fewer members than the sender.
 const MEMBERS_MAX: usize = 1_024;
 
+/// Maximum number of prompt segments that a message has evidence about.
+const EVIDENCE_MAX: usize = 64;
+
 /// Daemons that decide on a roll-out; two, so that one may fail.
 pub(crate) const DECIDERS: usize = 2;
 
@@ -94,6 +97,7 @@
     deltas: Vec<(usize, transfer::Delta)>,
     canaries: Vec<canary::Snapshot>,
     configuration: Announcement,
+    evidence: Vec<quarantine::evidence::Evidence>,
 }
 
 /// Exchanges messages with peers, in periodic rounds and at once after an update.
@@ -313,6 +317,7 @@
         deltas,
         canaries,
         configuration: state.announcement(now),
+        evidence: state.quarantine.evidence(EVIDENCE_MAX, true, now),
     }
 }
 
@@ -339,6 +344,8 @@
         }
     }
     state.record_announcement(&message.configuration, now);
+    state.quarantine.merge(message.evidence, now);
+    early_end::judge(&mut state, now);
     let mut merged = Merged::default();
     for (at, delta) in message.deltas {
         if let Some(table) = Table::ALL.get(at) {
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -10,13 +10,14 @@
 use hyper::body::{Body as _, Incoming};
 use ibishill_adapter::head;
 use ibishill_core::{event, id, route, time};
-use ibishill_decide::{escalation, routing};
+use ibishill_decide::{escalation, quarantine, routing};
 use tokio::time as clock;
 
 use crate::attempt::{self, Outcome, Received};
 use crate::body::{self, Body};
 use crate::context::Shared;
 use crate::local_reply::{self, Reason};
+use crate::state::State;
 use crate::{selection, stream};
 
 /// Time within which a request body must arrive.
@@ -82,7 +83,7 @@
     };
     let response = match receive(&context, request, metadata, arrived).await {
         Ok(received) => run(&context, received).await,
-        Err((request, reason)) => local_reply::respond(&context, &request, reason, None),
+        Err((request, reason)) => local_reply::respond(&context, &request, reason),
     };
     guard.is_done = true;
     finish(&context, response)
@@ -208,9 +209,7 @@
             }
             response
         }
-        Err(reason) => {
-            local_reply::respond(context, &request, reason, Some(local_reply::RETRY_AFTER))
-        }
+        Err(reason) => local_reply::respond(context, &request, reason),
     }
 }
 
@@ -252,7 +251,7 @@
                 *has_sent = was_sent;
                 sends += 1;
                 if sends < received.route.max_attempts
-                    && acquire_retry(context, &received, "refused")
+                    && acquire_retry(context, &received, Retry::Refused)
                 {
                     continue;
                 }
@@ -269,7 +268,7 @@
                 let may_retry = received.route.kind.may_retry();
                 if may_retry
                     && sends < received.route.max_attempts
-                    && acquire_retry(context, &received, "unknown")
+                    && acquire_retry(context, &received, Retry::Unknown)
                 {
                     continue;
                 }
@@ -282,7 +281,7 @@
                     response.status().is_server_error() && received.route.kind.may_retry();
                 if may_retry
                     && sends < received.route.max_attempts
-                    && acquire_retry(context, &received, "failed")
+                    && acquire_retry(context, &received, Retry::Failed)
                 {
                     last = Some(response);
                     continue;
@@ -296,7 +295,7 @@
                 if index < largest
                     && sends < received.route.max_attempts
                     && needs_larger_model(context, &received, &start.reply, &models[largest])
-                    && acquire_retry(context, &received, "weak")
+                    && acquire_retry(context, &received, Retry::Weak)
                 {
                     log_dropped(&received, &start.reply);
                     index = largest;
@@ -327,18 +326,57 @@
     reply.confidence.is_some_and(|confidence| confidence < threshold)
 }
 
+/// Reason for a further attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Retry {
+    /// The endpoint reported that it has not run the request.
+    Refused,
+    /// The request may have run, but got no valid response.
+    Unknown,
+    /// The endpoint answered with an error.
+    Failed,
+    /// The model's confidence in its answer is low.
+    Weak,
+    /// No response within the hang timeout.
+    Silent,
+    /// The stream broke off.
+    Cut,
+}
+
+impl Retry {
+    // Label in the metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+            Self::Failed => "failed",
+            Self::Weak => "weak",
+            Self::Silent => "silent",
+            Self::Cut => "cut",
+        }
+    }
+}
+
+// Whether a segment of the prompt is suspected of ending endpoints, so that the request gets one
+// attempt only.
+fn is_contained(state: &State, received: &Received, now: time::Tick) -> bool {
+    let segments = received.metadata.shared_segments();
+    state.verdict(&segments, now) != quarantine::Verdict::Allowed
+}
+
 /// Takes a retry from the budget of the request's service; returns whether it was granted.
-///
-/// `reason` is the label in the metrics.
-pub(crate) fn acquire_retry(context: &Shared, received: &Received, reason: &'static str) -> bool {
+pub(crate) fn acquire_retry(context: &Shared, received: &Received, reason: Retry) -> bool {
     let now = context.now();
     let mut state = context.state();
+    if reason != Retry::Refused && is_contained(&state, received, now) {
+        return false;
+    }
     let daemons = state.peers.others().count() + 1;
     let bounds = state.settings.bounds;
     let allowance = state.allowances.entry(received.service.clone()).or_default();
     let is_granted = allowance.try_acquire(&bounds, daemons, now);
     if is_granted {
-        context.metrics.record_retry(reason);
+        context.metrics.record_retry(reason.as_str());
     }
     is_granted
 }
@@ -347,6 +385,9 @@
 pub(crate) fn can_retry(context: &Shared, received: &Received) -> bool {
     let now = context.now();
     let state = context.state();
+    if is_contained(&state, received, now) {
+        return false;
+    }
     let daemons = state.peers.others().count() + 1;
     let allowance = state.allowances.get(&received.service);
     allowance.is_some_and(|allowance| allowance.is_available(&state.settings.bounds, daemons, now))
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ibishill_core::{event, id};
-use ibishill_decide::balance;
+use ibishill_decide::{balance, quarantine};
 use ibishill_state::confirmation;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -17,6 +17,7 @@
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
+use crate::early_end;
 use crate::state::{Announcement, State, Table};
 
 /// Interval between reports; requests take about a second.
@@ -32,6 +33,15 @@
 /// Maximum number of endpoints in one datagram, those with the most requests first.
 const ENTRIES_MAX: usize = 160;
 
+/// The same beside evidence about prompt segments.
+const ENTRIES_BESIDE_EVIDENCE: usize = 80;
+
+/// Maximum number of prompt segments that one datagram has evidence about.
+const EVIDENCE_MAX: usize = 4;
+
+/// Delay of the datagram that announces new evidence, so that ends at the same moment share one.
+const EVIDENCE_DELAY: Duration = Duration::from_millis(50);
+
 #[derive(Serialize, Deserialize)]
 struct Datagram {
     vm: id::VmId,
@@ -41,6 +51,7 @@
     #[serde(rename = "shares")]
     in_flight: Vec<balance::reports::InFlight>,
     configuration: Announcement,
+    evidence: Vec<quarantine::evidence::Evidence>,
 }
 
 /// Sends and receives load reports.
@@ -55,6 +66,11 @@
                 round += 1;
                 send(&context, &socket, round).await;
             }
+            () = context.evidence_added.notified() => {
+                clock::sleep(EVIDENCE_DELAY).await;
+                round += 1;
+                send(&context, &socket, round).await;
+            }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => receive(&context, &buffer[..length], from),
                 // An ICMP error from a peer that is down is reported here.
@@ -70,7 +86,9 @@
         let state = context.state();
         let mut in_flight = state.balancer.in_flight();
         in_flight.sort_by_key(|work| std::cmp::Reverse(work.running));
-        in_flight.truncate(ENTRIES_MAX);
+        let evidence = state.quarantine.evidence(EVIDENCE_MAX, false, now);
+        let entries_max = if evidence.is_empty() { ENTRIES_MAX } else { ENTRIES_BESIDE_EVIDENCE };
+        in_flight.truncate(entries_max);
         let alive = state.peers.alive(now);
         let peers: Vec<_> = alive.iter().skip(1).map(|member| member.address).collect();
         (
@@ -79,6 +97,7 @@
                 versions: state.table_versions(now),
                 in_flight,
                 configuration: state.announcement(now),
+                evidence,
             },
             peers,
         )
@@ -116,6 +135,8 @@
             state.record_announcement(&datagram.configuration, now);
             state.record_confirmations(&datagram.versions, now);
             state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
+            state.quarantine.merge(datagram.evidence, now);
+            early_end::judge(&mut state, now);
         }
         Err(error) => {
             event::emit_json(
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -9,7 +9,7 @@
 
 /// Default of the `Retry-After` header: about the time that the remaining endpoints take to
 /// absorb the load of lost ones.
-pub(crate) const RETRY_AFTER: time::Millis = time::Millis(500);
+const RETRY_AFTER: time::Millis = time::Millis(500);
 
 /// Reason for a response that the relay generates itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +34,8 @@
     NoEndpoint,
     /// No endpoint had a free slot within the wait limit.
     NoCapacity,
+    /// A segment of the prompt ends endpoints; the time until it is tried again.
+    Quarantined(time::Millis),
     /// The endpoint refused the request and no retry is allowed.
     Refused,
     /// The deadline passed before the request was sent, so it has not run.
@@ -59,11 +61,20 @@
             | Self::NoService
             | Self::NoEndpoint
             | Self::NoCapacity
+            | Self::Quarantined(_)
             | Self::Refused
             | Self::DeadlineBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
+    /// Time after which the caller may try again; none unless the request has certainly not run.
+    pub(crate) fn retry_after(self) -> Option<time::Millis> {
+        match self {
+            Self::Quarantined(after) => Some(time::Millis::from_secs(after.ceil_secs().max(1))),
+            _ => (self.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER),
+        }
+    }
+
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::NotReady => "no configuration yet",
@@ -76,6 +87,7 @@
             Self::NoService => "no service by weight",
             Self::NoEndpoint => "no endpoint in service",
             Self::NoCapacity => "no endpoint with room in time",
+            Self::Quarantined(_) => "prompt segment in quarantine",
             Self::Refused => "refused by the endpoint",
             Self::DeadlineBeforeSend => "deadline passed before a send",
             Self::DeadlineAfterSend => "deadline passed after a send",
@@ -85,16 +97,8 @@
 }
 
 /// Logs, counts and builds a response for `reason`.
-///
-/// `Retry-After` is set for status 503 only, to [`RETRY_AFTER`] if `retry_after` is absent.
-pub(crate) fn respond(
-    context: &Shared,
-    request: &str,
-    reason: Reason,
-    retry_after: Option<time::Millis>,
-) -> Response<Body> {
-    let is_refusal = reason.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let retry_after = if is_refusal { retry_after.or(Some(RETRY_AFTER)) } else { None };
+pub(crate) fn respond(context: &Shared, request: &str, reason: Reason) -> Response<Body> {
+    let retry_after = reason.retry_after();
     let version = context.state().catalog.as_ref().map_or(0, |catalog| catalog.version);
     context.metrics.record_local_reply(reason.as_str());
     event::emit_json(
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -182,13 +182,14 @@
     let suspected = state.balancer.reach().suspect_count();
     let mut lines = format!(
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
-         relay_rollouts_running {}\nrelay_zones_doubted {}\n",
+         relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
         state.wait_queue.len(),
         state.canaries.values().filter(running).count(),
         suspected,
+        state.quarantine.refused_count(),
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ibishill_core::{event, id, route, time};
-use ibishill_decide::{balance, canary, wait_queue};
+use ibishill_decide::{balance, canary, quarantine, wait_queue};
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
@@ -38,6 +38,8 @@
     Full,
     /// No eligible endpoint.
     NoEndpoint,
+    /// A segment of the prompt ends endpoints; the time until it is tried again.
+    Quarantined(time::Millis),
 }
 
 /// Chooses the endpoint for a request's next attempt, other than those `tried`.
@@ -55,6 +57,10 @@
     let now = context.now();
     let mut state = context.state();
     let state = &mut *state;
+    let segments = received.metadata.shared_segments();
+    if let quarantine::Verdict::Refused(after) = state.verdict(&segments, now) {
+        return Choice::Quarantined(after);
+    }
     let session = received.metadata.session.as_ref().unwrap_or(&received.metadata.id);
     let session = xxh3::xxh3_64(session.as_bytes());
     let slow_start = state.slow_start(&received.service, now);
@@ -155,11 +161,13 @@
     model: Option<&id::ModelId>,
 ) -> Result<Target, Reason> {
     let (service, priority) = (&received.service, received.priority());
+    check_quarantine(context, received)?;
     let is_first = !context.state().wait_queue.has_more_urgent(service, priority);
     if is_first {
         match choose(context, received, tried, model, received.metadata.last_event) {
             Choice::Send(target) => return Ok(target),
             Choice::NoEndpoint if !tried.is_empty() => return Err(Reason::NoEndpoint),
+            Choice::Quarantined(after) => return Err(Reason::Quarantined(after)),
             Choice::NoEndpoint | Choice::Full => {}
         }
     }
@@ -179,6 +187,7 @@
     while context.now() < now + wait_limit {
         let woken = clock::timeout(POLL_INTERVAL, context.capacity_freed.notified()).await;
         drop(woken);
+        check_quarantine(context, received)?;
         if queue_position(context, service, ticket) >= QUEUE_HEAD {
             continue;
         }
@@ -189,11 +198,21 @@
             }
             Choice::Full => reason = Reason::NoCapacity,
             Choice::NoEndpoint => reason = Reason::NoEndpoint,
+            Choice::Quarantined(after) => return Err(Reason::Quarantined(after)),
         }
     }
     Err(reason)
 }
 
+// Fails if a segment of the prompt is refused, whether or not there is a free slot.
+fn check_quarantine(context: &Shared, received: &Received) -> Result<(), Reason> {
+    let segments = received.metadata.shared_segments();
+    match context.state().verdict(&segments, context.now()) {
+        quarantine::Verdict::Refused(after) => Err(Reason::Quarantined(after)),
+        quarantine::Verdict::Allowed | quarantine::Verdict::Contained => Ok(()),
+    }
+}
+
 fn queue_position(context: &Shared, service: &id::ServiceId, ticket: u64) -> usize {
     let state = context.state();
     let in_flight = |workspace: Option<&id::WorkspaceId>| {
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use ibishill_adapter::row;
-use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, escalation, peers, retry, wait_queue};
+use ibishill_core::{call, event, fleet, id, route, time};
+use ibishill_decide::{balance, canary, escalation, peers, quarantine, retry, wait_queue};
 use ibishill_state::{chunk, confirmation, replica, transfer};
 use serde::{Deserialize, Serialize};
 
@@ -113,6 +113,8 @@
     pub(crate) canaries: BTreeMap<id::ServiceId, canary::Canary>,
     pub(crate) peers: peers::Peers,
     pub(crate) wait_queue: wait_queue::Queue,
+    /// Prompt segments that end endpoints.
+    pub(crate) quarantine: quarantine::Quarantine,
     pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
     pub(crate) pressures: BTreeMap<id::ServiceId, escalation::Pressure>,
     /// In-flight requests by workspace.
@@ -151,6 +153,7 @@
             canaries: BTreeMap::new(),
             peers: peers::Peers::new(own),
             wait_queue: wait_queue::Queue::default(),
+            quarantine: quarantine::Quarantine::default(),
             allowances: BTreeMap::new(),
             pressures: BTreeMap::new(),
             in_flight: BTreeMap::new(),
@@ -548,6 +551,16 @@
         self.balancer.reports().expire(now);
     }
 
+    /// What may be done with a request whose prompt has these shared segments.
+    pub(crate) fn verdict(
+        &self,
+        segments: &[call::SegmentId],
+        now: time::Tick,
+    ) -> quarantine::Verdict {
+        let rank = |segment: call::SegmentId| self.peers.known_rank(&segment.to_string());
+        self.quarantine.verdict(segments, rank, now)
+    }
+
     /// Slow-start rule for the endpoints of a service.
     pub(crate) fn slow_start(
         &self,
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -145,7 +145,10 @@
                 Ok(None) if is_until_close && self.has_missed_all() => {
                     return End::Cut("connection ended before the first event".into());
                 }
-                Ok(None) if buffer.is_empty() => return End::Complete,
+                Ok(None) if buffer.is_empty() => {
+                    self.record_survival();
+                    return End::Complete;
+                }
                 Ok(None) => return End::Cut("stream ended inside an event".into()),
                 Ok(Some(Err(error))) => return End::Cut(error.to_string()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -168,6 +171,9 @@
                 return End::Broken(format!("no event within {EVENT_MAX} bytes"));
             }
             self.measure(&mut pace);
+            if !self.beginning.is_early(self.context.now()) {
+                self.record_survival();
+            }
             if self.sender.send(Ok(events)).await.is_err() {
                 return End::CallerLeft;
             }
@@ -181,6 +187,15 @@
         self.beginning.events() == 0 && !is_callers
     }
 
+    // The answer has gone on, so its prompt does not end endpoints.
+    fn record_survival(&mut self) {
+        if self.beginning.take_survival() {
+            let segments = self.received.metadata.shared_segments();
+            let (began, now) = (self.beginning.began(), self.context.now());
+            self.context.state().quarantine.record_survival(&segments, began, now);
+        }
+    }
+
     async fn pace_due(&self, pace: &pace::Pace) {
         match pace.due() {
             Some(at) => clock::sleep(at.since(self.context.now()).to_std()).await,
@@ -235,7 +250,7 @@
             let remaining = self.received.remaining(self.context.now());
             if !is_allowed
                 || remaining.0 == 0
-                || !handler::acquire_retry(&self.context, &self.received, "cut")
+                || !handler::acquire_retry(&self.context, &self.received, handler::Retry::Cut)
             {
                 self.log_broken(&why);
                 return None;
