relay: logs and a metric tell which endpoints name a limit

An on-call engineer could not tell that an endpoint had named a limit, nor compare it with what was sent there. The header is decoded into a rate; E2208 and relay_endpoints_limited tell what the endpoints' answers say. An answer to a request that was sent before the limit was last named does not withdraw it. The key of an endpoint's incarnation moves out of the quarantine's messages, since limits go by it, too. No decision changes.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -106,6 +106,7 @@
     ZoneReach = 2205, Warn, "zone out of reach or reached again";
     EndpointEnded = 2206, Warn, "endpoint ended as an answer began";
     SegmentJudged = 2207, Warn, "prompt segment refused or released";
+    LimitChanged = 2208, Info, "endpoint named or withdrew a limit";
     RolloutChanged = 2301, Info, "roll-out changed";
     StatusDelayed = 2302, Warn, "state of a roll-out could not be written yet";
     RequestSent = 2401, Info, "request sent to an endpoint";
--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod outcome;
 pub mod prefix;
 pub mod priority;
+pub mod rate;
 pub mod repeat;
 pub mod route;
 pub mod secret;
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod choose;
 pub mod cohort;
 pub mod dispatch;
+pub mod endpoint_key;
+pub mod endpoint_limit;
 pub mod escalation;
 pub mod hedge;
 pub mod index;
--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -11,7 +11,7 @@
 
 use ibishill_core::{call, time};
 
-use evidence::EndpointKey;
+use crate::endpoint_key::EndpointKey;
 
 /// Ends of distinct endpoints after which a segment that no answer has cleared is refused.
 const ENDS_MAX: usize = 4;
--- a/crates/ibishill-decide/src/quarantine/evidence.rs
+++ b/crates/ibishill-decide/src/quarantine/evidence.rs
@@ -1,28 +1,15 @@
 //! Evidence about prompt segments, as daemons tell it each other. Merging is idempotent: an end is
 //! identified by its endpoint, however many daemons have seen it.
 
-use ibishill_core::{call, id, time};
+use ibishill_core::{call, time};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3;
 
 use super::{Change, End, Hold, Quarantine, Survival};
+use crate::endpoint_key::EndpointKey;
 
 /// Time for which a change is told in every report.
 const NEWS_TTL: time::Millis = time::Millis(2_000);
 
-/// One incarnation of an endpoint: the low 32 bits of a hash of its id and start time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct EndpointKey(u32);
-
-impl EndpointKey {
-    /// Key of the incarnation with this id and start time, in milliseconds since the Unix epoch.
-    pub fn new(id: &id::EndpointId, started: Option<u64>) -> Self {
-        let seed = started.unwrap_or_default();
-        Self(xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), seed) as u32)
-    }
-}
-
 /// How long a segment has been refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct Held {
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -1,5 +1,6 @@
 use ibishill_core::{call, id, time};
-use ibishill_decide::quarantine::evidence::{EndpointKey, Evidence};
+use ibishill_decide::endpoint_key::EndpointKey;
+use ibishill_decide::quarantine::evidence::Evidence;
 use ibishill_decide::quarantine::{Quarantine, Verdict};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{call, event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, outlier, reach};
+use ibishill_decide::{balance, canary, endpoint_limit, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
@@ -232,6 +232,7 @@
         }
         Err(error) => return (Outcome::ConnectFailed, error.to_string()),
     };
+    let sent = guard.context.now();
     let (response, connection) = match upstream::send(stream, request).await {
         Ok(answered) => answered,
         Err(CallError::Unknown(detail)) => return (Outcome::Unknown, detail),
@@ -243,6 +244,7 @@
     if !reply.matches_request {
         return (Outcome::Unknown, "the answer belongs to another request".into());
     }
+    record_limit(&guard.context, registration, &reply, parts.status, sent);
     if reply.not_run {
         guard.context.state().balancer.record_refusal(&guard.endpoint, guard.context.now());
         return (Outcome::Refused, parts.status.to_string());
@@ -264,6 +266,21 @@
     }
 }
 
+// A refusal or an error may come from before the endpoint, so it does not withdraw a limit.
+fn record_limit(
+    context: &Shared,
+    registration: &fleet::Registration,
+    reply: &head::Reply,
+    status: StatusCode,
+    sent: time::Tick,
+) {
+    let is_answer = reply.has_signature && !reply.not_run && status.is_success();
+    if reply.limit.is_some() || is_answer {
+        let statement = endpoint_limit::Statement { limit: reply.limit, sent };
+        context.state().record_limit(registration, statement, context.now());
+    }
+}
+
 // Opens a connection, and records whether the endpoint's zone is reachable.
 async fn connect(
     context: &Shared,
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ibishill_core::{call, event, id, time};
-use ibishill_decide::quarantine::evidence;
+use ibishill_decide::endpoint_key::EndpointKey;
 use tokio::time as clock;
 
 use crate::attempt::Received;
@@ -114,7 +114,7 @@
                     event::field("segments", &list),
                 ],
             );
-            let key = evidence::EndpointKey::new(&registration.id, registration.started);
+            let key = EndpointKey::of(&registration);
             let now = context.now();
             let mut state = context.state();
             if state.quarantine.record_end(&segments, key, now) {
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -182,7 +182,8 @@
     let suspected = state.balancer.reach().suspect_count();
     let mut lines = format!(
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
-         relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n",
+         relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n\
+         relay_endpoints_limited {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -190,6 +191,7 @@
         state.canaries.values().filter(running).count(),
         suspected,
         state.quarantine.refused_count(),
+        state.limits.len(),
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -7,7 +7,10 @@
 use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{call, event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, escalation, peers, quarantine, retry, wait_queue};
+use ibishill_decide::endpoint_key::EndpointKey;
+use ibishill_decide::{
+    balance, canary, endpoint_limit, escalation, peers, quarantine, retry, wait_queue,
+};
 use ibishill_state::{chunk, confirmation, replica, transfer};
 use serde::{Deserialize, Serialize};
 
@@ -113,6 +116,8 @@
     pub(crate) canaries: BTreeMap<id::ServiceId, canary::Canary>,
     pub(crate) peers: peers::Peers,
     pub(crate) wait_queue: wait_queue::Queue,
+    /// Limits that endpoints name.
+    pub(crate) limits: endpoint_limit::Limits,
     /// Prompt segments that end endpoints.
     pub(crate) quarantine: quarantine::Quarantine,
     pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
@@ -153,6 +158,7 @@
             canaries: BTreeMap::new(),
             peers: peers::Peers::new(own),
             wait_queue: wait_queue::Queue::default(),
+            limits: endpoint_limit::Limits::default(),
             quarantine: quarantine::Quarantine::default(),
             allowances: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -551,6 +557,22 @@
         self.balancer.reports().expire(now);
     }
 
+    /// Records what an endpoint's answer says of its limit.
+    pub(crate) fn record_limit(
+        &mut self,
+        registration: &fleet::Registration,
+        statement: endpoint_limit::Statement,
+        now: time::Tick,
+    ) {
+        if self.limits.record(EndpointKey::of(registration), statement, now) {
+            let limit = statement.limit.map_or("-".to_owned(), |limit| limit.to_string());
+            event::emit_json(
+                event::Event::LimitChanged,
+                &[event::field("endpoint", &registration.id), event::field("limit", &limit)],
+            );
+        }
+    }
+
     /// What may be done with a request whose prompt has these shared segments.
     pub(crate) fn verdict(
         &self,
