relay: the limit that an endpoint names is divided among the relays

An endpoint in need got 18 requests in four seconds at a limit of 1.6 a second, 15 allowed, and 21 at 2.1: the balancer sent by load alone, and nothing read the limit. A limit kept by each relay would not have helped, the sum over all of them counts. The record rules out retries and resumes: the endpoints refused and broke none. Reports leave out as many endpoints as needed to fit into one packet.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -12,7 +12,8 @@
 use ibishill_core::{fleet, id, time};
 use xxhash_rust::xxh3;
 
-use crate::{outlier, rate, reach};
+use crate::endpoint_key::EndpointKey;
+use crate::{endpoint_limit, outlier, rate, reach};
 
 /// Age at which the load that a response reported has lost all its weight; the weight falls
 /// linearly.
@@ -183,6 +184,8 @@
     entry: fleet::Registration,
     // Identifies the endpoint in peers' reports: the low 32 bits of its id's hash.
     report_key: u32,
+    // Identifies this incarnation.
+    key: EndpointKey,
     running: u32,
     tokens: u64,
     // Own requests whose response has not started, and their prefill cost.
@@ -224,6 +227,7 @@
 #[derive(Debug, Clone)]
 pub struct Balancer {
     reports: reports::Reports,
+    limits: endpoint_limit::Limits,
     zone: id::ZoneId,
     endpoints: BTreeMap<id::EndpointId, Endpoint>,
     zones_out: BTreeMap<id::ZoneId, ()>,
@@ -248,6 +252,7 @@
     pub fn new(zone: id::ZoneId) -> Self {
         Self {
             reports: reports::Reports::default(),
+            limits: endpoint_limit::Limits::default(),
             zone,
             endpoints: BTreeMap::new(),
             zones_out: BTreeMap::new(),
@@ -269,6 +274,11 @@
         .collect()
     }
 
+    /// Limits that endpoints name.
+    pub const fn limits(&mut self) -> &mut endpoint_limit::Limits {
+        &mut self.limits
+    }
+
     /// In-flight work reported by peers.
     pub const fn reports(&mut self) -> &mut reports::Reports {
         &mut self.reports
@@ -306,6 +316,7 @@
             _ => {
                 let endpoint = Endpoint {
                     report_key: report_key(&entry.id),
+                    key: EndpointKey::of(&entry),
                     entry: entry.clone(),
                     running: 0,
                     tokens: 0,
@@ -423,7 +434,9 @@
             return Choice::NoEndpoint;
         }
         let is_available = |endpoint: &&&Endpoint| {
-            self.has_capacity(endpoint, request, now) && admits(endpoint, cold, &rank, now)
+            self.has_capacity(endpoint, request, now)
+                && admits(endpoint, cold, &rank, now)
+                && self.limits.admits(endpoint.key, now)
         };
         let mut available: Vec<&Endpoint> =
             candidates.iter().filter(is_available).copied().collect();
@@ -533,6 +546,7 @@
         endpoint.prefill += work.prefill;
         endpoint.breaker.begin(now);
         self.reach.begin(&endpoint.entry.zone, now);
+        self.limits.record_send(endpoint.key, now);
         // Tokens are also taken while the endpoint is warm, so that the bucket is not full when
         // it turns cold.
         if cold.rate > 0.0 {
--- a/crates/ibishill-decide/src/endpoint_key.rs
+++ b/crates/ibishill-decide/src/endpoint_key.rs
@@ -1,5 +1,7 @@
 //! Short keys of endpoints, for messages between daemons.
 
+use std::fmt;
+
 use ibishill_core::{fleet, id};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
@@ -9,6 +11,12 @@
 #[serde(transparent)]
 pub struct EndpointKey(u32);
 
+impl fmt::Display for EndpointKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 impl EndpointKey {
     /// Key of the incarnation with this id and start time, in milliseconds since the Unix epoch.
     pub fn new(id: &id::EndpointId, started: Option<u64>) -> Self {
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -47,12 +47,14 @@
 pub struct Peers {
     own: Member,
     known: BTreeMap<id::VmId, Known>,
+    // Number of times that a daemon was added or removed.
+    generation: u64,
 }
 
 impl Peers {
     /// Creates a membership of this daemon alone.
     pub const fn new(own: Member) -> Self {
-        Self { own, known: BTreeMap::new() }
+        Self { own, known: BTreeMap::new(), generation: 0 }
     }
 
     /// This daemon's own entry.
@@ -83,6 +85,7 @@
             }
             None => {
                 self.known.insert(member.vm.clone(), Known { member, last_seen: now });
+                self.generation += 1;
                 true
             }
         }
@@ -90,7 +93,14 @@
 
     /// Removes daemons without a new heartbeat for a minute.
     pub fn expire(&mut self, now: time::Tick) {
+        let before = self.known.len();
         self.known.retain(|_, known| now.since(known.last_seen) < REMOVE_AFTER);
+        self.generation += u64::from(self.known.len() < before);
+    }
+
+    /// Changes whenever the set of known daemons does.
+    pub const fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// All live daemons, this one first.
@@ -131,6 +141,16 @@
         alive
     }
 
+    /// The first `count` of all known daemons, live or not, in the order of [`Peers::known_rank`].
+    pub fn known_assigned(&self, duty: &str, count: usize) -> Vec<id::VmId> {
+        let seed = xxh3::xxh3_64(duty.as_bytes());
+        let mut all: Vec<&Member> = std::iter::once(&self.own).chain(self.others()).collect();
+        all.sort_by_key(|member| {
+            std::cmp::Reverse(xxh3::xxh3_64_with_seed(member.vm.as_str().as_bytes(), seed))
+        });
+        all.into_iter().take(count).map(|member| member.vm.clone()).collect()
+    }
+
     /// Heartbeats to pass on: this daemon's and those of `count` others, chosen anew in each
     /// `round`.
     pub fn sample(&self, count: usize, round: u64, now: time::Tick) -> Vec<Member> {
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -19,7 +19,7 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use ibishill_core::{event, time};
-use ibishill_decide::{canary, peers, quarantine};
+use ibishill_decide::{canary, peers};
 use ibishill_state::{chunk, confirmation, transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -28,8 +28,8 @@
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
-use crate::state::{Announcement, Merged, Table};
-use crate::{chunks, early_end, message, upstream};
+use crate::state::{Announcement, Merged, News, Table};
+use crate::{chunks, message, upstream};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -56,8 +56,8 @@
 /// Maximum number of heartbeats in a reply to a daemon that knows fewer members than the sender.
 const MEMBERS_MAX: usize = 1_024;
 
-/// Maximum number of prompt segments that a message has evidence about.
-const EVIDENCE_MAX: usize = 64;
+/// Maximum number of limits and of prompt segments that a message tells of.
+const NEWS_MAX: (usize, usize) = (64, 64);
 
 /// Daemons that decide on a roll-out; two, so that one may fail.
 pub(crate) const DECIDERS: usize = 2;
@@ -93,11 +93,11 @@
     #[serde(rename = "have")]
     versions: Vec<confirmation::Told>,
     /// Deltas that the receiver lacks, with the index of their table in `Table::ALL`.
-    #[serde(rename = "news")]
+    #[serde(rename = "rows")]
     deltas: Vec<(usize, transfer::Delta)>,
     canaries: Vec<canary::Snapshot>,
     configuration: Announcement,
-    evidence: Vec<quarantine::evidence::Evidence>,
+    news: News,
 }
 
 /// Exchanges messages with peers, in periodic rounds and at once after an update.
@@ -299,7 +299,7 @@
     receiver_known: Option<usize>,
 ) -> Message {
     let now = context.now();
-    let state = context.state();
+    let mut state = context.state();
     let known = state.peers.others().count() + 1;
     let count = if receiver_known.is_some_and(|count| count < known) {
         MEMBERS_MAX
@@ -317,7 +317,7 @@
         deltas,
         canaries,
         configuration: state.announcement(now),
-        evidence: state.quarantine.evidence(EVIDENCE_MAX, true, now),
+        news: state.news(NEWS_MAX, true, now),
     }
 }
 
@@ -344,8 +344,7 @@
         }
     }
     state.record_announcement(&message.configuration, now);
-    state.quarantine.merge(message.evidence, now);
-    early_end::judge(&mut state, now);
+    state.merge_news(message.news, now);
     let mut merged = Merged::default();
     for (at, delta) in message.deltas {
         if let Some(table) = Table::ALL.get(at) {
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -218,6 +218,7 @@
     let mut state = context.state();
     let bounds = state.settings.bounds;
     state.allowances.entry(received.service.clone()).or_default().record_request(&bounds, now);
+    state.balancer.limits().record_request(now);
 }
 
 async fn attempts(
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ibishill_core::{event, id};
-use ibishill_decide::{balance, quarantine};
+use ibishill_decide::balance;
 use ibishill_state::confirmation;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -17,14 +17,13 @@
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
-use crate::early_end;
-use crate::state::{Announcement, State, Table};
+use crate::state::{Announcement, News, State, Table};
 
 /// Interval between reports; requests take about a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Peers that a report is sent to: 13 KB/s with 100 bytes each. In larger deployments, each report
-/// goes to a different selection.
+/// goes to a different selection, besides those that share an endpoint's limit with this relay.
 const FANOUT: usize = 64;
 
 /// Maximum size of a datagram, in bytes; it fits into one packet.
@@ -33,11 +32,14 @@
 /// Maximum number of endpoints in one datagram, those with the most requests first.
 const ENTRIES_MAX: usize = 160;
 
-/// The same beside evidence about prompt segments.
-const ENTRIES_BESIDE_EVIDENCE: usize = 80;
+/// Maximum size of an endpoint's entry, in bytes.
+const ENTRY_SIZE_MAX: usize = 7;
 
-/// Maximum number of prompt segments that one datagram has evidence about.
-const EVIDENCE_MAX: usize = 4;
+/// Size of the number of entries, in bytes, above that of an empty list.
+const LENGTH_SIZE: usize = 1;
+
+/// Maximum number of limits and of prompt segments that one datagram tells of.
+const NEWS_MAX: (usize, usize) = (16, 4);
 
 /// Delay of the datagram that announces new evidence, so that ends at the same moment share one.
 const EVIDENCE_DELAY: Duration = Duration::from_millis(50);
@@ -51,7 +53,9 @@
     #[serde(rename = "shares")]
     in_flight: Vec<balance::reports::InFlight>,
     configuration: Announcement,
-    evidence: Vec<quarantine::evidence::Evidence>,
+    /// Requests per second that the sender gets from callers.
+    demand: f32,
+    news: News,
 }
 
 /// Sends and receives load reports.
@@ -82,31 +86,32 @@
 
 async fn send(context: &Shared, socket: &UdpSocket, round: u64) {
     let now = context.now();
-    let (datagram, mut peers) = {
-        let state = context.state();
+    let (datagram, in_flight, mut peers) = {
+        let mut state = context.state();
         let mut in_flight = state.balancer.in_flight();
         in_flight.sort_by_key(|work| std::cmp::Reverse(work.running));
-        let evidence = state.quarantine.evidence(EVIDENCE_MAX, false, now);
-        let entries_max = if evidence.is_empty() { ENTRIES_MAX } else { ENTRIES_BESIDE_EVIDENCE };
-        in_flight.truncate(entries_max);
+        in_flight.truncate(ENTRIES_MAX);
+        let datagram = Datagram {
+            vm: state.settings.vm.clone(),
+            versions: state.table_versions(now),
+            in_flight: Vec::new(),
+            configuration: state.announcement(now),
+            demand: state.balancer.limits().demand(now) as f32,
+            news: state.news(NEWS_MAX, false, now),
+        };
         let alive = state.peers.alive(now);
-        let peers: Vec<_> = alive.iter().skip(1).map(|member| member.address).collect();
-        (
-            Datagram {
-                vm: state.settings.vm.clone(),
-                versions: state.table_versions(now),
-                in_flight,
-                configuration: state.announcement(now),
-                evidence,
-            },
-            peers,
-        )
+        let peers: Vec<_> = alive.into_iter().skip(1).cloned().collect();
+        (datagram, in_flight, peers)
     };
     if peers.len() > FANOUT {
-        peers.sort_by_key(|peer| xxh3::xxh3_64_with_seed(peer.to_string().as_bytes(), round));
+        let partners = context.state().balancer.limits().partners(&datagram.vm);
+        peers.sort_by_key(|peer| {
+            let hash = xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), round);
+            (!partners.contains(&peer.vm), hash)
+        });
         peers.truncate(FANOUT);
     }
-    let bytes = match postcard::to_stdvec(&datagram) {
+    let bytes = match encode(datagram, in_flight) {
         Ok(bytes) => bytes,
         Err(error) => {
             event::emit_json(event::Event::PeerRejected, &[event::field("error", &error)]);
@@ -115,10 +120,21 @@
     };
     for peer in peers {
         // A report that can't be sent is superseded by the next one.
-        let _sent = socket.send_to(&bytes, peer).await;
+        let _sent = socket.send_to(&bytes, peer.address).await;
     }
 }
 
+// Encodes a datagram with as many of the entries as fit.
+fn encode(
+    mut datagram: Datagram,
+    mut in_flight: Vec<balance::reports::InFlight>,
+) -> Result<Vec<u8>, postcard::Error> {
+    let size = postcard::to_stdvec(&datagram)?.len();
+    in_flight.truncate(DATAGRAM_MAX.saturating_sub(size + LENGTH_SIZE) / ENTRY_SIZE_MAX);
+    datagram.in_flight = in_flight;
+    postcard::to_stdvec(&datagram)
+}
+
 fn receive(context: &Shared, bytes: &[u8], from: SocketAddr) {
     match postcard::from_bytes::<Datagram>(bytes) {
         Ok(datagram) => {
@@ -135,8 +151,9 @@
             state.record_announcement(&datagram.configuration, now);
             state.record_confirmations(&datagram.versions, now);
             state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
-            state.quarantine.merge(datagram.evidence, now);
-            early_end::judge(&mut state, now);
+            let demand = f64::from(datagram.demand);
+            state.balancer.limits().record_demand(&datagram.vm, demand, now);
+            state.merge_news(datagram.news, now);
         }
         Err(error) => {
             event::emit_json(
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -179,6 +179,7 @@
     let now = context.now();
     let mut state = context.state();
     let running = |canary: &&canary::Canary| canary.progress() == fleet::Progress::Running;
+    let limited = state.balancer.limits().len();
     let suspected = state.balancer.reach().suspect_count();
     let mut lines = format!(
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
@@ -191,7 +192,7 @@
         state.canaries.values().filter(running).count(),
         suspected,
         state.quarantine.refused_count(),
-        state.limits.len(),
+        limited,
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -15,7 +15,7 @@
 use crate::context::{self, Shared};
 use crate::error::RelayError;
 use crate::state::{State, Table};
-use crate::{chunks, early_end, feed, gossip, load_reports, log_writer, metrics, rollout, serve};
+use crate::{chunks, feed, gossip, load_reports, log_writer, metrics, rollout, serve};
 
 /// Interval of the checks for expired state and for suspensions.
 const TICK_INTERVAL: time::Millis = time::Millis(200);
@@ -165,7 +165,6 @@
             state.stale_until = now + STALE_MAX;
         }
         state.expire(now);
-        early_end::judge(&mut state, now);
         let is_ready = state.is_ready(now);
         let version = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
         drop(state);
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -14,6 +14,8 @@
 use ibishill_state::{chunk, confirmation, replica, transfer};
 use serde::{Deserialize, Serialize};
 
+use crate::early_end;
+
 /// Time after a store outage for which endpoints whose registration lapsed are kept: live ones
 /// register again within about two seconds.
 const LAPSE_GRACE: time::Millis = time::Millis(2_300);
@@ -73,6 +75,13 @@
     age: time::Millis,
 }
 
+/// What relays tell each other of endpoints.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct News {
+    limits: Vec<endpoint_limit::Told>,
+    evidence: Vec<quarantine::evidence::Evidence>,
+}
+
 /// Result of merging a delta.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Merged {
@@ -116,8 +125,6 @@
     pub(crate) canaries: BTreeMap<id::ServiceId, canary::Canary>,
     pub(crate) peers: peers::Peers,
     pub(crate) wait_queue: wait_queue::Queue,
-    /// Limits that endpoints name.
-    pub(crate) limits: endpoint_limit::Limits,
     /// Prompt segments that end endpoints.
     pub(crate) quarantine: quarantine::Quarantine,
     pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
@@ -158,7 +165,6 @@
             canaries: BTreeMap::new(),
             peers: peers::Peers::new(own),
             wait_queue: wait_queue::Queue::default(),
-            limits: endpoint_limit::Limits::default(),
             quarantine: quarantine::Quarantine::default(),
             allowances: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -555,6 +561,8 @@
         }
         self.peers.expire(now);
         self.balancer.reports().expire(now);
+        self.divide_limits(now);
+        early_end::judge(self, now);
     }
 
     /// Records what an endpoint's answer says of its limit.
@@ -564,7 +572,8 @@
         statement: endpoint_limit::Statement,
         now: time::Tick,
     ) {
-        if self.limits.record(EndpointKey::of(registration), statement, now) {
+        if self.balancer.limits().record(EndpointKey::of(registration), statement, now) {
+            self.divide_limits(now);
             let limit = statement.limit.map_or("-".to_owned(), |limit| limit.to_string());
             event::emit_json(
                 event::Event::LimitChanged,
@@ -573,6 +582,33 @@
         }
     }
 
+    /// Divides the limits of endpoints between the daemons that send there.
+    pub(crate) fn divide_limits(&mut self, now: time::Tick) {
+        let (own, peers) = (&self.settings.vm, &self.peers);
+        let senders = |endpoint: EndpointKey| {
+            peers.known_assigned(&endpoint.to_string(), endpoint_limit::SENDERS)
+        };
+        self.balancer.limits().divide(own, peers.generation(), senders, now);
+    }
+
+    /// Merges what a peer tells of endpoints: limits, and segments of prompts that end them.
+    pub(crate) fn merge_news(&mut self, news: News, now: time::Tick) {
+        if self.balancer.limits().merge(news.limits, now) {
+            self.divide_limits(now);
+        }
+        self.quarantine.merge(news.evidence, now);
+        early_end::judge(self, now);
+    }
+
+    /// What peers are told of endpoints, at most so many limits and segments: all of it, or only
+    /// what has changed lately.
+    pub(crate) fn news(&mut self, max: (usize, usize), is_complete: bool, now: time::Tick) -> News {
+        News {
+            limits: self.balancer.limits().told(max.0, is_complete, now),
+            evidence: self.quarantine.evidence(max.1, is_complete, now),
+        }
+    }
+
     /// What may be done with a request whose prompt has these shared segments.
     pub(crate) fn verdict(
         &self,
