tests: a process that is being started holds no port that a test is about to bind

Cause: free_address binds a port to try it, and a process that another thread starts at that moment holds a copy of the socket until it executes its program; the port is taken when its owner binds it a moment later. A lock keeps the two apart; all tests that ask for ports start their processes by spawn. The same fault ended an endpoint of the test of poison segments once while it was written.

--- a/crates/ibishill/tests/processes/deployment.rs
+++ b/crates/ibishill/tests/processes/deployment.rs
@@ -8,7 +8,7 @@
 
 use ibishill_config::key;
 use ibishill_peer::tls;
-pub(crate) use ibishill_standin::port::free_address;
+pub(crate) use ibishill_standin::port::{free_address, spawn};
 use ibishill_standin::{engine, memory, platform};
 
 /// API key of the workspace that the tests declare.
@@ -76,16 +76,20 @@
             path("private.key").display(),
         );
         fs::write(path("settings.yaml"), settings).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_ibishill"))
-            .arg("serve")
-            .arg(path("settings.yaml"))
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ibishill"));
+        command.arg("serve").arg(path("settings.yaml")).stderr(Stdio::null());
+        let child = spawn(&mut command).unwrap();
         Daemon { child, callers, operators }
     }
 }
 
+/// Sends a process a signal, named as an option of `kill`.
+pub(crate) fn signal(process: &Child, name: &str) {
+    let mut kill = Command::new("kill");
+    let status = spawn(kill.args([name, &process.id().to_string()])).unwrap().wait();
+    assert!(status.unwrap().success());
+}
+
 /// Starts a stand-in engine.
 pub(crate) fn engine() -> (engine::Engine, SocketAddr) {
     let engine = engine::Engine::new(engine::Behaviour::default());
--- a/crates/ibishill/tests/processes/operator_commands.rs
+++ b/crates/ibishill/tests/processes/operator_commands.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 use ibishill_config::key;
 use ibishill_peer::tls;
@@ -73,12 +73,9 @@
         write(&dir, "declared.yaml", DOCUMENT);
         write(&dir, "bad.yaml", "zone: {}\nversoins: {}\n");
         write(&dir, "settings.yaml", &settings(&dir, addresses));
-        let child = Command::new(env!("CARGO_BIN_EXE_ibishill"))
-            .args(["serve", "settings.yaml"])
-            .current_dir(&dir)
-            .stderr(std::process::Stdio::null())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ibishill"));
+        command.args(["serve", "settings.yaml"]).current_dir(&dir).stderr(Stdio::null());
+        let child = deployment::spawn(&mut command).unwrap();
         let [callers, operators, ..] = addresses;
         Self { dir, memory, daemon: deployment::Daemon { child, callers, operators } }
     }
@@ -91,7 +88,8 @@
         if let Some(token) = token {
             command.arg(format!("--token-file={token}.token"));
         }
-        command.output().unwrap()
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        deployment::spawn(&mut command).unwrap().wait_with_output().unwrap()
     }
 
     fn exit_code(&self, token: Option<&str>, args: &[&str]) -> i32 {
--- a/crates/ibishill/tests/processes/replacement.rs
+++ b/crates/ibishill/tests/processes/replacement.rs
@@ -1,7 +1,6 @@
 //! Rolling replacement of all daemons under load: every request must get its complete response or
 //! be refused before it ran.
 
-use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -104,8 +103,7 @@
 }
 
 fn terminate(daemon: &deployment::Daemon) {
-    let pid = daemon.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    deployment::signal(&daemon.child, "-TERM");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/ibishill/tests/processes/secrets.rs
+++ b/crates/ibishill/tests/processes/secrets.rs
@@ -89,13 +89,13 @@
         fs::write(dir.join("vm.pem"), &identity.certificate).unwrap();
         fs::write(dir.join("vm.key"), identity.private_key.expose()).unwrap();
         fs::write(dir.join("settings.yaml"), settings(&dir, addresses, TOKEN)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_ibishill"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ibishill"));
+        command
             .arg("serve")
             .arg(dir.join("settings.yaml"))
             .env("IBISHILL_LOG", "trace")
-            .stderr(fs::File::create(dir.join("log")).unwrap())
-            .spawn()
-            .unwrap();
+            .stderr(fs::File::create(dir.join("log")).unwrap());
+        let child = deployment::spawn(&mut command).unwrap();
         let private_key = identity.private_key.expose().to_owned();
         Self { dir, addresses, authority, private_key, child }
     }
@@ -156,8 +156,7 @@
 
     fn reload(&self, settings: &str) {
         fs::write(self.dir.join("settings.yaml"), settings).unwrap();
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+        deployment::signal(&self.child, "-HUP");
     }
 
     async fn wait_for_log(&self, what: &str, count: usize) {
