relay: versions of the store are compared together with its era

After the store had been restored from an older copy, callers never got a changed configuration and operators no status: the store gave its version numbers out again, and relays took the new rows for old ones, from the store and from each other. Cause: a number alone was taken for a version. Rows, replicas, deltas, transfers and confirmations now carry (era, number), and an era is entered by a whole table only. Statuses are written again. An era that is no number or goes down makes a call count as failed.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -99,6 +99,8 @@
     StoreRegained = 2104, Info, "store regained";
     ExchangeFailed = 2105, Warn, "exchange with a peer failed after bytes had arrived";
     CatalogAnnounced = 2106, Info, "a peer has a newer configuration";
+    StoreRestored = 2107, Warn, "store restored from an older copy";
+    EraInvalid = 2108, Error, "answer of the store ignored for its era";
     EndpointKnown = 2201, Info, "endpoint known";
     EndpointGone = 2202, Info, "endpoint gone";
     ZoneChanged = 2203, Info, "zone taken out or back";
--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::store_version::StoreVersion;
 use crate::{id, link, time};
 
 /// An undecoded row of the platform's store, as cached and replicated to peers.
@@ -14,8 +15,8 @@
 pub struct RawRow {
     /// Key of the row.
     pub key: String,
-    /// Version of the transaction that last wrote or removed the row.
-    pub version: u64,
+    /// Version of the transaction that last wrote or removed the row, in the era of the read.
+    pub version: StoreVersion,
     /// Value; none if the row was removed (tombstone).
     pub value: Option<Bytes>,
 }
--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod repeat;
 pub mod route;
 pub mod secret;
+pub mod store_version;
 pub mod time;
 pub mod view;
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
+use http::{HeaderMap, Request};
 use ibishill_adapter::error::DecodeError;
 use ibishill_adapter::store;
+use ibishill_core::store_version::{Era, StoreVersion};
 use ibishill_core::{event, fleet, time};
 use ibishill_decide::readers;
-use ibishill_state::replica;
+use ibishill_state::{confirmation, replica};
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
@@ -40,6 +41,9 @@
 /// what they read; no callers are waiting yet.
 const READERS_ONLY_TIME: time::Millis = time::Millis(2_000);
 
+/// Range of the pauses before whole tables are read again.
+const READ_AGAIN_SPREAD: Duration = Duration::from_millis(200);
+
 /// Interval of checks whether this daemon has to read.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -117,7 +121,7 @@
     /// Time as of which the replica is current.
     at: time::Tick,
     /// The same by the store's clock.
-    stamp: u64,
+    stamp: confirmation::Stamp,
     /// Size of rows that the same answer replaced, in bytes.
     superseded: usize,
 }
@@ -135,32 +139,47 @@
         return read_all(context, table).await;
     }
     let host = context.state().settings.store.to_string();
-    let request = store::feed(&host, table.name(), version, wait);
+    let request = store::feed(&host, table.name(), version.number, wait);
     match call(context, request, wait.to_std() + CALL_MARGIN).await {
+        // The numbers of another era say nothing of what this replica lacks.
+        Ok((rows, _)) if rows.version.era != version.era => read_again(context, table).await,
         Ok((rows, at)) if rows.rows.is_empty() && rows.version <= version => {
-            Ok(Read { delta: None, at, stamp: rows.stamp, superseded: 0 })
+            Ok(Read { delta: None, at, stamp: stamp(&rows), superseded: 0 })
         }
         Ok((rows, at)) => {
+            let stamp = stamp(&rows);
             let mut sorted = rows.rows;
             sorted.sort_by(|a, b| a.key.cmp(&b.key).then(a.version.cmp(&b.version)));
             let replaced = sorted.windows(2).filter(|pair| pair[0].key == pair[1].key);
             let size = |row: &fleet::RawRow| row.value.as_ref().map_or(0, Bytes::len);
             let superseded = replaced.map(|pair| size(&pair[0])).sum();
-            let (version, stamp) = (rows.version, rows.stamp);
-            let delta = replica::Delta { is_whole: false, version, rows: sorted };
+            let delta = replica::Delta { is_whole: false, version: rows.version, rows: sorted };
             Ok(Read { delta: Some(delta), at, stamp, superseded })
         }
         // The feed no longer has the changes since this version.
-        Err(Failure::Gone) => read_all(context, table).await,
+        Err(Failure::Gone) => read_again(context, table).await,
         Err(Failure::Other(detail)) => Err(detail),
     }
 }
 
+fn stamp(rows: &store::Rows) -> confirmation::Stamp {
+    confirmation::Stamp { era: rows.version.era, millis: rows.stamp }
+}
+
+// Reads the whole table after a pause that differs between daemons, as the feeds of all readers end at
+// the same moment.
+async fn read_again(context: &Shared, table: Table) -> Result<Read, String> {
+    let seed = xxh3::xxh3_64(context.vm().as_str().as_bytes());
+    let share = seed as f64 / u64::MAX as f64;
+    clock::sleep(READ_AGAIN_SPREAD.mul_f64(share)).await;
+    read_all(context, table).await
+}
+
 async fn read_all(context: &Shared, table: Table) -> Result<Read, String> {
     let at = context.now();
     let host = context.state().settings.store.to_string();
     let mut all = Vec::new();
-    let mut oldest: Option<(u64, u64)> = None;
+    let mut oldest: Option<(StoreVersion, confirmation::Stamp)> = None;
     loop {
         let after = all.last().map(|row: &fleet::RawRow| row.key.clone());
         let request = store::read(&host, table.name(), after.as_deref());
@@ -171,7 +190,10 @@
         };
         // Pages may be of different versions; the feed continues from the first one's, so that no
         // change is missed.
-        let (version, stamp) = *oldest.get_or_insert((rows.version, rows.stamp));
+        let (version, stamp) = *oldest.get_or_insert((rows.version, stamp(&rows)));
+        if rows.version.era != version.era {
+            return Err("store was restored during a full read".into());
+        }
         let is_last = !rows.truncated || rows.rows.is_empty();
         all.extend(rows.rows);
         if is_last {
@@ -201,13 +223,33 @@
     context.metrics.record_store_call(response.is_ok(), progress.received.get());
     let response = response.map_err(|error| Failure::Other(error.to_string()))?;
     let answered = progress.head.get().map_or_else(|| context.now(), |head| context.at(head));
-    match store::decode_rows(response.status(), response.body()) {
+    let era = accept_era(context, response.headers()).map_err(Failure::Other)?;
+    match store::decode_rows(response.status(), response.body(), era) {
         Ok(rows) => Ok((rows, answered)),
         Err(DecodeError::Refused { status: 410 }) => Err(Failure::Gone),
         Err(error) => Err(Failure::Other(error.to_string())),
     }
 }
 
+/// Decodes the era of an answer of the store.
+///
+/// # Errors
+///
+/// Fails, and logs it, if the era is not a number, or has gone down or away; the answer says nothing
+/// then.
+pub(crate) fn accept_era(context: &Shared, headers: &HeaderMap) -> Result<Era, String> {
+    let known = context.state().era();
+    let detail = match store::decode_era(headers) {
+        Ok(told) => match told.unwrap_or_default() {
+            era if era >= known => return Ok(era),
+            era => format!("era {era} of the store's answer is below {known}"),
+        },
+        Err(error) => error.to_string(),
+    };
+    event::emit_json(event::Event::EraInvalid, &[event::field("detail", &detail)]);
+    Err(detail)
+}
+
 fn record_read(context: &Shared, table: Table, read: Read) {
     let now = context.now();
     let mut state = context.state();
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod log_writer;
 mod message;
 mod metrics;
+mod restored;
 mod rollout;
 mod selection;
 mod serve;
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ibishill_core::store_version::StoreVersion;
 use ibishill_core::{event, id};
 use ibishill_decide::balance;
 use ibishill_state::confirmation;
@@ -167,14 +168,14 @@
 // Records which versions a peer has; returns whether this relay lacks one that it isn't fetching.
 fn record_versions<I>(state: &mut State, reported: I, sender: SocketAddr) -> bool
 where
-    I: Iterator<Item = u64>,
+    I: Iterator<Item = StoreVersion>,
 {
     let mut is_behind = false;
     for (table, version) in Table::ALL.into_iter().zip(reported) {
         let own = state.replica(table).table.version();
         let transfer = state.transfer(table);
         transfer.add_source(version, sender);
-        is_behind |= version > own.max(transfer.pending_version().unwrap_or(0));
+        is_behind |= version > own.max(transfer.pending_version().unwrap_or_default());
     }
     is_behind
 }
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -184,7 +184,7 @@
     let mut lines = format!(
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
          relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n\
-         relay_endpoints_limited {}\n",
+         relay_endpoints_limited {}\nrelay_store_restores {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -193,6 +193,7 @@
         suspected,
         state.quarantine.refused_count(),
         limited,
+        state.restores,
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -10,7 +10,7 @@
 
 use crate::context::Shared;
 use crate::state::State;
-use crate::{gossip, upstream};
+use crate::{feed, gossip, upstream};
 
 /// Interval between evaluations of the counts.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -29,8 +29,15 @@
 /// no verdict.
 pub(crate) async fn report(context: Shared) {
     let mut reports: std::collections::BTreeMap<id::ServiceId, Report> = Default::default();
+    let mut era = context.state().era();
     loop {
         clock::sleep(POLL_INTERVAL).await;
+        let current = context.state().era();
+        if era != current {
+            // A store that was restored may lack what was written.
+            reports.clear();
+            era = current;
+        }
         for (service, to, progress) in rollouts(&context) {
             let report = reports.entry(service.clone()).or_default();
             if report.to.as_ref() != Some(&to) || report.progress != Some(progress) {
@@ -74,7 +81,7 @@
 struct Report {
     to: Option<id::VersionId>,
     progress: Option<fleet::Progress>,
-    /// Last known version of the row, for the conditional write.
+    /// Number of the row's last known version, for the conditional write.
     version: u64,
     polls: u32,
     is_done: bool,
@@ -135,7 +142,7 @@
 
 enum Outcome {
     Done,
-    /// The row has this version and holds another status.
+    /// The row's version has this number, and it holds another status.
     Retry(u64),
 }
 
@@ -154,7 +161,8 @@
     let response =
         upstream::exchange(address, request, upstream::Limits::small(WRITE_TIMEOUT), &call).await;
     let response = response.map_err(|error| error.to_string())?;
-    match store::decode_write(response.status(), response.body()) {
+    let era = feed::accept_era(context, response.headers())?;
+    match store::decode_write(response.status(), response.body(), era) {
         Ok(store::WriteOutcome::Committed(_)) => Ok(Outcome::Done),
         Ok(store::WriteOutcome::Conflict(rows)) => Ok(rows
             .first()
@@ -175,7 +183,8 @@
     let response =
         upstream::exchange(address, request, upstream::Limits::small(WRITE_TIMEOUT), &call).await;
     let response = response.map_err(|error| error.to_string())?;
-    let rows = store::decode_rows(response.status(), response.body());
+    let era = feed::accept_era(context, response.headers())?;
+    let rows = store::decode_rows(response.status(), response.body(), era);
     let rows = rows.map_err(|error| error.to_string())?.rows;
     let key = row::status_key(service);
     let found = rows.iter().find(|row| row.key == key);
@@ -199,7 +208,7 @@
             Outcome::Done
         }
         Some(Ok((at, state))) if at == *to && state == progress => Outcome::Done,
-        _ => Outcome::Retry(found.version),
+        _ => Outcome::Retry(found.version.number),
     }
 }
 
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use ibishill_adapter::row;
+use ibishill_core::store_version::{Era, StoreVersion};
 use ibishill_core::{call, event, fleet, id, route, time};
 use ibishill_decide::endpoint_key::EndpointKey;
 use ibishill_decide::{
@@ -14,7 +15,7 @@
 use ibishill_state::{chunk, confirmation, replica, transfer};
 use serde::{Deserialize, Serialize};
 
-use crate::early_end;
+use crate::{early_end, restored};
 
 /// Time after a store outage for which endpoints whose registration lapsed are kept: live ones
 /// register again within about two seconds.
@@ -149,6 +150,10 @@
     replicas: BTreeMap<Table, Replica>,
     /// Endpoints whose registration lapsed, and when they are removed.
     lapsed: BTreeMap<id::EndpointId, time::Tick>,
+    /// Rows of a restored store that do not count yet.
+    restored: restored::Restored,
+    /// Number of restores of the store that this relay has seen.
+    pub(crate) restores: u64,
 }
 
 impl State {
@@ -179,6 +184,8 @@
             stale_until: time::Tick(0),
             replicas: Table::ALL.into_iter().map(|table| (table, Replica::default())).collect(),
             lapsed: BTreeMap::new(),
+            restored: restored::Restored::default(),
+            restores: 0,
             settings,
         }
     }
@@ -263,7 +270,7 @@
     }
 
     /// Delta for a peer whose replica of a table is at `version`; none if it lacks nothing.
-    pub(crate) fn delta(&self, table: Table, version: u64) -> Option<transfer::Delta> {
+    pub(crate) fn delta(&self, table: Table, version: StoreVersion) -> Option<transfer::Delta> {
         let replica = self.replica(table);
         Some(replica.transfer.pack(replica.table.since(version)?))
     }
@@ -335,7 +342,7 @@
     }
 
     /// Records that the store confirmed a replica as of `at`, at `stamp` by its own clock.
-    pub(crate) fn confirm(&mut self, table: Table, stamp: u64, at: time::Tick) {
+    pub(crate) fn confirm(&mut self, table: Table, stamp: confirmation::Stamp, at: time::Tick) {
         self.record_outage(table, at);
         self.replicas.entry(table).or_default().confirmed.record(stamp, at);
     }
@@ -374,18 +381,71 @@
     ) -> Merged {
         self.record_outage(table, now);
         let replica = self.replicas.entry(table).or_default();
-        let is_initial = replica.table.version() == 0;
+        let is_initial = replica.table.version() == StoreVersion::default();
         let before = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        let is_restore = delta.is_whole && replica.table.is_later_era(&delta);
+        let delta = if is_restore { self.enter_era(table, delta, now) } else { delta };
+        let replica = self.replicas.entry(table).or_default();
         let changed = replica.table.merge(delta);
         replica.transfer.record(&changed, replica.table.version());
         for record in &changed {
-            self.apply_record(table, record, is_initial, now);
+            if is_restore && self.restored.defers(table, record, &self.balancer, &self.canaries) {
+                self.restored.hold(table, record, now);
+            } else {
+                self.restored.release(table, &record.key);
+                self.apply_record(table, record, is_initial, now);
+            }
         }
         let delay = self.record_catalog(before, &changed, source, now);
         self.is_update_due |= !changed.is_empty();
         Merged { is_changed: !changed.is_empty(), is_pending: false, delay }
     }
 
+    /// Era of the store, as far as it is known.
+    pub(crate) fn era(&self) -> Era {
+        let eras = self.replicas.values().map(|replica| replica.table.version().era);
+        eras.max().unwrap_or_default()
+    }
+
+    // Prepares for the first rows of a store that was restored from an older copy. Returns them with
+    // the configuration that is in force, if the copy has an older one or none: the operator writes
+    // it again, and until then relays that start get it from their peers.
+    fn enter_era(
+        &mut self,
+        table: Table,
+        mut delta: replica::Delta,
+        now: time::Tick,
+    ) -> replica::Delta {
+        let before = self.replica(table).table.version();
+        if delta.version.era > self.era() {
+            self.restores += 1;
+            event::emit_json(
+                event::Event::StoreRestored,
+                &[
+                    event::field("table", &table.name()),
+                    event::field("before", &before),
+                    event::field("after", &delta.version),
+                ],
+            );
+        }
+        if table == Table::Endpoints {
+            self.lapse_until = self.lapse_until.max(now + LAPSE_GRACE);
+        }
+        let known = self.replica(table).table.row(row::CATALOG).cloned();
+        if let Some(known) = known.filter(|_| table == Table::Orders) {
+            let at = delta.rows.binary_search_by(|found| found.key.as_str().cmp(row::CATALOG));
+            let version = at.map_or(0, |at| catalog_version(&delta.rows[at]));
+            if version < self.catalog_version() {
+                let kept = fleet::RawRow { version: delta.version, ..known };
+                match at {
+                    Ok(at) => delta.rows[at] = kept,
+                    Err(at) => delta.rows.insert(at, kept),
+                }
+            }
+        }
+        delta
+    }
+
     // Logs the configuration if it is newer than `before`; returns the time from its first notice.
     fn record_catalog(
         &mut self,
@@ -409,7 +469,10 @@
             event::Event::CatalogInForce,
             &[
                 event::field("version", &version),
-                event::field("row", &changed.iter().map(|row| row.version).max().unwrap_or(0)),
+                event::field(
+                    "row",
+                    &changed.iter().map(|row| row.version).max().unwrap_or_default(),
+                ),
                 event::field("source", source),
                 event::field("bytes", &bytes),
                 event::field("delay", &delay),
@@ -444,7 +507,13 @@
         }
     }
 
-    fn apply_row(&mut self, found: fleet::Row, version: u64, is_initial: bool, now: time::Tick) {
+    fn apply_row(
+        &mut self,
+        found: fleet::Row,
+        version: StoreVersion,
+        is_initial: bool,
+        now: time::Tick,
+    ) {
         match found {
             fleet::Row::Catalog(catalog) => {
                 if self.catalog.as_ref().is_some_and(|known| known.version >= catalog.version) {
@@ -470,6 +539,7 @@
                     registration.cold_remaining = registration.cold_remaining.min(LAPSE_GRACE);
                 }
                 self.lapsed.remove(&registration.id);
+                self.restored.record_back(&registration);
                 event::emit_json(
                     event::Event::EndpointKnown,
                     &[
@@ -522,7 +592,7 @@
                 if is_ready && self.lapse_until > now {
                     self.lapsed.insert(id, self.lapse_until);
                 } else {
-                    self.remove_endpoint(&id, "removed");
+                    self.remove_endpoint(&id, "removed", now);
                 }
             }
             Table::Orders => {
@@ -543,11 +613,14 @@
         services.map(|service| service.cold_start).max().unwrap_or_default()
     }
 
-    fn remove_endpoint(&mut self, id: &id::EndpointId, why: &str) {
+    fn remove_endpoint(&mut self, id: &id::EndpointId, why: &str, now: time::Tick) {
         event::emit_json(
             event::Event::EndpointGone,
             &[event::field("endpoint", id), event::field("why", &why)],
         );
+        if let Some(registration) = self.balancer.entry(id) {
+            self.restored.record_gone(registration, now);
+        }
         self.balancer.remove(id);
     }
 
@@ -557,7 +630,10 @@
             self.lapsed.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
         for id in expired {
             self.lapsed.remove(&id);
-            self.remove_endpoint(&id, "lapsed");
+            self.remove_endpoint(&id, "lapsed", now);
+        }
+        for (table, key) in self.restored.take_due(now) {
+            self.apply_current(table, key, now);
         }
         self.peers.expire(now);
         self.balancer.reports().expire(now);
@@ -619,6 +695,14 @@
         self.quarantine.verdict(segments, rank, now)
     }
 
+    // Applies a row as the store has it now.
+    fn apply_current(&mut self, table: Table, key: String, now: time::Tick) {
+        let current = self.replica(table).table.row(&key).cloned();
+        let version = self.replica(table).table.version();
+        let record = current.unwrap_or(fleet::RawRow { key, version, value: None });
+        self.apply_record(table, &record, false, now);
+    }
+
     /// Slow-start rule for the endpoints of a service.
     pub(crate) fn slow_start(
         &self,
@@ -638,3 +722,11 @@
         self.peers.known_rank(endpoint.as_str())
     }
 }
+
+fn catalog_version(row: &fleet::RawRow) -> u64 {
+    let value = row.value.as_deref().unwrap_or_default();
+    match row::decode(row::ORDERS, &row.key, value) {
+        Ok(Some(fleet::Row::Catalog(catalog))) => catalog.version,
+        _ => 0,
+    }
+}
--- a/crates/ibishill-state/src/confirmation.rs
+++ b/crates/ibishill-state/src/confirmation.rs
@@ -4,16 +4,26 @@
 //! message makes the age too small by the time that it travels. The store's own time identifies a
 //! confirmation, so that an old one that is heard again doesn't seem to be newer.
 
+use ibishill_core::store_version::{Era, StoreVersion};
 use ibishill_core::time;
 use serde::{Deserialize, Serialize};
 
+/// Time by the store's clock, which may go back with a new era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Era of the store.
+    pub era: Era,
+    /// Time in milliseconds; 0 if there was none.
+    pub millis: u64,
+}
+
 /// Confirmation of a table's version, as told to a peer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
     /// Version of the table.
-    pub version: u64,
-    /// Time of the confirmation by the store's clock, in milliseconds; 0 if there was none.
-    pub stamp: u64,
+    pub version: StoreVersion,
+    /// Time of the confirmation by the store's clock.
+    pub stamp: Stamp,
     /// Time since the confirmation; `None` if there was none.
     pub age: Option<time::Millis>,
 }
@@ -21,7 +31,7 @@
 /// Latest confirmation that a daemon knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Confirmation {
-    stamp: u64,
+    stamp: Stamp,
     at: Option<time::Tick>,
 }
 
@@ -32,7 +42,7 @@
     }
 
     /// Records a confirmation that the store gave this daemon, at `stamp` by its own clock.
-    pub fn record(&mut self, stamp: u64, at: time::Tick) {
+    pub fn record(&mut self, stamp: Stamp, at: time::Tick) {
         self.stamp = stamp;
         self.at = self.at.max(Some(at));
     }
@@ -46,7 +56,7 @@
     }
 
     /// The confirmation, to be told to peers.
-    pub fn tell(&self, version: u64, now: time::Tick) -> Told {
+    pub fn tell(&self, version: StoreVersion, now: time::Tick) -> Told {
         Told { version, stamp: self.stamp, age: self.at.map(|at| now.since(at)) }
     }
 }
--- a/crates/ibishill-state/src/replica.rs
+++ b/crates/ibishill-state/src/replica.rs
@@ -3,11 +3,13 @@
 //!
 //! Each replica has the version of the store up to which it contains all writes. Versions
 //! only increase, so that an older row never replaces a newer one, whether deltas come
-//! from the store or from a peer.
+//! from the store or from a peer. Numbers of another era of the store say nothing of this one, so a
+//! replica enters an era by a whole table only.
 
 use std::collections::BTreeMap;
 
 use ibishill_core::fleet;
+use ibishill_core::store_version::StoreVersion;
 use serde::{Deserialize, Serialize};
 
 /// Tombstones of removed rows that are kept for peers; a peer that lacks older ones gets
@@ -18,9 +20,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     is_loaded: bool,
-    version: u64,
+    version: StoreVersion,
     // Tombstones up to this version may be missing.
-    horizon: u64,
+    horizon: StoreVersion,
     rows: BTreeMap<String, fleet::RawRow>,
 }
 
@@ -30,7 +32,7 @@
     /// Whether it lists the whole table, so that any other row does not exist.
     pub is_whole: bool,
     /// Version of the store up to which the delta is complete.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Rows in ascending key order; a row without a value was removed.
     pub rows: Vec<fleet::RawRow>,
 }
@@ -41,8 +43,8 @@
         self.is_loaded
     }
 
-    /// Version of the store up to which the replica is complete; 0 before the first read.
-    pub const fn version(&self) -> u64 {
+    /// Version of the store up to which the replica is complete; the default before the first read.
+    pub const fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -51,10 +53,22 @@
         self.rows.values().filter(|row| row.value.is_some())
     }
 
+    /// Existing row with a key.
+    pub fn row(&self, key: &str) -> Option<&fleet::RawRow> {
+        self.rows.get(key).filter(|row| row.value.is_some())
+    }
+
+    /// Whether a delta is of a later era than the replica.
+    pub fn is_later_era(&self, delta: &Delta) -> bool {
+        self.is_loaded && delta.version.era > self.version.era
+    }
+
     /// Applies a delta and returns the rows that it changed, removed ones included. A delta
-    /// older than the replica is ignored.
+    /// older than the replica is ignored, and so is one of a later era that is not whole. Of a later
+    /// era, only rows with another value have changed.
     pub fn merge(&mut self, delta: Delta) -> Vec<fleet::RawRow> {
-        if delta.version < self.version {
+        let is_later_era = self.is_later_era(&delta);
+        if delta.version < self.version || (is_later_era && !delta.is_whole) {
             return Vec::new();
         }
         let mut changed = Vec::new();
@@ -76,7 +90,9 @@
             if known.is_some_and(|known| known.version >= row.version) {
                 continue;
             }
-            let is_change = known.is_some_and(|known| known.value.is_some()) || row.value.is_some();
+            let known_value = known.and_then(|known| known.value.as_ref());
+            let is_change = (known_value.is_some() || row.value.is_some())
+                && !(is_later_era && known_value == row.value.as_ref());
             if is_change {
                 changed.push(row.clone());
             }
@@ -90,11 +106,11 @@
 
     /// Returns the delta for a peer whose replica is at `version`, or `None` if it is up to
     /// date. Without the tombstones that the peer needs, the delta is the whole table.
-    pub fn since(&self, version: u64) -> Option<Delta> {
+    pub fn since(&self, version: StoreVersion) -> Option<Delta> {
         if version >= self.version {
             return None;
         }
-        let is_whole = version < self.horizon || version == 0;
+        let is_whole = version < self.horizon || version == StoreVersion::default();
         let wanted = |row: &&fleet::RawRow| {
             if is_whole { row.value.is_some() } else { row.version > version }
         };
@@ -104,7 +120,7 @@
 
     fn evict_tombstones(&mut self) {
         let removed = self.rows.values().filter(|row| row.value.is_none());
-        let mut versions: Vec<u64> = removed.map(|row| row.version).collect();
+        let mut versions: Vec<StoreVersion> = removed.map(|row| row.version).collect();
         if versions.len() <= MAX_TOMBSTONES {
             return;
         }
--- a/crates/ibishill-state/src/transfer.rs
+++ b/crates/ibishill-state/src/transfer.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use ibishill_core::fleet;
+use ibishill_core::store_version::StoreVersion;
 use serde::{Deserialize, Serialize};
 
 use crate::chunk::{self, Digest, Manifest};
@@ -31,7 +32,7 @@
     /// Key of the row.
     pub key: String,
     /// Version of the transaction that last wrote or removed the row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Value, or what is needed to fetch it.
     pub value: Value,
 }
@@ -42,7 +43,7 @@
     /// Whether it lists the whole table.
     pub is_whole: bool,
     /// Version of the store up to which the delta is complete.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Rows in ascending key order.
     pub rows: Vec<Row>,
 }
@@ -66,7 +67,7 @@
 
 impl Transfer {
     /// Records rows that changed in the replica, which is now at `version`.
-    pub fn record(&mut self, changed: &[fleet::RawRow], version: u64) {
+    pub fn record(&mut self, changed: &[fleet::RawRow], version: StoreVersion) {
         for row in changed {
             self.manifests.remove(&row.key);
             if let Some(value) = row.value.as_ref().filter(|value| chunk::is_large(value)) {
@@ -102,9 +103,9 @@
         &mut self,
         delta: Delta,
         source: SocketAddr,
-        version: u64,
+        version: StoreVersion,
     ) -> Option<replica::Delta> {
-        if delta.version <= version && version > 0 {
+        if delta.version <= version && version > StoreVersion::default() {
             return None;
         }
         self.add_source(delta.version, source);
@@ -119,7 +120,7 @@
     }
 
     /// Records that `source` has `version`, in case that version is being fetched.
-    pub fn add_source(&mut self, version: u64, source: SocketAddr) {
+    pub fn add_source(&mut self, version: StoreVersion, source: SocketAddr) {
         if let Some(pending) = &mut self.pending {
             let is_same = pending.delta.version == version;
             if is_same && !pending.sources.contains(&source) {
@@ -129,7 +130,7 @@
     }
 
     /// Version that is being fetched.
-    pub fn pending_version(&self) -> Option<u64> {
+    pub fn pending_version(&self) -> Option<StoreVersion> {
         self.pending.as_ref().map(|pending| pending.delta.version)
     }
 
--- a/crates/ibishill-state/tests/replica.rs
+++ b/crates/ibishill-state/tests/replica.rs
@@ -2,18 +2,24 @@
 
 use bytes::Bytes;
 use ibishill_core::fleet;
+use ibishill_core::store_version::{Era, StoreVersion};
 use ibishill_state::replica;
 
-fn row(key: &str, version: u64, value: Option<&'static str>) -> fleet::RawRow {
-    fleet::RawRow { key: key.into(), version, value: value.map(Bytes::from) }
+// A version of the first era.
+fn version(number: u64) -> StoreVersion {
+    StoreVersion { era: Era(0), number }
 }
 
-fn delta(is_whole: bool, version: u64, rows: Vec<fleet::RawRow>) -> replica::Delta {
-    replica::Delta { is_whole, version, rows }
+fn row(key: &str, number: u64, value: Option<&'static str>) -> fleet::RawRow {
+    fleet::RawRow { key: key.into(), version: version(number), value: value.map(Bytes::from) }
+}
+
+fn delta(is_whole: bool, number: u64, rows: Vec<fleet::RawRow>) -> replica::Delta {
+    replica::Delta { is_whole, version: version(number), rows }
 }
 
 fn keys(table: &replica::Table) -> Vec<String> {
-    table.rows().map(|row| format!("{}@{}", row.key, row.version)).collect()
+    table.rows().map(|row| format!("{}@{}", row.key, row.version.number)).collect()
 }
 
 struct Case {
@@ -87,7 +93,7 @@
         }
         assert!(table.is_loaded());
         assert_eq!(keys(&table), case.expected, "{}", case.name);
-        assert_eq!(table.version(), case.version, "{}", case.name);
+        assert_eq!(table.version(), version(case.version), "{}", case.name);
     }
 }
 
@@ -96,7 +102,7 @@
     let mut source = replica::Table::default();
     source.merge(delta(true, 3, vec![row("a", 1, Some("x")), row("b", 3, Some("x"))]));
     let mut peer = replica::Table::default();
-    peer.merge(source.since(0).unwrap());
+    peer.merge(source.since(StoreVersion::default()).unwrap());
     source.merge(delta(false, 5, vec![row("a", 4, None), row("c", 5, Some("x"))]));
     let delta = source.since(peer.version()).unwrap();
     assert!(!delta.is_whole);
@@ -111,12 +117,12 @@
     let mut source = replica::Table::default();
     source.merge(delta(true, 1, vec![row("kept", 1, Some("x"))]));
     let mut peer = source.clone();
-    let mut version = 1;
+    let mut number = 1;
     for at in 0..2_000 {
         let key = format!("gone{at:04}");
-        version += 2;
-        source.merge(delta(false, version - 1, vec![row(&key, version - 1, Some("x"))]));
-        source.merge(delta(false, version, vec![row(&key, version, None)]));
+        number += 2;
+        source.merge(delta(false, number - 1, vec![row(&key, number - 1, Some("x"))]));
+        source.merge(delta(false, number, vec![row(&key, number, None)]));
         if at == 3 {
             peer = source.clone();
         }
@@ -140,12 +146,43 @@
     assert_eq!(keys(&old), ["a@3", "c@8"]);
     // A peer at the same version gets only the next change.
     fresh.merge(delta(false, 10, vec![row("a", 10, None)]));
-    let next = fresh.since(9).unwrap();
+    let next = fresh.since(version(9)).unwrap();
     assert!(!next.is_whole);
     old.merge(next);
     assert_eq!(keys(&old), ["c@8"]);
 }
 
+fn later(delta: replica::Delta) -> replica::Delta {
+    let next = |version: StoreVersion| StoreVersion { era: Era(version.era.0 + 1), ..version };
+    let rows = delta.rows.into_iter();
+    let rows = rows.map(|row| fleet::RawRow { version: next(row.version), ..row }).collect();
+    replica::Delta { version: next(delta.version), rows, ..delta }
+}
+
+#[test]
+fn numbers_of_another_era_are_not_compared() {
+    let mut table = replica::Table::default();
+    let old = vec![row("a", 3, Some("x")), row("b", 9, Some("new")), row("c", 8, Some("x"))];
+    table.merge(delta(true, 9, old));
+    let before = table.clone();
+    // The feed of a later era does not tell what the copy lacks.
+    assert!(table.merge(later(delta(false, 10, vec![row("d", 10, Some("x"))]))).is_empty());
+    assert_eq!(table.version(), version(9));
+    let copy = vec![row("a", 3, Some("x")), row("b", 5, Some("old"))];
+    let changed = table.merge(later(delta(true, 6, copy)));
+    let changed: Vec<&str> = changed.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(changed, ["c", "b"], "rows that are the same have not changed");
+    // What daemons of the old era know does not come back, however high its number.
+    assert!(table.merge(delta(true, 99, vec![row("c", 98, Some("x"))])).is_empty());
+    assert_eq!(before.since(table.version()), None);
+    let for_peer = table.since(before.version()).unwrap();
+    assert!(for_peer.is_whole);
+    let mut peer = before;
+    peer.merge(for_peer);
+    assert_eq!(keys(&peer), keys(&table));
+    assert_eq!(keys(&peer), ["a@3", "b@5"]);
+}
+
 // Change history of a store; the index of a change is its version minus one.
 #[derive(Default)]
 struct Store {
@@ -153,13 +190,13 @@
 }
 
 impl Store {
-    fn since(&self, version: u64) -> replica::Delta {
-        let rows = self.changes[version as usize..].to_vec();
-        replica::Delta { is_whole: false, version: self.changes.len() as u64, rows: newest(rows) }
+    fn since(&self, since: StoreVersion) -> replica::Delta {
+        let rows = self.changes[since.number as usize..].to_vec();
+        delta(false, self.changes.len() as u64, newest(rows))
     }
 
-    fn at(&self, version: u64) -> Vec<fleet::RawRow> {
-        let mut rows = newest(self.changes[..version as usize].to_vec());
+    fn at(&self, at: StoreVersion) -> Vec<fleet::RawRow> {
+        let mut rows = newest(self.changes[..at.number as usize].to_vec());
         rows.retain(|row| row.value.is_some());
         rows
     }
@@ -199,8 +236,8 @@
                     }
                 }
                 4 => {
-                    let version = store.changes.len() as u64;
-                    daemons[one].merge(delta(true, version, store.at(version)));
+                    let number = store.changes.len() as u64;
+                    daemons[one].merge(delta(true, number, store.at(version(number))));
                 }
                 5 if random(4) == 0 => daemons[one] = replica::Table::default(),
                 _ => {
--- a/crates/ibishill-state/tests/transfer.rs
+++ b/crates/ibishill-state/tests/transfer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use ibishill_core::fleet;
+use ibishill_core::store_version::StoreVersion;
 use ibishill_state::{chunk, replica, transfer};
 
 /// Bytes that a daemon may receive for control in a second.
@@ -34,8 +35,12 @@
     Bytes::from(text)
 }
 
-fn row(version: u64, value: Option<Bytes>) -> fleet::RawRow {
-    fleet::RawRow { key: "config".into(), version, value }
+fn version(number: u64) -> StoreVersion {
+    StoreVersion { number, ..StoreVersion::default() }
+}
+
+fn row(number: u64, value: Option<Bytes>) -> fleet::RawRow {
+    fleet::RawRow { key: "config".into(), version: version(number), value }
 }
 
 #[derive(Default, Clone)]
@@ -50,9 +55,9 @@
         self.transfer.record(&changed, self.table.version());
     }
 
-    fn read(&mut self, version: u64, value: Option<Bytes>) {
-        let rows = vec![row(version, value)];
-        self.merge(replica::Delta { is_whole: false, version, rows });
+    fn read(&mut self, number: u64, value: Option<Bytes>) {
+        let rows = vec![row(number, value)];
+        self.merge(replica::Delta { is_whole: false, version: version(number), rows });
     }
 
     fn hear(&mut self, source: &Self, address: SocketAddr) {
@@ -111,7 +116,7 @@
     source.read(1, Some(routes(1_400, 1)));
     let mut daemon = source.clone();
     source.read(2, Some(routes(1_400, 2)));
-    let announced = source.transfer.pack(source.table.since(1).unwrap());
+    let announced = source.transfer.pack(source.table.since(version(1)).unwrap());
     let digests = match &announced.rows[0].value {
         transfer::Value::Split(manifest) => manifest.digests().count(),
         value => panic!("a large row is sent whole: {value:?}"),
@@ -137,7 +142,7 @@
     daemon.fetch(&source, all - 3);
     source.read(2, Some(routes(1_400, 2)));
     daemon.hear(&source, address(0));
-    assert_eq!(daemon.transfer.pending_version(), Some(2));
+    assert_eq!(daemon.transfer.pending_version(), Some(version(2)));
     // The three, and those that the change touches.
     assert!(daemon.transfer.missing_count() <= 6, "{}", daemon.transfer.missing_count());
     daemon.fetch(&source, all);
@@ -153,8 +158,8 @@
     for number in [0, 1, 0] {
         daemon.hear(&source, address(number));
     }
-    daemon.transfer.add_source(1, address(2));
-    daemon.transfer.add_source(9, address(3));
+    daemon.transfer.add_source(version(1), address(2));
+    daemon.transfer.add_source(version(9), address(3));
     assert_eq!(daemon.transfer.sources(), [address(0), address(1), address(2)]);
     daemon.transfer.drop_source(address(1));
     assert_eq!(daemon.transfer.sources(), [address(0), address(2)]);
@@ -197,7 +202,7 @@
                 }
             }
             for daemon in daemons.iter().filter(|daemon| daemon.table.is_loaded()) {
-                let version = daemon.table.version() as usize;
+                let version = daemon.table.version().number as usize;
                 assert_eq!(daemon.value(), history[version - 1], "seed {seed}, version {version}");
             }
         }
