relay: refused prompt segments are kept in the store

If all relays restarted at once, requests with a segment found before ended endpoints again, 19 were sent; a relay cut off from its peers sent 9 until it had seen four ends itself. What relays know of segments was in their memories only. The first living relay by rendezvous hash writes each change of a refused segment to a table of the store; relays read it once at start, and every second while they hear of no peer. After a restore of the store the rows are written again. Calls of the store that write or read such rows and statuses are one piece of code.

--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::store_version::StoreVersion;
-use crate::{id, link, time};
+use crate::{call, id, link, time};
 
 /// An undecoded row of the platform's store, as cached and replicated to peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,6 +75,21 @@
     RolledBack,
 }
 
+/// State of a prompt segment that was refused, as kept in the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SegmentHold {
+    /// The segment.
+    pub segment: call::SegmentId,
+    /// Number of changes of the state; the one with more changes is newer.
+    pub epoch: u32,
+    /// Whether the segment is refused; false after it was released.
+    pub is_refused: bool,
+    /// Trials that ended an endpoint.
+    pub relapses: u8,
+    /// When the state was last changed, in milliseconds since 1970 (Unix epoch).
+    pub since: u64,
+}
+
 /// A decoded row of the platform's store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Row {
--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -6,6 +6,7 @@
 //! answer that goes on clears its segments. What remains after ends of several endpoints is refused.
 
 pub mod evidence;
+pub mod stored;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -68,6 +69,11 @@
         let factor = 1_u64.checked_shl(u32::from(self.relapses)).unwrap_or(u64::MAX);
         self.since + time::Millis(HOLD_MIN.0.saturating_mul(factor)).min(HOLD_MAX)
     }
+
+    // Whether it has not ended so long ago that the segment is forgotten.
+    fn is_current(&self, now: time::Tick) -> bool {
+        now.since(self.due()) < END_TTL
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -82,6 +88,8 @@
     trial: Option<time::Tick>,
     // Last change that peers may not know.
     changed: time::Tick,
+    // Whether the store may lack the hold's last change.
+    is_unstored: bool,
 }
 
 impl Record {
@@ -94,6 +102,7 @@
         self.epoch = epoch;
         self.trial = None;
         self.changed = now;
+        self.is_unstored = true;
     }
 
     fn add_end(&mut self, end: End) -> bool {
@@ -262,8 +271,15 @@
             }
         }
         let depth = u8::try_from(depth).unwrap_or(u8::MAX);
-        let new =
-            Record { depth, ends: Vec::new(), hold: None, epoch: 0, trial: None, changed: now };
+        let new = Record {
+            depth,
+            ends: Vec::new(),
+            hold: None,
+            epoch: 0,
+            trial: None,
+            changed: now,
+            is_unstored: false,
+        };
         self.records.entry(segment).or_insert(new)
     }
 
@@ -284,7 +300,7 @@
         }
         // A segment that nobody has asked for since its hold has ended is forgotten.
         let is_current = |record: &Record| match record.hold {
-            Some(hold) => now.since(hold.due()) < END_TTL,
+            Some(hold) => hold.is_current(now),
             None if record.epoch > 0 => now.since(record.changed) < END_TTL,
             None => !record.ends.is_empty(),
         };
--- a/crates/ibishill-decide/src/quarantine/evidence.rs
+++ b/crates/ibishill-decide/src/quarantine/evidence.rs
@@ -90,7 +90,7 @@
     }
 
     // The state with more changes wins; of two with as many, the one that refuses.
-    fn merge_hold(
+    pub(super) fn merge_hold(
         &mut self,
         segment: call::SegmentId,
         hold: Option<Hold>,
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -227,6 +227,36 @@
     assert_eq!(verdict(&second, POISON_PROMPT, now), Verdict::Allowed);
 }
 
+#[test]
+fn segment_that_the_store_keeps_is_refused_by_a_daemon_that_starts() {
+    struct Case {
+        name: &'static str,
+        // Time between the write and the read, by the wall clock.
+        passed: time::Millis,
+        is_refused: bool,
+    }
+    let cases = [
+        Case { name: "soon", passed: time::Millis(3_000), is_refused: true },
+        Case { name: "after its hold", passed: time::Millis::from_secs(130), is_refused: false },
+        Case { name: "a day later", passed: time::Millis::from_secs(86_400), is_refused: false },
+    ];
+    let (wall, writer) = (1_700_000_000_000, refusing(START));
+    assert!(writer.unstored(|_| false, wall, START).is_empty(), "another daemon writes");
+    let stored = writer.unstored(|_| true, wall, START);
+    assert_eq!(stored.len(), 1);
+    for case in cases {
+        let mut fresh = Quarantine::default();
+        fresh.merge_stored(&stored[0], wall + case.passed.0, START);
+        assert_eq!(is_refused(&fresh, POISON_PROMPT, START), case.is_refused, "{}", case.name);
+        assert!(fresh.unstored(|_| true, wall, START).is_empty(), "{}", case.name);
+    }
+    let mut writer = writer;
+    writer.mark_stored(POISON, stored[0].epoch);
+    assert!(writer.unstored(|_| true, wall, START).is_empty());
+    writer.mark_unstored();
+    assert_eq!(writer.unstored(|_| true, wall, START), stored, "after a restore of the store");
+}
+
 #[test]
 fn memory_stays_bounded_and_keeps_what_is_refused() {
     let mut quarantine = refusing(START);
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -10,7 +10,7 @@
 
 use crate::context::Shared;
 use crate::state::State;
-use crate::{feed, gossip, upstream};
+use crate::{gossip, store_row};
 
 /// Interval between evaluations of the counts.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -19,9 +19,6 @@
 /// rank write first.
 const POLLS_PER_RANK: u32 = 12;
 
-/// Timeout of a write or a read of the status.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Delay after a failed write.
 const WRITE_BACKOFF: Duration = Duration::from_millis(400);
 
@@ -153,21 +150,13 @@
     progress: fleet::Progress,
     expected: u64,
 ) -> Result<Outcome, String> {
-    let address = context.state().settings.store;
     let key = row::status_key(service);
     let value = row::encode_status(to, progress);
-    let request = store::write(&address.to_string(), row::STATUS, &key, &value, expected);
-    let call = upstream::Progress::default();
-    let response =
-        upstream::exchange(address, request, upstream::Limits::small(WRITE_TIMEOUT), &call).await;
-    let response = response.map_err(|error| error.to_string())?;
-    let era = feed::accept_era(context, response.headers())?;
-    match store::decode_write(response.status(), response.body(), era) {
-        Ok(store::WriteOutcome::Committed(_)) => Ok(Outcome::Done),
-        Ok(store::WriteOutcome::Conflict(rows)) => Ok(rows
+    match store_row::write(context, row::STATUS, &key, &value, expected).await? {
+        store::WriteOutcome::Committed(_) => Ok(Outcome::Done),
+        store::WriteOutcome::Conflict(rows) => Ok(rows
             .first()
             .map_or(Outcome::Retry(0), |row| compare(context, service, to, progress, row))),
-        Err(error) => Err(error.to_string()),
     }
 }
 
@@ -177,15 +166,7 @@
     to: &id::VersionId,
     progress: fleet::Progress,
 ) -> Result<Outcome, String> {
-    let address = context.state().settings.store;
-    let request = store::read(&address.to_string(), row::STATUS, None);
-    let call = upstream::Progress::default();
-    let response =
-        upstream::exchange(address, request, upstream::Limits::small(WRITE_TIMEOUT), &call).await;
-    let response = response.map_err(|error| error.to_string())?;
-    let era = feed::accept_era(context, response.headers())?;
-    let rows = store::decode_rows(response.status(), response.body(), era);
-    let rows = rows.map_err(|error| error.to_string())?.rows;
+    let rows = store_row::read(context, row::STATUS).await?;
     let key = row::status_key(service);
     let found = rows.iter().find(|row| row.key == key);
     Ok(found.map_or(Outcome::Retry(0), |row| compare(context, service, to, progress, row)))
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -15,7 +15,9 @@
 use crate::context::{self, Shared};
 use crate::error::RelayError;
 use crate::state::{State, Table};
-use crate::{chunks, feed, gossip, load_reports, log_writer, metrics, rollout, serve};
+use crate::{
+    chunks, feed, gossip, load_reports, log_writer, metrics, quarantine_rows, rollout, serve,
+};
 
 /// Interval of the checks for expired state and for suspensions.
 const TICK_INTERVAL: time::Millis = time::Millis(200);
@@ -120,6 +122,8 @@
     tokio::task::spawn_local(load_reports::run(context.clone(), reports));
     tokio::task::spawn_local(rollout::watch(context.clone()));
     tokio::task::spawn_local(rollout::report(context.clone()));
+    tokio::task::spawn_local(quarantine_rows::write(context.clone()));
+    tokio::task::spawn_local(quarantine_rows::read(context.clone()));
     tokio::task::spawn_local(metrics::serve(context.clone(), metrics_listener));
     tokio::task::spawn_local(serve::readiness(context.clone(), ready));
     tokio::task::spawn_local(serve::callers(context.clone(), front));
