quarantine: a segment that sound prompts share is not blamed for the ends of a poison one

One of seven runs of poison_segment_ends_no_more_endpoints_once_it_has_ended_five failed: sound requests did not begin at once after the ends. Sound requests in flight share the ends of a poison one, so their common first segment is in more of them, and of two segments with enough ends the one with more was refused first. Segments that nothing has cleared are judged first now, and their ends no longer count against those that answers have cleared, also while they have too few to be refused. Two cases of the decision's test fail without the change (the sound prompt refused).

--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -97,6 +97,10 @@
         self.ends.iter().map(|end| end.at).max().unwrap_or_default()
     }
 
+    fn endpoints(&self) -> impl Iterator<Item = EndpointKey> {
+        self.ends.iter().map(|end| end.endpoint)
+    }
+
     fn set_hold(&mut self, hold: Option<Hold>, epoch: u32, now: time::Tick) {
         self.hold = hold;
         self.epoch = epoch;
@@ -307,16 +311,32 @@
         self.records.retain(|_, record| is_current(record));
     }
 
-    // The segment with the most unexplained ends, and their number, if they are enough to refuse it.
-    // Of segments with the same ends the deepest is taken: the fewest requests have it.
+    // The segment to refuse next, and the number of its ends. Segments that nothing has cleared come
+    // first: those that sound prompts share are in flight at most ends, and so have more of them. Of
+    // segments with as many ends the deepest is taken, as the fewest requests have it.
     fn most_blamed(&self, now: time::Tick) -> Option<(call::SegmentId, usize)> {
-        let explained = self.explained();
-        let candidates = self.records.iter().filter(|(_, record)| record.hold.is_none());
-        let counted = candidates.filter_map(|(segment, record)| {
+        let mut explained = self.explained();
+        self.most_blamed_of(false, &explained, now).or_else(|| {
+            let suspects = self.records.iter();
+            let suspects =
+                suspects.filter(|(segment, record)| self.is_contained(**segment, record));
+            explained.extend(suspects.flat_map(|(_, record)| record.endpoints()));
+            self.most_blamed_of(true, &explained, now)
+        })
+    }
+
+    fn most_blamed_of(
+        &self,
+        is_trusted: bool,
+        explained: &BTreeSet<EndpointKey>,
+        now: time::Tick,
+    ) -> Option<(call::SegmentId, usize)> {
+        let counted = self.records.iter().filter_map(|(segment, record)| {
+            let is_candidate =
+                record.hold.is_none() && self.survivals.last(*segment).is_some() == is_trusted;
             let open = |end: &&End| !explained.contains(&end.endpoint);
             let ends: Vec<&End> = record.ends.iter().filter(open).collect();
-            let is_trusted = self.survivals.last(*segment).is_some();
-            let is_blamed = is_enough(&ends, is_trusted, now);
+            let is_blamed = is_candidate && is_enough(&ends, is_trusted, now);
             is_blamed.then_some((ends.len(), record.depth, *segment))
         });
         counted.max().map(|(ends, _, segment)| (segment, ends))
@@ -325,7 +345,7 @@
     // Endpoints that a segment in quarantine has ended.
     fn explained(&self) -> BTreeSet<EndpointKey> {
         let held = self.records.values().filter(|record| record.hold.is_some());
-        held.flat_map(|record| record.ends.iter().map(|end| end.endpoint)).collect()
+        held.flat_map(Record::endpoints).collect()
     }
 
     fn is_contained(&self, segment: call::SegmentId, record: &Record) -> bool {
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -130,6 +130,36 @@
         poison: Expected::Allowed,
         sound: Expected::Refused,
     },
+    Case {
+        name: "the segment that sound prompts share is in more ends than the poison one",
+        steps: &[
+            Step::Survival(SOUND_PROMPT),
+            Step::End(POISON_PROMPT, 0),
+            Step::End(SOUND_PROMPT, 4),
+            Step::Wait(900),
+            Step::End(POISON_PROMPT, 1),
+            Step::End(POISON_PROMPT, 2),
+            Step::End(SOUND_PROMPT, 5),
+            Step::End(SOUND_PROMPT, 6),
+            Step::End(SOUND_PROMPT, 7),
+            Step::Wait(150),
+            Step::End(POISON_PROMPT, 3),
+            Step::Wait(1_000),
+        ],
+        poison: Expected::Refused,
+        sound: Expected::Allowed,
+    },
+    Case {
+        name: "the same, before the poison one has enough ends",
+        steps: &[
+            Step::Survival(SOUND_PROMPT),
+            Step::Ends(POISON_PROMPT, 3),
+            Step::Ends(SOUND_PROMPT, 8),
+            Step::Wait(1_000),
+        ],
+        poison: Expected::Contained,
+        sound: Expected::Allowed,
+    },
     Case {
         name: "ends that the segment in quarantine explains",
         steps: &[
