tests: test processes that run at the same time try ports 500 apart

Two runs of the relay tests side by side failed with addresses in use and relays that answered for the other run: one process takes more than 100 ports by now, so processes with successive ids shared some.

--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -242,8 +242,8 @@
         }
     }
 
-    /// Records that an endpoint ended just after it had begun an answer with these segments, in the
-    /// order of the prompt; returns whether this was unknown.
+    /// Records that an endpoint ended at `now`, just after it had begun an answer with these segments, in
+    /// the order of the prompt; returns whether this was unknown.
     pub fn record_end(
         &mut self,
         segments: &[call::SegmentId],
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -99,6 +99,7 @@
     let Some(registration) = context.state().balancer.entry(endpoint).cloned() else { return };
     let Some(guard) = CheckGuard::begin(context) else { return };
     let (context, request) = (context.clone(), received.metadata.id.clone());
+    let ended = context.now();
     let (segments, list) = (received.metadata.shared_segments(), segment_list(&received.metadata));
     tokio::task::spawn_local(async move {
         let _guard = guard;
@@ -115,12 +116,11 @@
                 ],
             );
             let key = EndpointKey::of(&registration);
-            let now = context.now();
             let mut state = context.state();
-            if state.quarantine.record_end(&segments, key, now) {
+            if state.quarantine.record_end(&segments, key, ended) {
                 context.evidence_added.notify_one();
             }
-            judge(&mut state, now);
+            judge(&mut state, context.now());
         }
     });
 }
--- a/crates/ibishill-standin/src/port.rs
+++ b/crates/ibishill-standin/src/port.rs
@@ -10,7 +10,7 @@
 // server binds it.
 const PORTS: std::ops::Range<u32> = 12_000..32_000;
 // Distance between the first ports that processes with successive ids try.
-const PORTS_PER_PROCESS: u32 = 100;
+const PORTS_PER_PROCESS: u32 = 500;
 
 static ATTEMPTS: AtomicU32 = AtomicU32::new(0);
 
