relay: the state and the balancer in smaller modules

What relays tell each other of endpoints, how rows are merged, and the state of one endpoint are modules of their own; new types are named through their modules. No behaviour changes: lints and the tests of decide, state, core and the adapter passed.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -5,6 +5,7 @@
 //! same endpoint; endpoints that restart cold, fail or leave. Each daemon knows its own
 //! in-flight work exactly, and that of others from responses and from peers' reports.
 
+mod endpoint;
 pub mod reports;
 
 use std::collections::BTreeMap;
@@ -12,12 +13,10 @@
 use ibishill_core::{fleet, id, time};
 use xxhash_rust::xxh3;
 
-use crate::endpoint_key::EndpointKey;
-use crate::{endpoint_limit, outlier, rate, reach};
+use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
 
-/// Age at which the load that a response reported has lost all its weight; the weight falls
-/// linearly.
-const LOAD_TTL: time::Millis = time::Millis(1_500);
+use crate::endpoint_key;
+use crate::{endpoint_limit, outlier, rate, reach};
 
 /// Bonus for a cached prefix, in load for each 1,000 shared tokens.
 const PREFIX_BONUS: f64 = 0.03;
@@ -171,44 +170,6 @@
     pub prefill: f64,
 }
 
-// Requests of other daemons, as last reported by the endpoint.
-#[derive(Debug, Clone, Copy)]
-struct Observed {
-    others: f64,
-    waiting: f64,
-    at: time::Tick,
-}
-
-#[derive(Debug, Clone)]
-struct Endpoint {
-    entry: fleet::Registration,
-    // Identifies the endpoint in peers' reports: the low 32 bits of its id's hash.
-    report_key: u32,
-    // Identifies this incarnation.
-    key: EndpointKey,
-    running: u32,
-    tokens: u64,
-    // Own requests whose response has not started, and their prefill cost.
-    pending: u32,
-    prefill: f64,
-    observed: Option<Observed>,
-    breaker: outlier::Breaker,
-    // The last connection failed; the endpoint may have restarted since.
-    was_unreachable: bool,
-    cold_until: time::Tick,
-    cold_bucket: rate::Bucket,
-}
-
-impl Endpoint {
-    // Running and waiting requests of other daemons, weighted by the age of the observation.
-    fn observed_load(&self, now: time::Tick) -> (f64, f64) {
-        let Some(observed) = self.observed else { return (0.0, 0.0) };
-        let age = now.since(observed.at).0 as f64 / LOAD_TTL.0 as f64;
-        let weight = (1.0 - age).max(0.0);
-        (observed.others * weight, observed.waiting * weight)
-    }
-}
-
 /// Number of endpoints in each state.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -316,7 +277,7 @@
             _ => {
                 let endpoint = Endpoint {
                     report_key: report_key(&entry.id),
-                    key: EndpointKey::of(&entry),
+                    key: endpoint_key::EndpointKey::of(&entry),
                     entry: entry.clone(),
                     running: 0,
                     tokens: 0,
@@ -622,10 +583,6 @@
     }
 }
 
-fn endpoint_hash(endpoint: &Endpoint) -> u64 {
-    xxh3::xxh3_64(endpoint.entry.id.as_str().as_bytes())
-}
-
 // The smallest hash among the engines that the smallest model prefers.
 fn small_model_threshold(endpoints: &[&Endpoint]) -> u64 {
     let mut hashes: Vec<u64> = endpoints.iter().map(|endpoint| endpoint_hash(endpoint)).collect();
@@ -649,10 +606,6 @@
     xxh3::xxh3_64_with_seed(endpoint.entry.id.as_str().as_bytes(), request.seed)
 }
 
-fn report_key(id: &id::EndpointId) -> u32 {
-    xxh3::xxh3_64(id.as_str().as_bytes()) as u32
-}
-
 // Rendezvous hashing of the prefix: daemons that know the same endpoints agree on the one with
 // the highest hash; if it fails or is full, the next one takes its place.
 fn prefix_endpoint(endpoints: &[&Endpoint], request: &Request<'_>) -> Option<u32> {
--- /dev/null
+++ b/crates/ibishill-decide/src/balance/endpoint.rs
@@ -0,0 +1,57 @@
+//! State of one endpoint, as a daemon knows it.
+
+use ibishill_core::{fleet, id, time};
+use xxhash_rust::xxh3;
+
+use crate::endpoint_key;
+use crate::{outlier, rate};
+
+/// Age at which the load that a response reported has lost all its weight; the weight falls
+/// linearly.
+const LOAD_TTL: time::Millis = time::Millis(1_500);
+
+// Requests of other daemons, as last reported by the endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Observed {
+    pub(super) others: f64,
+    pub(super) waiting: f64,
+    pub(super) at: time::Tick,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Endpoint {
+    pub(super) entry: fleet::Registration,
+    // Identifies the endpoint in peers' reports: the low 32 bits of its id's hash.
+    pub(super) report_key: u32,
+    // Identifies this incarnation.
+    pub(super) key: endpoint_key::EndpointKey,
+    pub(super) running: u32,
+    pub(super) tokens: u64,
+    // Own requests whose response has not started, and their prefill cost.
+    pub(super) pending: u32,
+    pub(super) prefill: f64,
+    pub(super) observed: Option<Observed>,
+    pub(super) breaker: outlier::Breaker,
+    // The last connection failed; the endpoint may have restarted since.
+    pub(super) was_unreachable: bool,
+    pub(super) cold_until: time::Tick,
+    pub(super) cold_bucket: rate::Bucket,
+}
+
+impl Endpoint {
+    // Running and waiting requests of other daemons, weighted by the age of the observation.
+    pub(super) fn observed_load(&self, now: time::Tick) -> (f64, f64) {
+        let Some(observed) = self.observed else { return (0.0, 0.0) };
+        let age = now.since(observed.at).0 as f64 / LOAD_TTL.0 as f64;
+        let weight = (1.0 - age).max(0.0);
+        (observed.others * weight, observed.waiting * weight)
+    }
+}
+
+pub(super) fn endpoint_hash(endpoint: &Endpoint) -> u64 {
+    xxh3::xxh3_64(endpoint.entry.id.as_str().as_bytes())
+}
+
+pub(super) fn report_key(id: &id::EndpointId) -> u32 {
+    xxh3::xxh3_64(id.as_str().as_bytes()) as u32
+}
--- a/crates/ibishill-decide/src/endpoint_limit.rs
+++ b/crates/ibishill-decide/src/endpoint_limit.rs
@@ -9,11 +9,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ibishill_core::rate::RequestRate;
-use ibishill_core::{id, time};
+use ibishill_core::{id, request_rate, time};
 use serde::{Deserialize, Serialize};
 
-use crate::endpoint_key::EndpointKey;
+use crate::endpoint_key;
 use crate::rate;
 
 /// Maximum number of endpoints with a limit; the one named longest ago makes room.
@@ -54,7 +53,7 @@
 #[derive(Debug, Clone, PartialEq)]
 struct Known {
     // None if it was withdrawn.
-    limit: Option<RequestRate>,
+    limit: Option<request_rate::RequestRate>,
     // When an answer last told it.
     at: time::Tick,
     changed: time::Tick,
@@ -80,7 +79,12 @@
     }
 
     // Returns whether the limit has changed.
-    fn set(&mut self, limit: Option<RequestRate>, at: time::Tick, now: time::Tick) -> bool {
+    fn set(
+        &mut self,
+        limit: Option<request_rate::RequestRate>,
+        at: time::Tick,
+        now: time::Tick,
+    ) -> bool {
         let is_changed = self.limit != limit;
         if is_changed {
             self.changed = now;
@@ -99,7 +103,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Statement {
     /// The limit; none if the answer names none.
-    pub limit: Option<RequestRate>,
+    pub limit: Option<request_rate::RequestRate>,
     /// When the request was sent.
     pub sent: time::Tick,
 }
@@ -107,8 +111,8 @@
 /// A limit, as daemons tell it each other.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Told {
-    endpoint: EndpointKey,
-    limit: Option<RequestRate>,
+    endpoint: endpoint_key::EndpointKey,
+    limit: Option<request_rate::RequestRate>,
     // Since an answer told it, or longer.
     age: time::Millis,
 }
@@ -135,7 +139,7 @@
 /// Known limits by endpoint, and the demand by which daemons divide them.
 #[derive(Debug, Clone, Default)]
 pub struct Limits {
-    known: BTreeMap<EndpointKey, Known>,
+    known: BTreeMap<endpoint_key::EndpointKey, Known>,
     own: Demand,
     peers: BTreeMap<id::VmId, (f64, time::Tick)>,
 }
@@ -145,7 +149,12 @@
     ///
     /// An answer to a request that was sent before the limit was last named does not withdraw it, and
     /// one to a request from before it was withdrawn does not bring it back.
-    pub fn record(&mut self, endpoint: EndpointKey, statement: Statement, now: time::Tick) -> bool {
+    pub fn record(
+        &mut self,
+        endpoint: endpoint_key::EndpointKey,
+        statement: Statement,
+        now: time::Tick,
+    ) -> bool {
         let Statement { limit, sent } = statement;
         match self.known.get(&endpoint) {
             None if limit.is_none() => return false,
@@ -157,7 +166,7 @@
         self.entry(endpoint, now).set(limit, now, now)
     }
 
-    fn entry(&mut self, endpoint: EndpointKey, now: time::Tick) -> &mut Known {
+    fn entry(&mut self, endpoint: endpoint_key::EndpointKey, now: time::Tick) -> &mut Known {
         if self.known.len() >= ENDPOINTS_MAX && !self.known.contains_key(&endpoint) {
             let oldest = self.known.iter().min_by_key(|(_, known)| known.at);
             if let Some(oldest) = oldest.map(|(endpoint, _)| *endpoint) {
@@ -216,7 +225,7 @@
     /// that has changed if `generation` has.
     pub fn divide<F>(&mut self, own: &id::VmId, generation: u64, senders: F, now: time::Tick)
     where
-        F: Fn(EndpointKey) -> Vec<id::VmId>,
+        F: Fn(endpoint_key::EndpointKey) -> Vec<id::VmId>,
     {
         self.known.retain(|_, known| now.since(known.at) < LIMIT_TTL);
         self.peers.retain(|_, (_, at)| now.since(*at) < DEMAND_TTL);
@@ -237,13 +246,13 @@
     }
 
     /// Whether this daemon may send a request to an endpoint now.
-    pub fn admits(&self, endpoint: EndpointKey, now: time::Tick) -> bool {
+    pub fn admits(&self, endpoint: endpoint_key::EndpointKey, now: time::Tick) -> bool {
         let Some(known) = self.known.get(&endpoint) else { return true };
         known.rate().is_none_or(|rate| known.bucket.has_token(rate, now))
     }
 
     /// Records that this daemon sends a request to an endpoint.
-    pub fn record_send(&mut self, endpoint: EndpointKey, now: time::Tick) {
+    pub fn record_send(&mut self, endpoint: endpoint_key::EndpointKey, now: time::Tick) {
         let Some(known) = self.known.get_mut(&endpoint) else { return };
         if let Some(rate) = known.rate() {
             known.bucket.try_take(rate, now);
--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -12,7 +12,7 @@
 
 use ibishill_core::{call, time};
 
-use crate::endpoint_key::EndpointKey;
+use crate::endpoint_key;
 
 /// Ends of distinct endpoints after which a segment that no answer has cleared is refused.
 const ENDS_MAX: usize = 4;
@@ -53,7 +53,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct End {
-    endpoint: EndpointKey,
+    endpoint: endpoint_key::EndpointKey,
     at: time::Tick,
 }
 
@@ -97,7 +97,7 @@
         self.ends.iter().map(|end| end.at).max().unwrap_or_default()
     }
 
-    fn endpoints(&self) -> impl Iterator<Item = EndpointKey> {
+    fn endpoints(&self) -> impl Iterator<Item = endpoint_key::EndpointKey> {
         self.ends.iter().map(|end| end.endpoint)
     }
 
@@ -247,7 +247,7 @@
     pub fn record_end(
         &mut self,
         segments: &[call::SegmentId],
-        endpoint: EndpointKey,
+        endpoint: endpoint_key::EndpointKey,
         now: time::Tick,
     ) -> bool {
         let mut is_new = false;
@@ -328,7 +328,7 @@
     fn most_blamed_of(
         &self,
         is_trusted: bool,
-        explained: &BTreeSet<EndpointKey>,
+        explained: &BTreeSet<endpoint_key::EndpointKey>,
         now: time::Tick,
     ) -> Option<(call::SegmentId, usize)> {
         let counted = self.records.iter().filter_map(|(segment, record)| {
@@ -343,7 +343,7 @@
     }
 
     // Endpoints that a segment in quarantine has ended.
-    fn explained(&self) -> BTreeSet<EndpointKey> {
+    fn explained(&self) -> BTreeSet<endpoint_key::EndpointKey> {
         let held = self.records.values().filter(|record| record.hold.is_some());
         held.flat_map(Record::endpoints).collect()
     }
--- a/crates/ibishill-decide/src/quarantine/evidence.rs
+++ b/crates/ibishill-decide/src/quarantine/evidence.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Change, End, Hold, Quarantine, Survival};
-use crate::endpoint_key::EndpointKey;
+use crate::endpoint_key;
 
 /// Time for which a change is told in every report.
 const NEWS_TTL: time::Millis = time::Millis(2_000);
@@ -22,7 +22,7 @@
 pub struct Evidence {
     segment: call::SegmentId,
     depth: u8,
-    ends: Vec<(EndpointKey, time::Millis)>,
+    ends: Vec<(endpoint_key::EndpointKey, time::Millis)>,
     // Since the last answer began that has gone on, if the sender has seen it itself.
     survival: Option<time::Millis>,
     // Number of changes of `held`.
--- a/crates/ibishill-decide/tests/relay/endpoint_limit.rs
+++ b/crates/ibishill-decide/tests/relay/endpoint_limit.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
-use ibishill_core::{id, rate, time};
-use ibishill_decide::endpoint_key::EndpointKey;
+use ibishill_core::{id, request_rate, time};
+use ibishill_decide::endpoint_key;
 use ibishill_decide::endpoint_limit::{Limits, SENDERS, Statement, Told};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -9,16 +9,16 @@
 
 const START: time::Tick = time::Tick(10_000_000);
 
-fn endpoint() -> EndpointKey {
-    EndpointKey::new(&"e0".parse().unwrap(), Some(1))
+fn endpoint() -> endpoint_key::EndpointKey {
+    endpoint_key::EndpointKey::new(&"e0".parse().unwrap(), Some(1))
 }
 
 fn vm(number: usize) -> id::VmId {
     format!("vm{number}").parse().unwrap()
 }
 
-fn limit(per_second: f64) -> Option<rate::RequestRate> {
-    Some(rate::RequestRate::try_from(per_second).unwrap())
+fn limit(per_second: f64) -> Option<request_rate::RequestRate> {
+    Some(request_rate::RequestRate::try_from(per_second).unwrap())
 }
 
 enum Step {
@@ -106,10 +106,14 @@
     }
 }
 
-fn told_by_peer(limit: Option<rate::RequestRate>, heard: time::Tick, now: time::Tick) -> Vec<Told> {
+fn told_by_peer(
+    limit: Option<request_rate::RequestRate>,
+    heard: time::Tick,
+    now: time::Tick,
+) -> Vec<Told> {
     let mut peer = Limits::default();
     let before = time::Tick(heard.0 - 1);
-    let named = Some(rate::RequestRate::default());
+    let named = Some(request_rate::RequestRate::default());
     peer.record(endpoint(), Statement { limit: named, sent: before }, before);
     peer.record(endpoint(), Statement { limit, sent: heard }, heard);
     peer.told(1, true, now)
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -1,5 +1,5 @@
 use ibishill_core::{call, id, time};
-use ibishill_decide::endpoint_key::EndpointKey;
+use ibishill_decide::endpoint_key;
 use ibishill_decide::quarantine::evidence::Evidence;
 use ibishill_decide::quarantine::{Quarantine, Verdict};
 use rand::{RngExt, SeedableRng};
@@ -15,9 +15,9 @@
 const POISON_PROMPT: &[call::SegmentId] = &[FIRST, POISON];
 const SOUND_PROMPT: &[call::SegmentId] = &[FIRST, SOUND];
 
-fn key(number: usize) -> EndpointKey {
+fn key(number: usize) -> endpoint_key::EndpointKey {
     let name: id::EndpointId = format!("e{number}").parse().unwrap();
-    EndpointKey::new(&name, Some(1))
+    endpoint_key::EndpointKey::new(&name, Some(1))
 }
 
 fn verdict(quarantine: &Quarantine, prompt: &[call::SegmentId], now: time::Tick) -> Verdict {
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ibishill_core::{call, event, id, time};
-use ibishill_decide::endpoint_key::EndpointKey;
+use ibishill_decide::endpoint_key;
 use tokio::time as clock;
 
 use crate::attempt::Received;
@@ -115,7 +115,7 @@
                     event::field("segments", &list),
                 ],
             );
-            let key = EndpointKey::of(&registration);
+            let key = endpoint_key::EndpointKey::of(&registration);
             let mut state = context.state();
             if state.quarantine.record_end(&segments, key, ended) {
                 context.evidence_added.notify_one();
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -9,8 +9,7 @@
 use http::{HeaderMap, Request};
 use ibishill_adapter::error::DecodeError;
 use ibishill_adapter::store;
-use ibishill_core::store_version::{Era, StoreVersion};
-use ibishill_core::{event, fleet, time};
+use ibishill_core::{event, fleet, store_version, time};
 use ibishill_decide::readers;
 use ibishill_state::{confirmation, replica};
 use tokio::time as clock;
@@ -179,7 +178,7 @@
     let at = context.now();
     let host = context.state().settings.store.to_string();
     let mut all = Vec::new();
-    let mut oldest: Option<(StoreVersion, confirmation::Stamp)> = None;
+    let mut oldest: Option<(store_version::StoreVersion, confirmation::Stamp)> = None;
     loop {
         let after = all.last().map(|row: &fleet::RawRow| row.key.clone());
         let request = store::read(&host, table.name(), after.as_deref());
@@ -237,7 +236,10 @@
 ///
 /// Fails, and logs it, if the era is not a number, or has gone down or away; the answer says nothing
 /// then.
-pub(crate) fn accept_era(context: &Shared, headers: &HeaderMap) -> Result<Era, String> {
+pub(crate) fn accept_era(
+    context: &Shared,
+    headers: &HeaderMap,
+) -> Result<store_version::Era, String> {
     let known = context.state().era();
     let detail = match store::decode_era(headers) {
         Ok(told) => match told.unwrap_or_default() {
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -8,8 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ibishill_core::store_version::StoreVersion;
-use ibishill_core::{event, id};
+use ibishill_core::{event, id, store_version};
 use ibishill_decide::balance;
 use ibishill_state::confirmation;
 use serde::{Deserialize, Serialize};
@@ -168,7 +167,7 @@
 // Records which versions a peer has; returns whether this relay lacks one that it isn't fetching.
 fn record_versions<I>(state: &mut State, reported: I, sender: SocketAddr) -> bool
 where
-    I: Iterator<Item = StoreVersion>,
+    I: Iterator<Item = store_version::StoreVersion>,
 {
     let mut is_behind = false;
     for (table, version) in Table::ALL.into_iter().zip(reported) {
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -1,20 +1,21 @@
 //! State of one relay, updated from store rows, peers and responses.
 
+mod news;
+mod rows;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use ibishill_adapter::row;
-use ibishill_core::store_version::{Era, StoreVersion};
-use ibishill_core::{call, event, fleet, id, route, time};
-use ibishill_decide::endpoint_key::EndpointKey;
-use ibishill_decide::{
-    balance, canary, endpoint_limit, escalation, peers, quarantine, retry, wait_queue,
-};
+use ibishill_core::{event, fleet, id, route, store_version, time};
+use ibishill_decide::{balance, canary, escalation, peers, quarantine, retry, wait_queue};
 use ibishill_state::{chunk, confirmation, replica, transfer};
 use serde::{Deserialize, Serialize};
 
+pub(crate) use news::News;
+
 use crate::{early_end, restored};
 
 /// Time after a store outage for which endpoints whose registration lapsed are kept: live ones
@@ -76,13 +77,6 @@
     age: time::Millis,
 }
 
-/// What relays tell each other of endpoints.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub(crate) struct News {
-    limits: Vec<endpoint_limit::Told>,
-    evidence: Vec<quarantine::evidence::Evidence>,
-}
-
 /// Result of merging a delta.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Merged {
@@ -270,7 +264,11 @@
     }
 
     /// Delta for a peer whose replica of a table is at `version`; none if it lacks nothing.
-    pub(crate) fn delta(&self, table: Table, version: StoreVersion) -> Option<transfer::Delta> {
+    pub(crate) fn delta(
+        &self,
+        table: Table,
+        version: store_version::StoreVersion,
+    ) -> Option<transfer::Delta> {
         let replica = self.replica(table);
         Some(replica.transfer.pack(replica.table.since(version)?))
     }
@@ -371,259 +369,6 @@
         }
     }
 
-    /// Merges a delta into a table and applies its rows; `source` is who delivered it.
-    pub(crate) fn merge(
-        &mut self,
-        table: Table,
-        delta: replica::Delta,
-        source: &(dyn std::fmt::Display + Sync),
-        now: time::Tick,
-    ) -> Merged {
-        self.record_outage(table, now);
-        let replica = self.replicas.entry(table).or_default();
-        let is_initial = replica.table.version() == StoreVersion::default();
-        let before = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
-        let is_restore = delta.is_whole && replica.table.is_later_era(&delta);
-        let delta = if is_restore { self.enter_era(table, delta, now) } else { delta };
-        let replica = self.replicas.entry(table).or_default();
-        let changed = replica.table.merge(delta);
-        replica.transfer.record(&changed, replica.table.version());
-        for record in &changed {
-            if is_restore && self.restored.defers(table, record, &self.balancer, &self.canaries) {
-                self.restored.hold(table, record, now);
-            } else {
-                self.restored.release(table, &record.key);
-                self.apply_record(table, record, is_initial, now);
-            }
-        }
-        let delay = self.record_catalog(before, &changed, source, now);
-        self.is_update_due |= !changed.is_empty();
-        Merged { is_changed: !changed.is_empty(), is_pending: false, delay }
-    }
-
-    /// Era of the store, as far as it is known.
-    pub(crate) fn era(&self) -> Era {
-        let eras = self.replicas.values().map(|replica| replica.table.version().era);
-        eras.max().unwrap_or_default()
-    }
-
-    // Prepares for the first rows of a store that was restored from an older copy. Returns them with
-    // the configuration that is in force, if the copy has an older one or none: the operator writes
-    // it again, and until then relays that start get it from their peers.
-    fn enter_era(
-        &mut self,
-        table: Table,
-        mut delta: replica::Delta,
-        now: time::Tick,
-    ) -> replica::Delta {
-        let before = self.replica(table).table.version();
-        if delta.version.era > self.era() {
-            self.restores += 1;
-            event::emit_json(
-                event::Event::StoreRestored,
-                &[
-                    event::field("table", &table.name()),
-                    event::field("before", &before),
-                    event::field("after", &delta.version),
-                ],
-            );
-        }
-        if table == Table::Endpoints {
-            self.lapse_until = self.lapse_until.max(now + LAPSE_GRACE);
-        }
-        let known = self.replica(table).table.row(row::CATALOG).cloned();
-        if let Some(known) = known.filter(|_| table == Table::Orders) {
-            let at = delta.rows.binary_search_by(|found| found.key.as_str().cmp(row::CATALOG));
-            let version = at.map_or(0, |at| catalog_version(&delta.rows[at]));
-            if version < self.catalog_version() {
-                let kept = fleet::RawRow { version: delta.version, ..known };
-                match at {
-                    Ok(at) => delta.rows[at] = kept,
-                    Err(at) => delta.rows.insert(at, kept),
-                }
-            }
-        }
-        delta
-    }
-
-    // Logs the configuration if it is newer than `before`; returns the time from its first notice.
-    fn record_catalog(
-        &mut self,
-        before: u64,
-        changed: &[fleet::RawRow],
-        source: &(dyn std::fmt::Display + Sync),
-        now: time::Tick,
-    ) -> Option<time::Millis> {
-        let version = self.catalog_version();
-        if version <= before {
-            return None;
-        }
-        let later = self.announced.split_off(&(version + 1));
-        let announced = std::mem::replace(&mut self.announced, later);
-        self.catalog_since = announced.get(&version).copied().unwrap_or(now);
-        let first = announced.into_values().min();
-        let delay = first.map_or(time::Millis(0), |at| now.since(at));
-        let bytes: usize =
-            changed.iter().filter_map(|row| row.value.as_ref()).map(Bytes::len).sum();
-        event::emit_json(
-            event::Event::CatalogInForce,
-            &[
-                event::field("version", &version),
-                event::field(
-                    "row",
-                    &changed.iter().map(|row| row.version).max().unwrap_or_default(),
-                ),
-                event::field("source", source),
-                event::field("bytes", &bytes),
-                event::field("delay", &delay),
-            ],
-        );
-        Some(delay)
-    }
-
-    fn apply_record(
-        &mut self,
-        table: Table,
-        record: &fleet::RawRow,
-        is_initial: bool,
-        now: time::Tick,
-    ) {
-        let Some(value) = &record.value else {
-            self.apply_removal(table, record, now);
-            return;
-        };
-        match row::decode(table.name(), &record.key, value) {
-            Ok(Some(found)) => self.apply_row(found, record.version, is_initial, now),
-            Ok(None) => {}
-            Err(error) => {
-                event::emit_json(
-                    event::Event::RowInvalid,
-                    &[event::field("row", &record.key), event::field("error", &error)],
-                );
-                if table == Table::Endpoints {
-                    self.apply_removal(table, record, now);
-                }
-            }
-        }
-    }
-
-    fn apply_row(
-        &mut self,
-        found: fleet::Row,
-        version: StoreVersion,
-        is_initial: bool,
-        now: time::Tick,
-    ) {
-        match found {
-            fleet::Row::Catalog(catalog) => {
-                if self.catalog.as_ref().is_some_and(|known| known.version >= catalog.version) {
-                    return;
-                }
-                self.catalog = Some(Rc::new(*catalog));
-            }
-            fleet::Row::Rollout(order) => self.apply_rollout(order, now),
-            fleet::Row::ZoneOut(zone) => {
-                event::emit_json(
-                    event::Event::ZoneChanged,
-                    &[
-                        event::field("zone", &zone),
-                        event::field("is_out", &true),
-                        event::field("row", &version),
-                    ],
-                );
-                self.balancer.take_zone_out(zone);
-            }
-            fleet::Row::Registration(mut registration) => {
-                if is_initial {
-                    // The first read does not show the age of an entry, which may be warm by now.
-                    registration.cold_remaining = registration.cold_remaining.min(LAPSE_GRACE);
-                }
-                self.lapsed.remove(&registration.id);
-                self.restored.record_back(&registration);
-                event::emit_json(
-                    event::Event::EndpointKnown,
-                    &[
-                        event::field("endpoint", &registration.id),
-                        event::field("service", &registration.service),
-                        event::field("version", &registration.version),
-                        event::field("zone", &registration.zone),
-                        event::field(
-                            "is_ready",
-                            &(registration.readiness == fleet::Readiness::Ready),
-                        ),
-                        event::field("cold", &registration.cold_remaining),
-                        event::field("row", &version),
-                    ],
-                );
-                self.balancer.register(registration, now);
-            }
-        }
-    }
-
-    fn apply_rollout(&mut self, order: fleet::Rollout, now: time::Tick) {
-        let is_known = self.canaries.get(&order.service).is_some_and(|c| *c.order() == order);
-        if is_known {
-            return;
-        }
-        event::emit_json(
-            event::Event::RolloutChanged,
-            &[
-                event::field("service", &order.service),
-                event::field("to", &order.to),
-                event::field("state", &"ordered"),
-            ],
-        );
-        let bounds = &self.settings.bounds;
-        let mut canary = canary::Canary::new(order.clone(), bounds, now);
-        for session in self.recent_sessions.active(bounds.session_gap, now) {
-            canary.pin(session);
-        }
-        self.canaries.insert(order.service, canary);
-    }
-
-    fn apply_removal(&mut self, table: Table, record: &fleet::RawRow, now: time::Tick) {
-        match table {
-            Table::Endpoints => {
-                let Ok(id) = record.key.parse::<id::EndpointId>() else { return };
-                let is_ready = self
-                    .balancer
-                    .entry(&id)
-                    .is_some_and(|registration| registration.readiness == fleet::Readiness::Ready);
-                if is_ready && self.lapse_until > now {
-                    self.lapsed.insert(id, self.lapse_until);
-                } else {
-                    self.remove_endpoint(&id, "removed", now);
-                }
-            }
-            Table::Orders => {
-                if let Some(zone) = row::zone_out(&record.key) {
-                    event::emit_json(
-                        event::Event::ZoneChanged,
-                        &[event::field("zone", &zone), event::field("is_out", &false)],
-                    );
-                    let duration = self.max_cold_start();
-                    self.balancer.put_zone_back(&zone, duration, now);
-                }
-            }
-        }
-    }
-
-    fn max_cold_start(&self) -> time::Millis {
-        let services = self.catalog.iter().flat_map(|catalog| catalog.services.values());
-        services.map(|service| service.cold_start).max().unwrap_or_default()
-    }
-
-    fn remove_endpoint(&mut self, id: &id::EndpointId, why: &str, now: time::Tick) {
-        event::emit_json(
-            event::Event::EndpointGone,
-            &[event::field("endpoint", id), event::field("why", &why)],
-        );
-        if let Some(registration) = self.balancer.entry(id) {
-            self.restored.record_gone(registration, now);
-        }
-        self.balancer.remove(id);
-    }
-
     /// Removes lapsed endpoints that have not registered again, dead peers and old load reports.
     pub(crate) fn expire(&mut self, now: time::Tick) {
         let expired: BTreeSet<_> =
@@ -641,68 +386,6 @@
         early_end::judge(self, now);
     }
 
-    /// Records what an endpoint's answer says of its limit.
-    pub(crate) fn record_limit(
-        &mut self,
-        registration: &fleet::Registration,
-        statement: endpoint_limit::Statement,
-        now: time::Tick,
-    ) {
-        if self.balancer.limits().record(EndpointKey::of(registration), statement, now) {
-            self.divide_limits(now);
-            let limit = statement.limit.map_or("-".to_owned(), |limit| limit.to_string());
-            event::emit_json(
-                event::Event::LimitChanged,
-                &[event::field("endpoint", &registration.id), event::field("limit", &limit)],
-            );
-        }
-    }
-
-    /// Divides the limits of endpoints between the daemons that send there.
-    pub(crate) fn divide_limits(&mut self, now: time::Tick) {
-        let (own, peers) = (&self.settings.vm, &self.peers);
-        let senders = |endpoint: EndpointKey| {
-            peers.known_assigned(&endpoint.to_string(), endpoint_limit::SENDERS)
-        };
-        self.balancer.limits().divide(own, peers.generation(), senders, now);
-    }
-
-    /// Merges what a peer tells of endpoints: limits, and segments of prompts that end them.
-    pub(crate) fn merge_news(&mut self, news: News, now: time::Tick) {
-        if self.balancer.limits().merge(news.limits, now) {
-            self.divide_limits(now);
-        }
-        self.quarantine.merge(news.evidence, now);
-        early_end::judge(self, now);
-    }
-
-    /// What peers are told of endpoints, at most so many limits and segments: all of it, or only
-    /// what has changed lately.
-    pub(crate) fn news(&mut self, max: (usize, usize), is_complete: bool, now: time::Tick) -> News {
-        News {
-            limits: self.balancer.limits().told(max.0, is_complete, now),
-            evidence: self.quarantine.evidence(max.1, is_complete, now),
-        }
-    }
-
-    /// What may be done with a request whose prompt has these shared segments.
-    pub(crate) fn verdict(
-        &self,
-        segments: &[call::SegmentId],
-        now: time::Tick,
-    ) -> quarantine::Verdict {
-        let rank = |segment: call::SegmentId| self.peers.known_rank(&segment.to_string());
-        self.quarantine.verdict(segments, rank, now)
-    }
-
-    // Applies a row as the store has it now.
-    fn apply_current(&mut self, table: Table, key: String, now: time::Tick) {
-        let current = self.replica(table).table.row(&key).cloned();
-        let version = self.replica(table).table.version();
-        let record = current.unwrap_or(fleet::RawRow { key, version, value: None });
-        self.apply_record(table, &record, false, now);
-    }
-
     /// Slow-start rule for the endpoints of a service.
     pub(crate) fn slow_start(
         &self,
@@ -722,11 +405,3 @@
         self.peers.known_rank(endpoint.as_str())
     }
 }
-
-fn catalog_version(row: &fleet::RawRow) -> u64 {
-    let value = row.value.as_deref().unwrap_or_default();
-    match row::decode(row::ORDERS, &row.key, value) {
-        Ok(Some(fleet::Row::Catalog(catalog))) => catalog.version,
-        _ => 0,
-    }
-}
--- /dev/null
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -0,0 +1,76 @@
+//! What relays tell each other of endpoints: limits, and segments of prompts that end them.
+
+use ibishill_core::{call, event, fleet, time};
+use ibishill_decide::endpoint_key;
+use ibishill_decide::{endpoint_limit, quarantine};
+use serde::{Deserialize, Serialize};
+
+use super::State;
+use crate::early_end;
+
+/// What relays tell each other of endpoints.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct News {
+    limits: Vec<endpoint_limit::Told>,
+    evidence: Vec<quarantine::evidence::Evidence>,
+}
+
+impl State {
+    /// Records what an endpoint's answer says of its limit.
+    pub(crate) fn record_limit(
+        &mut self,
+        registration: &fleet::Registration,
+        statement: endpoint_limit::Statement,
+        now: time::Tick,
+    ) {
+        if self.balancer.limits().record(
+            endpoint_key::EndpointKey::of(registration),
+            statement,
+            now,
+        ) {
+            self.divide_limits(now);
+            let limit = statement.limit.map_or("-".to_owned(), |limit| limit.to_string());
+            event::emit_json(
+                event::Event::LimitChanged,
+                &[event::field("endpoint", &registration.id), event::field("limit", &limit)],
+            );
+        }
+    }
+
+    /// Divides the limits of endpoints between the daemons that send there.
+    pub(crate) fn divide_limits(&mut self, now: time::Tick) {
+        let (own, peers) = (&self.settings.vm, &self.peers);
+        let senders = |endpoint: endpoint_key::EndpointKey| {
+            peers.known_assigned(&endpoint.to_string(), endpoint_limit::SENDERS)
+        };
+        self.balancer.limits().divide(own, peers.generation(), senders, now);
+    }
+
+    /// Merges what a peer tells of endpoints: limits, and segments of prompts that end them.
+    pub(crate) fn merge_news(&mut self, news: News, now: time::Tick) {
+        if self.balancer.limits().merge(news.limits, now) {
+            self.divide_limits(now);
+        }
+        self.quarantine.merge(news.evidence, now);
+        early_end::judge(self, now);
+    }
+
+    /// What peers are told of endpoints, at most so many limits and segments: all of it, or only
+    /// what has changed lately.
+    pub(crate) fn news(&mut self, max: (usize, usize), is_complete: bool, now: time::Tick) -> News {
+        News {
+            limits: self.balancer.limits().told(max.0, is_complete, now),
+            evidence: self.quarantine.evidence(max.1, is_complete, now),
+        }
+    }
+
+    /// What may be done with a request whose prompt has these shared segments.
+    pub(crate) fn verdict(
+        &self,
+        segments: &[call::SegmentId],
+        now: time::Tick,
+    ) -> quarantine::Verdict {
+        let rank = |segment: call::SegmentId| self.peers.known_rank(&segment.to_string());
+        self.quarantine.verdict(segments, rank, now)
+    }
+}
--- a/crates/ibishill-state/src/confirmation.rs
+++ b/crates/ibishill-state/src/confirmation.rs
@@ -4,15 +4,14 @@
 //! message makes the age too small by the time that it travels. The store's own time identifies a
 //! confirmation, so that an old one that is heard again doesn't seem to be newer.
 
-use ibishill_core::store_version::{Era, StoreVersion};
-use ibishill_core::time;
+use ibishill_core::{store_version, time};
 use serde::{Deserialize, Serialize};
 
 /// Time by the store's clock, which may go back with a new era.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
     /// Era of the store.
-    pub era: Era,
+    pub era: store_version::Era,
     /// Time in milliseconds; 0 if there was none.
     pub millis: u64,
 }
@@ -21,7 +20,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
     /// Version of the table.
-    pub version: StoreVersion,
+    pub version: store_version::StoreVersion,
     /// Time of the confirmation by the store's clock.
     pub stamp: Stamp,
     /// Time since the confirmation; `None` if there was none.
@@ -56,7 +55,7 @@
     }
 
     /// The confirmation, to be told to peers.
-    pub fn tell(&self, version: StoreVersion, now: time::Tick) -> Told {
+    pub fn tell(&self, version: store_version::StoreVersion, now: time::Tick) -> Told {
         Told { version, stamp: self.stamp, age: self.at.map(|at| now.since(at)) }
     }
 }
--- a/crates/ibishill-state/src/replica.rs
+++ b/crates/ibishill-state/src/replica.rs
@@ -8,8 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use ibishill_core::fleet;
-use ibishill_core::store_version::StoreVersion;
+use ibishill_core::{fleet, store_version};
 use serde::{Deserialize, Serialize};
 
 /// Tombstones of removed rows that are kept for peers; a peer that lacks older ones gets
@@ -20,9 +19,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     is_loaded: bool,
-    version: StoreVersion,
+    version: store_version::StoreVersion,
     // Tombstones up to this version may be missing.
-    horizon: StoreVersion,
+    horizon: store_version::StoreVersion,
     rows: BTreeMap<String, fleet::RawRow>,
 }
 
@@ -32,7 +31,7 @@
     /// Whether it lists the whole table, so that any other row does not exist.
     pub is_whole: bool,
     /// Version of the store up to which the delta is complete.
-    pub version: StoreVersion,
+    pub version: store_version::StoreVersion,
     /// Rows in ascending key order; a row without a value was removed.
     pub rows: Vec<fleet::RawRow>,
 }
@@ -44,7 +43,7 @@
     }
 
     /// Version of the store up to which the replica is complete; the default before the first read.
-    pub const fn version(&self) -> StoreVersion {
+    pub const fn version(&self) -> store_version::StoreVersion {
         self.version
     }
 
@@ -106,11 +105,11 @@
 
     /// Returns the delta for a peer whose replica is at `version`, or `None` if it is up to
     /// date. Without the tombstones that the peer needs, the delta is the whole table.
-    pub fn since(&self, version: StoreVersion) -> Option<Delta> {
+    pub fn since(&self, version: store_version::StoreVersion) -> Option<Delta> {
         if version >= self.version {
             return None;
         }
-        let is_whole = version < self.horizon || version == StoreVersion::default();
+        let is_whole = version < self.horizon || version == store_version::StoreVersion::default();
         let wanted = |row: &&fleet::RawRow| {
             if is_whole { row.value.is_some() } else { row.version > version }
         };
@@ -120,7 +119,8 @@
 
     fn evict_tombstones(&mut self) {
         let removed = self.rows.values().filter(|row| row.value.is_none());
-        let mut versions: Vec<StoreVersion> = removed.map(|row| row.version).collect();
+        let mut versions: Vec<store_version::StoreVersion> =
+            removed.map(|row| row.version).collect();
         if versions.len() <= MAX_TOMBSTONES {
             return;
         }
--- a/crates/ibishill-state/src/transfer.rs
+++ b/crates/ibishill-state/src/transfer.rs
@@ -8,8 +8,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use ibishill_core::fleet;
-use ibishill_core::store_version::StoreVersion;
+use ibishill_core::{fleet, store_version};
 use serde::{Deserialize, Serialize};
 
 use crate::chunk::{self, Digest, Manifest};
@@ -32,7 +31,7 @@
     /// Key of the row.
     pub key: String,
     /// Version of the transaction that last wrote or removed the row.
-    pub version: StoreVersion,
+    pub version: store_version::StoreVersion,
     /// Value, or what is needed to fetch it.
     pub value: Value,
 }
@@ -43,7 +42,7 @@
     /// Whether it lists the whole table.
     pub is_whole: bool,
     /// Version of the store up to which the delta is complete.
-    pub version: StoreVersion,
+    pub version: store_version::StoreVersion,
     /// Rows in ascending key order.
     pub rows: Vec<Row>,
 }
@@ -67,7 +66,7 @@
 
 impl Transfer {
     /// Records rows that changed in the replica, which is now at `version`.
-    pub fn record(&mut self, changed: &[fleet::RawRow], version: StoreVersion) {
+    pub fn record(&mut self, changed: &[fleet::RawRow], version: store_version::StoreVersion) {
         for row in changed {
             self.manifests.remove(&row.key);
             if let Some(value) = row.value.as_ref().filter(|value| chunk::is_large(value)) {
@@ -103,9 +102,9 @@
         &mut self,
         delta: Delta,
         source: SocketAddr,
-        version: StoreVersion,
+        version: store_version::StoreVersion,
     ) -> Option<replica::Delta> {
-        if delta.version <= version && version > StoreVersion::default() {
+        if delta.version <= version && version > store_version::StoreVersion::default() {
             return None;
         }
         self.add_source(delta.version, source);
@@ -120,7 +119,7 @@
     }
 
     /// Records that `source` has `version`, in case that version is being fetched.
-    pub fn add_source(&mut self, version: StoreVersion, source: SocketAddr) {
+    pub fn add_source(&mut self, version: store_version::StoreVersion, source: SocketAddr) {
         if let Some(pending) = &mut self.pending {
             let is_same = pending.delta.version == version;
             if is_same && !pending.sources.contains(&source) {
@@ -130,7 +129,7 @@
     }
 
     /// Version that is being fetched.
-    pub fn pending_version(&self) -> Option<StoreVersion> {
+    pub fn pending_version(&self) -> Option<store_version::StoreVersion> {
         self.pending.as_ref().map(|pending| pending.delta.version)
     }
 
--- a/crates/ibishill-state/tests/confirmation.rs
+++ b/crates/ibishill-state/tests/confirmation.rs
@@ -1,7 +1,6 @@
 //! Confirmations of the store that daemons pass on with delays.
 
-use ibishill_core::store_version::{Era, StoreVersion};
-use ibishill_core::time;
+use ibishill_core::{store_version, time};
 use ibishill_state::confirmation;
 
 const DAEMONS: usize = 20;
@@ -22,7 +21,7 @@
     for round in 0..20 {
         let sent = 10_000 + round * INTERVAL;
         for from in 0..DAEMONS {
-            let told = daemons[from].tell(StoreVersion::default(), time::Tick(sent));
+            let told = daemons[from].tell(store_version::StoreVersion::default(), time::Tick(sent));
             for (to, daemon) in daemons.iter_mut().enumerate() {
                 state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
                 let delay = (state >> 33) % DELAY_MAX;
@@ -40,7 +39,7 @@
 }
 
 fn stamp((era, millis): (u64, u64)) -> confirmation::Stamp {
-    confirmation::Stamp { era: Era(era), millis }
+    confirmation::Stamp { era: store_version::Era(era), millis }
 }
 
 #[test]
@@ -80,7 +79,7 @@
         let mut found = confirmation::Confirmation::default();
         for (stamp, at) in case.heard {
             let age = Some(time::Millis(1_000 - at));
-            let version = StoreVersion::default();
+            let version = store_version::StoreVersion::default();
             let told = confirmation::Told { version, stamp: self::stamp(*stamp), age };
             found.hear(&told, time::Tick(1_000));
         }
--- a/crates/ibishill-state/tests/replica.rs
+++ b/crates/ibishill-state/tests/replica.rs
@@ -1,13 +1,12 @@
 //! Replicas of a table that get deltas from the store and from peers, in any order.
 
 use bytes::Bytes;
-use ibishill_core::fleet;
-use ibishill_core::store_version::{Era, StoreVersion};
+use ibishill_core::{fleet, store_version};
 use ibishill_state::replica;
 
 // A version of the first era.
-fn version(number: u64) -> StoreVersion {
-    StoreVersion { era: Era(0), number }
+fn version(number: u64) -> store_version::StoreVersion {
+    store_version::StoreVersion { era: store_version::Era(0), number }
 }
 
 fn row(key: &str, number: u64, value: Option<&'static str>) -> fleet::RawRow {
@@ -102,7 +101,7 @@
     let mut source = replica::Table::default();
     source.merge(delta(true, 3, vec![row("a", 1, Some("x")), row("b", 3, Some("x"))]));
     let mut peer = replica::Table::default();
-    peer.merge(source.since(StoreVersion::default()).unwrap());
+    peer.merge(source.since(store_version::StoreVersion::default()).unwrap());
     source.merge(delta(false, 5, vec![row("a", 4, None), row("c", 5, Some("x"))]));
     let delta = source.since(peer.version()).unwrap();
     assert!(!delta.is_whole);
@@ -153,7 +152,10 @@
 }
 
 fn later(delta: replica::Delta) -> replica::Delta {
-    let next = |version: StoreVersion| StoreVersion { era: Era(version.era.0 + 1), ..version };
+    let next = |version: store_version::StoreVersion| store_version::StoreVersion {
+        era: store_version::Era(version.era.0 + 1),
+        ..version
+    };
     let rows = delta.rows.into_iter();
     let rows = rows.map(|row| fleet::RawRow { version: next(row.version), ..row }).collect();
     replica::Delta { version: next(delta.version), rows, ..delta }
@@ -190,12 +192,12 @@
 }
 
 impl Store {
-    fn since(&self, since: StoreVersion) -> replica::Delta {
+    fn since(&self, since: store_version::StoreVersion) -> replica::Delta {
         let rows = self.changes[since.number as usize..].to_vec();
         delta(false, self.changes.len() as u64, newest(rows))
     }
 
-    fn at(&self, at: StoreVersion) -> Vec<fleet::RawRow> {
+    fn at(&self, at: store_version::StoreVersion) -> Vec<fleet::RawRow> {
         let mut rows = newest(self.changes[..at.number as usize].to_vec());
         rows.retain(|row| row.value.is_some());
         rows
--- a/crates/ibishill-state/tests/transfer.rs
+++ b/crates/ibishill-state/tests/transfer.rs
@@ -4,8 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use ibishill_core::fleet;
-use ibishill_core::store_version::StoreVersion;
+use ibishill_core::{fleet, store_version};
 use ibishill_state::{chunk, replica, transfer};
 
 /// Bytes that a daemon may receive for control in a second.
@@ -35,8 +34,8 @@
     Bytes::from(text)
 }
 
-fn version(number: u64) -> StoreVersion {
-    StoreVersion { number, ..StoreVersion::default() }
+fn version(number: u64) -> store_version::StoreVersion {
+    store_version::StoreVersion { number, ..store_version::StoreVersion::default() }
 }
 
 fn row(number: u64, value: Option<Bytes>) -> fleet::RawRow {
