--- a/crates/ibishill-decide/tests/relay/endpoint_limit.rs
+++ b/crates/ibishill-decide/tests/relay/endpoint_limit.rs
@@ -2,7 +2,7 @@
 
 use ibishill_core::{id, request_rate, time};
 use ibishill_decide::endpoint_key;
-use ibishill_decide::endpoint_limit::{Limits, SENDERS, Statement, Told};
+use ibishill_decide::endpoint_limit;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3;
@@ -86,13 +86,13 @@
 #[test]
 fn limit_holds_until_it_is_withdrawn_or_out_of_date() {
     for case in CASES {
-        let (mut limits, mut now) = (Limits::default(), START);
+        let (mut limits, mut now) = (endpoint_limit::Limits::default(), START);
         for step in case.steps {
             match step {
                 Step::Answer(named, ago) => {
                     let limit = named.and_then(limit);
                     let sent = time::Tick(now.0 - ago);
-                    limits.record(endpoint(), Statement { limit, sent }, now);
+                    limits.record(endpoint(), endpoint_limit::Statement { limit, sent }, now);
                 }
                 Step::Told(named, ago) => {
                     let told = told_by_peer(named.and_then(limit), time::Tick(now.0 - ago), now);
@@ -110,21 +110,22 @@
     limit: Option<request_rate::RequestRate>,
     heard: time::Tick,
     now: time::Tick,
-) -> Vec<Told> {
-    let mut peer = Limits::default();
+) -> Vec<endpoint_limit::Told> {
+    let mut peer = endpoint_limit::Limits::default();
     let before = time::Tick(heard.0 - 1);
     let named = Some(request_rate::RequestRate::default());
-    peer.record(endpoint(), Statement { limit: named, sent: before }, before);
-    peer.record(endpoint(), Statement { limit, sent: heard }, heard);
+    peer.record(endpoint(), endpoint_limit::Statement { limit: named, sent: before }, before);
+    peer.record(endpoint(), endpoint_limit::Statement { limit, sent: heard }, heard);
     peer.told(1, true, now)
 }
 
 // Regression class: an age that is passed on again and again seems newer each time.
 #[test]
 fn limit_that_is_passed_on_for_long_does_not_seem_newer() {
-    let (mut first, mut second) = (Limits::default(), Limits::default());
+    let (mut first, mut second) =
+        (endpoint_limit::Limits::default(), endpoint_limit::Limits::default());
     let (old, new) = (limit(9.0), limit(2.0));
-    first.record(endpoint(), Statement { limit: old, sent: START }, START);
+    first.record(endpoint(), endpoint_limit::Statement { limit: old, sent: START }, START);
     let mut now = START;
     for _ in 0..1_000 {
         now = now + time::Millis(5);
@@ -132,8 +133,8 @@
         first.merge(second.told(1, true, now), now + time::Millis(3));
     }
     let named = START + time::Millis(50);
-    let mut third = Limits::default();
-    third.record(endpoint(), Statement { limit: new, sent: named }, named);
+    let mut third = endpoint_limit::Limits::default();
+    third.record(endpoint(), endpoint_limit::Statement { limit: new, sent: named }, named);
     assert!(second.merge(third.told(1, true, now), now));
     assert!(!second.merge(first.told(1, true, now), now));
 }
@@ -221,7 +222,7 @@
 fn senders(members: std::ops::Range<usize>) -> Vec<id::VmId> {
     let mut all: Vec<id::VmId> = members.map(vm).collect();
     all.sort_by_key(|vm| std::cmp::Reverse(xxh3::xxh3_64(vm.as_str().as_bytes())));
-    all.truncate(SENDERS);
+    all.truncate(endpoint_limit::SENDERS);
     all
 }
 
@@ -231,7 +232,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let changed = if fleet.is_changing { fleet.daemons / 10 } else { 0 };
     let total = fleet.daemons + changed;
-    let mut daemons = vec![Limits::default(); total];
+    let mut daemons = vec![endpoint_limit::Limits::default(); total];
     let steps = REPORT_INTERVAL / STEP_MS;
     let phases: Vec<u64> = (0..total).map(|_| rng.random_range(0..steps) * STEP_MS).collect();
     let learns: Vec<u64> = (0..total).map(|_| rng.random_range(6_000..7_000)).collect();
@@ -263,7 +264,11 @@
                     daemon.record_send(endpoint(), now);
                     arrivals.push(at);
                     let known = if at >= learns[number] { &after } else { &before };
-                    daemon.record(endpoint(), Statement { limit: named, sent: now }, now);
+                    daemon.record(
+                        endpoint(),
+                        endpoint_limit::Statement { limit: named, sent: now },
+                        now,
+                    );
                     let generation = u64::from(at >= learns[number]);
                     daemon.divide(&names[number], generation, |_| known.clone(), now);
                 }
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -1,7 +1,6 @@
 use ibishill_core::{call, id, time};
 use ibishill_decide::endpoint_key;
-use ibishill_decide::quarantine::evidence::Evidence;
-use ibishill_decide::quarantine::{Quarantine, Verdict};
+use ibishill_decide::quarantine::{self, evidence};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -20,12 +19,20 @@
     endpoint_key::EndpointKey::new(&name, Some(1))
 }
 
-fn verdict(quarantine: &Quarantine, prompt: &[call::SegmentId], now: time::Tick) -> Verdict {
+fn verdict(
+    quarantine: &quarantine::Quarantine,
+    prompt: &[call::SegmentId],
+    now: time::Tick,
+) -> quarantine::Verdict {
     quarantine.verdict(prompt, |_| 0, now)
 }
 
-fn is_refused(quarantine: &Quarantine, prompt: &[call::SegmentId], now: time::Tick) -> bool {
-    matches!(verdict(quarantine, prompt, now), Verdict::Refused(_))
+fn is_refused(
+    quarantine: &quarantine::Quarantine,
+    prompt: &[call::SegmentId],
+    now: time::Tick,
+) -> bool {
+    matches!(verdict(quarantine, prompt, now), quarantine::Verdict::Refused(_))
 }
 
 enum Step {
@@ -179,7 +186,7 @@
 #[test]
 fn ends_are_blamed_on_the_segment_that_nothing_clears() {
     for case in CASES {
-        let mut quarantine = Quarantine::default();
+        let mut quarantine = quarantine::Quarantine::default();
         let mut now = START;
         for step in case.steps {
             match step {
@@ -202,17 +209,17 @@
         }
         for (prompt, expected) in [(POISON_PROMPT, case.poison), (SOUND_PROMPT, case.sound)] {
             let found = match verdict(&quarantine, prompt, now) {
-                Verdict::Allowed => Expected::Allowed,
-                Verdict::Contained => Expected::Contained,
-                Verdict::Refused(_) => Expected::Refused,
+                quarantine::Verdict::Allowed => Expected::Allowed,
+                quarantine::Verdict::Contained => Expected::Contained,
+                quarantine::Verdict::Refused(_) => Expected::Refused,
             };
             assert_eq!(found, expected, "{}: {prompt:?}", case.name);
         }
     }
 }
 
-fn refusing(now: time::Tick) -> Quarantine {
-    let mut quarantine = Quarantine::default();
+fn refusing(now: time::Tick) -> quarantine::Quarantine {
+    let mut quarantine = quarantine::Quarantine::default();
     for number in 0..4 {
         quarantine.record_end(POISON_PROMPT, key(number), time::Tick(now.0 - 2_000));
     }
@@ -227,8 +234,11 @@
     let due = START + time::Millis::from_secs(120);
     assert!(is_refused(&quarantine, POISON_PROMPT, time::Tick(due.0 - 1)));
     let second = quarantine.verdict(POISON_PROMPT, |_| 1, due);
-    assert!(matches!(second, Verdict::Refused(_)), "the next daemon waits for the first");
-    assert_eq!(verdict(&quarantine, POISON_PROMPT, due), Verdict::Contained);
+    assert!(
+        matches!(second, quarantine::Verdict::Refused(_)),
+        "the next daemon waits for the first"
+    );
+    assert_eq!(verdict(&quarantine, POISON_PROMPT, due), quarantine::Verdict::Contained);
     quarantine.record_send(POISON_PROMPT, due);
     assert!(is_refused(&quarantine, POISON_PROMPT, due), "one trial at a time");
     let after = due + time::Millis(300);
@@ -236,25 +246,25 @@
     quarantine.judge(after);
     let again = after + time::Millis::from_secs(240);
     assert!(is_refused(&quarantine, POISON_PROMPT, time::Tick(again.0 - 1)));
-    assert_eq!(verdict(&quarantine, POISON_PROMPT, again), Verdict::Contained);
+    assert_eq!(verdict(&quarantine, POISON_PROMPT, again), quarantine::Verdict::Contained);
 }
 
 #[test]
 fn trial_that_goes_on_releases_the_segment_at_all_daemons() {
     let mut first = refusing(START);
-    let mut second = Quarantine::default();
+    let mut second = quarantine::Quarantine::default();
     second.merge(first.evidence(8, false, START), START);
     assert!(is_refused(&second, POISON_PROMPT, START));
     let began = START + time::Millis::from_secs(120);
     first.record_send(POISON_PROMPT, began);
     let now = began + time::Millis(500);
     first.record_survival(POISON_PROMPT, began, now);
-    assert_eq!(verdict(&first, POISON_PROMPT, now), Verdict::Allowed);
+    assert_eq!(verdict(&first, POISON_PROMPT, now), quarantine::Verdict::Allowed);
     // The second daemon knows nothing of the trial until then, and its old verdict does not win.
     first.merge(second.evidence(8, true, now), now);
     second.merge(first.evidence(8, false, now), now);
-    assert_eq!(verdict(&first, POISON_PROMPT, now), Verdict::Allowed);
-    assert_eq!(verdict(&second, POISON_PROMPT, now), Verdict::Allowed);
+    assert_eq!(verdict(&first, POISON_PROMPT, now), quarantine::Verdict::Allowed);
+    assert_eq!(verdict(&second, POISON_PROMPT, now), quarantine::Verdict::Allowed);
 }
 
 #[test]
@@ -275,7 +285,7 @@
     let stored = writer.unstored(|_| true, wall, START);
     assert_eq!(stored.len(), 1);
     for case in cases {
-        let mut fresh = Quarantine::default();
+        let mut fresh = quarantine::Quarantine::default();
         fresh.merge_stored(&stored[0], wall + case.passed.0, START);
         assert_eq!(is_refused(&fresh, POISON_PROMPT, START), case.is_refused, "{}", case.name);
         assert!(fresh.unstored(|_| true, wall, START).is_empty(), "{}", case.name);
@@ -320,7 +330,7 @@
 // daemons refuse the segment, and the evidence that the busiest one sent, in bytes.
 fn spread(fleet: &Fleet, seed: u64) -> (u64, usize) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut daemons = vec![Quarantine::default(); fleet.daemons];
+    let mut daemons = vec![quarantine::Quarantine::default(); fleet.daemons];
     let phases: Vec<u64> =
         (0..fleet.daemons).map(|_| rng.random_range(0..REPORT_INTERVAL)).collect();
     let mut sent = vec![0; fleet.daemons];
@@ -337,7 +347,7 @@
             let seer = rng.random_range(0..fleet.daemons);
             daemons[seer].record_survival(SOUND_PROMPT, time::Tick(now.0 - 200), now);
         }
-        let mut datagrams: Vec<(usize, Vec<Evidence>)> = Vec::new();
+        let mut datagrams: Vec<(usize, Vec<evidence::Evidence>)> = Vec::new();
         for daemon in 0..fleet.daemons {
             let is_due = (at + phases[daemon]).is_multiple_of(REPORT_INTERVAL);
             if is_due || (is_end && (at as usize / 250 * 7919) % fleet.daemons == daemon) {
@@ -359,7 +369,7 @@
             daemons[daemon].merge(evidence, now);
             daemons[daemon].judge(now);
         }
-        let refuse = |daemon: &Quarantine| is_refused(daemon, POISON_PROMPT, now);
+        let refuse = |daemon: &quarantine::Quarantine| is_refused(daemon, POISON_PROMPT, now);
         if at > last_end && daemons.iter().all(refuse) {
             let sound = daemons.iter().filter(|daemon| is_refused(daemon, SOUND_PROMPT, now));
             assert_eq!(sound.count(), 0, "{}", fleet.name);
