quarantine: a write that conflicts again and again pauses

Read in the diff, not seen: a store that answers a write of a segment with conflicts for ever would have been called without a pause. After three conflicts the write counts as failed, is logged and tried again after the growing pause. A comment and two names are mended. The six tests of segments in the relay passed.

--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -365,7 +365,8 @@
     state.verdict(&segments, now) != quarantine::Verdict::Allowed
 }
 
-/// Takes a retry from the budget of the request's service; returns whether it was granted.
+/// Takes a retry from the budget of the request's service; returns whether it was granted. A request
+/// that may have ended an endpoint gets none.
 pub(crate) fn acquire_retry(context: &Shared, received: &Received, reason: Retry) -> bool {
     let now = context.now();
     let mut state = context.state();
--- a/crates/ibishill-relay/src/quarantine_rows.rs
+++ b/crates/ibishill-relay/src/quarantine_rows.rs
@@ -22,6 +22,9 @@
 /// Interval of reads by a relay that hears of no peer.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Maximum number of conflicts of one write; further ones are tried after a pause.
+const CONFLICTS_MAX: u32 = 3;
+
 /// Rounds without an answer of a peer after which a relay counts as alone.
 const SILENT_ROUNDS: u32 = 2;
 
@@ -59,22 +62,24 @@
 async fn write_hold(context: &Shared, hold: &fleet::SegmentHold) -> Result<(), String> {
     let (key, value) = row::encode_hold(hold);
     let mut expected = 0;
-    loop {
+    for _ in 0..CONFLICTS_MAX {
         match store_row::write(context, row::QUARANTINE, &key, &value, expected).await? {
-            store::WriteOutcome::Committed(_) => break,
+            store::WriteOutcome::Committed(_) => {
+                context.state().quarantine.mark_stored(hold.segment, hold.epoch);
+                return Ok(());
+            }
             store::WriteOutcome::Conflict(rows) => {
                 let found = rows.first();
                 let stored = found.and_then(|found| decode(&found.key, found));
                 if let Some(stored) = stored.filter(|stored| stored.epoch >= hold.epoch) {
                     merge(context, &stored);
-                    break;
+                    return Ok(());
                 }
                 expected = found.map_or(0, |found| found.version.number);
             }
         }
     }
-    context.state().quarantine.mark_stored(hold.segment, hold.epoch);
-    Ok(())
+    Err(format!("{CONFLICTS_MAX} conflicts"))
 }
 
 /// Reads the rows once after a start, and again and again while no peer is heard of.
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -1,8 +1,7 @@
 //! What relays tell each other of endpoints: limits, and segments of prompts that end them.
 
 use ibishill_core::{call, event, fleet, time};
-use ibishill_decide::endpoint_key;
-use ibishill_decide::{endpoint_limit, quarantine};
+use ibishill_decide::{endpoint_key, endpoint_limit, quarantine};
 use serde::{Deserialize, Serialize};
 
 use super::State;
@@ -23,11 +22,8 @@
         statement: endpoint_limit::Statement,
         now: time::Tick,
     ) {
-        if self.balancer.limits().record(
-            endpoint_key::EndpointKey::of(registration),
-            statement,
-            now,
-        ) {
+        let endpoint = endpoint_key::EndpointKey::of(registration);
+        if self.balancer.limits().record(endpoint, statement, now) {
             self.divide_limits(now);
             let limit = statement.limit.map_or("-".to_owned(), |limit| limit.to_string());
             event::emit_json(
--- a/crates/ibishill-relay/src/state/rows.rs
+++ b/crates/ibishill-relay/src/state/rows.rs
@@ -41,7 +41,7 @@
         Merged { is_changed: !changed.is_empty(), is_pending: false, delay }
     }
 
-    /// store_version::Era of the store, as far as it is known.
+    /// Era of the store, as far as it is known.
     pub(crate) fn era(&self) -> store_version::Era {
         let eras = self.replicas.values().map(|replica| replica.table.version().era);
         eras.max().unwrap_or_default()
