canary: a version is completed only once its answers prove it sound

Cause: the share grew by the clock alone, and a version was completed for want of proof that it is bad. That proof is out of reach of the few answers that an outage leaves: 9 failures of 24 left the evidence at -1.7, and the version was completed.

Growth and completion now need the opposite proof: a likelihood ratio of 20 for a sound version against a bad one, in errors and in times, with answers in as many eighths of the duration as its first half has. A deciding daemon rolls back what is not cleared at 0.93 of the duration; the others leave that verdict to it, so one that has just started decides nothing. Peers tell each other that a version is cleared.

version_without_proof_is_not_completed failed before (completed without any answer).

--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -31,8 +31,8 @@
 const COMPLETE_LATE: f64 = 0.88;
 
 /// Share of the duration after which a daemon completes the roll-out by itself if no verdict of
-/// a deciding daemon has reached it.
-const COMPLETE_WITHOUT_DECIDER: f64 = 0.93;
+/// a deciding daemon has reached it, and a deciding one rolls back a version that is not cleared.
+const DECIDE_LAST: f64 = 0.93;
 
 /// Answers of the new version that an early completion requires.
 const CANDIDATE_MIN: u64 = 20;
@@ -45,6 +45,9 @@
 /// at the end: if one of five versions is bad, one with this evidence is as likely bad as good.
 const DOUBT_ALPHA: f64 = 0.25;
 
+/// Probability that a bad version is cleared, before which its share doesn't grow.
+const CLEARED_ALPHA: f64 = 0.05;
+
 /// Time for which a doubt reported by a peer counts; daemons in doubt repeat it every round.
 const DOUBT_TTL: time::Millis = time::Millis(1_500);
 
@@ -217,6 +220,8 @@
     pub tallies: BTreeMap<id::VmId, Tally>,
     /// Whether the sender's evidence stops the share from growing.
     pub is_doubted: bool,
+    /// Whether any daemon that the sender heard of has seen proof that the version is sound.
+    pub is_cleared: bool,
     /// Sessions of the initial share that began on the old version; empty in the second half.
     pub pinned: Vec<u64>,
 }
@@ -236,6 +241,8 @@
     sees_doubt: bool,
     // When a peer last reported doubt.
     peer_doubt: Option<time::Tick>,
+    // Whether answers have proved that the version is sound; without it, the share does not grow.
+    is_cleared: bool,
 }
 
 impl Canary {
@@ -251,6 +258,7 @@
             reached: bounds.expose_share * EXPOSURE_FACTOR,
             sees_doubt: false,
             peer_doubt: None,
+            is_cleared: false,
         }
     }
 
@@ -282,6 +290,7 @@
     fn share(&self, now: time::Tick) -> f64 {
         let elapsed = self.elapsed(now);
         let stage = STAGES.iter().rev().find(|(from, _)| elapsed >= *from);
+        let stage = stage.filter(|_| self.is_cleared);
         let due = stage.map_or(self.exposure, |(_, share)| share.max(self.exposure));
         if self.is_doubted(now) { due.min(self.reached) } else { due }
     }
@@ -396,6 +405,7 @@
         if snapshot.is_doubted {
             self.peer_doubt = Some(now);
         }
+        self.is_cleared |= snapshot.is_cleared;
         self.merge_progress(snapshot.progress);
     }
 
@@ -428,6 +438,7 @@
             progress: self.progress,
             tallies: own_tally.into_iter().collect(),
             is_doubted: self.sees_doubt && is_running,
+            is_cleared: self.is_cleared,
             pinned: if has_pins { self.pinned.iter().copied().collect() } else { Vec::new() },
         }
     }
@@ -503,29 +514,59 @@
         strongest.max(times).max(paces) - 3_f64.ln()
     }
 
+    // Whether the answers prove that the new version is sound: in errors and in times, over all windows
+    // and routes, and in as many windows as the first half has. An outage may leave only a few answers
+    // of a moment, which say nothing of a version that fails late.
+    fn is_sound(&self) -> bool {
+        let windows = self.windows();
+        let has_answers = |routes: &&Routes| routes.values().any(|pair| pair.candidate.all > 0);
+        let answered = windows.values().filter(has_answers).count();
+        if (answered as f64) < WINDOW_COUNT * STAGES[0].0 {
+            return false;
+        }
+        let totals = self.totals();
+        let (stable, candidate) = (totals.stable.errors(), totals.candidate.errors());
+        let errors = sequential::share_soundness(stable, candidate, ERRORS_TOLERANCE);
+        let times = windows.iter().flat_map(|(window, routes)| {
+            let is_late = *window >= LATE_WINDOW;
+            let tolerance = if is_late { LATE_TIME_TOLERANCE } else { SLOW_TOLERANCE };
+            routes.values().map(move |pair| (&pair.stable.times, &pair.candidate.times, tolerance))
+        });
+        errors.min(sequential::slowdown_soundness(times)) > (1.0 / CLEARED_ALPHA).ln()
+    }
+
     /// The progress that the roll-out should have, judged by the counts that are known here.
     ///
     /// Every daemon rolls back on the evidence that it has. Only a daemon that `decides`, to which
-    /// the others send their counts, completes it, unless the duration has nearly elapsed.
+    /// the others send their counts, completes it, unless the duration has nearly elapsed. A version
+    /// is completed only if its answers have proved it sound.
     pub fn verdict(&mut self, decides: bool, now: time::Tick) -> fleet::Progress {
         if self.progress != fleet::Progress::Running {
             return self.progress;
         }
         let evidence = self.evidence();
         self.sees_doubt = evidence > (1.0 / DOUBT_ALPHA).ln();
+        self.is_cleared = self.is_cleared || self.is_sound();
         if evidence > (1.0 / ALPHA).ln() {
             return fleet::Progress::RolledBack;
         }
         let elapsed = self.elapsed(now);
         let is_good = evidence <= 0.0 && self.totals().candidate.all >= CANDIDATE_MIN;
         let is_due = elapsed >= COMPLETE_LATE || (elapsed >= COMPLETE_AT && is_good);
-        if elapsed < COMPLETE_WITHOUT_DECIDER && !(decides && is_due) {
+        if elapsed < DECIDE_LAST && !(decides && is_due) {
             return fleet::Progress::Running;
         }
         if self.is_doubted(now) {
             return fleet::Progress::RolledBack;
         }
-        fleet::Progress::Completed
+        if self.is_cleared {
+            return fleet::Progress::Completed;
+        }
+        // A daemon that knows few of the answers leaves this verdict to those that decide.
+        if decides && elapsed >= DECIDE_LAST {
+            return fleet::Progress::RolledBack;
+        }
+        fleet::Progress::Running
     }
 }
 
--- a/crates/ibishill-decide/src/rollout/sequential.rs
+++ b/crates/ibishill-decide/src/rollout/sequential.rs
@@ -8,6 +8,10 @@
 // Alternative hypotheses: fractions of the distance from the null share to one.
 const ALTERNATIVES: [f64; 3] = [0.05, 0.1, 0.3];
 const SHARE_MAX: f64 = 0.99;
+// A bad version for the test of soundness: the fraction of the distance from the null share to one,
+// and the doublings by which it is slower.
+const UNSOUND_STEP: f64 = 0.3;
+const UNSOUND_SHIFT: f64 = 0.8;
 // Alternative hypotheses: doublings by which answers are slower than the null mean. Some answers
 // are slow, most are, or all are many times slower.
 const SHIFTS: [f64; 3] = [0.4, 0.8, 1.6];
@@ -32,6 +36,32 @@
     mixture(&ratios)
 }
 
+/// Natural logarithm of the likelihood ratio between the null share and that of a bad version: the
+/// proof that the candidate is sound, where [`share_evidence`] is the proof that it is not.
+///
+/// If the candidate is as bad as that, the ratio ever exceeds `1 / alpha` with a probability of at most
+/// `alpha`.
+pub fn share_soundness(stable: Proportion, candidate: Proportion, tolerance: f64) -> f64 {
+    let null = (upper_bound(stable) + tolerance).min(SHARE_MAX);
+    let worse = null + (1.0 - null) * UNSOUND_STEP;
+    let (hits, misses) = (candidate.hits as f64, (candidate.total - candidate.hits) as f64);
+    hits * (null / worse).ln() + misses * ((1.0 - null) / (1.0 - worse)).ln()
+}
+
+/// The same for times, over pairs as in [`slowdown_evidence`].
+pub fn slowdown_soundness<'a, I>(pairs: I) -> f64
+where
+    I: IntoIterator<Item = (&'a Moments, &'a Moments, f64)>,
+{
+    let ratio = |stable: &Moments, candidate: &Moments, tolerance: f64| {
+        let (null, spread) = null_times(stable, tolerance);
+        let excess = candidate.mean() - null;
+        candidate.count as f64 * UNSOUND_SHIFT * (UNSOUND_SHIFT / 2.0 - excess) / spread
+    };
+    let pairs = pairs.into_iter().filter(|(stable, _, _)| stable.count >= STABLE_MIN);
+    pairs.map(|(stable, candidate, tolerance)| ratio(stable, candidate, tolerance)).sum()
+}
+
 /// Natural logarithm of the likelihood ratio between slower times and the null mean, over pairs
 /// of stable and new version that are comparable except for the version.
 ///
@@ -47,8 +77,7 @@
         if stable.count < STABLE_MIN || candidate.count == 0 {
             continue;
         }
-        let spread = stable.variance().max(VARIANCE_MIN);
-        let null = stable.mean() + DEVIATIONS * (spread / stable.count as f64).sqrt() + tolerance;
+        let (null, spread) = null_times(stable, tolerance);
         samples += candidate.count;
         let excess = candidate.mean() - null;
         for (ratio, shift) in ratios.iter_mut().zip(SHIFTS) {
@@ -61,6 +90,13 @@
     mixture(&ratios)
 }
 
+// Null mean and variance of the candidate's times, from those of the stable version.
+fn null_times(stable: &Moments, tolerance: f64) -> (f64, f64) {
+    let spread = stable.variance().max(VARIANCE_MIN);
+    let deviation = (spread / stable.count as f64).sqrt();
+    (stable.mean() + DEVIATIONS * deviation + tolerance, spread)
+}
+
 // Logarithm of the mean ratio (log-sum-exp), computed relative to the largest ratio so that it
 // doesn't overflow.
 fn mixture(ratios: &[f64]) -> f64 {
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -209,17 +209,21 @@
     let (mut decider, mut peer) = (start(), start());
     let route = "r".parse().unwrap();
     let mut now = time::Tick(2_000);
-    let mut record = |version: &str, outcome| {
-        decider.record_answer((&one, 1), &route, &version.parse().unwrap(), outcome, now);
+    let mut record = |decider: &mut canary::Canary, version: &str, outcome, at| {
+        decider.record_answer((&one, 1), &route, &version.parse().unwrap(), outcome, at);
     };
-    for _ in 0..200 {
-        record("v1", canary::Outcome::Answered(time::Millis(100)));
-    }
-    for _ in 0..5 {
-        record("v2", canary::Outcome::Failed);
+    for window in 0..4 {
+        let at = time::Tick(1_200 + window * DURATION / 8);
+        for _ in 0..50 {
+            record(&mut decider, "v1", canary::Outcome::Answered(time::Millis(100)), at);
+        }
+        for _ in 0..4 {
+            record(&mut decider, "v2", canary::Outcome::Answered(time::Millis(100)), at);
+        }
+        assert_eq!(decider.verdict(true, at), fleet::Progress::Running);
     }
-    for _ in 0..7 {
-        record("v2", canary::Outcome::Answered(time::Millis(100)));
+    for _ in 0..6 {
+        record(&mut decider, "v2", canary::Outcome::Failed, now);
     }
     assert_eq!(decider.verdict(true, now), fleet::Progress::Running);
     // The doubt is repeated every round until the share would otherwise be 1.
@@ -236,6 +240,65 @@
     assert_eq!(count(&mut peer, now + time::Millis(2_000)), 1_000);
 }
 
+struct Silence {
+    name: &'static str,
+    // Period without any answer, in milliseconds since the order.
+    away: std::ops::Range<u64>,
+    // Percentage of the new version's answers that fail.
+    fails: u64,
+    expected: fleet::Progress,
+}
+
+// No share of a roll-out grows, and none completes, by the passage of time alone.
+#[test]
+fn version_without_proof_is_not_completed() {
+    let bad = fleet::Progress::RolledBack;
+    let cases = [
+        Silence { name: "no answer at all", away: 0..DURATION, fails: 0, expected: bad },
+        Silence {
+            name: "bad, away for most of the time",
+            away: 1_000..DURATION * 3 / 4,
+            fails: 30,
+            expected: bad,
+        },
+        Silence {
+            name: "good, away for a third of the time",
+            away: 1_000..DURATION / 3,
+            fails: 0,
+            expected: fleet::Progress::Completed,
+        },
+    ];
+    for case in cases {
+        let own: id::VmId = "vm".parse().unwrap();
+        let route = "r".parse().unwrap();
+        let mut canary = start();
+        let (mut all, mut exposed) = (0_u64, 0_u64);
+        for now in (0..DURATION).step_by(40) {
+            let at = time::Tick(now);
+            let is_new = canary.assign(now * 7_919, at) == canary::Variant::Candidate;
+            if !case.away.contains(&now) {
+                all += 1;
+                exposed += u64::from(is_new);
+                let hash = xxhash_rust::xxh3::xxh3_64(&now.to_le_bytes());
+                let percent = if is_new { case.fails } else { 8 };
+                let outcome = if hash % 100 < percent {
+                    canary::Outcome::Failed
+                } else {
+                    canary::Outcome::Answered(time::Millis(30 + hash / 128 % 40))
+                };
+                let version = if is_new { "v2" } else { "v1" }.parse().unwrap();
+                canary.record_answer((&own, 1), &route, &version, outcome, at);
+            }
+            let verdict = canary.verdict(true, at);
+            canary.merge_progress(verdict);
+        }
+        assert_eq!(canary.progress(), case.expected, "{}", case.name);
+        let most = all as f64 * bounds().expose_share + 30.0;
+        let is_kept = case.expected == fleet::Progress::Completed || (exposed as f64) < most;
+        assert!(is_kept, "{}: {exposed} of {all}", case.name);
+    }
+}
+
 #[test]
 fn session_on_old_version_stays_there_in_first_half() {
     let mut canary = start();
