canary: ends of endpoints and timeouts do not hide a version's errors

Cause: a request that got no valid answer counted as a failure of the version. Ends hit both versions, so the old one looked as bad as the new one, and the errors of the new one made no difference. The class is evidence of one matter that counts for another.

Answers with an error and requests without an answer are counted and compared apart now, each with its own likelihood ratio, so a version whose endpoints end more often is still found. E2301 tells both counts. Messages between relays have a new format.

--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -134,8 +134,10 @@
 /// The result of a request to a version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
-    /// The request failed.
+    /// It was answered with an error.
     Failed,
+    /// It got no valid answer: its endpoint ended, or did not respond in time.
+    Lost,
     /// It was answered, but by an endpoint that has just started, so its time isn't comparable.
     Cold,
     /// The first part of the answer arrived after this time.
@@ -145,10 +147,12 @@
 /// Answers of one version on one route.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answers {
-    /// All answers, including failures.
+    /// All answers, including errors.
     pub all: u64,
-    /// Failed answers.
+    /// Answers with an error.
     pub failed: u64,
+    /// Requests without a valid answer, which are not in `all`.
+    pub lost: u64,
     /// Times to the first part of the answers received since both versions get requests.
     pub times: moments::Moments,
     /// Paces of streams, in the same period.
@@ -159,6 +163,7 @@
     const fn add(&mut self, other: &Self) {
         self.all += other.all;
         self.failed += other.failed;
+        self.lost += other.lost;
         self.times.add(&other.times);
         self.paces.add(&other.paces);
     }
@@ -166,6 +171,10 @@
     const fn errors(&self) -> counts::Proportion {
         counts::Proportion { hits: self.failed, total: self.all }
     }
+
+    const fn losses(&self) -> counts::Proportion {
+        counts::Proportion { hits: self.lost, total: self.all + self.lost }
+    }
 }
 
 /// Answers of both versions on one route.
@@ -199,7 +208,7 @@
 
 impl Tally {
     fn size(&self) -> (u64, u64) {
-        let count = |answers: &Answers| answers.all + answers.paces.count;
+        let count = |answers: &Answers| answers.all + answers.lost + answers.paces.count;
         let all = |pair: &Comparison| count(&pair.stable) + count(&pair.candidate);
         (self.start, self.windows.values().flat_map(Routes::values).map(all).sum())
     }
@@ -348,9 +357,10 @@
     ) {
         let is_compared = self.age(now) >= SYNC_PERIOD;
         let answers = self.answers((own, start), route, version, now);
-        answers.all += 1;
+        answers.all += u64::from(outcome != Outcome::Lost);
         match outcome {
             Outcome::Failed => answers.failed += 1,
+            Outcome::Lost => answers.lost += 1,
             Outcome::Answered(time) if is_compared => answers.times.record(time),
             Outcome::Answered(_) | Outcome::Cold => {}
         }
@@ -462,8 +472,9 @@
     }
 
     /// Natural logarithm of the likelihood ratio between a worse new version and an equally good
-    /// one. Considers the errors since the start of each window, and the times and paces since the
-    /// start of each part, each over all routes together and on every single route.
+    /// one. Considers errors and losses since the start of each window, and the times and paces since
+    /// the start of each part, each over all routes together and on every single route. Errors and
+    /// losses are compared apart, as ends of endpoints hit both versions and would hide errors.
     ///
     /// By Ville's inequality, it ever exceeds `ln(1 / alpha)` with a probability of at most
     /// `alpha` if the new version is as good, however often it is evaluated.
@@ -473,14 +484,17 @@
         let mut strongest = f64::NEG_INFINITY;
         for routes in windows.values().rev() {
             merge_routes(&mut since, routes);
-            let errors = over_routes(&since, |routes| {
-                let pairs = routes.iter().filter_map(|route| since.get(*route));
-                let mut sum = Comparison::default();
-                pairs.for_each(|pair| sum.add(pair));
-                let (stable, candidate) = (sum.stable.errors(), sum.candidate.errors());
-                sequential::share_evidence(stable, candidate, ERRORS_TOLERANCE)
-            });
-            strongest = strongest.max(errors - WINDOW_COUNT.ln());
+            let failures = |select: fn(&Answers) -> counts::Proportion| {
+                over_routes(&since, |routes| {
+                    let pairs = routes.iter().filter_map(|route| since.get(*route));
+                    let mut sum = Comparison::default();
+                    pairs.for_each(|pair| sum.add(pair));
+                    let (stable, candidate) = (select(&sum.stable), select(&sum.candidate));
+                    sequential::share_evidence(stable, candidate, ERRORS_TOLERANCE)
+                })
+            };
+            let failures = failures(Answers::errors).max(failures(Answers::losses));
+            strongest = strongest.max(failures - WINDOW_COUNT.ln());
         }
         // Times are comparable while the share is constant: throughout the first half, and within
         // each window of the second half.
@@ -510,8 +524,8 @@
         };
         let times = slowdown(|answers| &answers.times, LATE_TIME_TOLERANCE, TIMES_MIN);
         let paces = slowdown(|answers| &answers.paces, LATE_PACE_TOLERANCE, PACES_MIN);
-        // The false alarm probability is split evenly between errors, times and paces.
-        strongest.max(times).max(paces) - 3_f64.ln()
+        // The false alarm probability is split evenly between errors, losses, times and paces.
+        strongest.max(times).max(paces) - 4_f64.ln()
     }
 
     // Whether the answers prove that the new version is sound: in errors and in times, over all windows
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -23,6 +23,8 @@
     gap: u64,
     // Percentage of failed answers: old version, new version.
     fails: (u64, u64),
+    // Percentage of both versions' requests that get no answer.
+    losses: u64,
     // The only route on which the new version fails; all routes if absent.
     route: Option<u64>,
     // Milliseconds to the first event: old version, new version.
@@ -42,6 +44,7 @@
     name: "",
     gap: 16,
     fails: (0, 0),
+    losses: 0,
     route: None,
     times: (100, 100),
     slow: 0,
@@ -85,7 +88,9 @@
         let mean = if is_new { case.times.1 } else { case.times.0 };
         let is_slow = is_bad && hash / 1_024 % 100 < case.slow;
         let time = mean * SPREAD[(hash / 4_096) as usize % SPREAD.len()] / 100;
-        let outcome = if percent < fails && !is_spared {
+        let outcome = if hash / 524_288 % 100 < case.losses {
+            canary::Outcome::Lost
+        } else if percent < fails && !is_spared {
             canary::Outcome::Failed
         } else {
             canary::Outcome::Answered(time::Millis(if is_slow { 8 * time } else { time }))
@@ -121,6 +126,15 @@
         Case { name: "faster, as it has less load", times: (100, 70), ..BASE },
         Case { name: "good, with few requests", gap: 160, ..BASE },
         Case { name: "as fast as the old one at the same load", paces: (60, 60, 60), ..BASE },
+        Case { name: "both lose requests alike, as endpoints end", losses: 40, ..BASE },
+        Case {
+            name: "a third of its answers fail, while endpoints of both end",
+            gap: 40,
+            fails: (1, 30),
+            losses: 40,
+            expected: bad,
+            ..BASE
+        },
         Case { name: "half of its answers fail", fails: (0, 50), expected: bad, ..BASE },
         Case { name: "a third of its answers fail", fails: (1, 30), expected: bad, ..BASE },
         Case {
@@ -209,7 +223,7 @@
     let (mut decider, mut peer) = (start(), start());
     let route = "r".parse().unwrap();
     let mut now = time::Tick(2_000);
-    let mut record = |decider: &mut canary::Canary, version: &str, outcome, at| {
+    let record = |decider: &mut canary::Canary, version: &str, outcome, at| {
         decider.record_answer((&one, 1), &route, &version.parse().unwrap(), outcome, at);
     };
     for window in 0..4 {
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -363,33 +363,36 @@
     // A refusal or a local error says nothing about the endpoint's health.
     if !matches!(outcome, Outcome::Refused | Outcome::NotAttempted) {
         state.balancer.record_attempt(&target.endpoint, attempt, load, slow_start, now);
-        if attempt != outlier::Attempt::Unreachable {
-            record_for_rollout(&mut state, context, received, target, attempt, took);
+        let answer = match (attempt, outcome) {
+            (outlier::Attempt::Unreachable, _) => None,
+            (outlier::Attempt::Good, _) => Some(canary::Outcome::Answered(took)),
+            (outlier::Attempt::Failed, Outcome::Response(_)) => Some(canary::Outcome::Failed),
+            (outlier::Attempt::Failed, _) => Some(canary::Outcome::Lost),
+        };
+        if let Some(answer) = answer {
+            record_for_rollout(&mut state, context, received, target, answer);
         }
     }
 }
 
-/// Counts a response or a failure for the roll-out of the service, if there is one; `latency` is
-/// the time to the response.
+/// Counts an answer, or the want of one, for the roll-out of the service, if there is one.
 pub(crate) fn record_for_rollout(
     state: &mut crate::state::State,
     context: &Shared,
     received: &Received,
     target: &Target,
-    attempt: outlier::Attempt,
-    latency: time::Millis,
+    outcome: canary::Outcome,
 ) {
     let now = context.now();
     let is_cold = state.balancer.is_cold(&target.endpoint, now);
     let Some(canary) = state.canaries.get_mut(&received.service) else { return };
-    let outcome = match attempt {
-        outlier::Attempt::Good if is_cold => canary::Outcome::Cold,
-        outlier::Attempt::Good => canary::Outcome::Answered(latency),
-        _ => canary::Outcome::Failed,
+    let outcome = match outcome {
+        canary::Outcome::Answered(_) if is_cold => canary::Outcome::Cold,
+        _ => outcome,
     };
     let own = (&state.settings.vm, context.start);
     canary.record_answer(own, &received.route.name, &target.version, outcome, now);
-    if outcome == canary::Outcome::Failed {
+    if matches!(outcome, canary::Outcome::Failed | canary::Outcome::Lost) {
         // Evaluated at once, since a busy service sends many requests before the next poll.
         rollout::judge(state, &received.service, now);
     }
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -123,8 +123,10 @@
             event::field("evidence", &format!("{:.1}", canary.evidence())),
             event::field("stable", &totals.stable.all),
             event::field("stable_failed", &totals.stable.failed),
+            event::field("stable_lost", &totals.stable.lost),
             event::field("candidate", &totals.candidate.all),
             event::field("candidate_failed", &totals.candidate.failed),
+            event::field("candidate_lost", &totals.candidate.lost),
         ],
     );
 }
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -9,8 +9,8 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, id, time};
-use ibishill_decide::outlier;
 use ibishill_decide::rollout::pace;
+use ibishill_decide::{canary, outlier};
 use tokio::sync::mpsc;
 use tokio::time as clock;
 
@@ -299,14 +299,8 @@
         let failed = outlier::Attempt::Failed;
         state.balancer.record_attempt(&self.target.endpoint, failed, None, slow_start, now);
         let (received, target) = (&self.received, &self.target);
-        attempt::record_for_rollout(
-            &mut state,
-            &self.context,
-            received,
-            target,
-            failed,
-            time::Millis(0),
-        );
+        let lost = canary::Outcome::Lost;
+        attempt::record_for_rollout(&mut state, &self.context, received, target, lost);
     }
 
     fn record_end(&self, outcome: &'static str) -> time::Millis {
