relay: an endpoint that turns cold while the store is away is found by its health check

Cause: an endpoint may turn cold at any moment, and tells so in its registration and in its answer to a health check. Relays read only the first, so a store that is away hid it. The class is a signal that is read from one source only, which may fail. The remedy on record, to bound every endpoint in an outage, was not taken for its cost.

E2210 says what was found. A cold time that is passed on does not grow. Messages between relays have a new format.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -109,6 +109,7 @@
     EndpointEnded = 2206, Warn, "endpoint ended as an answer began";
     SegmentJudged = 2207, Warn, "prompt segment refused or released";
     LimitChanged = 2208, Info, "endpoint named or withdrew a limit";
+    EndpointCold = 2210, Info, "health check found an endpoint cold";
     QuarantineDelayed = 2209, Warn, "state of a prompt segment could not be written yet";
     RolloutChanged = 2301, Info, "roll-out changed";
     StatusDelayed = 2302, Warn, "state of a roll-out could not be written yet";
--- a/crates/ibishill-core/src/route.rs
+++ b/crates/ibishill-core/src/route.rs
@@ -101,6 +101,8 @@
     /// Requests per second that a cold endpoint can handle, summed over all daemons; 0 for no
     /// limit.
     pub cold_rate: f64,
+    /// Path of an endpoint's health check; empty if it has none.
+    pub health_path: String,
     /// Engine properties; present if the endpoints serve models.
     pub engine: Option<Engine>,
 }
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -5,6 +5,7 @@
 //! same endpoint; endpoints that restart cold, fail or leave. Each daemon knows its own
 //! in-flight work exactly, and that of others from responses and from peers' reports.
 
+mod cold;
 mod endpoint;
 pub mod reports;
 
@@ -13,6 +14,8 @@
 use ibishill_core::{fleet, id, time};
 use xxhash_rust::xxh3;
 
+use cold::admits;
+pub use cold::{COLD_SENDERS, SlowStart, cold_rate};
 use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
 
 use crate::endpoint_key;
@@ -68,21 +71,6 @@
 /// Number of endpoints up to which all are compared.
 const SAMPLE_ALL_MAX: usize = 12;
 
-/// Daemons that share the admission rate of one cold endpoint.
-pub const COLD_SENDERS: usize = 6;
-
-/// Share of a cold endpoint's declared rate that is used, as daemons may disagree on which
-/// of them send to it.
-const COLD_RATE_SHARE: f64 = 0.8;
-
-/// Rate at which the daemon of rank `rank` may send to a cold endpoint, whose declared rate is
-/// in requests per second; 0 for ranks from [`COLD_SENDERS`] on.
-pub fn cold_rate(declared: f64, rank: usize) -> rate::Rate {
-    let per_second =
-        if rank < COLD_SENDERS { declared * COLD_RATE_SHARE / COLD_SENDERS as f64 } else { 0.0 };
-    rate::Rate { per_second, burst: 1.0 }
-}
-
 /// Filter for the versions that a request may run on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Versions<'a> {
@@ -195,19 +183,6 @@
     reach: reach::Reach,
 }
 
-/// Rule by which an endpoint counts as cold, and the rate that it is sent then.
-#[derive(Debug, Clone, Copy)]
-pub struct SlowStart {
-    /// Time for which an endpoint is cold after a start.
-    pub duration: time::Millis,
-    /// Declared rate of a cold endpoint, all daemons together, in requests per second; 0 for
-    /// no limit.
-    pub rate: f64,
-    /// Whether the daemon's state is too old to tell a warm endpoint from a cold one; all
-    /// count as cold then.
-    pub is_stale: bool,
-}
-
 impl Balancer {
     /// Creates a balancer without endpoints, for a daemon in `zone`.
     pub fn new(zone: id::ZoneId) -> Self {
@@ -287,6 +262,7 @@
                     breaker: outlier::Breaker::default(),
                     was_unreachable: false,
                     cold_until,
+                    cold_heard: None,
                     cold_bucket: rate::Bucket::new(0.0, now),
                 };
                 self.endpoints.insert(entry.id, endpoint);
@@ -304,6 +280,11 @@
         self.endpoints.get(id).map(|endpoint| &endpoint.entry)
     }
 
+    /// Registrations of all endpoints.
+    pub fn entries(&self) -> impl Iterator<Item = &fleet::Registration> {
+        self.endpoints.values().map(|endpoint| &endpoint.entry)
+    }
+
     /// Takes a zone out of service: its endpoints get no new requests.
     pub fn take_zone_out(&mut self, zone: id::ZoneId) {
         self.zones_out.insert(zone, ());
@@ -334,13 +315,6 @@
             && !self.zones_out.contains_key(&endpoint.entry.zone)
     }
 
-    /// Whether an endpoint has started recently or its last connection failed.
-    pub fn is_cold(&self, id: &id::EndpointId, now: time::Tick) -> bool {
-        self.endpoints
-            .get(id)
-            .is_some_and(|endpoint| endpoint.was_unreachable || endpoint.cold_until > now)
-    }
-
     /// Counts the endpoints by state.
     pub fn counts(&self, now: time::Tick) -> Counts {
         let mut counts = Counts::default();
@@ -591,17 +565,6 @@
     hashes.get(count - 1).copied().unwrap_or_default()
 }
 
-fn admits<R>(endpoint: &Endpoint, cold: SlowStart, rank: &R, now: time::Tick) -> bool
-where
-    R: Fn(&id::EndpointId) -> usize,
-{
-    let is_cold = cold.is_stale || endpoint.was_unreachable || endpoint.cold_until > now;
-    if !is_cold || cold.rate <= 0.0 {
-        return true;
-    }
-    endpoint.cold_bucket.has_token(cold_rate(cold.rate, rank(&endpoint.entry.id)), now)
-}
-
 fn request_hash(endpoint: &Endpoint, request: &Request<'_>) -> u64 {
     xxh3::xxh3_64_with_seed(endpoint.entry.id.as_str().as_bytes(), request.seed)
 }
--- /dev/null
+++ b/crates/ibishill-decide/src/balance/cold.rs
@@ -0,0 +1,106 @@
+//! Cold endpoints: at which rate they take requests, and how daemons learn of them while the
+//! registrations that tell so don't arrive.
+
+use ibishill_core::{id, time};
+
+use super::{Balancer, Endpoint};
+use crate::endpoint_key::EndpointKey;
+use crate::rate;
+
+/// Daemons that share the admission rate of one cold endpoint.
+pub const COLD_SENDERS: usize = 6;
+
+/// Share of a cold endpoint's declared rate that is used, as daemons may disagree on which
+/// of them send to it.
+const COLD_RATE_SHARE: f64 = 0.8;
+
+/// Rate at which the daemon of rank `rank` may send to a cold endpoint, whose declared rate is
+/// in requests per second; 0 for ranks from [`COLD_SENDERS`] on.
+pub fn cold_rate(declared: f64, rank: usize) -> rate::Rate {
+    let per_second =
+        if rank < COLD_SENDERS { declared * COLD_RATE_SHARE / COLD_SENDERS as f64 } else { 0.0 };
+    rate::Rate { per_second, burst: 1.0 }
+}
+
+/// Time for which peers are told of an endpoint that has turned cold.
+const NEWS_TTL: time::Millis = time::Millis(2_000);
+
+/// Difference up to which two reports of a cold time are taken for the same: each daemon that passes
+/// one on adds the time that its message took.
+const SAME_MAX: time::Millis = time::Millis(500);
+
+/// Rule by which an endpoint counts as cold, and the rate that it is sent then.
+#[derive(Debug, Clone, Copy)]
+pub struct SlowStart {
+    /// Time for which an endpoint is cold after a start.
+    pub duration: time::Millis,
+    /// Declared rate of a cold endpoint, all daemons together, in requests per second; 0 for
+    /// no limit.
+    pub rate: f64,
+    /// Whether the daemon's state is too old to tell a warm endpoint from a cold one; all
+    /// count as cold then.
+    pub is_stale: bool,
+}
+
+impl Balancer {
+    /// Whether an endpoint has started recently or its last connection failed.
+    pub fn is_cold(&self, id: &id::EndpointId, now: time::Tick) -> bool {
+        self.endpoints
+            .get(id)
+            .is_some_and(|endpoint| endpoint.was_unreachable || endpoint.cold_until > now)
+    }
+
+    /// Records that an endpoint stays cold for a time, as its health check says; returns whether this
+    /// was unknown.
+    pub fn record_health(
+        &mut self,
+        id: &id::EndpointId,
+        cold_remaining: time::Millis,
+        now: time::Tick,
+    ) -> bool {
+        let found = self.endpoints.get_mut(id);
+        found.is_some_and(|endpoint| endpoint.hear_cold(cold_remaining, now))
+    }
+
+    /// Merges what peers tell of cold endpoints.
+    pub fn merge_cold(&mut self, told: Vec<(EndpointKey, time::Millis)>, now: time::Tick) {
+        for (key, cold_remaining) in told {
+            let mut endpoints = self.endpoints.values_mut();
+            if let Some(endpoint) = endpoints.find(|endpoint| endpoint.key == key) {
+                endpoint.hear_cold(cold_remaining, now);
+            }
+        }
+    }
+
+    /// Endpoints that have turned cold lately, and how long they stay so, at most `count`, for peers.
+    pub fn told_cold(&self, count: usize, now: time::Tick) -> Vec<(EndpointKey, time::Millis)> {
+        let is_news = |endpoint: &&Endpoint| {
+            endpoint.cold_heard.is_some_and(|heard| now.since(heard) < NEWS_TTL)
+        };
+        let news = self.endpoints.values().filter(is_news);
+        news.map(|endpoint| (endpoint.key, endpoint.cold_until.since(now))).take(count).collect()
+    }
+}
+
+impl Endpoint {
+    fn hear_cold(&mut self, cold_remaining: time::Millis, now: time::Tick) -> bool {
+        let until = now + cold_remaining;
+        let is_new = until > self.cold_until.max(now) + SAME_MAX;
+        if is_new {
+            self.cold_until = until;
+            self.cold_heard = Some(now);
+        }
+        is_new
+    }
+}
+
+pub(super) fn admits<R>(endpoint: &Endpoint, cold: SlowStart, rank: &R, now: time::Tick) -> bool
+where
+    R: Fn(&id::EndpointId) -> usize,
+{
+    let is_cold = cold.is_stale || endpoint.was_unreachable || endpoint.cold_until > now;
+    if !is_cold || cold.rate <= 0.0 {
+        return true;
+    }
+    endpoint.cold_bucket.has_token(cold_rate(cold.rate, rank(&endpoint.entry.id)), now)
+}
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -400,3 +400,26 @@
         assert!(most <= SLOTS, "{daemons} daemons: {most} at one endpoint");
     }
 }
+
+#[test]
+fn cold_time_that_daemons_pass_on_does_not_grow() {
+    let mut daemons = vec![balancer(1); 3];
+    let id: id::EndpointId = "e0".parse().unwrap();
+    let remaining = time::Millis(4_000);
+    assert!(daemons[0].record_health(&id, remaining, time::Tick(1_000)));
+    assert!(!daemons[0].record_health(&id, remaining, time::Tick(1_100)));
+    for now in (1_050..9_000).step_by(50) {
+        for sender in 0..daemons.len() {
+            let told = daemons[sender].told_cold(16, time::Tick(now));
+            for receiver in &mut daemons {
+                // A message takes 20 ms.
+                receiver.merge_cold(told.clone(), time::Tick(now + 20));
+            }
+        }
+        for (at, daemon) in daemons.iter().enumerate() {
+            let is_cold = daemon.is_cold(&id, time::Tick(now + 20));
+            assert!(!is_cold || now < 1_000 + remaining.0 + 500, "daemon {at} at {now}");
+            assert!(is_cold || now >= 1_000 + remaining.0 - 500, "daemon {at} at {now}");
+        }
+    }
+}
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod body;
 mod chunks;
+mod cold_check;
 mod context;
 mod early_end;
 mod feed;
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -16,7 +16,8 @@
 use crate::error::RelayError;
 use crate::state::{State, Table};
 use crate::{
-    chunks, feed, gossip, load_reports, log_writer, metrics, quarantine_rows, rollout, serve,
+    chunks, cold_check, feed, gossip, load_reports, log_writer, metrics, quarantine_rows, rollout,
+    serve,
 };
 
 /// Interval of the checks for expired state and for suspensions.
@@ -120,6 +121,7 @@
     tokio::task::spawn_local(gossip::run(context.clone()));
     tokio::task::spawn_local(chunks::run(context.clone()));
     tokio::task::spawn_local(load_reports::run(context.clone(), reports));
+    tokio::task::spawn_local(cold_check::run(context.clone()));
     tokio::task::spawn_local(rollout::watch(context.clone()));
     tokio::task::spawn_local(rollout::report(context.clone()));
     tokio::task::spawn_local(quarantine_rows::write(context.clone()));
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -1,4 +1,5 @@
-//! What relays tell each other of endpoints: limits, and segments of prompts that end them.
+//! What relays tell each other of endpoints: limits, segments of prompts that end them, and which have
+//! turned cold.
 
 use ibishill_core::{call, event, fleet, time};
 use ibishill_decide::{endpoint_key, endpoint_limit, quarantine};
@@ -12,6 +13,8 @@
 pub(crate) struct News {
     limits: Vec<endpoint_limit::Told>,
     evidence: Vec<quarantine::evidence::Evidence>,
+    /// Endpoints that have turned cold, and how long they stay so.
+    cold: Vec<(endpoint_key::EndpointKey, time::Millis)>,
 }
 
 impl State {
@@ -47,6 +50,7 @@
         if self.balancer.limits().merge(news.limits, now) {
             self.divide_limits(now);
         }
+        self.balancer.merge_cold(news.cold, now);
         self.quarantine.merge(news.evidence, now);
         early_end::judge(self, now);
     }
@@ -57,6 +61,7 @@
         News {
             limits: self.balancer.limits().told(max.0, is_complete, now),
             evidence: self.quarantine.evidence(max.1, is_complete, now),
+            cold: self.balancer.told_cold(max.0, now),
         }
     }
 
