relay: endpoints are checked in an outage whatever their registration said

Cause: a relay did not check an endpoint that it took for cold. Its checkers had just restarted and learned of it by a registration written while it was cold, seconds ago; the others took it for warm.

What a check has found decides now.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -262,6 +262,7 @@
                     breaker: outlier::Breaker::default(),
                     was_unreachable: false,
                     cold_until,
+                    checked_until: time::Tick(0),
                     cold_heard: None,
                     cold_bucket: rate::Bucket::new(0.0, now),
                 };
--- a/crates/ibishill-decide/src/balance/cold.rs
+++ b/crates/ibishill-decide/src/balance/cold.rs
@@ -58,8 +58,18 @@
         cold_remaining: time::Millis,
         now: time::Tick,
     ) -> bool {
-        let found = self.endpoints.get_mut(id);
-        found.is_some_and(|endpoint| endpoint.hear_cold(cold_remaining, now))
+        let Some(endpoint) = self.endpoints.get_mut(id).filter(|_| cold_remaining.0 > 0) else {
+            return false;
+        };
+        endpoint.checked_until = now + cold_remaining;
+        endpoint.hear_cold(cold_remaining, now)
+    }
+
+    /// Whether an endpoint is cold by a health check of this daemon or of a peer. A registration may be
+    /// outdated, so that daemons differ in what they take from it.
+    pub fn is_checked_cold(&self, id: &id::EndpointId, now: time::Tick) -> bool {
+        let found = self.endpoints.get(id);
+        found.is_some_and(|found| found.checked_until > now)
     }
 
     /// Merges what peers tell of cold endpoints.
@@ -88,6 +98,7 @@
         let is_new = until > self.cold_until.max(now) + SAME_MAX;
         if is_new {
             self.cold_until = until;
+            self.checked_until = until;
             self.cold_heard = Some(now);
         }
         is_new
--- a/crates/ibishill-decide/src/balance/endpoint.rs
+++ b/crates/ibishill-decide/src/balance/endpoint.rs
@@ -35,6 +35,8 @@
     // The last connection failed; the endpoint may have restarted since.
     pub(super) was_unreachable: bool,
     pub(super) cold_until: time::Tick,
+    // Until when a health check, of this daemon or of a peer, found it cold.
+    pub(super) checked_until: time::Tick,
     // When it was last heard, from its health check or a peer, that it has turned cold.
     pub(super) cold_heard: Option<time::Tick>,
     pub(super) cold_bucket: rate::Bucket,
