relay: logs tell which requests to a plain service are copies of each other

E2401 has key, a digest of route, workspace, method, path with query and body. Lines with one key and the outcomes unknown at different endpoints tell a request that ends endpoints from requests that share the end of one.

--- a/crates/ibishill-core/src/call.rs
+++ b/crates/ibishill-core/src/call.rs
@@ -27,6 +27,26 @@
     }
 }
 
+/// Digest of a whole request: route, workspace, method, path with query, and body. Nobody can find
+/// another request with the digest of a given one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestKey(pub [u8; 16]);
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl str::FromStr for RequestKey {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(|number| Self(number.to_be_bytes()))
+    }
+}
+
 /// A segment of a prompt; requests with the same leading segments can share cached prefill work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Segment {
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -25,6 +25,8 @@
     pub(crate) route: route::Route,
     pub(crate) workspace: Option<route::Workspace>,
     pub(crate) service: id::ServiceId,
+    /// Identifies the whole request to a plain service; none for a prompt.
+    pub(crate) key: Option<call::RequestKey>,
     /// Arrival of the request head.
     pub(crate) arrived: time::Tick,
     /// Earlier of the caller's deadline and the route's timeout.
@@ -439,6 +441,7 @@
             event::field("left", &remaining),
             event::field("session", &received.metadata.session.as_deref().unwrap_or("-")),
             event::field("segments", &early_end::segment_list(&received.metadata)),
+            event::field("key", &received.key.map_or("-".to_owned(), |key| key.to_string())),
         ],
     );
 }
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -18,7 +18,7 @@
 use crate::context::Shared;
 use crate::local_reply::{self, Reason};
 use crate::state::State;
-use crate::{selection, stream};
+use crate::{request_key, selection, stream};
 
 /// Time within which a request body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -131,6 +131,15 @@
         .uri
         .path_and_query()
         .map_or_else(|| parts.uri.clone(), |path| http::Uri::from(path.clone()));
+    let key = metadata.tokens.is_none().then(|| {
+        request_key::of(&request_key::Parts {
+            route: &route.name,
+            workspace: workspace.as_ref().map(|workspace| &workspace.name),
+            method: &parts.method,
+            uri: &uri,
+            body: &body,
+        })
+    });
     Ok(Received {
         method: parts.method,
         uri,
@@ -140,6 +149,7 @@
         route,
         workspace,
         service,
+        key,
         arrived,
         deadline: arrived + wait,
     })
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod message;
 mod metrics;
 mod quarantine_rows;
+mod request_key;
 mod restored;
 mod rollout;
 mod selection;
