quarantine: a request that ends endpoints is refused by all relays

Cause: the quarantine judged shared segments of prompts only, by answers that break off after their head. A request to a plain service has no segments, and its endpoint ends before any head; each attempt of its caller ended two endpoints, as the relay sent it to the next one.

The quarantine has a second kind of key, a digest of the whole request. An end is told from a cut connection at once, before the request may be sent again: one that has ended an endpoint, and that no answer has cleared, gets one attempt only from then on. After three ends it is refused with 503 by all relays, by the evidence, messages and rows that segments have. Trials come after 1 s, 8 s, 64 s and so on, so an identical sound request that was in flight at all ends of a wave of crashes is released soon; one that has been answered before needs eight ends. What a suspect loses does not count against a version. Messages between relays have a new format.

--- a/crates/ibishill-core/src/call.rs
+++ b/crates/ibishill-core/src/call.rs
@@ -47,6 +47,37 @@
     }
 }
 
+/// What requests have in common that may end endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum SuspectKey {
+    /// A segment of their prompts.
+    Segment(SegmentId),
+    /// All of it: they are copies of one request to a plain service.
+    Request(RequestKey),
+}
+
+const REQUEST_PREFIX: &str = "request-";
+
+impl fmt::Display for SuspectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Segment(segment) => segment.fmt(f),
+            Self::Request(request) => write!(f, "{REQUEST_PREFIX}{request}"),
+        }
+    }
+}
+
+impl str::FromStr for SuspectKey {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.strip_prefix(REQUEST_PREFIX) {
+            Some(digest) => digest.parse().map(Self::Request),
+            None => text.parse().map(Self::Segment),
+        }
+    }
+}
+
 /// A segment of a prompt; requests with the same leading segments can share cached prefill work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Segment {
--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -107,7 +107,7 @@
     PeerKnown = 2204, Info, "peer known";
     ZoneReach = 2205, Warn, "zone out of reach or reached again";
     EndpointEnded = 2206, Warn, "endpoint ended as an answer began";
-    SegmentJudged = 2207, Warn, "prompt segment refused or released";
+    QuarantineChanged = 2207, Warn, "request or prompt segment refused or released";
     LimitChanged = 2208, Info, "endpoint named or withdrew a limit";
     EndpointCold = 2210, Info, "health check found an endpoint cold";
     QuarantineDelayed = 2209, Warn, "state of a prompt segment could not be written yet";
--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -75,14 +75,14 @@
     RolledBack,
 }
 
-/// State of a prompt segment that was refused, as kept in the platform's store.
+/// State of what was refused, as kept in the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SegmentHold {
-    /// The segment.
-    pub segment: call::SegmentId,
+pub struct QuarantineHold {
+    /// What the refused requests have in common.
+    pub key: call::SuspectKey,
     /// Number of changes of the state; the one with more changes is newer.
     pub epoch: u32,
-    /// Whether the segment is refused; false after it was released.
+    /// Whether it is refused; false after it was released.
     pub is_refused: bool,
     /// Trials that ended an endpoint.
     pub relapses: u8,
--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -1,9 +1,11 @@
-//! Quarantine of poison prompt segments: those that end each endpoint which begins an answer.
+//! Quarantine of what ends each endpoint that begins to run it: prompt segments, and whole requests to
+//! plain services. Both are known by a key.
 //!
-//! Designed for prompts that share segments with sound ones, for daemons that each see only a few of
-//! the ends, and for waves of crashes with other causes. All requests in flight share an endpoint's
-//! end, so an end counts only against the segments of answers that had just begun there, and an
-//! answer that goes on clears its segments. What remains after ends of several endpoints is refused.
+//! Designed for prompts that share segments with sound ones, for copies of a request that come again
+//! at any daemon, for daemons that each see only a few of the ends, and for waves of crashes with other
+//! causes. All requests in flight share an endpoint's end, so an end counts only against the keys of
+//! requests that had just begun there, and an answer that goes on clears its keys. What remains after
+//! ends of several endpoints is refused.
 
 pub mod evidence;
 pub mod stored;
@@ -14,15 +16,37 @@
 
 use crate::endpoint_key;
 
-/// Ends of distinct endpoints after which a segment that no answer has cleared is refused.
-const ENDS_MAX: usize = 4;
+/// Rules by which the ends that a key was in are judged.
+struct Rules {
+    /// Ends after which a request gets one attempt only, unless answers have cleared it before.
+    contained: usize,
+    /// Ends of distinct endpoints after which a key that no answer has cleared is refused.
+    refused: usize,
+    /// Time for which it is refused at first.
+    hold: time::Millis,
+    /// Factor by which this time grows with each relapse.
+    growth: u64,
+}
 
-/// The same for a segment whose answers have gone on before: those of a popular segment are among the
-/// newest at every crash.
-const ENDS_MAX_TRUSTED: usize = 8;
+/// Many prompts share a segment, and all that wait in an engine share its end.
+const SEGMENT_RULES: Rules =
+    Rules { contained: 2, refused: 4, hold: time::Millis::from_secs(120), growth: 2 };
+
+/// Copies of one request are few, so one that comes again after an end is a suspect. The first trial
+/// comes early, as identical sound requests may all be in flight in a wave of crashes.
+const REQUEST_RULES: Rules =
+    Rules { contained: 1, refused: 3, hold: time::Millis::from_secs(1), growth: 8 };
+
+const fn rules(key: call::SuspectKey) -> &'static Rules {
+    match key {
+        call::SuspectKey::Segment(_) => &SEGMENT_RULES,
+        call::SuspectKey::Request(_) => &REQUEST_RULES,
+    }
+}
 
-/// Ends after which a request gets one attempt only, unless answers have cleared its segments before.
-const ENDS_CONTAINED: usize = 2;
+/// The number of ends for a key whose answers have gone on before: those of a popular one are in flight
+/// at every crash.
+const ENDS_MAX_TRUSTED: usize = 8;
 
 /// Time since the first end, within which answers that clear the segment become known.
 const DELIBERATION: time::Millis = time::Millis(1_000);
@@ -30,9 +54,6 @@
 /// Time after which an end no longer counts.
 const END_TTL: time::Millis = time::Millis::from_secs(600);
 
-/// Time for which a segment is refused at first; it doubles with each relapse.
-const HOLD_MIN: time::Millis = time::Millis::from_secs(120);
-
 /// Longest time for which a segment is refused.
 const HOLD_MAX: time::Millis = time::Millis::from_secs(3_600);
 
@@ -65,14 +86,15 @@
 }
 
 impl Hold {
-    fn due(&self) -> time::Tick {
-        let factor = 1_u64.checked_shl(u32::from(self.relapses)).unwrap_or(u64::MAX);
-        self.since + time::Millis(HOLD_MIN.0.saturating_mul(factor)).min(HOLD_MAX)
+    fn due(&self, key: call::SuspectKey) -> time::Tick {
+        let Rules { hold, growth, .. } = rules(key);
+        let factor = growth.saturating_pow(u32::from(self.relapses));
+        self.since + time::Millis(hold.0.saturating_mul(factor)).min(HOLD_MAX)
     }
 
-    // Whether it has not ended so long ago that the segment is forgotten.
-    fn is_current(&self, now: time::Tick) -> bool {
-        now.since(self.due()) < END_TTL
+    // Whether it has not ended so long ago that the key is forgotten.
+    fn is_current(&self, key: call::SuspectKey, now: time::Tick) -> bool {
+        now.since(self.due(key)) < END_TTL
     }
 }
 
@@ -109,6 +131,14 @@
         self.is_unstored = true;
     }
 
+    // The trial has failed, if there is one.
+    fn relapse(&mut self, now: time::Tick) {
+        if let Some(hold) = self.hold.filter(|_| self.trial.is_some()) {
+            let relapses = hold.relapses.saturating_add(1);
+            self.set_hold(Some(Hold { since: now, relapses }), self.epoch + 1, now);
+        }
+    }
+
     fn add_end(&mut self, end: End) -> bool {
         if self.ends.iter().any(|known| known.endpoint == end.endpoint) {
             return false;
@@ -134,21 +164,21 @@
 // The survivals of the segments seen most recently.
 #[derive(Debug, Clone, Default)]
 struct Survivals {
-    recent: BTreeMap<call::SegmentId, Survival>,
-    older: BTreeMap<call::SegmentId, Survival>,
+    recent: BTreeMap<call::SuspectKey, Survival>,
+    older: BTreeMap<call::SuspectKey, Survival>,
 }
 
 impl Survivals {
-    fn last(&self, segment: call::SegmentId) -> Option<Survival> {
-        self.recent.get(&segment).or_else(|| self.older.get(&segment)).copied()
+    fn last(&self, key: call::SuspectKey) -> Option<Survival> {
+        self.recent.get(&key).or_else(|| self.older.get(&key)).copied()
     }
 
-    fn record(&mut self, segment: call::SegmentId, survival: Survival) {
-        let known = self.last(segment).filter(|known| known.began >= survival.began);
-        if self.recent.len() >= SURVIVALS_MAX && !self.recent.contains_key(&segment) {
+    fn record(&mut self, key: call::SuspectKey, survival: Survival) {
+        let known = self.last(key).filter(|known| known.began >= survival.began);
+        if self.recent.len() >= SURVIVALS_MAX && !self.recent.contains_key(&key) {
             self.older = std::mem::take(&mut self.recent);
         }
-        self.recent.insert(segment, known.unwrap_or(survival));
+        self.recent.insert(key, known.unwrap_or(survival));
     }
 }
 
@@ -167,7 +197,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Change {
     /// The segment.
-    pub segment: call::SegmentId,
+    pub key: call::SuspectKey,
     /// Whether it is refused from now on, or no longer.
     pub is_refused: bool,
     /// Ends of endpoints that count against it.
@@ -177,7 +207,7 @@
 /// Segments under suspicion, those that are refused, and those that answers have cleared.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
-    records: BTreeMap<call::SegmentId, Record>,
+    records: BTreeMap<call::SuspectKey, Record>,
     survivals: Survivals,
     changes: Vec<Change>,
 }
@@ -185,19 +215,19 @@
 impl Quarantine {
     /// What may be done with a request; `rank` is this daemon's rank among those that may try a
     /// segment again.
-    pub fn verdict<R>(&self, segments: &[call::SegmentId], rank: R, now: time::Tick) -> Verdict
+    pub fn verdict<R>(&self, keys: &[call::SuspectKey], rank: R, now: time::Tick) -> Verdict
     where
-        R: Fn(call::SegmentId) -> usize,
+        R: Fn(call::SuspectKey) -> usize,
     {
         let mut verdict = Verdict::Allowed;
-        for segment in segments {
-            let Some(record) = self.records.get(segment) else { continue };
+        for key in keys {
+            let Some(record) = self.records.get(key) else { continue };
             match record.hold {
-                Some(hold) if !may_try(record, &hold, rank(*segment), now) => {
-                    return Verdict::Refused(hold.due().since(now));
+                Some(hold) if !may_try(record, hold.due(*key), rank(*key), now) => {
+                    return Verdict::Refused(hold.due(*key).since(now));
                 }
                 Some(_) => verdict = Verdict::Contained,
-                None if self.is_contained(*segment, record) => verdict = Verdict::Contained,
+                None if self.is_contained(*key, record) => verdict = Verdict::Contained,
                 None => {}
             }
         }
@@ -205,36 +235,55 @@
     }
 
     /// Records that an attempt is sent; it is the trial of a segment in quarantine.
-    pub fn record_send(&mut self, segments: &[call::SegmentId], now: time::Tick) {
-        for segment in segments {
-            if let Some(record) = self.records.get_mut(segment).filter(|r| r.hold.is_some()) {
+    pub fn record_send(&mut self, keys: &[call::SuspectKey], now: time::Tick) {
+        for key in keys {
+            if let Some(record) = self.records.get_mut(key).filter(|r| r.hold.is_some()) {
                 record.trial = Some(now);
             }
         }
     }
 
+    /// Records that the attempt which is a trial was not sent after all.
+    pub fn withdraw_trial(&mut self, keys: &[call::SuspectKey]) {
+        for key in keys {
+            if let Some(record) = self.records.get_mut(key) {
+                record.trial = None;
+            }
+        }
+    }
+
+    /// Records that the attempt which is a trial got no valid answer: whether its endpoint has ended may
+    /// not become known.
+    pub fn record_trial_loss(&mut self, keys: &[call::SuspectKey], now: time::Tick) {
+        for key in keys {
+            if let Some(record) = self.records.get_mut(key) {
+                record.relapse(now);
+            }
+        }
+    }
+
     /// Records an answer that began at `began` and has gone on, which clears its segments.
     pub fn record_survival(
         &mut self,
-        segments: &[call::SegmentId],
+        keys: &[call::SuspectKey],
         began: time::Tick,
         now: time::Tick,
     ) {
         let survival = Survival { began, is_own: true };
-        for segment in segments {
-            self.clear(*segment, survival, now);
+        for key in keys {
+            self.clear(*key, survival, now);
         }
     }
 
-    fn clear(&mut self, segment: call::SegmentId, survival: Survival, now: time::Tick) {
-        self.survivals.record(segment, survival);
+    fn clear(&mut self, key: call::SuspectKey, survival: Survival, now: time::Tick) {
+        self.survivals.record(key, survival);
         let began = survival.began;
-        let Some(record) = self.records.get_mut(&segment) else { return };
+        let Some(record) = self.records.get_mut(&key) else { return };
         if record.hold.is_some_and(|hold| began > hold.since) {
             let ends = record.ends.len();
             record.ends.clear();
             record.set_hold(None, record.epoch + 1, now);
-            self.changes.push(Change { segment, is_refused: false, ends });
+            self.changes.push(Change { key, is_refused: false, ends });
         }
         if record.ends.iter().any(|end| end.at <= began) {
             record.ends.retain(|end| end.at > began);
@@ -246,31 +295,29 @@
     /// the order of the prompt; returns whether this was unknown.
     pub fn record_end(
         &mut self,
-        segments: &[call::SegmentId],
+        keys: &[call::SuspectKey],
         endpoint: endpoint_key::EndpointKey,
         now: time::Tick,
     ) -> bool {
         let mut is_new = false;
-        for (depth, segment) in segments.iter().enumerate() {
-            let record = self.record(*segment, depth, now);
+        for (depth, key) in keys.iter().enumerate() {
+            let record = self.record(*key, depth, now);
             if !record.add_end(End { endpoint, at: now }) {
                 continue;
             }
             is_new = true;
             record.changed = now;
-            if let Some(hold) = record.hold.filter(|_| record.trial.is_some()) {
-                let relapses = hold.relapses.saturating_add(1);
-                record.set_hold(Some(Hold { since: now, relapses }), record.epoch + 1, now);
-            }
+            record.relapse(now);
         }
         is_new
     }
 
-    fn record(&mut self, segment: call::SegmentId, depth: usize, now: time::Tick) -> &mut Record {
-        if self.records.len() >= SEGMENTS_MAX && !self.records.contains_key(&segment) {
-            let order = |record: &Record| (record.hold.is_some(), record.last_end());
+    fn record(&mut self, key: call::SuspectKey, depth: usize, now: time::Tick) -> &mut Record {
+        if self.records.len() >= SEGMENTS_MAX && !self.records.contains_key(&key) {
+            let order =
+                |record: &Record| (record.hold.is_some(), record.ends.len(), record.last_end());
             let oldest = self.records.iter().min_by_key(|(_, record)| order(record));
-            if let Some(oldest) = oldest.map(|(segment, _)| *segment) {
+            if let Some(oldest) = oldest.map(|(key, _)| *key) {
                 self.records.remove(&oldest);
             }
         }
@@ -284,16 +331,16 @@
             changed: now,
             is_unstored: false,
         };
-        self.records.entry(segment).or_insert(new)
+        self.records.entry(key).or_insert(new)
     }
 
     /// Refuses the segments that the ends leave to blame, and forgets old ends.
     pub fn judge(&mut self, now: time::Tick) -> Vec<Change> {
         self.expire(now);
-        while let Some((segment, ends)) = self.most_blamed(now) {
-            let Some(record) = self.records.get_mut(&segment) else { break };
+        while let Some((key, ends)) = self.most_blamed(now) {
+            let Some(record) = self.records.get_mut(&key) else { break };
             record.set_hold(Some(Hold { since: now, relapses: 0 }), record.epoch + 1, now);
-            self.changes.push(Change { segment, is_refused: true, ends });
+            self.changes.push(Change { key, is_refused: true, ends });
         }
         std::mem::take(&mut self.changes)
     }
@@ -303,23 +350,22 @@
             record.ends.retain(|end| now.since(end.at) < END_TTL);
         }
         // A segment that nobody has asked for since its hold has ended is forgotten.
-        let is_current = |record: &Record| match record.hold {
-            Some(hold) => hold.is_current(now),
+        let is_current = |key: call::SuspectKey, record: &Record| match record.hold {
+            Some(hold) => hold.is_current(key, now),
             None if record.epoch > 0 => now.since(record.changed) < END_TTL,
             None => !record.ends.is_empty(),
         };
-        self.records.retain(|_, record| is_current(record));
+        self.records.retain(|key, record| is_current(*key, record));
     }
 
     // The segment to refuse next, and the number of its ends. Segments that nothing has cleared come
     // first: those that sound prompts share are in flight at most ends, and so have more of them. Of
     // segments with as many ends the deepest is taken, as the fewest requests have it.
-    fn most_blamed(&self, now: time::Tick) -> Option<(call::SegmentId, usize)> {
+    fn most_blamed(&self, now: time::Tick) -> Option<(call::SuspectKey, usize)> {
         let mut explained = self.explained();
         self.most_blamed_of(false, &explained, now).or_else(|| {
             let suspects = self.records.iter();
-            let suspects =
-                suspects.filter(|(segment, record)| self.is_contained(**segment, record));
+            let suspects = suspects.filter(|(key, record)| self.is_contained(**key, record));
             explained.extend(suspects.flat_map(|(_, record)| record.endpoints()));
             self.most_blamed_of(true, &explained, now)
         })
@@ -330,16 +376,16 @@
         is_trusted: bool,
         explained: &BTreeSet<endpoint_key::EndpointKey>,
         now: time::Tick,
-    ) -> Option<(call::SegmentId, usize)> {
-        let counted = self.records.iter().filter_map(|(segment, record)| {
+    ) -> Option<(call::SuspectKey, usize)> {
+        let counted = self.records.iter().filter_map(|(key, record)| {
             let is_candidate =
-                record.hold.is_none() && self.survivals.last(*segment).is_some() == is_trusted;
+                record.hold.is_none() && self.survivals.last(*key).is_some() == is_trusted;
             let open = |end: &&End| !explained.contains(&end.endpoint);
             let ends: Vec<&End> = record.ends.iter().filter(open).collect();
-            let is_blamed = is_candidate && is_enough(&ends, is_trusted, now);
-            is_blamed.then_some((ends.len(), record.depth, *segment))
+            let is_blamed = is_candidate && is_enough(*key, &ends, is_trusted, now);
+            is_blamed.then_some((ends.len(), record.depth, *key))
         });
-        counted.max().map(|(ends, _, segment)| (segment, ends))
+        counted.max().map(|(ends, _, key)| (key, ends))
     }
 
     // Endpoints that a segment in quarantine has ended.
@@ -348,13 +394,14 @@
         held.flat_map(Record::endpoints).collect()
     }
 
-    fn is_contained(&self, segment: call::SegmentId, record: &Record) -> bool {
-        if record.ends.len() < ENDS_CONTAINED || self.survivals.last(segment).is_some() {
+    fn is_contained(&self, key: call::SuspectKey, record: &Record) -> bool {
+        let Rules { contained, .. } = rules(key);
+        if record.ends.len() < *contained || self.survivals.last(key).is_some() {
             return false;
         }
         let explained = self.explained();
         let open = record.ends.iter().filter(|end| !explained.contains(&end.endpoint));
-        open.count() >= ENDS_CONTAINED
+        open.count() >= *contained
     }
 
     /// Number of segments that are refused.
@@ -363,14 +410,14 @@
     }
 }
 
-fn may_try(record: &Record, hold: &Hold, rank: usize, now: time::Tick) -> bool {
+fn may_try(record: &Record, due: time::Tick, rank: usize, now: time::Tick) -> bool {
     let rank = u64::try_from(rank).unwrap_or(u64::MAX);
-    let due = hold.due() + time::Millis(TRIAL_STAGGER.0.saturating_mul(rank));
+    let due = due + time::Millis(TRIAL_STAGGER.0.saturating_mul(rank));
     let is_trying = record.trial.is_some_and(|began| now.since(began) < TRIAL_TIMEOUT);
     now >= due && !is_trying
 }
 
-fn is_enough(ends: &[&End], is_trusted: bool, now: time::Tick) -> bool {
+fn is_enough(key: call::SuspectKey, ends: &[&End], is_trusted: bool, now: time::Tick) -> bool {
     let (Some(first), Some(last)) = (ends.first(), ends.last()) else { return false };
     if now.since(first.at) < DELIBERATION {
         return false;
@@ -378,6 +425,6 @@
     if is_trusted {
         ends.len() >= ENDS_MAX_TRUSTED && last.at.since(first.at) >= DELIBERATION
     } else {
-        ends.len() >= ENDS_MAX
+        ends.len() >= rules(key).refused
     }
 }
--- a/crates/ibishill-decide/src/quarantine/evidence.rs
+++ b/crates/ibishill-decide/src/quarantine/evidence.rs
@@ -20,7 +20,7 @@
 /// What a daemon knows of one segment; times are ages as of sending.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
-    segment: call::SegmentId,
+    key: call::SuspectKey,
     depth: u8,
     ends: Vec<(endpoint_key::EndpointKey, time::Millis)>,
     // Since the last answer began that has gone on, if the sender has seen it itself.
@@ -41,13 +41,13 @@
             std::cmp::Reverse((record.hold.is_some(), record.ends.len(), record.changed))
         });
         told.truncate(count);
-        let evidence = told.into_iter().map(|(segment, record)| Evidence {
-            segment: *segment,
+        let evidence = told.into_iter().map(|(key, record)| Evidence {
+            key: *key,
             depth: record.depth,
             ends: record.ends.iter().map(|end| (end.endpoint, now.since(end.at))).collect(),
             survival: self
                 .survivals
-                .last(*segment)
+                .last(*key)
                 .filter(|survival| survival.is_own)
                 .map(|survival| now.since(survival.began)),
             epoch: record.epoch,
@@ -62,11 +62,11 @@
     pub fn merge(&mut self, evidence: Vec<Evidence>, now: time::Tick) {
         let at = |age: time::Millis| time::Tick(now.0.saturating_sub(age.0));
         for found in evidence {
-            let Evidence { segment, depth, epoch, .. } = found;
+            let Evidence { key, depth, epoch, .. } = found;
             if let Some(age) = found.survival {
-                self.clear(segment, Survival { began: at(age), is_own: false }, now);
+                self.clear(key, Survival { began: at(age), is_own: false }, now);
             }
-            let survived = self.survivals.last(segment).map(|survival| survival.began);
+            let survived = self.survivals.last(key).map(|survival| survival.began);
             let ends = found.ends.into_iter();
             let ends: Vec<End> = ends
                 .map(|(endpoint, age)| End { endpoint, at: at(age) })
@@ -74,14 +74,14 @@
                 .collect();
             let hold = found.held.map(|held| Hold { since: at(held.age), relapses: held.relapses });
             if !ends.is_empty() || epoch > 0 {
-                self.merge_ends(segment, depth, &ends, now);
-                self.merge_hold(segment, hold, epoch, now);
+                self.merge_ends(key, depth, &ends, now);
+                self.merge_hold(key, hold, epoch, now);
             }
         }
     }
 
-    fn merge_ends(&mut self, segment: call::SegmentId, depth: u8, ends: &[End], now: time::Tick) {
-        let record = self.record(segment, usize::from(depth), now);
+    fn merge_ends(&mut self, key: call::SuspectKey, depth: u8, ends: &[End], now: time::Tick) {
+        let record = self.record(key, usize::from(depth), now);
         for end in ends {
             if record.add_end(*end) {
                 record.changed = now;
@@ -92,12 +92,12 @@
     // The state with more changes wins; of two with as many, the one that refuses.
     pub(super) fn merge_hold(
         &mut self,
-        segment: call::SegmentId,
+        key: call::SuspectKey,
         hold: Option<Hold>,
         epoch: u32,
         now: time::Tick,
     ) {
-        let Some(record) = self.records.get_mut(&segment) else { return };
+        let Some(record) = self.records.get_mut(&key) else { return };
         let is_stricter = epoch == record.epoch && hold.is_some() && record.hold.is_none();
         if epoch < record.epoch || (epoch == record.epoch && !is_stricter) {
             return;
@@ -109,7 +109,7 @@
         }
         if was_refused != hold.is_some() {
             let (is_refused, ends) = (hold.is_some(), record.ends.len());
-            self.changes.push(Change { segment, is_refused, ends });
+            self.changes.push(Change { key, is_refused, ends });
         }
     }
 }
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -6,13 +6,17 @@
 
 const START: time::Tick = time::Tick(10_000_000);
 
+const fn segment(id: u64) -> call::SuspectKey {
+    call::SuspectKey::Segment(call::SegmentId(id))
+}
+
 // Shared by sound and poison prompts.
-const FIRST: call::SegmentId = call::SegmentId(0xf1);
-const SOUND: call::SegmentId = call::SegmentId(0xaa);
-const POISON: call::SegmentId = call::SegmentId(0xbad);
+const FIRST: call::SuspectKey = segment(0xf1);
+const SOUND: call::SuspectKey = segment(0xaa);
+const POISON: call::SuspectKey = segment(0xbad);
 
-const POISON_PROMPT: &[call::SegmentId] = &[FIRST, POISON];
-const SOUND_PROMPT: &[call::SegmentId] = &[FIRST, SOUND];
+const POISON_PROMPT: &[call::SuspectKey] = &[FIRST, POISON];
+const SOUND_PROMPT: &[call::SuspectKey] = &[FIRST, SOUND];
 
 fn key(number: usize) -> endpoint_key::EndpointKey {
     let name: id::EndpointId = format!("e{number}").parse().unwrap();
@@ -21,7 +25,7 @@
 
 fn verdict(
     quarantine: &quarantine::Quarantine,
-    prompt: &[call::SegmentId],
+    prompt: &[call::SuspectKey],
     now: time::Tick,
 ) -> quarantine::Verdict {
     quarantine.verdict(prompt, |_| 0, now)
@@ -29,7 +33,7 @@
 
 fn is_refused(
     quarantine: &quarantine::Quarantine,
-    prompt: &[call::SegmentId],
+    prompt: &[call::SuspectKey],
     now: time::Tick,
 ) -> bool {
     matches!(verdict(quarantine, prompt, now), quarantine::Verdict::Refused(_))
@@ -37,11 +41,11 @@
 
 enum Step {
     /// An endpoint ends as it begins an answer.
-    End(&'static [call::SegmentId], usize),
+    End(&'static [call::SuspectKey], usize),
     /// As many endpoints end one after the other, 200 ms apart.
-    Ends(&'static [call::SegmentId], usize),
+    Ends(&'static [call::SuspectKey], usize),
     /// An answer that began 200 ms ago goes on.
-    Survival(&'static [call::SegmentId]),
+    Survival(&'static [call::SuspectKey]),
     Wait(u64),
 }
 
@@ -301,10 +305,10 @@
 fn memory_stays_bounded_and_keeps_what_is_refused() {
     let mut quarantine = refusing(START);
     for number in 0..10_000 {
-        let segment = call::SegmentId(0x1000 + number);
+        let last = segment(0x1000 + number);
         let now = START + time::Millis(number);
-        quarantine.record_end(&[segment], key(number as usize), now);
-        quarantine.record_survival(&[call::SegmentId(0x100_0000 + number)], now, now);
+        quarantine.record_end(&[last], key(number as usize), now);
+        quarantine.record_survival(&[segment(0x100_0000 + number)], now, now);
     }
     let now = START + time::Millis(10_000);
     assert!(is_refused(&quarantine, POISON_PROMPT, now));
@@ -394,3 +398,114 @@
         }
     }
 }
+
+const COPY: call::SuspectKey = call::SuspectKey::Request(call::RequestKey([0xc0; 16]));
+
+struct CopyCase {
+    name: &'static str,
+    steps: &'static [Step],
+    expected: Expected,
+}
+
+#[test]
+fn whole_request_is_contained_after_one_end_and_refused_after_three() {
+    const KEYS: &[call::SuspectKey] = &[COPY];
+    let cases = [
+        CopyCase { name: "one end", steps: &[Step::End(KEYS, 1)], expected: Expected::Contained },
+        CopyCase {
+            name: "two ends",
+            steps: &[Step::Ends(KEYS, 2), Step::Wait(2_000)],
+            expected: Expected::Contained,
+        },
+        CopyCase {
+            name: "three ends",
+            steps: &[Step::Ends(KEYS, 3), Step::Wait(1_000)],
+            expected: Expected::Refused,
+        },
+        CopyCase {
+            name: "one endpoint's end, seen three times",
+            steps: &[Step::End(KEYS, 1), Step::End(KEYS, 1), Step::End(KEYS, 1)],
+            expected: Expected::Contained,
+        },
+        CopyCase {
+            name: "an answer after the ends",
+            steps: &[Step::Ends(KEYS, 3), Step::Wait(200), Step::Survival(KEYS)],
+            expected: Expected::Allowed,
+        },
+        CopyCase {
+            name: "popular, three ends of a wave",
+            steps: &[Step::Survival(KEYS), Step::Ends(KEYS, 3), Step::Wait(1_000)],
+            expected: Expected::Allowed,
+        },
+    ];
+    for case in cases {
+        let mut quarantine = quarantine::Quarantine::default();
+        let mut now = START;
+        let mut next = 100;
+        for step in case.steps {
+            match step {
+                Step::End(keys, endpoint) => {
+                    quarantine.record_end(keys, key(*endpoint), now);
+                }
+                Step::Ends(keys, count) => {
+                    for _ in 0..*count {
+                        quarantine.record_end(keys, key(next), now);
+                        (next, now) = (next + 1, now + time::Millis(200));
+                    }
+                }
+                Step::Survival(keys) => quarantine.record_survival(keys, now, now),
+                Step::Wait(millis) => now = now + time::Millis(*millis),
+            }
+            quarantine.judge(now);
+        }
+        let found = match verdict(&quarantine, KEYS, now) {
+            quarantine::Verdict::Allowed => Expected::Allowed,
+            quarantine::Verdict::Contained => Expected::Contained,
+            quarantine::Verdict::Refused(_) => Expected::Refused,
+        };
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+// A caller asks ten times a second. Trials are few, also if nobody learns how they end.
+#[test]
+fn trials_of_a_whole_request_are_few_and_one_that_is_answered_releases_it() {
+    struct TrialCase {
+        name: &'static str,
+        // What becomes of a trial; none if it is not known.
+        is_lost: Option<bool>,
+        most: usize,
+    }
+    let cases = [
+        TrialCase { name: "ends its endpoint", is_lost: Some(true), most: 3 },
+        TrialCase { name: "unknown", is_lost: None, most: 4 },
+        TrialCase { name: "answered", is_lost: Some(false), most: 1 },
+    ];
+    for case in cases {
+        let mut quarantine = quarantine::Quarantine::default();
+        for number in 0..3 {
+            quarantine.record_end(&[COPY], key(number), START);
+        }
+        let start = START + time::Millis(1_000);
+        quarantine.judge(start);
+        let mut trials = 0;
+        for at in (0..100_000).step_by(100) {
+            let now = start + time::Millis(at);
+            let is_held = quarantine.refused_count() > 0;
+            if !is_held
+                || matches!(verdict(&quarantine, &[COPY], now), quarantine::Verdict::Refused(_))
+            {
+                continue;
+            }
+            trials += 1;
+            quarantine.record_send(&[COPY], now);
+            match case.is_lost {
+                Some(true) => quarantine.record_trial_loss(&[COPY], now),
+                Some(false) => quarantine.record_survival(&[COPY], now, now),
+                None => {}
+            }
+            quarantine.judge(now);
+        }
+        assert!((1..=case.most).contains(&trials), "{}: {trials} trials", case.name);
+    }
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -45,6 +45,17 @@
         self.metadata.tokens.map_or(0, |tokens| tokens.input + tokens.expected_output)
     }
 
+    /// What may be quarantined of it: the segments of its prompt that others share, or all of it.
+    pub(crate) fn suspects(&self) -> Vec<call::SuspectKey> {
+        match self.key {
+            Some(key) => vec![call::SuspectKey::Request(key)],
+            None => {
+                let segments = self.metadata.shared_segments().into_iter();
+                segments.map(call::SuspectKey::Segment).collect()
+            }
+        }
+    }
+
     /// Time until the deadline; 0 once it has passed.
     pub(crate) fn remaining(&self, now: time::Tick) -> time::Millis {
         self.deadline.since(now)
@@ -79,7 +90,7 @@
         let slow_start = state.slow_start(&received.service, now);
         let rank = state.cold_rank(endpoint);
         state.balancer.begin(endpoint, work, slow_start, rank, now);
-        state.quarantine.record_send(&received.metadata.shared_segments(), now);
+        state.quarantine.record_send(&received.suspects(), now);
         drop(state);
         Self { context: context.clone(), endpoint: endpoint.clone(), work, is_answering: false }
     }
@@ -199,7 +210,8 @@
             }
         }
     };
-    record(context, received, target, &outcome, started);
+    let is_suspect = early_end::record_outcome(context, received, target, &outcome).await;
+    record(context, received, target, &outcome, started, is_suspect);
     log_ended(context, received, target, &outcome, &detail, started);
     outcome
 }
@@ -320,13 +332,15 @@
     status.is_server_error()
 }
 
-// Records what the attempt shows about the endpoint and, during a roll-out, about its version.
+// Records what the attempt shows about the endpoint and, during a roll-out, about its version;
+// `is_suspect` if the request was suspected before of ending endpoints.
 fn record(
     context: &Shared,
     received: &Received,
     target: &Target,
     outcome: &Outcome,
     started: time::Tick,
+    is_suspect: bool,
 ) {
     let now = context.now();
     let attempt = match outcome {
@@ -355,13 +369,6 @@
         let pressure = state.pressures.entry(received.service.clone()).or_default();
         pressure.record(took, received.route.latency_target, now);
     }
-    if let Outcome::Response(response) = outcome
-        && response.status().is_success()
-    {
-        // The whole answer has arrived, so it has begun without an end of the endpoint.
-        let segments = received.metadata.shared_segments();
-        state.quarantine.record_survival(&segments, now, now);
-    }
     // A refusal or a local error says nothing about the endpoint's health.
     if !matches!(outcome, Outcome::Refused | Outcome::NotAttempted) {
         state.balancer.record_attempt(&target.endpoint, attempt, load, slow_start, now);
@@ -371,7 +378,9 @@
             (outlier::Attempt::Failed, Outcome::Response(_)) => Some(canary::Outcome::Failed),
             (outlier::Attempt::Failed, _) => Some(canary::Outcome::Lost),
         };
-        if let Some(answer) = answer {
+        // What a suspect has lost says nothing of the version.
+        let is_excused = is_suspect && answer == Some(canary::Outcome::Lost);
+        if let Some(answer) = answer.filter(|_| !is_excused) {
             record_for_rollout(&mut state, context, received, target, answer);
         }
     }
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -1,13 +1,14 @@
-//! Detects endpoints that end just after they have begun an answer, as opposed to a connection that
-//! was cut, and has the segments of the prompt judged by it.
+//! Detects endpoints that end just after they have begun an answer, or as they run a request to a plain
+//! service, as opposed to a connection that was cut, and has the request's keys judged by it.
 
 use std::time::Duration;
 
-use ibishill_core::{call, event, id, time};
-use ibishill_decide::endpoint_key;
+use http::StatusCode;
+use ibishill_core::{call, event, fleet, id, time};
+use ibishill_decide::{endpoint_key, quarantine};
 use tokio::time as clock;
 
-use crate::attempt::Received;
+use crate::attempt::{Outcome, Received, Target};
 use crate::context::Shared;
 use crate::state::State;
 use crate::upstream::{self, CallError};
@@ -24,6 +25,9 @@
 /// Timeout of the check.
 const CHECK_TIMEOUT: time::Millis = time::Millis(300);
 
+/// Timeout of the check before a request is sent again.
+const FIRST_CHECK_TIMEOUT: time::Millis = time::Millis(40);
+
 /// Maximum number of concurrent checks.
 const CHECKS_MAX: u32 = 64;
 
@@ -98,40 +102,115 @@
 pub(crate) fn check(context: &Shared, received: &Received, endpoint: &id::EndpointId) {
     let Some(registration) = context.state().balancer.entry(endpoint).cloned() else { return };
     let Some(guard) = CheckGuard::begin(context) else { return };
-    let (context, request) = (context.clone(), received.metadata.id.clone());
-    let ended = context.now();
-    let (segments, list) = (received.metadata.shared_segments(), segment_list(&received.metadata));
+    let lost = Lost::new(received, context.now());
+    let context = context.clone();
     tokio::task::spawn_local(async move {
         let _guard = guard;
         clock::sleep(CHECK_DELAY).await;
-        let result = upstream::connect(registration.address, CHECK_TIMEOUT).await;
-        if matches!(result, Err(CallError::Connect(_))) {
-            context.metrics.record_early_end();
-            event::emit_json(
-                event::Event::EndpointEnded,
-                &[
-                    event::field("endpoint", &registration.id),
-                    event::field("request", &request),
-                    event::field("segments", &list),
-                ],
-            );
-            let key = endpoint_key::EndpointKey::of(&registration);
-            let mut state = context.state();
-            if state.quarantine.record_end(&segments, key, ended) {
-                context.evidence_added.notify_one();
-            }
-            judge(&mut state, context.now());
+        if refuses(&registration, CHECK_TIMEOUT).await {
+            lost.record_end(&context, &registration);
         }
     });
 }
 
-/// Refuses or releases segments by the evidence so far, and logs it.
+/// Records what the outcome of an attempt says of the request; returns whether it was lost by a request
+/// that was suspected before.
+///
+/// A request to a plain service that is lost is checked at once, before it may be sent again: an
+/// endpoint that has crashed refuses connections as soon as its own have ended, and may be back soon.
+pub(crate) async fn record_outcome(
+    context: &Shared,
+    received: &Received,
+    target: &Target,
+    outcome: &Outcome,
+) -> bool {
+    let (keys, now) = (received.suspects(), context.now());
+    let is_known = context.state().verdict(&keys, now) != quarantine::Verdict::Allowed;
+    match outcome {
+        Outcome::ConnectFailed | Outcome::NotAttempted => {
+            context.state().quarantine.withdraw_trial(&keys);
+            false
+        }
+        Outcome::Response(response) => {
+            let is_plain = received.key.is_some();
+            // An endpoint answers so at the deadline, whether or not the request has begun to run.
+            let has_run = is_plain && response.status() != StatusCode::GATEWAY_TIMEOUT;
+            if has_run || response.status().is_success() {
+                context.state().quarantine.record_survival(&keys, now, now);
+            }
+            false
+        }
+        Outcome::Unknown if received.key.is_some() => {
+            context.state().quarantine.record_trial_loss(&keys, now);
+            check_now(context, received, target).await;
+            is_known
+        }
+        Outcome::TimedOut | Outcome::Unresponsive if received.key.is_some() => {
+            context.state().quarantine.record_trial_loss(&keys, now);
+            check(context, received, &target.endpoint);
+            is_known
+        }
+        _ => false,
+    }
+}
+
+// Checks whether the endpoint that has lost a request refuses connections; once more later if not.
+async fn check_now(context: &Shared, received: &Received, target: &Target) {
+    let entry = context.state().balancer.entry(&target.endpoint).cloned();
+    let Some(registration) = entry else { return };
+    let lost = Lost::new(received, context.now());
+    if refuses(&registration, FIRST_CHECK_TIMEOUT).await {
+        lost.record_end(context, &registration);
+    } else {
+        check(context, received, &target.endpoint);
+    }
+}
+
+async fn refuses(registration: &fleet::Registration, timeout: time::Millis) -> bool {
+    let result = upstream::connect(registration.address, timeout).await;
+    matches!(result, Err(CallError::Connect(_)))
+}
+
+/// A request whose answer has not arrived, or has broken off.
+struct Lost {
+    request: String,
+    keys: Vec<call::SuspectKey>,
+    at: time::Tick,
+}
+
+impl Lost {
+    fn new(received: &Received, at: time::Tick) -> Self {
+        Self { request: received.metadata.id.clone(), keys: received.suspects(), at }
+    }
+
+    // The endpoint that the request was sent to has ended.
+    fn record_end(&self, context: &Shared, registration: &fleet::Registration) {
+        context.metrics.record_early_end();
+        let keys: Vec<String> = self.keys.iter().map(ToString::to_string).collect();
+        event::emit_json(
+            event::Event::EndpointEnded,
+            &[
+                event::field("endpoint", &registration.id),
+                event::field("request", &self.request),
+                event::field("keys", &keys.join(",")),
+            ],
+        );
+        let key = endpoint_key::EndpointKey::of(registration);
+        let mut state = context.state();
+        if state.quarantine.record_end(&self.keys, key, self.at) {
+            context.evidence_added.notify_one();
+        }
+        judge(&mut state, context.now());
+    }
+}
+
+/// Refuses or releases what the evidence so far blames or clears, and logs it.
 pub(crate) fn judge(state: &mut State, now: time::Tick) {
     for change in state.quarantine.judge(now) {
         event::emit_json(
-            event::Event::SegmentJudged,
+            event::Event::QuarantineChanged,
             &[
-                event::field("segment", &change.segment),
+                event::field("key", &change.key),
                 event::field("is_refused", &change.is_refused),
                 event::field("ends", &change.ends),
             ],
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -368,11 +368,10 @@
     }
 }
 
-// Whether a segment of the prompt is suspected of ending endpoints, so that the request gets one
+// Whether the request or a segment of its prompt is suspected of ending endpoints, so that it gets one
 // attempt only.
 fn is_contained(state: &State, received: &Received, now: time::Tick) -> bool {
-    let segments = received.metadata.shared_segments();
-    state.verdict(&segments, now) != quarantine::Verdict::Allowed
+    state.verdict(&received.suspects(), now) != quarantine::Verdict::Allowed
 }
 
 /// Takes a retry from the budget of the request's service; returns whether it was granted. A request
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -38,8 +38,8 @@
 /// Size of the number of entries, in bytes, above that of an empty list.
 const LENGTH_SIZE: usize = 1;
 
-/// Maximum number of limits and of prompt segments that one datagram tells of.
-const NEWS_MAX: (usize, usize) = (16, 4);
+/// Maximum number of limits and of suspects that one datagram tells of.
+const NEWS_MAX: (usize, usize) = (16, 8);
 
 /// Delay of the datagram that announces new evidence, so that ends at the same moment share one.
 const EVIDENCE_DELAY: Duration = Duration::from_millis(50);
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -35,7 +35,9 @@
     /// No endpoint had a free slot within the wait limit.
     NoCapacity,
     /// A segment of the prompt ends endpoints; the time until it is tried again.
-    Quarantined(time::Millis),
+    SegmentQuarantined(time::Millis),
+    /// The request ends endpoints; the time until it is tried again.
+    RequestQuarantined(time::Millis),
     /// The endpoint refused the request and no retry is allowed.
     Refused,
     /// The deadline passed before the request was sent, so it has not run.
@@ -61,7 +63,8 @@
             | Self::NoService
             | Self::NoEndpoint
             | Self::NoCapacity
-            | Self::Quarantined(_)
+            | Self::SegmentQuarantined(_)
+            | Self::RequestQuarantined(_)
             | Self::Refused
             | Self::DeadlineBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -70,7 +73,9 @@
     /// Time after which the caller may try again; none unless the request has certainly not run.
     pub(crate) fn retry_after(self) -> Option<time::Millis> {
         match self {
-            Self::Quarantined(after) => Some(time::Millis::from_secs(after.ceil_secs().max(1))),
+            Self::SegmentQuarantined(after) | Self::RequestQuarantined(after) => {
+                Some(time::Millis::from_secs(after.ceil_secs().max(1)))
+            }
             _ => (self.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER),
         }
     }
@@ -87,7 +92,8 @@
             Self::NoService => "no service by weight",
             Self::NoEndpoint => "no endpoint in service",
             Self::NoCapacity => "no endpoint with room in time",
-            Self::Quarantined(_) => "prompt segment in quarantine",
+            Self::SegmentQuarantined(_) => "prompt segment in quarantine",
+            Self::RequestQuarantined(_) => "request in quarantine",
             Self::Refused => "refused by the endpoint",
             Self::DeadlineBeforeSend => "deadline passed before a send",
             Self::DeadlineAfterSend => "deadline passed after a send",
--- a/crates/ibishill-relay/src/quarantine_rows.rs
+++ b/crates/ibishill-relay/src/quarantine_rows.rs
@@ -40,15 +40,14 @@
         }
         let pending = {
             let (state, now) = (context.state(), context.now());
-            let is_writer =
-                |segment: call::SegmentId| state.peers.rank(&segment.to_string(), now) == 0;
+            let is_writer = |key: call::SuspectKey| state.peers.rank(&key.to_string(), now) == 0;
             state.quarantine.unstored(is_writer, wall::wall_now().0, now)
         };
         for hold in pending {
             if let Err(detail) = write_hold(&context, &hold).await {
                 event::emit_json(
                     event::Event::QuarantineDelayed,
-                    &[event::field("segment", &hold.segment), event::field("detail", &detail)],
+                    &[event::field("key", &hold.key), event::field("detail", &detail)],
                 );
                 clock::sleep(backoff).await;
                 backoff = (2 * backoff).min(BACKOFF_MAX);
@@ -59,13 +58,13 @@
     }
 }
 
-async fn write_hold(context: &Shared, hold: &fleet::SegmentHold) -> Result<(), String> {
+async fn write_hold(context: &Shared, hold: &fleet::QuarantineHold) -> Result<(), String> {
     let (key, value) = row::encode_hold(hold);
     let mut expected = 0;
     for _ in 0..CONFLICTS_MAX {
         match store_row::write(context, row::QUARANTINE, &key, &value, expected).await? {
             store::WriteOutcome::Committed(_) => {
-                context.state().quarantine.mark_stored(hold.segment, hold.epoch);
+                context.state().quarantine.mark_stored(hold.key, hold.epoch);
                 return Ok(());
             }
             store::WriteOutcome::Conflict(rows) => {
@@ -113,7 +112,7 @@
     state.silent_rounds >= SILENT_ROUNDS || state.peers.alive_count(now) == 1
 }
 
-fn decode(key: &str, found: &fleet::RawRow) -> Option<fleet::SegmentHold> {
+fn decode(key: &str, found: &fleet::RawRow) -> Option<fleet::QuarantineHold> {
     match row::decode_hold(key, found.value.as_ref()?) {
         Ok(hold) => Some(hold),
         Err(error) => {
@@ -126,7 +125,7 @@
     }
 }
 
-fn merge(context: &Shared, hold: &fleet::SegmentHold) {
+fn merge(context: &Shared, hold: &fleet::QuarantineHold) {
     let now = context.now();
     let mut state = context.state();
     state.quarantine.merge_stored(hold, wall::wall_now().0, now);
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -38,7 +38,7 @@
     Full,
     /// No eligible endpoint.
     NoEndpoint,
-    /// A segment of the prompt ends endpoints; the time until it is tried again.
+    /// The request or a segment of its prompt ends endpoints; the time until it is tried again.
     Quarantined(time::Millis),
 }
 
@@ -57,8 +57,7 @@
     let now = context.now();
     let mut state = context.state();
     let state = &mut *state;
-    let segments = received.metadata.shared_segments();
-    if let quarantine::Verdict::Refused(after) = state.verdict(&segments, now) {
+    if let quarantine::Verdict::Refused(after) = state.verdict(&received.suspects(), now) {
         return Choice::Quarantined(after);
     }
     let session = received.metadata.session.as_ref().unwrap_or(&received.metadata.id);
@@ -167,7 +166,7 @@
         match choose(context, received, tried, model, received.metadata.last_event) {
             Choice::Send(target) => return Ok(target),
             Choice::NoEndpoint if !tried.is_empty() => return Err(Reason::NoEndpoint),
-            Choice::Quarantined(after) => return Err(Reason::Quarantined(after)),
+            Choice::Quarantined(after) => return Err(quarantined(received, after)),
             Choice::NoEndpoint | Choice::Full => {}
         }
     }
@@ -198,17 +197,23 @@
             }
             Choice::Full => reason = Reason::NoCapacity,
             Choice::NoEndpoint => reason = Reason::NoEndpoint,
-            Choice::Quarantined(after) => return Err(Reason::Quarantined(after)),
+            Choice::Quarantined(after) => return Err(quarantined(received, after)),
         }
     }
     Err(reason)
 }
 
-// Fails if a segment of the prompt is refused, whether or not there is a free slot.
+fn quarantined(received: &Received, after: time::Millis) -> Reason {
+    match received.key {
+        Some(_) => Reason::RequestQuarantined(after),
+        None => Reason::SegmentQuarantined(after),
+    }
+}
+
+// Fails if the request or a segment of its prompt is refused, whether or not there is a free slot.
 fn check_quarantine(context: &Shared, received: &Received) -> Result<(), Reason> {
-    let segments = received.metadata.shared_segments();
-    match context.state().verdict(&segments, context.now()) {
-        quarantine::Verdict::Refused(after) => Err(Reason::Quarantined(after)),
+    match context.state().verdict(&received.suspects(), context.now()) {
+        quarantine::Verdict::Refused(after) => Err(quarantined(received, after)),
         quarantine::Verdict::Allowed | quarantine::Verdict::Contained => Ok(()),
     }
 }
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -65,13 +65,13 @@
         }
     }
 
-    /// What may be done with a request whose prompt has these shared segments.
+    /// What may be done with a request that has these keys.
     pub(crate) fn verdict(
         &self,
-        segments: &[call::SegmentId],
+        keys: &[call::SuspectKey],
         now: time::Tick,
     ) -> quarantine::Verdict {
-        let rank = |segment: call::SegmentId| self.peers.known_rank(&segment.to_string());
-        self.quarantine.verdict(segments, rank, now)
+        let rank = |key: call::SuspectKey| self.peers.known_rank(&key.to_string());
+        self.quarantine.verdict(keys, rank, now)
     }
 }
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -190,7 +190,7 @@
     // The answer has gone on, so its prompt does not end endpoints.
     fn record_survival(&mut self) {
         if self.beginning.take_survival() {
-            let segments = self.received.metadata.shared_segments();
+            let segments = self.received.suspects();
             let (began, now) = (self.beginning.began(), self.context.now());
             self.context.state().quarantine.record_survival(&segments, began, now);
         }
