quarantine: several poison requests that share their ends are all refused

Copies of two poison requests in flight at the same endpoints share their ends. Once one was in quarantine, its ends no longer counted against the other, which went on to end three more endpoints.

That excuse is meant for prompts that share segments. Sound copies of one request are rarely in three ends and are cleared by their answers, so each end counts for a whole request that nothing has cleared.

two_poison_requests_that_share_their_ends_are_both_refused failed before and passes; poison and poison_request passed.

--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -26,16 +26,29 @@
     hold: time::Millis,
     /// Factor by which this time grows with each relapse.
     growth: u64,
+    /// Whether an end that another key in quarantine explains does not count.
+    is_excused: bool,
 }
 
 /// Many prompts share a segment, and all that wait in an engine share its end.
-const SEGMENT_RULES: Rules =
-    Rules { contained: 2, refused: 4, hold: time::Millis::from_secs(120), growth: 2 };
+const SEGMENT_RULES: Rules = Rules {
+    contained: 2,
+    refused: 4,
+    hold: time::Millis::from_secs(120),
+    growth: 2,
+    is_excused: true,
+};
 
 /// Copies of one request are few, so one that comes again after an end is a suspect. The first trial
-/// comes early, as identical sound requests may all be in flight in a wave of crashes.
-const REQUEST_RULES: Rules =
-    Rules { contained: 1, refused: 3, hold: time::Millis::from_secs(1), growth: 8 };
+/// comes early, as identical sound requests may all be in flight in a wave of crashes. Each end counts:
+/// several poison requests may share their ends, and a sound one is rarely in three.
+const REQUEST_RULES: Rules = Rules {
+    contained: 1,
+    refused: 3,
+    hold: time::Millis::from_secs(1),
+    growth: 8,
+    is_excused: false,
+};
 
 const fn rules(key: call::SuspectKey) -> &'static Rules {
     match key {
@@ -371,7 +384,8 @@
         let counted = self.records.iter().filter_map(|(key, record)| {
             let is_candidate =
                 record.hold.is_none() && self.survivals.last(*key).is_some() == is_trusted;
-            let open = |end: &&End| !explained.contains(&end.endpoint);
+            let is_excused = is_trusted || rules(*key).is_excused;
+            let open = |end: &&End| !is_excused || !explained.contains(&end.endpoint);
             let ends: Vec<&End> = record.ends.iter().filter(open).collect();
             let is_blamed = is_candidate && is_enough(*key, &ends, is_trusted, now);
             is_blamed.then_some((ends.len(), record.depth, *key))
@@ -386,10 +400,13 @@
     }
 
     fn is_contained(&self, key: call::SuspectKey, record: &Record) -> bool {
-        let Rules { contained, .. } = rules(key);
+        let Rules { contained, is_excused, .. } = rules(key);
         if record.ends.len() < *contained || self.survivals.last(key).is_some() {
             return false;
         }
+        if !is_excused {
+            return true;
+        }
         let explained = self.explained();
         let open = record.ends.iter().filter(|end| !explained.contains(&end.endpoint));
         open.count() >= *contained
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -536,3 +536,19 @@
     }
     assert!((1..=3).contains(&trials), "{trials} trials");
 }
+
+// Copies of both are in flight at the same endpoints, so the ends of one explain those of the other.
+#[test]
+fn two_poison_requests_that_share_their_ends_are_both_refused() {
+    let other = call::SuspectKey::Request(call::RequestKey([0x0e; 16]));
+    let mut quarantine = quarantine::Quarantine::default();
+    for number in 0..3 {
+        let now = START + time::Millis(200 * number as u64);
+        quarantine.record_end(&[COPY], key(number), now);
+        quarantine.record_end(&[other], key(number), now);
+    }
+    let now = START + time::Millis(1_000);
+    quarantine.judge(now);
+    assert!(is_refused(&quarantine, &[COPY], now));
+    assert!(is_refused(&quarantine, &[other], now));
+}
