quarantine: a prompt that ends endpoints is refused as a whole, also before its answer begins

Cause: whole requests were judged for plain services only. For prompts, an end before the head counted for nothing, as a queue of prompts would share the blame of a segment.

Each prompt has a key of its own now, so the queue's other prompts have one end each and are cleared by their answers. It counts ends before the head and just after it, gets one attempt after two ends and is refused after three; ends before the head still do not count against segments. Ends that a refused prompt explains do count against its segments, as copies differ from what shares a segment: segment_stays_refused_when_all_relays_restart_at_once and relay_without_peers_learns_of_a_refused_segment failed without that. relay_requests_refused counts what is refused.

--- a/crates/ibishill-core/src/call.rs
+++ b/crates/ibishill-core/src/call.rs
@@ -54,15 +54,19 @@
     Segment(SegmentId),
     /// All of it: they are copies of one request to a plain service.
     Request(RequestKey),
+    /// All of it: they are copies of one prompt to a model.
+    Prompt(RequestKey),
 }
 
 const REQUEST_PREFIX: &str = "request-";
+const PROMPT_PREFIX: &str = "prompt-";
 
 impl fmt::Display for SuspectKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Segment(segment) => segment.fmt(f),
             Self::Request(request) => write!(f, "{REQUEST_PREFIX}{request}"),
+            Self::Prompt(request) => write!(f, "{PROMPT_PREFIX}{request}"),
         }
     }
 }
@@ -71,9 +75,12 @@
     type Err = num::ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text.strip_prefix(REQUEST_PREFIX) {
-            Some(digest) => digest.parse().map(Self::Request),
-            None => text.parse().map(Self::Segment),
+        if let Some(digest) = text.strip_prefix(REQUEST_PREFIX) {
+            digest.parse().map(Self::Request)
+        } else if let Some(digest) = text.strip_prefix(PROMPT_PREFIX) {
+            digest.parse().map(Self::Prompt)
+        } else {
+            text.parse().map(Self::Segment)
         }
     }
 }
--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -50,10 +50,15 @@
     is_excused: false,
 };
 
+/// Many prompts wait in an engine, and most of those that share its end are sound, so their answers may
+/// be sought elsewhere once.
+const PROMPT_RULES: Rules = Rules { contained: 2, ..REQUEST_RULES };
+
 const fn rules(key: call::SuspectKey) -> &'static Rules {
     match key {
         call::SuspectKey::Segment(_) => &SEGMENT_RULES,
         call::SuspectKey::Request(_) => &REQUEST_RULES,
+        call::SuspectKey::Prompt(_) => &PROMPT_RULES,
     }
 }
 
@@ -395,8 +400,11 @@
 
     // Endpoints that a segment in quarantine has ended.
     fn explained(&self) -> BTreeSet<endpoint_key::EndpointKey> {
-        let held = self.records.values().filter(|record| record.hold.is_some());
-        held.flat_map(Record::endpoints).collect()
+        let is_held = |(key, record): &(&call::SuspectKey, &Record)| {
+            record.hold.is_some() && matches!(key, call::SuspectKey::Segment(_))
+        };
+        let held = self.records.iter().filter(is_held);
+        held.flat_map(|(_, record)| record.endpoints()).collect()
     }
 
     fn is_contained(&self, key: call::SuspectKey, record: &Record) -> bool {
@@ -412,9 +420,13 @@
         open.count() >= *contained
     }
 
-    /// Number of segments that are refused.
-    pub fn refused_count(&self) -> usize {
-        self.records.values().filter(|record| record.hold.is_some()).count()
+    /// Number of segments, and of whole requests, that are refused.
+    pub fn refused_count(&self) -> (usize, usize) {
+        let held = self.records.iter().filter(|(_, record)| record.hold.is_some());
+        let is_segment =
+            |(key, _): &(&call::SuspectKey, &Record)| matches!(key, call::SuspectKey::Segment(_));
+        let (segments, requests): (Vec<_>, Vec<_>) = held.partition(is_segment);
+        (segments.len(), requests.len())
     }
 }
 
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -490,7 +490,7 @@
         let mut trials = 0;
         for at in (0..100_000).step_by(100) {
             let now = start + time::Millis(at);
-            let is_held = quarantine.refused_count() > 0;
+            let is_held = quarantine.refused_count().1 > 0;
             if !is_held
                 || matches!(verdict(&quarantine, &[COPY], now), quarantine::Verdict::Refused(_))
             {
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -25,8 +25,8 @@
     pub(crate) route: route::Route,
     pub(crate) workspace: Option<route::Workspace>,
     pub(crate) service: id::ServiceId,
-    /// Identifies the whole request to a plain service; none for a prompt.
-    pub(crate) key: Option<call::RequestKey>,
+    /// Identifies the whole request.
+    pub(crate) key: call::RequestKey,
     /// Arrival of the request head.
     pub(crate) arrived: time::Tick,
     /// Earlier of the caller's deadline and the route's timeout.
@@ -45,17 +45,26 @@
         self.metadata.tokens.map_or(0, |tokens| tokens.input + tokens.expected_output)
     }
 
-    /// What may be quarantined of it: the segments of its prompt that others share, or all of it.
-    pub(crate) fn suspects(&self) -> Vec<call::SuspectKey> {
-        match self.key {
-            Some(key) => vec![call::SuspectKey::Request(key)],
-            None => {
-                let segments = self.metadata.shared_segments().into_iter();
-                segments.map(call::SuspectKey::Segment).collect()
-            }
+    /// Whether it is for a plain service, not a prompt to a model.
+    pub(crate) fn is_plain(&self) -> bool {
+        self.metadata.tokens.is_none()
+    }
+
+    /// The whole request, as it may be quarantined.
+    pub(crate) fn whole(&self) -> call::SuspectKey {
+        if self.is_plain() {
+            call::SuspectKey::Request(self.key)
+        } else {
+            call::SuspectKey::Prompt(self.key)
         }
     }
 
+    /// All that may be quarantined of it: the segments of its prompt that others share, and the whole.
+    pub(crate) fn suspects(&self) -> Vec<call::SuspectKey> {
+        let segments = self.metadata.shared_segments().into_iter();
+        segments.map(call::SuspectKey::Segment).chain([self.whole()]).collect()
+    }
+
     /// Time until the deadline; 0 once it has passed.
     pub(crate) fn remaining(&self, now: time::Tick) -> time::Millis {
         self.deadline.since(now)
@@ -453,7 +462,7 @@
             event::field("left", &remaining),
             event::field("session", &received.metadata.session.as_deref().unwrap_or("-")),
             event::field("segments", &early_end::segment_list(&received.metadata)),
-            event::field("key", &received.key.map_or("-".to_owned(), |key| key.to_string())),
+            event::field("key", &received.key),
         ],
     );
 }
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -1,5 +1,4 @@
-//! Detects endpoints that end just after they have begun an answer, or as they run a request to a plain
-//! service, as opposed to a connection that was cut, and has the request's keys judged by it.
+//! Detects endpoints that end just after they have begun an answer, or before any, as opposed to a connection that was cut, and has the request's keys judged by it.
 
 use std::time::Duration;
 
@@ -100,9 +99,13 @@
 /// Checks in the background whether an endpoint, whose answer has ended early, has ended itself:
 /// it refuses connections then.
 pub(crate) fn check(context: &Shared, received: &Received, endpoint: &id::EndpointId) {
+    let lost = Lost::new(received, received.suspects(), context.now());
+    check_later(context, lost, endpoint);
+}
+
+fn check_later(context: &Shared, lost: Lost, endpoint: &id::EndpointId) {
     let Some(registration) = context.state().balancer.entry(endpoint).cloned() else { return };
     let Some(guard) = CheckGuard::begin(context) else { return };
-    let lost = Lost::new(received, context.now());
     let context = context.clone();
     tokio::task::spawn_local(async move {
         let _guard = guard;
@@ -116,8 +119,9 @@
 /// Records what the outcome of an attempt says of the request; returns whether it was lost by a request
 /// that was suspected before.
 ///
-/// A request to a plain service that is lost is checked at once, before it may be sent again: an
-/// endpoint that has crashed refuses connections as soon as its own have ended, and may be back soon.
+/// A request that is lost before any answer is checked at once, before it may be sent again: an endpoint
+/// that has crashed refuses connections as soon as its own have ended, and may be back soon. A queue of
+/// prompts may share that end, so it does not count against segments.
 pub(crate) async fn record_outcome(
     context: &Shared,
     received: &Received,
@@ -132,19 +136,18 @@
             false
         }
         Outcome::Response(response) => {
-            let is_plain = received.key.is_some();
             // An endpoint answers so at the deadline, whether or not the request has begun to run.
-            let has_run = is_plain && response.status() != StatusCode::GATEWAY_TIMEOUT;
+            let has_run = received.is_plain() && response.status() != StatusCode::GATEWAY_TIMEOUT;
             if has_run || response.status().is_success() {
                 context.state().quarantine.record_survival(&keys, now, now);
             }
             false
         }
-        Outcome::Unknown if received.key.is_some() => {
+        Outcome::Unknown => {
             check_now(context, received, target).await;
             is_known
         }
-        Outcome::TimedOut | Outcome::Unresponsive if received.key.is_some() => {
+        Outcome::TimedOut | Outcome::Unresponsive if received.is_plain() => {
             check(context, received, &target.endpoint);
             is_known
         }
@@ -156,11 +159,11 @@
 async fn check_now(context: &Shared, received: &Received, target: &Target) {
     let entry = context.state().balancer.entry(&target.endpoint).cloned();
     let Some(registration) = entry else { return };
-    let lost = Lost::new(received, context.now());
+    let lost = Lost::new(received, vec![received.whole()], context.now());
     if refuses(&registration, FIRST_CHECK_TIMEOUT).await {
         lost.record_end(context, &registration);
     } else {
-        check(context, received, &target.endpoint);
+        check_later(context, lost, &target.endpoint);
     }
 }
 
@@ -177,8 +180,8 @@
 }
 
 impl Lost {
-    fn new(received: &Received, at: time::Tick) -> Self {
-        Self { request: received.metadata.id.clone(), keys: received.suspects(), at }
+    fn new(received: &Received, keys: Vec<call::SuspectKey>, at: time::Tick) -> Self {
+        Self { request: received.metadata.id.clone(), keys, at }
     }
 
     // The endpoint that the request was sent to has ended.
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -131,14 +131,12 @@
         .uri
         .path_and_query()
         .map_or_else(|| parts.uri.clone(), |path| http::Uri::from(path.clone()));
-    let key = metadata.tokens.is_none().then(|| {
-        request_key::of(&request_key::Parts {
-            route: &route.name,
-            workspace: workspace.as_ref().map(|workspace| &workspace.name),
-            method: &parts.method,
-            uri: &uri,
-            body: &body,
-        })
+    let key = request_key::of(&request_key::Parts {
+        route: &route.name,
+        workspace: workspace.as_ref().map(|workspace| &workspace.name),
+        method: &parts.method,
+        uri: &uri,
+        body: &body,
     });
     Ok(Received {
         method: parts.method,
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -181,9 +181,11 @@
     let running = |canary: &&canary::Canary| canary.progress() == fleet::Progress::Running;
     let limited = state.balancer.limits().len();
     let suspected = state.balancer.reach().suspect_count();
+    let (segments, requests) = state.quarantine.refused_count();
     let mut lines = format!(
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
          relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n\
+         relay_requests_refused {}\n\
          relay_endpoints_limited {}\nrelay_store_restores {}\n",
         state.connections,
         state.peers.alive_count(now),
@@ -191,7 +193,8 @@
         state.wait_queue.len(),
         state.canaries.values().filter(running).count(),
         suspected,
-        state.quarantine.refused_count(),
+        segments,
+        requests,
         limited,
         state.restores,
     );
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -166,7 +166,7 @@
         match choose(context, received, tried, model, received.metadata.last_event) {
             Choice::Send(target) => return Ok(target),
             Choice::NoEndpoint if !tried.is_empty() => return Err(Reason::NoEndpoint),
-            Choice::Quarantined(after) => return Err(quarantined(received, after)),
+            Choice::Quarantined(after) => return Err(quarantined(context, received, after)),
             Choice::NoEndpoint | Choice::Full => {}
         }
     }
@@ -197,23 +197,25 @@
             }
             Choice::Full => reason = Reason::NoCapacity,
             Choice::NoEndpoint => reason = Reason::NoEndpoint,
-            Choice::Quarantined(after) => return Err(quarantined(received, after)),
+            Choice::Quarantined(after) => return Err(quarantined(context, received, after)),
         }
     }
     Err(reason)
 }
 
-fn quarantined(received: &Received, after: time::Millis) -> Reason {
-    match received.key {
-        Some(_) => Reason::RequestQuarantined(after),
-        None => Reason::SegmentQuarantined(after),
+fn quarantined(context: &Shared, received: &Received, after: time::Millis) -> Reason {
+    let whole = context.state().verdict(&[received.whole()], context.now());
+    match whole {
+        quarantine::Verdict::Refused(_) => Reason::RequestQuarantined(after),
+        _ => Reason::SegmentQuarantined(after),
     }
 }
 
 // Fails if the request or a segment of its prompt is refused, whether or not there is a free slot.
 fn check_quarantine(context: &Shared, received: &Received) -> Result<(), Reason> {
-    match context.state().verdict(&received.suspects(), context.now()) {
-        quarantine::Verdict::Refused(after) => Err(quarantined(received, after)),
+    let verdict = context.state().verdict(&received.suspects(), context.now());
+    match verdict {
+        quarantine::Verdict::Refused(after) => Err(quarantined(context, received, after)),
         quarantine::Verdict::Allowed | quarantine::Verdict::Contained => Ok(()),
     }
 }
