canary: a bad version is cleared with a probability of 0.01

The proof is 100 to 1 now. So that few answers still suffice for a sound version, its times are compared in the same parts as the evidence against it: the first half as a whole, and each window of the second. Without that, a good version with six requests a second was rolled back (bad_version_is_rolled_back_and_good_one_completes).

--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -46,7 +46,7 @@
 const DOUBT_ALPHA: f64 = 0.25;
 
 /// Probability that a bad version is cleared, before which its share doesn't grow.
-const CLEARED_ALPHA: f64 = 0.05;
+const CLEARED_ALPHA: f64 = 0.01;
 
 /// Time for which a doubt reported by a peer counts; daemons in doubt repeat it every round.
 const DOUBT_TTL: time::Millis = time::Millis(1_500);
@@ -496,14 +496,7 @@
             let failures = failures(Answers::errors).max(failures(Answers::losses));
             strongest = strongest.max(failures - WINDOW_COUNT.ln());
         }
-        // Times are comparable while the share is constant: throughout the first half, and within
-        // each window of the second half.
-        let half = (WINDOW_COUNT * STAGES[0].0) as u8;
-        let mut first = Routes::new();
-        windows.range(..half).for_each(|(_, routes)| merge_routes(&mut first, routes));
-        let parts: Vec<(u8, &Routes)> = std::iter::once((0, &first))
-            .chain(windows.range(half..).map(|(window, routes)| (*window, routes)))
-            .collect();
+        let parts = parts(&windows);
         // Considered since the start of each part, as a version that turns slow late may have been
         // faster before, with less load.
         let slowdown = |select: fn(&Answers) -> &moments::Moments, late_tolerance, min| {
@@ -541,7 +534,8 @@
         let totals = self.totals();
         let (stable, candidate) = (totals.stable.errors(), totals.candidate.errors());
         let errors = sequential::share_soundness(stable, candidate, ERRORS_TOLERANCE);
-        let times = windows.iter().flat_map(|(window, routes)| {
+        let parts = parts(&windows);
+        let times = parts.iter().flat_map(|(window, routes)| {
             let is_late = *window >= LATE_WINDOW;
             let tolerance = if is_late { LATE_TIME_TOLERANCE } else { SLOW_TOLERANCE };
             routes.values().map(move |pair| (&pair.stable.times, &pair.candidate.times, tolerance))
@@ -584,6 +578,16 @@
     }
 }
 
+// Parts of a roll-out in which times are comparable, as the share is constant: its first half, and each
+// window of the second; with the first window of each.
+fn parts(windows: &BTreeMap<u8, Routes>) -> Vec<(u8, Routes)> {
+    let half = (WINDOW_COUNT * STAGES[0].0) as u8;
+    let mut first = Routes::new();
+    windows.range(..half).for_each(|(_, routes)| merge_routes(&mut first, routes));
+    let later = windows.range(half..).map(|(window, routes)| (*window, routes.clone()));
+    std::iter::once((0, first)).chain(later).collect()
+}
+
 fn merge_routes(routes: &mut Routes, more: &Routes) {
     for (route, pair) in more {
         routes.entry(route.clone()).or_default().add(pair);
