quarantine: answers to whole requests do not displace what is known of segments

Found while reading the change. Each request has a key of its own, so the 4,096 answers that are remembered would soon hold no segment, and a popular segment that loses its trust is refused after four ends instead of eight. A caller could bring that about by many sound requests. Segments and whole requests are remembered apart now; comments say key where they meant segments only.

segment_stays_trusted_however_many_requests_are_answered fails with one table and passes.

--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -66,25 +66,25 @@
 /// at every crash.
 const ENDS_MAX_TRUSTED: usize = 8;
 
-/// Time since the first end, within which answers that clear the segment become known.
+/// Time since the first end, within which answers that clear the key become known.
 const DELIBERATION: time::Millis = time::Millis(1_000);
 
 /// Time after which an end no longer counts.
 const END_TTL: time::Millis = time::Millis::from_secs(600);
 
-/// Longest time for which a segment is refused.
+/// Longest time for which a key is refused.
 const HOLD_MAX: time::Millis = time::Millis::from_secs(3_600);
 
 /// Time by which a daemon's trial comes after that of the daemon ranked before it.
 const TRIAL_STAGGER: time::Millis = time::Millis::from_secs(5);
 
-/// Maximum number of segments with an end; the one with the oldest end makes room.
+/// Maximum number of keys with an end; the one with the fewest ends makes room.
 const SEGMENTS_MAX: usize = 512;
 
-/// Maximum number of ends kept for a segment, the newest.
+/// Maximum number of ends kept for a key, the newest.
 const ENDS_KEPT: usize = 16;
 
-/// Number of segments with a survival at which older ones are dropped.
+/// Number of keys of a kind with a survival at which older ones are dropped.
 const SURVIVALS_MAX: usize = 2_048;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -159,7 +159,7 @@
     }
 }
 
-// The beginning of the last answer with a segment that has gone on.
+// The beginning of the last answer with a key that has gone on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Survival {
     began: time::Tick,
@@ -168,24 +168,49 @@
     is_own: bool,
 }
 
-// The survivals of the segments seen most recently.
+// The survivals of the keys seen most recently.
 #[derive(Debug, Clone, Default)]
-struct Survivals {
-    recent: BTreeMap<call::SuspectKey, Survival>,
+struct Recent {
+    newer: BTreeMap<call::SuspectKey, Survival>,
     older: BTreeMap<call::SuspectKey, Survival>,
 }
 
-impl Survivals {
+impl Recent {
     fn last(&self, key: call::SuspectKey) -> Option<Survival> {
-        self.recent.get(&key).or_else(|| self.older.get(&key)).copied()
+        self.newer.get(&key).or_else(|| self.older.get(&key)).copied()
     }
 
     fn record(&mut self, key: call::SuspectKey, survival: Survival) {
         let known = self.last(key).filter(|known| known.began >= survival.began);
-        if self.recent.len() >= SURVIVALS_MAX && !self.recent.contains_key(&key) {
-            self.older = std::mem::take(&mut self.recent);
+        if self.newer.len() >= SURVIVALS_MAX && !self.newer.contains_key(&key) {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.insert(key, known.unwrap_or(survival));
+    }
+}
+
+// Survivals by kind, since each request has a key of its own and would soon displace all segments.
+#[derive(Debug, Clone, Default)]
+struct Survivals {
+    segments: Recent,
+    requests: Recent,
+}
+
+impl Survivals {
+    fn last(&self, key: call::SuspectKey) -> Option<Survival> {
+        match key {
+            call::SuspectKey::Segment(_) => self.segments.last(key),
+            call::SuspectKey::Request(_) | call::SuspectKey::Prompt(_) => self.requests.last(key),
+        }
+    }
+
+    fn record(&mut self, key: call::SuspectKey, survival: Survival) {
+        match key {
+            call::SuspectKey::Segment(_) => self.segments.record(key, survival),
+            call::SuspectKey::Request(_) | call::SuspectKey::Prompt(_) => {
+                self.requests.record(key, survival);
+            }
         }
-        self.recent.insert(key, known.unwrap_or(survival));
     }
 }
 
@@ -200,10 +225,10 @@
     Refused(time::Millis),
 }
 
-/// Change of a segment's state.
+/// Change of a key's state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Change {
-    /// The segment.
+    /// The key.
     pub key: call::SuspectKey,
     /// Whether it is refused from now on, or no longer.
     pub is_refused: bool,
@@ -211,7 +236,7 @@
     pub ends: usize,
 }
 
-/// Segments under suspicion, those that are refused, and those that answers have cleared.
+/// Keys under suspicion, those that are refused, and those that answers have cleared.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     records: BTreeMap<call::SuspectKey, Record>,
@@ -221,7 +246,7 @@
 
 impl Quarantine {
     /// What may be done with a request; `rank` is this daemon's rank among those that may try a
-    /// segment again.
+    /// key again.
     pub fn verdict<R>(&self, keys: &[call::SuspectKey], rank: R, now: time::Tick) -> Verdict
     where
         R: Fn(call::SuspectKey) -> usize,
@@ -268,7 +293,7 @@
         }
     }
 
-    /// Records an answer that began at `began` and has gone on, which clears its segments.
+    /// Records an answer that began at `began` and has gone on, which clears its keys.
     pub fn record_survival(
         &mut self,
         keys: &[call::SuspectKey],
@@ -297,7 +322,7 @@
         }
     }
 
-    /// Records that an endpoint ended at `now`, just after it had begun an answer with these segments, in
+    /// Records that an endpoint ended at `now`, just after it had begun to run a request with these keys, in
     /// the order of the prompt; returns whether this was unknown.
     pub fn record_end(
         &mut self,
@@ -343,7 +368,7 @@
         self.records.entry(key).or_insert(new)
     }
 
-    /// Refuses the segments that the ends leave to blame, and forgets old ends.
+    /// Refuses the keys that the ends leave to blame, and forgets old ends.
     pub fn judge(&mut self, now: time::Tick) -> Vec<Change> {
         self.expire(now);
         while let Some((key, ends)) = self.most_blamed(now) {
@@ -358,7 +383,7 @@
         for record in self.records.values_mut().filter(|record| record.hold.is_none()) {
             record.ends.retain(|end| now.since(end.at) < END_TTL);
         }
-        // A segment that nobody has asked for since its hold has ended is forgotten.
+        // A key that nobody has asked for since its hold has ended is forgotten.
         let is_current = |key: call::SuspectKey, record: &Record| match record.hold {
             Some(hold) => hold.is_current(key, now),
             None if record.epoch > 0 => now.since(record.changed) < END_TTL,
@@ -367,9 +392,9 @@
         self.records.retain(|key, record| is_current(*key, record));
     }
 
-    // The segment to refuse next, and the number of its ends. Segments that nothing has cleared come
+    // The key to refuse next, and the number of its ends. Keys that nothing has cleared come
     // first: those that sound prompts share are in flight at most ends, and so have more of them. Of
-    // segments with as many ends the deepest is taken, as the fewest requests have it.
+    // keys with as many ends the deepest is taken, as the fewest requests have it.
     fn most_blamed(&self, now: time::Tick) -> Option<(call::SuspectKey, usize)> {
         let mut explained = self.explained();
         self.most_blamed_of(false, &explained, now).or_else(|| {
--- a/crates/ibishill-decide/src/quarantine/evidence.rs
+++ b/crates/ibishill-decide/src/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! Evidence about prompt segments, as daemons tell it each other. Merging is idempotent: an end is
+//! Evidence about requests and prompt segments, as daemons tell it each other. Merging is idempotent: an end is
 //! identified by its endpoint, however many daemons have seen it.
 
 use ibishill_core::{call, time};
@@ -10,14 +10,14 @@
 /// Time for which a change is told in every report.
 const NEWS_TTL: time::Millis = time::Millis(2_000);
 
-/// How long a segment has been refused.
+/// How long a key has been refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct Held {
     age: time::Millis,
     relapses: u8,
 }
 
-/// What a daemon knows of one segment; times are ages as of sending.
+/// What a daemon knows of one key; times are ages as of sending.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     key: call::SuspectKey,
@@ -31,7 +31,7 @@
 }
 
 impl Quarantine {
-    /// Evidence for a peer about at most `count` segments, refused ones first: all of them, or only
+    /// Evidence for a peer about at most `count` keys, refused ones first: all of them, or only
     /// what has changed lately.
     pub fn evidence(&self, count: usize, is_complete: bool, now: time::Tick) -> Vec<Evidence> {
         let is_told = |changed: time::Tick| is_complete || now.since(changed) < NEWS_TTL;
--- a/crates/ibishill-decide/src/quarantine/stored.rs
+++ b/crates/ibishill-decide/src/quarantine/stored.rs
@@ -1,4 +1,4 @@
-//! Refused segments as the store keeps them: for daemons that all restart at once, and for those that
+//! Refused keys as the store keeps them: for daemons that all restart at once, and for those that
 //! reach the store but no peer.
 
 use ibishill_core::{call, fleet, time};
@@ -6,7 +6,7 @@
 use super::{Hold, Quarantine};
 
 impl Quarantine {
-    /// States that the store may lack, of segments for which `is_writer` holds; `wall` is the present
+    /// States that the store may lack, of keys for which `is_writer` holds; `wall` is the present
     /// time in milliseconds since the Unix epoch.
     pub fn unstored<F>(
         &self,
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Has all refused segments written again, as the store may have lost them.
+    /// Has all refused keys written again, as the store may have lost them.
     pub fn mark_unstored(&mut self) {
         for record in self.records.values_mut() {
             record.is_unstored |= record.hold.is_some();
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -552,3 +552,19 @@
     assert!(is_refused(&quarantine, &[COPY], now));
     assert!(is_refused(&quarantine, &[other], now));
 }
+
+#[test]
+fn segment_stays_trusted_however_many_requests_are_answered() {
+    let mut quarantine = quarantine::Quarantine::default();
+    quarantine.record_survival(SOUND_PROMPT, START, START);
+    for number in 0..10_000_u128 {
+        let copy = call::SuspectKey::Request(call::RequestKey(number.to_be_bytes()));
+        quarantine.record_survival(&[copy], START, START);
+    }
+    for number in 0..5 {
+        quarantine.record_end(SOUND_PROMPT, key(number), START + time::Millis(100));
+    }
+    let now = START + time::Millis(2_000);
+    quarantine.judge(now);
+    assert_eq!(verdict(&quarantine, SOUND_PROMPT, now), quarantine::Verdict::Allowed);
+}
--- a/crates/ibishill-relay/src/quarantine_rows.rs
+++ b/crates/ibishill-relay/src/quarantine_rows.rs
@@ -1,4 +1,4 @@
-//! Keeps refused prompt segments in the store. Relays learn of them from their peers; who starts, or
+//! Keeps refused requests and prompt segments in the store. Relays learn of them from their peers; who starts, or
 //! hears of no peer, reads them from the store.
 
 use std::time::Duration;
@@ -28,7 +28,7 @@
 /// Rounds without an answer of a peer after which a relay counts as alone.
 const SILENT_ROUNDS: u32 = 2;
 
-/// Writes the segments for which this relay is the first of those that are alive.
+/// Writes the keys for which this relay is the first of those that are alive.
 pub(crate) async fn write(context: Shared) {
     let (mut era, mut backoff) = (context.state().era(), BACKOFF_MIN);
     loop {
