--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -10,12 +10,16 @@
 //! from a tenth of the requests, of all sizes and amid unrelated faults. A bad version may be
 //! slow, or fail on a single route, only late or only under load.
 
+mod recent_sessions;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use ibishill_core::{fleet, id, time};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+pub use recent_sessions::RecentSessions;
+
 use crate::rollout::{counts, moments, sequential};
 
 /// Share of the declared exposure that is used, as daemons count independently of each other.
@@ -94,34 +98,6 @@
 /// Until it has passed, no session enters the new one.
 const SYNC_PERIOD: time::Millis = time::Millis(1_200);
 
-/// Longest duration of an answer for which its session is still remembered.
-const ANSWER_MAX: time::Millis = time::Millis(15_000);
-
-/// Recently active sessions, from which a new roll-out knows those that began on the old version.
-#[derive(Debug, Clone, Default)]
-pub struct RecentSessions {
-    seen: BTreeMap<u64, time::Tick>,
-}
-
-impl RecentSessions {
-    /// Records a request of `session`; ignored while too many sessions are remembered.
-    pub fn record(&mut self, session: u64, now: time::Tick) {
-        if self.seen.len() >= SESSIONS_MAX {
-            self.seen.retain(|_, at| now.since(*at) < ANSWER_MAX);
-        }
-        if self.seen.len() < SESSIONS_MAX {
-            self.seen.insert(session, now);
-        }
-    }
-
-    /// Sessions that may send further requests, given that requests of a session are at most
-    /// `span` apart.
-    pub fn active(&self, span: time::Millis, now: time::Tick) -> impl Iterator<Item = u64> {
-        let recent = move |at: &time::Tick| now.since(*at).0 < span.0 + ANSWER_MAX.0;
-        self.seen.iter().filter(move |(_, at)| recent(at)).map(|(session, _)| *session)
-    }
-}
-
 /// The version that a request runs on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Variant {
