--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -79,7 +79,7 @@
 const TRIAL_STAGGER: time::Millis = time::Millis::from_secs(5);
 
 /// Maximum number of keys with an end; the one with the fewest ends makes room.
-const SEGMENTS_MAX: usize = 512;
+const KEYS_MAX: usize = 512;
 
 /// Maximum number of ends kept for a key, the newest.
 const ENDS_KEPT: usize = 16;
@@ -96,7 +96,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Hold {
     since: time::Tick,
-    // Trials that ended an endpoint.
+    // Trials that no answer has cleared.
     relapses: u8,
 }
 
@@ -347,7 +347,7 @@
     }
 
     fn record(&mut self, key: call::SuspectKey, depth: usize, now: time::Tick) -> &mut Record {
-        if self.records.len() >= SEGMENTS_MAX && !self.records.contains_key(&key) {
+        if self.records.len() >= KEYS_MAX && !self.records.contains_key(&key) {
             let order =
                 |record: &Record| (record.hold.is_some(), record.ends.len(), record.last_end());
             let oldest = self.records.iter().min_by_key(|(_, record)| order(record));
--- a/crates/ibishill-relay/src/cold_check.rs
+++ b/crates/ibishill-relay/src/cold_check.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use ibishill_adapter::{head, store};
-use ibishill_core::{event, id, time};
+use ibishill_core::{event, fleet, id, time};
 use ibishill_decide::readers;
 use tokio::time as clock;
 
@@ -53,7 +53,7 @@
         return Vec::new();
     };
     let (balancer, peers) = (&state.balancer, &state.peers);
-    let check = |entry: &ibishill_core::fleet::Registration| {
+    let check = |entry: &fleet::Registration| {
         let service = catalog.services.get(&entry.service)?;
         let is_limited = service.cold_rate > 0.0 && !service.health_path.is_empty();
         let is_due = is_limited
