relay: logs and metrics tell endpoints that are down from those out of reach here

A relay that loses its paths to endpoints looked the same in its log as one whose endpoints have ended. It now asks up to eight peers, by datagram, whether endpoints that failed here have answered them since; what has is out of reach (E2211, relay_endpoints_out_of_reach). Nothing is sent as long as all answer. Two such endpoints stand for all, or all of one service in a zone, unless one of these answers. A failure is a refused or timed out connection, one that ends early, or silence of all endpoints for 0.6 s while some owe an answer; one endpoint that is silent for a second is none as long as others answer.

No request goes another way yet. Datagrams between relays have a kind; a relay of the release before can't read them.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -19,7 +19,7 @@
 use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
 
 use crate::endpoint_key;
-use crate::{endpoint_limit, outlier, rate, reach};
+use crate::{contact, endpoint_limit, outlier, rate, reach};
 
 /// Bonus for a cached prefix, in load for each 1,000 shared tokens.
 const PREFIX_BONUS: f64 = 0.03;
@@ -177,6 +177,7 @@
 pub struct Balancer {
     reports: reports::Reports,
     limits: endpoint_limit::Limits,
+    contacts: contact::Contacts,
     zone: id::ZoneId,
     endpoints: BTreeMap<id::EndpointId, Endpoint>,
     zones_out: BTreeMap<id::ZoneId, ()>,
@@ -189,6 +190,7 @@
         Self {
             reports: reports::Reports::default(),
             limits: endpoint_limit::Limits::default(),
+            contacts: contact::Contacts::default(),
             zone,
             endpoints: BTreeMap::new(),
             zones_out: BTreeMap::new(),
@@ -215,6 +217,16 @@
         &mut self.limits
     }
 
+    /// Contacts with endpoints, and which are out of reach from this daemon only.
+    pub const fn contacts(&mut self) -> &mut contact::Contacts {
+        &mut self.contacts
+    }
+
+    /// Key of an endpoint's incarnation.
+    pub fn key(&self, id: &id::EndpointId) -> Option<endpoint_key::EndpointKey> {
+        self.endpoints.get(id).map(|endpoint| endpoint.key)
+    }
+
     /// In-flight work reported by peers.
     pub const fn reports(&mut self) -> &mut reports::Reports {
         &mut self.reports
@@ -250,9 +262,11 @@
                 endpoint.entry = entry;
             }
             _ => {
+                let key = endpoint_key::EndpointKey::of(&entry);
+                let part = contact::Part::of(&entry);
                 let endpoint = Endpoint {
                     report_key: report_key(&entry.id),
-                    key: endpoint_key::EndpointKey::of(&entry),
+                    key,
                     entry: entry.clone(),
                     running: 0,
                     tokens: 0,
@@ -266,14 +280,19 @@
                     cold_heard: None,
                     cold_bucket: rate::Bucket::new(0.0, now),
                 };
-                self.endpoints.insert(entry.id, endpoint);
+                if let Some(earlier) = self.endpoints.insert(entry.id, endpoint) {
+                    self.contacts.remove(earlier.key);
+                }
+                self.contacts.register(key, part);
             }
         }
     }
 
     /// Removes an endpoint, if it is known.
     pub fn remove(&mut self, id: &id::EndpointId) {
-        self.endpoints.remove(id);
+        if let Some(endpoint) = self.endpoints.remove(id) {
+            self.contacts.remove(endpoint.key);
+        }
     }
 
     /// Registration of an endpoint; `None` if it is unknown.
@@ -483,6 +502,7 @@
         endpoint.breaker.begin(now);
         self.reach.begin(&endpoint.entry.zone, now);
         self.limits.record_send(endpoint.key, now);
+        self.contacts.record_send(endpoint.key, now);
         // Tokens are also taken while the endpoint is warm, so that the bucket is not full when
         // it turns cold.
         if cold.rate > 0.0 {
--- /dev/null
+++ b/crates/ibishill-decide/src/contact.rs
@@ -0,0 +1,272 @@
+//! Endpoints that this daemon does not reach although its peers do.
+//!
+//! Designed for a daemon that loses its paths to all endpoints, or to those of a zone or service, while
+//! callers, the store and its peers still reach it. A failure alone does not tell a broken path from an
+//! endpoint that has ended. An answer that a peer has had since from the same incarnation does.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ibishill_core::{fleet, id, time};
+use xxhash_rust::xxh3;
+
+use crate::endpoint_key::EndpointKey;
+
+/// Maximum number of endpoints that peers are asked about at once.
+pub const QUESTION_MAX: usize = 64;
+
+/// Time without any answer after which endpoints that owe one are suspected; streams send events several
+/// times a second.
+const SILENCE: time::Millis = time::Millis(600);
+
+/// The same for one part only, whose endpoints may all be busy with a first event.
+const PART_SILENCE: time::Millis = time::Millis(1_500);
+
+/// Time after which an endpoint that owes an answer is no longer suspected; its caller may have left.
+const WAITING_TTL: time::Millis = time::Millis::from_secs(30);
+
+/// Time after its last failure for which an endpoint is suspected.
+const FAILURE_TTL: time::Millis = time::Millis::from_secs(5);
+
+/// Age at which an answer that a peer has had no longer counts.
+const EVIDENCE_TTL: time::Millis = time::Millis(2_000);
+
+/// Time by which a peer's answer must be later than the failure here, above the latency of a message.
+const EVIDENCE_MARGIN: time::Millis = time::Millis(30);
+
+/// Interval at which peers are asked, apart from new failures.
+const QUESTION_INTERVAL: time::Millis = time::Millis(400);
+
+/// Shortest interval between two questions.
+const QUESTION_PAUSE: time::Millis = time::Millis(50);
+
+/// Endpoints out of reach from which on the others of the same part, or all, count so as well, as long
+/// as none of these answers.
+const INFERENCE_MIN: usize = 2;
+
+/// Endpoints of one service in one zone: a low part of a hash of both.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Part(u32);
+
+impl Part {
+    /// Part that an endpoint belongs to.
+    pub fn of(registration: &fleet::Registration) -> Self {
+        let zone = xxh3::xxh3_64(registration.zone.as_str().as_bytes());
+        Self(xxh3::xxh3_64_with_seed(registration.service.as_str().as_bytes(), zone) as u32)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Contact {
+    part: Part,
+    // Last answer, or part of one.
+    answered: Option<time::Tick>,
+    // First and last failure since.
+    failed: Option<(time::Tick, time::Tick)>,
+    // First send since that is not answered.
+    waiting: Option<time::Tick>,
+    // Last answer that a peer has had, if it is later than the failure.
+    confirmed: Option<time::Tick>,
+}
+
+impl Contact {
+    const fn new(part: Part) -> Self {
+        Self { part, answered: None, failed: None, waiting: None, confirmed: None }
+    }
+}
+
+/// What is out of reach.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Cut {
+    is_total: bool,
+    parts: BTreeSet<Part>,
+    endpoints: BTreeSet<EndpointKey>,
+}
+
+/// Contacts with all endpoints.
+#[derive(Debug, Clone, Default)]
+pub struct Contacts {
+    known: BTreeMap<EndpointKey, Contact>,
+    // Last answer by part, and of any endpoint.
+    parts: BTreeMap<Part, time::Tick>,
+    answered: Option<time::Tick>,
+    // Last answer that each peer has confirmed.
+    peers: BTreeMap<id::VmId, time::Tick>,
+    cut: Cut,
+    asked: time::Tick,
+}
+
+/// An endpoint and the age of what is asked or told about it.
+pub type Aged = (EndpointKey, time::Millis);
+
+fn is_quiet(last: Option<time::Tick>, limit: time::Millis, now: time::Tick) -> bool {
+    last.is_none_or(|last| now.since(last) >= limit)
+}
+
+impl Contacts {
+    /// Adds an endpoint, if it is unknown.
+    pub fn register(&mut self, key: EndpointKey, part: Part) {
+        self.known.entry(key).or_insert(Contact::new(part));
+    }
+
+    /// Removes an endpoint.
+    pub fn remove(&mut self, key: EndpointKey) {
+        self.known.remove(&key);
+        self.cut.endpoints.remove(&key);
+    }
+
+    /// Records that a request is sent to an endpoint.
+    pub fn record_send(&mut self, key: EndpointKey, now: time::Tick) {
+        if let Some(contact) = self.known.get_mut(&key) {
+            contact.waiting.get_or_insert(now);
+        }
+    }
+
+    /// Records an answer of an endpoint, or a part of one; returns whether the cut has changed.
+    pub fn record_answer(&mut self, key: EndpointKey, now: time::Tick) -> bool {
+        let is_out = self.is_out(key);
+        let Some(contact) = self.known.get_mut(&key) else { return false };
+        *contact = Contact { answered: Some(now), ..Contact::new(contact.part) };
+        self.parts.insert(contact.part, now);
+        self.answered = Some(now);
+        is_out && self.judge(now)
+    }
+
+    /// Records a failed connection, or one that ended without a whole answer.
+    pub fn record_failure(&mut self, key: EndpointKey, now: time::Tick) {
+        if let Some(contact) = self.known.get_mut(&key) {
+            let first = contact.failed.map_or(now, |(first, _)| first);
+            contact.failed = Some((first, now));
+        }
+    }
+
+    /// Forgets all failures, since a suspension of this VM looks like a cut.
+    pub fn reset(&mut self, now: time::Tick) {
+        for contact in self.known.values_mut() {
+            *contact = Contact { answered: contact.answered, ..Contact::new(contact.part) };
+        }
+        self.answered = Some(now);
+        self.cut = Cut::default();
+    }
+
+    // Since when an endpoint is suspected; none if it is not.
+    fn suspected(&self, contact: &Contact, now: time::Tick) -> Option<time::Tick> {
+        let failed = contact.failed.filter(|(_, last)| now.since(*last) < FAILURE_TTL);
+        let failed = failed.map(|(first, _)| first);
+        failed.or_else(|| {
+            let waiting = contact.waiting?;
+            let waited = now.since(waiting);
+            let part = self.parts.get(&contact.part).copied();
+            let is_silent = (waited >= SILENCE && is_quiet(self.answered, SILENCE, now))
+                || (waited >= PART_SILENCE && is_quiet(part, PART_SILENCE, now));
+            (is_silent && waited < WAITING_TTL).then_some(waiting)
+        })
+    }
+
+    /// Endpoints to ask peers about, and how far back their answers matter; empty if none is due.
+    pub fn questions(&mut self, is_notified: bool, now: time::Tick) -> Vec<Aged> {
+        let interval = if is_notified { QUESTION_PAUSE } else { QUESTION_INTERVAL };
+        if now.since(self.asked) < interval {
+            return Vec::new();
+        }
+        let suspects = self.known.iter().filter_map(|(key, contact)| {
+            let since = self.suspected(contact, now)?;
+            Some((contact.confirmed, *key, now.since(since).min(EVIDENCE_TTL)))
+        });
+        let mut suspects: Vec<_> = suspects.collect();
+        suspects.sort_unstable();
+        suspects.truncate(QUESTION_MAX);
+        if !suspects.is_empty() {
+            self.asked = now;
+        }
+        suspects.into_iter().map(|(_, key, age)| (key, age)).collect()
+    }
+
+    /// Which of the endpoints that a peer asks about have answered here recently enough, and when.
+    pub fn answers(&self, questions: &[Aged], now: time::Tick) -> Vec<Aged> {
+        let answer = |(key, age): &Aged| {
+            let ago = now.since(self.known.get(key)?.answered?);
+            (ago <= *age).then_some((*key, ago))
+        };
+        questions.iter().take(QUESTION_MAX).filter_map(answer).collect()
+    }
+
+    /// Records which endpoints have answered a peer, and when.
+    pub fn record_evidence(&mut self, peer: &id::VmId, answers: &[Aged], now: time::Tick) {
+        for (key, ago) in answers {
+            let at = time::Tick(now.0.saturating_sub(ago.0));
+            let Some(contact) = self.known.get(key) else { continue };
+            let is_later =
+                self.suspected(contact, now).is_some_and(|since| at >= since + EVIDENCE_MARGIN);
+            if !is_later {
+                continue;
+            }
+            if let Some(contact) = self.known.get_mut(key) {
+                contact.confirmed = contact.confirmed.max(Some(at));
+            }
+            let last = self.peers.entry(peer.clone()).or_insert(at);
+            *last = at.max(*last);
+        }
+    }
+
+    /// Decides what is out of reach; returns whether that has changed.
+    pub fn judge(&mut self, now: time::Tick) -> bool {
+        self.peers.retain(|_, at| now.since(*at) < EVIDENCE_TTL);
+        let is_fresh = |at: time::Tick| now.since(at) < EVIDENCE_TTL;
+        let confirmed =
+            self.known.iter().filter(|(_, contact)| contact.confirmed.is_some_and(is_fresh));
+        let confirmed = confirmed
+            .filter_map(|(key, contact)| Some((*key, contact.part, self.suspected(contact, now)?)));
+        let confirmed: Vec<(EndpointKey, Part, time::Tick)> = confirmed.collect();
+        let cut = if confirmed.is_empty() { Cut::default() } else { self.infer(&confirmed) };
+        std::mem::replace(&mut self.cut, cut.clone()) != cut
+    }
+
+    fn infer(&self, confirmed: &[(EndpointKey, Part, time::Tick)]) -> Cut {
+        let is_enough = |last: Option<time::Tick>, part: Option<Part>| {
+            let is_inside = |other: Part| part.is_none_or(|part| part == other);
+            let size = self.known.values().filter(|contact| is_inside(contact.part)).count();
+            let later = confirmed.iter().filter(|(_, other, since)| {
+                is_inside(*other) && last.is_none_or(|last| last < *since)
+            });
+            later.count() >= size.min(INFERENCE_MIN)
+        };
+        let parts: BTreeSet<Part> = confirmed.iter().map(|(_, part, _)| *part).collect();
+        let is_cut = |part: &Part| is_enough(self.parts.get(part).copied(), Some(*part));
+        Cut {
+            is_total: is_enough(self.answered, None),
+            parts: parts.into_iter().filter(is_cut).collect(),
+            endpoints: confirmed.iter().map(|(key, _, _)| *key).collect(),
+        }
+    }
+
+    /// Whether any endpoint is out of reach.
+    pub fn is_cut(&self) -> bool {
+        !self.cut.endpoints.is_empty()
+    }
+
+    /// Whether all endpoints are out of reach.
+    pub const fn is_isolated(&self) -> bool {
+        self.cut.is_total
+    }
+
+    /// Whether an endpoint is out of reach, itself or by what others of its part tell.
+    pub fn is_out(&self, key: EndpointKey) -> bool {
+        if !self.is_cut() {
+            return false;
+        }
+        let part = self.known.get(&key).map(|contact| contact.part);
+        self.cut.is_total
+            || part.is_some_and(|part| self.cut.parts.contains(&part))
+            || self.cut.endpoints.contains(&key)
+    }
+
+    /// Endpoints out of reach.
+    pub fn out(&self) -> impl Iterator<Item = EndpointKey> {
+        self.known.keys().copied().filter(|key| self.is_out(*key))
+    }
+
+    /// Peers that have lately had answers from endpoints that are out of reach here.
+    pub fn reaching(&self, now: time::Tick) -> impl Iterator<Item = &id::VmId> {
+        self.peers.iter().filter(move |(_, at)| now.since(**at) < EVIDENCE_TTL).map(|(vm, _)| vm)
+    }
+}
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cascade;
 pub mod choose;
 pub mod cohort;
+pub mod contact;
 pub mod dispatch;
 pub mod endpoint_key;
 pub mod endpoint_limit;
--- a/crates/ibishill-decide/src/reach.rs
+++ b/crates/ibishill-decide/src/reach.rs
@@ -36,6 +36,11 @@
 /// Delay of this process's own timers above which a timeout says nothing about the other side.
 const TIMER_SLACK: time::Millis = time::Millis(60);
 
+/// Whether a connection attempt has timed out so late that this process was delayed itself.
+pub const fn is_own_delay(timeout: time::Millis, took: time::Millis) -> bool {
+    took.0 > timeout.0 + TIMER_SLACK.0
+}
+
 /// Result of a connection attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Contact {
@@ -109,7 +114,7 @@
     ) -> bool {
         match contact {
             Contact::Answered => self.record_answer(zone, took),
-            Contact::TimedOut if took.0 > timeout.0 + TIMER_SLACK.0 => false,
+            Contact::TimedOut if is_own_delay(timeout, took) => false,
             Contact::TimedOut => self.record_timeout(zone, endpoint, now),
             Contact::NotAttempted => false,
         }
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/contact.rs
@@ -0,0 +1,201 @@
+use ibishill_core::{fleet, id, time};
+use ibishill_decide::contact::{Contacts, Part};
+use ibishill_decide::endpoint_key::EndpointKey;
+
+const START: time::Tick = time::Tick(10_000);
+
+/// Endpoints of the tests by their number, two in zone a and two in zone b.
+const ENDPOINTS: u64 = 4;
+
+fn key(number: u64) -> EndpointKey {
+    EndpointKey::new(&"e".parse().unwrap(), Some(number))
+}
+
+fn part(zone: &str) -> Part {
+    Part::of(&fleet::Registration {
+        id: "e".parse().unwrap(),
+        service: "pool".parse().unwrap(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        slots: 4,
+        readiness: fleet::Readiness::Ready,
+        cold_remaining: time::Millis(0),
+        started: None,
+    })
+}
+
+fn at(ms: u64) -> time::Tick {
+    START + time::Millis(ms)
+}
+
+fn contacts() -> Contacts {
+    let mut contacts = Contacts::default();
+    for number in 0..ENDPOINTS {
+        contacts.register(key(number), part(if number < 2 { "a" } else { "b" }));
+        contacts.record_answer(key(number), START);
+    }
+    contacts
+}
+
+/// What happens to the contacts with an endpoint, and when in milliseconds.
+enum Step {
+    Send(u64, u64),
+    Answer(u64, u64),
+    Failure(u64, u64),
+    /// A peer has had an answer.
+    Evidence(u64, u64),
+    Reset(u64),
+}
+
+use Step::{Answer, Evidence, Failure, Reset, Send};
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    /// When it is judged, in milliseconds.
+    at: u64,
+    out: &'static [u64],
+    is_isolated: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "endpoints that have ended",
+        steps: &[Failure(0, 100), Failure(1, 110), Failure(2, 120), Failure(3, 130)],
+        at: 600,
+        out: &[],
+        is_isolated: false,
+    },
+    Case {
+        name: "answers of peers from before the failures",
+        steps: &[Failure(0, 100), Failure(1, 100), Evidence(0, 90), Evidence(1, 90)],
+        at: 200,
+        out: &[],
+        is_isolated: false,
+    },
+    Case {
+        name: "no path to any endpoint",
+        steps: &[Failure(0, 100), Failure(2, 100), Evidence(0, 200), Evidence(2, 200)],
+        at: 300,
+        out: &[0, 1, 2, 3],
+        is_isolated: true,
+    },
+    Case {
+        name: "no path to one zone",
+        steps: &[
+            Failure(0, 100),
+            Failure(1, 100),
+            Answer(2, 150),
+            Evidence(0, 200),
+            Evidence(1, 200),
+        ],
+        at: 300,
+        out: &[0, 1],
+        is_isolated: false,
+    },
+    Case {
+        name: "no path to one endpoint",
+        steps: &[Failure(0, 100), Answer(1, 150), Answer(2, 150), Evidence(0, 200)],
+        at: 300,
+        out: &[0],
+        is_isolated: false,
+    },
+    Case {
+        name: "an endpoint that answers again",
+        steps: &[
+            Failure(0, 100),
+            Failure(2, 100),
+            Evidence(0, 200),
+            Evidence(2, 200),
+            Answer(0, 250),
+        ],
+        at: 300,
+        out: &[2],
+        is_isolated: false,
+    },
+    Case {
+        name: "all silent here, as peers get answers",
+        steps: &[Send(0, 100), Send(2, 100), Evidence(0, 750), Evidence(2, 750)],
+        at: 800,
+        out: &[0, 1, 2, 3],
+        is_isolated: true,
+    },
+    Case {
+        name: "all silent for everyone",
+        steps: &[Send(0, 100), Send(2, 100), Evidence(0, 90), Evidence(2, 90)],
+        at: 1_100,
+        out: &[],
+        is_isolated: false,
+    },
+    Case {
+        name: "one endpoint silent for a second",
+        steps: &[Send(0, 100), Answer(1, 600), Answer(2, 900), Evidence(0, 1_000)],
+        at: 1_100,
+        out: &[],
+        is_isolated: false,
+    },
+    Case {
+        name: "answers of peers that are too old by now",
+        steps: &[Failure(0, 100), Failure(2, 100), Evidence(0, 200), Evidence(2, 200)],
+        at: 2_300,
+        out: &[],
+        is_isolated: false,
+    },
+    Case {
+        name: "a suspension of this VM",
+        steps: &[Send(0, 100), Send(2, 100), Reset(5_000), Evidence(0, 4_900), Evidence(2, 4_900)],
+        at: 5_100,
+        out: &[],
+        is_isolated: false,
+    },
+];
+
+fn peer() -> id::VmId {
+    "vm2".parse().unwrap()
+}
+
+#[test]
+fn only_endpoints_that_answer_peers_are_out_of_reach() {
+    for case in CASES {
+        let mut contacts = contacts();
+        for step in case.steps {
+            match *step {
+                Send(number, ms) => contacts.record_send(key(number), at(ms)),
+                Answer(number, ms) => {
+                    contacts.record_answer(key(number), at(ms));
+                }
+                Failure(number, ms) => contacts.record_failure(key(number), at(ms)),
+                Reset(ms) => contacts.reset(at(ms)),
+                Evidence(number, ms) => {
+                    let now = at(ms + 10);
+                    contacts.record_evidence(&peer(), &[(key(number), time::Millis(10))], now);
+                }
+            }
+        }
+        contacts.judge(at(case.at));
+        let out: Vec<u64> = (0..ENDPOINTS).filter(|number| contacts.is_out(key(*number))).collect();
+        assert_eq!(out, case.out, "{}", case.name);
+        assert_eq!(contacts.is_isolated(), case.is_isolated, "{}", case.name);
+    }
+}
+
+#[test]
+fn peers_are_asked_only_about_endpoints_that_fail() {
+    let mut contacts = contacts();
+    assert!(contacts.questions(false, at(500)).is_empty());
+    contacts.record_failure(key(1), at(600));
+    let asked = contacts.questions(true, at(650));
+    assert_eq!(asked, [(key(1), time::Millis(50))]);
+    assert!(contacts.questions(true, at(660)).is_empty(), "asked too often");
+    contacts.record_answer(key(1), at(700));
+    assert!(contacts.questions(false, at(2_000)).is_empty());
+}
+
+#[test]
+fn questions_are_answered_by_what_has_been_heard_since() {
+    let mut contacts = contacts();
+    contacts.record_answer(key(0), at(400));
+    let asked = [(key(0), time::Millis(200)), (key(1), time::Millis(200))];
+    assert_eq!(contacts.answers(&asked, at(500)), [(key(0), time::Millis(100))]);
+}
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod canary;
+mod contact;
 mod endpoint_limit;
 mod escalation;
 mod pace;
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -13,7 +13,7 @@
 
 use crate::context::Shared;
 use crate::upstream::{self, CallError};
-use crate::{early_end, handler, rollout};
+use crate::{early_end, handler, isolation, rollout};
 
 /// A request received from a caller, with its resolved route and service.
 pub(crate) struct Received {
@@ -261,9 +261,16 @@
     let sent = guard.context.now();
     let (response, connection) = match upstream::send(stream, request).await {
         Ok(answered) => answered,
-        Err(CallError::Unknown(detail)) => return (Outcome::Unknown, detail),
-        Err(error) => return (Outcome::ConnectFailed, error.to_string()),
+        Err(error) => {
+            isolation::record_failure(&guard.context, &registration.id);
+            let detail = error.to_string();
+            return match error {
+                CallError::Unknown(_) => (Outcome::Unknown, detail),
+                _ => (Outcome::ConnectFailed, detail),
+            };
+        }
     };
+    isolation::record_answer(&guard.context, &registration.id);
     guard.mark_answering();
     let (parts, body) = response.into_parts();
     let reply = head::decode_reply(parts.status, &parts.headers, &received.metadata.id);
@@ -288,7 +295,10 @@
     let buffers = guard.context.answers.clone();
     match buffers.read(body).await {
         Ok(bytes) => (Outcome::Response(head.map(|()| bytes)), String::new()),
-        Err(error) => (Outcome::Unknown, error.to_string()),
+        Err(error) => {
+            isolation::record_failure(&guard.context, &registration.id);
+            (Outcome::Unknown, error.to_string())
+        }
     }
 }
 
@@ -324,8 +334,16 @@
         Err(CallError::TimedOut(_)) => reach::Contact::TimedOut,
         Err(CallError::NotAttempted(_) | CallError::Unknown(_)) => reach::Contact::NotAttempted,
     };
+    let is_failure = match contact {
+        reach::Contact::TimedOut => !reach::is_own_delay(timeout, took),
+        _ => matches!(result, Err(CallError::Connect(_))),
+    };
     let has_changed =
         reach.record(&registration.zone, &registration.id, contact, (timeout, took), now);
+    drop(state);
+    if is_failure {
+        isolation::record_failure(context, &registration.id);
+    }
     if has_changed {
         event::emit_json(
             event::Event::ZoneReach,
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -32,6 +32,8 @@
     pub(crate) chunks_serving: Cell<u32>,
     /// Number of running checks of endpoints that may have ended.
     pub(crate) end_checks: Cell<u32>,
+    /// Notified when an endpoint has failed to answer.
+    pub(crate) contact_lost: Notify,
     /// Notified when this relay has seen an endpoint end as an answer began.
     pub(crate) evidence_added: Notify,
     /// Notified when connections must be closed because the process is stopping.
@@ -54,6 +56,7 @@
             chunks_wanted: Notify::new(),
             chunks_serving: Cell::new(0),
             end_checks: Cell::new(0),
+            contact_lost: Notify::new(),
             evidence_added: Notify::new(),
             shutdown: Notify::new(),
         })
--- /dev/null
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -0,0 +1,163 @@
+//! Finds out whether endpoints that don't answer have ended, or are out of reach from this relay only:
+//! peers are asked whether they have had answers since.
+//!
+//! Nothing is sent as long as all endpoints answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ibishill_core::{event, id, time};
+use ibishill_decide::contact;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time as clock;
+use xxhash_rust::xxh3;
+
+use crate::context::Shared;
+use crate::packet;
+use crate::state::State;
+
+/// Interval of the checks for endpoints that owe an answer.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Peers asked at once in the relay's own zone, and as many elsewhere; a whole zone may be cut off.
+const ASKED: usize = 4;
+
+#[derive(Serialize, Deserialize)]
+struct Message {
+    /// The sender.
+    vm: id::VmId,
+    /// Endpoints that it asks or tells about, and how long ago they failed or answered.
+    endpoints: Vec<contact::Aged>,
+}
+
+/// Asks peers about endpoints that don't answer, and logs what turns out to be out of reach.
+pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
+    let mut round = 0;
+    loop {
+        let waiting = clock::timeout(POLL_INTERVAL, context.contact_lost.notified());
+        let is_notified = waiting.await.is_ok();
+        judge(&context);
+        let now = context.now();
+        let endpoints = context.state().balancer.contacts().questions(is_notified, now);
+        if endpoints.is_empty() {
+            continue;
+        }
+        round += 1;
+        let peers = asked(&mut context.state(), round, now);
+        let message = Message { vm: context.vm(), endpoints };
+        send(&socket, packet::Kind::Question, &message, &peers).await;
+    }
+}
+
+// Addresses of the peers to ask: those that have confirmed answers lately, so that their word stays fresh,
+// and others in turn.
+fn asked(state: &mut State, round: u64, now: time::Tick) -> Vec<SocketAddr> {
+    let reaching: Vec<id::VmId> = state.balancer.contacts().reaching(now).cloned().collect();
+    let hash = |vm: &id::VmId| xxh3::xxh3_64_with_seed(vm.as_str().as_bytes(), round);
+    let own = &state.peers.own().zone;
+    let mut peers: Vec<_> = state.peers.alive(now).into_iter().skip(1).collect();
+    peers.sort_by_key(|peer| (!reaching.contains(&peer.vm), hash(&peer.vm)));
+    let (near, far): (Vec<_>, Vec<_>) = peers.into_iter().partition(|peer| peer.zone == *own);
+    let chosen = near.into_iter().take(ASKED).chain(far.into_iter().take(ASKED));
+    chosen.map(|peer| peer.address).collect()
+}
+
+async fn send(socket: &UdpSocket, kind: packet::Kind, message: &Message, peers: &[SocketAddr]) {
+    match packet::encode(kind, message) {
+        Ok(bytes) => {
+            for peer in peers {
+                // What is lost is asked again.
+                let _sent = socket.send_to(&bytes, peer).await;
+            }
+        }
+        Err(error) => {
+            event::emit_json(event::Event::PeerRejected, &[event::field("error", &error)]);
+        }
+    }
+}
+
+/// Answers a peer's question.
+///
+/// # Errors
+///
+/// Fails if the question can't be decoded.
+pub(crate) async fn answer(
+    context: &Shared,
+    socket: &UdpSocket,
+    payload: &[u8],
+) -> Result<(), postcard::Error> {
+    let question: Message = postcard::from_bytes(payload)?;
+    let now = context.now();
+    let (endpoints, peer) = {
+        let mut state = context.state();
+        let peer = state.peers.address(&question.vm);
+        (state.balancer.contacts().answers(&question.endpoints, now), peer)
+    };
+    if let Some(peer) = peer.filter(|_| !endpoints.is_empty()) {
+        let message = Message { vm: context.vm(), endpoints };
+        send(socket, packet::Kind::Answer, &message, &[peer]).await;
+    }
+    Ok(())
+}
+
+/// Records a peer's answer.
+///
+/// # Errors
+///
+/// Fails if the answer can't be decoded.
+pub(crate) fn receive(context: &Shared, payload: &[u8]) -> Result<(), postcard::Error> {
+    let answer: Message = postcard::from_bytes(payload)?;
+    let now = context.now();
+    context.state().balancer.contacts().record_evidence(&answer.vm, &answer.endpoints, now);
+    judge(context);
+    Ok(())
+}
+
+fn judge(context: &Shared) {
+    let now = context.now();
+    let is_changed = context.state().balancer.contacts().judge(now);
+    if is_changed {
+        log_change(context);
+    }
+}
+
+/// Records an answer of an endpoint, or a part of one.
+pub(crate) fn record_answer(context: &Shared, endpoint: &id::EndpointId) {
+    let now = context.now();
+    let is_changed = {
+        let mut state = context.state();
+        let key = state.balancer.key(endpoint);
+        key.is_some_and(|key| state.balancer.contacts().record_answer(key, now))
+    };
+    if is_changed {
+        log_change(context);
+    }
+}
+
+/// Records a failed connection to an endpoint, or one that ended without a whole answer.
+pub(crate) fn record_failure(context: &Shared, endpoint: &id::EndpointId) {
+    let now = context.now();
+    let mut state = context.state();
+    if let Some(key) = state.balancer.key(endpoint) {
+        state.balancer.contacts().record_failure(key, now);
+        context.contact_lost.notify_one();
+    }
+}
+
+fn log_change(context: &Shared) {
+    let now = context.now();
+    let mut state = context.state();
+    let contacts = state.balancer.contacts();
+    let (is_isolated, out) = (contacts.is_isolated(), contacts.out().count());
+    let peers: Vec<String> = contacts.reaching(now).map(ToString::to_string).collect();
+    event::emit_json(
+        event::Event::EndpointsOutOfReach,
+        &[
+            event::field("endpoints", &out),
+            event::field("is_all", &is_isolated),
+            event::field("peers", &peers.join(",")),
+        ],
+    );
+}
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -6,6 +6,7 @@
 //! one hop.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ibishill_core::{event, id, store_version};
@@ -17,6 +18,7 @@
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
+use crate::packet;
 use crate::state::{Announcement, News, State, Table};
 
 /// Interval between reports; requests take about a second.
@@ -26,9 +28,6 @@
 /// goes to a different selection, besides those that share an endpoint's limit with this relay.
 const FANOUT: usize = 64;
 
-/// Maximum size of a datagram, in bytes; it fits into one packet.
-const DATAGRAM_MAX: usize = 1_400;
-
 /// Maximum number of endpoints in one datagram, those with the most requests first.
 const ENTRIES_MAX: usize = 160;
 
@@ -58,9 +57,8 @@
     news: News,
 }
 
-/// Sends and receives load reports.
-pub(crate) async fn run(context: Shared, socket: UdpSocket) {
-    let mut buffer = vec![0; DATAGRAM_MAX];
+/// Sends load reports.
+pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
     let mut ticks = clock::interval(REPORT_INTERVAL);
     ticks.set_missed_tick_behavior(clock::MissedTickBehavior::Delay);
     let mut round = 0;
@@ -75,11 +73,6 @@
                 round += 1;
                 send(&context, &socket, round).await;
             }
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => receive(&context, &buffer[..length], from),
-                // An ICMP error from a peer that is down is reported here.
-                Err(_) => clock::sleep(Duration::from_millis(1)).await,
-            },
         }
     }
 }
@@ -129,39 +122,36 @@
     mut datagram: Datagram,
     mut in_flight: Vec<balance::reports::InFlight>,
 ) -> Result<Vec<u8>, postcard::Error> {
-    let size = postcard::to_stdvec(&datagram)?.len();
-    in_flight.truncate(DATAGRAM_MAX.saturating_sub(size + LENGTH_SIZE) / ENTRY_SIZE_MAX);
+    let size = packet::encode(packet::Kind::Report, &datagram)?.len();
+    in_flight.truncate(packet::SIZE_MAX.saturating_sub(size + LENGTH_SIZE) / ENTRY_SIZE_MAX);
     datagram.in_flight = in_flight;
-    postcard::to_stdvec(&datagram)
+    packet::encode(packet::Kind::Report, &datagram)
 }
 
-fn receive(context: &Shared, bytes: &[u8], from: SocketAddr) {
-    match postcard::from_bytes::<Datagram>(bytes) {
-        Ok(datagram) => {
-            let now = context.now();
-            let mut state = context.state();
-            if let Some(sender) = state.peers.address(&datagram.vm) {
-                let reported = datagram.versions.iter().map(|told| told.version);
-                if record_versions(&mut state, reported, sender) {
-                    // Starts a gossip round, which gets the missing rows from the sender.
-                    state.ahead = Some(sender);
-                    context.rows_changed.notify_one();
-                }
-            }
-            state.record_announcement(&datagram.configuration, now);
-            state.record_confirmations(&datagram.versions, now);
-            state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
-            let demand = f64::from(datagram.demand);
-            state.balancer.limits().record_demand(&datagram.vm, demand, now);
-            state.merge_news(datagram.news, now);
-        }
-        Err(error) => {
-            event::emit_json(
-                event::Event::PeerRejected,
-                &[event::field("peer", &from), event::field("error", &error)],
-            );
+/// Records a peer's report.
+///
+/// # Errors
+///
+/// Fails if the report can't be decoded.
+pub(crate) fn receive(context: &Shared, payload: &[u8]) -> Result<(), postcard::Error> {
+    let datagram: Datagram = postcard::from_bytes(payload)?;
+    let now = context.now();
+    let mut state = context.state();
+    if let Some(sender) = state.peers.address(&datagram.vm) {
+        let reported = datagram.versions.iter().map(|told| told.version);
+        if record_versions(&mut state, reported, sender) {
+            // Starts a gossip round, which gets the missing rows from the sender.
+            state.ahead = Some(sender);
+            context.rows_changed.notify_one();
         }
     }
+    state.record_announcement(&datagram.configuration, now);
+    state.record_confirmations(&datagram.versions, now);
+    state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
+    let demand = f64::from(datagram.demand);
+    state.balancer.limits().record_demand(&datagram.vm, demand, now);
+    state.merge_news(datagram.news, now);
+    Ok(())
 }
 
 // Records which versions a peer has; returns whether this relay lacks one that it isn't fetching.
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -179,6 +179,7 @@
     let now = context.now();
     let mut state = context.state();
     let running = |canary: &&canary::Canary| canary.progress() == fleet::Progress::Running;
+    let out_of_reach = state.balancer.contacts().out().count();
     let limited = state.balancer.limits().len();
     let suspected = state.balancer.reach().suspect_count();
     let (segments, requests) = state.quarantine.refused_count();
@@ -186,7 +187,8 @@
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
          relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n\
          relay_requests_refused {}\n\
-         relay_endpoints_limited {}\nrelay_store_restores {}\n",
+         relay_endpoints_limited {}\nrelay_store_restores {}\n\
+         relay_endpoints_out_of_reach {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -197,6 +199,7 @@
         requests,
         limited,
         state.restores,
+        out_of_reach,
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ibishill_adapter::settings;
@@ -16,8 +17,8 @@
 use crate::error::RelayError;
 use crate::state::{State, Table};
 use crate::{
-    chunks, cold_check, feed, gossip, load_reports, log_writer, metrics, quarantine_rows, rollout,
-    serve,
+    chunks, cold_check, datagrams, feed, gossip, isolation, load_reports, log_writer, metrics,
+    quarantine_rows, rollout, serve,
 };
 
 /// Interval of the checks for expired state and for suspensions.
@@ -87,9 +88,9 @@
     let ready = listen(settings.ready).await?;
     let peer = listen(settings.peer).await?;
     let metrics_listener = listen(settings.metrics).await?;
-    let reports = tokio::net::UdpSocket::bind(settings.peer).await;
-    let reports =
-        reports.map_err(|source| RelayError::Listen { address: settings.peer, source })?;
+    let datagrams = tokio::net::UdpSocket::bind(settings.peer).await;
+    let datagrams =
+        datagrams.map_err(|source| RelayError::Listen { address: settings.peer, source })?;
     let mut term = unix::signal(unix::SignalKind::terminate()).map_err(|e| setup("SIGTERM", e))?;
     let mut int = unix::signal(unix::SignalKind::interrupt()).map_err(|e| setup("SIGINT", e))?;
     let hangup = unix::signal(unix::SignalKind::hangup()).map_err(|e| setup("SIGHUP", e))?;
@@ -120,7 +121,10 @@
     tokio::task::spawn_local(gossip::serve(context.clone(), peer));
     tokio::task::spawn_local(gossip::run(context.clone()));
     tokio::task::spawn_local(chunks::run(context.clone()));
-    tokio::task::spawn_local(load_reports::run(context.clone(), reports));
+    let datagrams = Rc::new(datagrams);
+    tokio::task::spawn_local(datagrams::run(context.clone(), datagrams.clone()));
+    tokio::task::spawn_local(load_reports::run(context.clone(), datagrams.clone()));
+    tokio::task::spawn_local(isolation::run(context.clone(), datagrams));
     tokio::task::spawn_local(cold_check::run(context.clone()));
     tokio::task::spawn_local(rollout::watch(context.clone()));
     tokio::task::spawn_local(rollout::report(context.clone()));
@@ -169,6 +173,7 @@
         let mut state = context.state();
         if suspended > SUSPENSION_MIN {
             state.stale_until = now + STALE_MAX;
+            state.balancer.contacts().reset(now);
         }
         state.expire(now);
         let is_ready = state.is_ready(now);
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::attempt::{self, Outcome, Received, StreamStart, Target};
 use crate::body::{self, Body, Incomplete};
 use crate::context::Shared;
-use crate::{early_end, handler, selection};
+use crate::{early_end, handler, isolation, selection};
 
 /// Chunks buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 4;
@@ -154,6 +154,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             buffer.extend_from_slice(&data);
+            isolation::record_answer(&self.context, &self.target.endpoint);
             let Some(at) = last_separator(&buffer) else {
                 if buffer.len() > EVENT_MAX {
                     return End::Broken(format!("event exceeds {EVENT_MAX} bytes"));
@@ -293,6 +294,7 @@
     }
 
     fn record_break(&self) {
+        isolation::record_failure(&self.context, &self.target.endpoint);
         let now = self.context.now();
         let mut state = self.context.state();
         let slow_start = state.slow_start(&self.received.service, now);
