--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -3,85 +3,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use ibishill_adapter::head;
-use ibishill_core::{call, event, fleet, id, route, time};
+use ibishill_core::{event, fleet, id, route, time};
 use ibishill_decide::{balance, canary, endpoint_limit, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
 use crate::context::Shared;
+use crate::request::{Received, Target};
 use crate::upstream::{self, CallError};
-use crate::{early_end, handler, isolation, rollout};
-
-/// A request received from a caller, with its resolved route and service.
-pub(crate) struct Received {
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) metadata: call::Metadata,
-    pub(crate) route: route::Route,
-    pub(crate) workspace: Option<route::Workspace>,
-    pub(crate) service: id::ServiceId,
-    /// Identifies the whole request.
-    pub(crate) key: call::RequestKey,
-    /// Arrival of the request head.
-    pub(crate) arrived: time::Tick,
-    /// Earlier of the caller's deadline and the route's timeout.
-    pub(crate) deadline: time::Tick,
-}
-
-impl Received {
-    /// Priority, 0 for the most urgent; the workspace's overrides the route's.
-    pub(crate) fn priority(&self) -> u8 {
-        let of_workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
-        of_workspace.unwrap_or(self.route.priority)
-    }
-
-    /// KV-cache tokens that it occupies at an engine; 0 for a plain service.
-    pub(crate) fn kv_tokens(&self) -> u64 {
-        self.metadata.tokens.map_or(0, |tokens| tokens.input + tokens.expected_output)
-    }
-
-    /// Whether it is for a plain service, not a prompt to a model.
-    pub(crate) fn is_plain(&self) -> bool {
-        self.metadata.tokens.is_none()
-    }
-
-    /// The whole request, as it may be quarantined.
-    pub(crate) fn whole(&self) -> call::SuspectKey {
-        if self.is_plain() {
-            call::SuspectKey::Request(self.key)
-        } else {
-            call::SuspectKey::Prompt(self.key)
-        }
-    }
-
-    /// All that may be quarantined of it: the segments of its prompt that others share, and the whole.
-    pub(crate) fn suspects(&self) -> Vec<call::SuspectKey> {
-        let segments = self.metadata.shared_segments().into_iter();
-        segments.map(call::SuspectKey::Segment).chain([self.whole()]).collect()
-    }
-
-    /// Time until the deadline; 0 once it has passed.
-    pub(crate) fn remaining(&self, now: time::Tick) -> time::Millis {
-        self.deadline.since(now)
-    }
-}
-
-/// Endpoint selected for an attempt, and what the attempt sends there.
-#[derive(Debug, Clone)]
-pub(crate) struct Target {
-    pub(crate) endpoint: id::EndpointId,
-    pub(crate) version: id::VersionId,
-    pub(crate) model: Option<id::ModelId>,
-    /// Id of the last event that the caller has received, to resume a stream.
-    pub(crate) last_event: Option<u64>,
-    /// Prefill cost of the prompt, in thousands of tokens at the largest model.
-    pub(crate) prefill: f64,
-}
+use crate::{early_end, isolation, retry_budget, rollout};
 
 /// Counts an attempt as in flight at its endpoint until dropped.
 pub(crate) struct AttemptGuard {
@@ -210,7 +143,7 @@
     // An unresponsive endpoint ends the attempt early only if a retry is granted.
     let is_hung = has_hang_timeout
         && early.is_none()
-        && handler::acquire_retry(context, received, handler::Retry::Silent);
+        && retry_budget::acquire(context, received, retry_budget::Retry::Silent);
     let (outcome, detail) = match early {
         Some(found) => found,
         None if is_hung => (Outcome::Unresponsive, format!("no answer within {hang_timeout}")),
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -7,8 +7,9 @@
 use ibishill_decide::{endpoint_key, quarantine};
 use tokio::time as clock;
 
-use crate::attempt::{Outcome, Received, Target};
+use crate::attempt::Outcome;
 use crate::context::Shared;
+use crate::request::{Received, Target};
 use crate::state::State;
 use crate::upstream::{self, CallError};
 
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -10,15 +10,15 @@
 use hyper::body::{Body as _, Incoming};
 use ibishill_adapter::head;
 use ibishill_core::{event, id, route, time};
-use ibishill_decide::{escalation, quarantine, routing};
+use ibishill_decide::{escalation, routing};
 use tokio::time as clock;
 
-use crate::attempt::{self, Outcome, Received};
+use crate::attempt::{self, Outcome};
 use crate::body::{self, Body};
 use crate::context::Shared;
 use crate::local_reply::{self, Reason};
-use crate::state::State;
-use crate::{request_key, selection, stream};
+use crate::request::Received;
+use crate::{request_key, retry_budget, selection, stream};
 
 /// Time within which a request body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -200,7 +200,7 @@
     let deadline = clock::Instant::now() + Duration::from_millis(remaining.0);
     let mut has_sent = false;
     let (request, arrived) = (received.metadata.id.clone(), received.arrived);
-    record_request(context, &received);
+    retry_budget::record_request(context, &received);
     let work = attempts(context, received, &mut has_sent);
     let result = match clock::timeout_at(deadline, work).await {
         Ok(result) => result,
@@ -221,14 +221,6 @@
     }
 }
 
-fn record_request(context: &Shared, received: &Received) {
-    let now = context.now();
-    let mut state = context.state();
-    let bounds = state.settings.bounds;
-    state.allowances.entry(received.service.clone()).or_default().record_request(&bounds, now);
-    state.balancer.limits().record_request(now);
-}
-
 async fn attempts(
     context: &Shared,
     received: Received,
@@ -260,7 +252,7 @@
                 *has_sent = was_sent;
                 sends += 1;
                 if sends < received.route.max_attempts
-                    && acquire_retry(context, &received, Retry::Refused)
+                    && retry_budget::acquire(context, &received, retry_budget::Retry::Refused)
                 {
                     continue;
                 }
@@ -277,7 +269,7 @@
                 let may_retry = received.route.kind.may_retry();
                 if may_retry
                     && sends < received.route.max_attempts
-                    && acquire_retry(context, &received, Retry::Unknown)
+                    && retry_budget::acquire(context, &received, retry_budget::Retry::Unknown)
                 {
                     continue;
                 }
@@ -290,7 +282,7 @@
                     response.status().is_server_error() && received.route.kind.may_retry();
                 if may_retry
                     && sends < received.route.max_attempts
-                    && acquire_retry(context, &received, Retry::Failed)
+                    && retry_budget::acquire(context, &received, retry_budget::Retry::Failed)
                 {
                     last = Some(response);
                     continue;
@@ -304,7 +296,7 @@
                 if index < largest
                     && sends < received.route.max_attempts
                     && needs_larger_model(context, &received, &start.reply, &models[largest])
-                    && acquire_retry(context, &received, Retry::Weak)
+                    && retry_budget::acquire(context, &received, retry_budget::Retry::Weak)
                 {
                     log_dropped(&received, &start.reply);
                     index = largest;
@@ -335,73 +327,6 @@
     reply.confidence.is_some_and(|confidence| confidence < threshold)
 }
 
-/// Reason for a further attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Retry {
-    /// The endpoint reported that it has not run the request.
-    Refused,
-    /// The request may have run, but got no valid response.
-    Unknown,
-    /// The endpoint answered with an error.
-    Failed,
-    /// The model's confidence in its answer is low.
-    Weak,
-    /// No response within the hang timeout.
-    Silent,
-    /// The stream broke off.
-    Cut,
-}
-
-impl Retry {
-    // Label in the metrics.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Refused => "refused",
-            Self::Unknown => "unknown",
-            Self::Failed => "failed",
-            Self::Weak => "weak",
-            Self::Silent => "silent",
-            Self::Cut => "cut",
-        }
-    }
-}
-
-// Whether the request or a segment of its prompt is suspected of ending endpoints, so that it gets one
-// attempt only.
-fn is_contained(state: &State, received: &Received, now: time::Tick) -> bool {
-    state.verdict(&received.suspects(), now) != quarantine::Verdict::Allowed
-}
-
-/// Takes a retry from the budget of the request's service; returns whether it was granted. A request
-/// that may have ended an endpoint gets none.
-pub(crate) fn acquire_retry(context: &Shared, received: &Received, reason: Retry) -> bool {
-    let now = context.now();
-    let mut state = context.state();
-    if reason != Retry::Refused && is_contained(&state, received, now) {
-        return false;
-    }
-    let daemons = state.peers.others().count() + 1;
-    let bounds = state.settings.bounds;
-    let allowance = state.allowances.entry(received.service.clone()).or_default();
-    let is_granted = allowance.try_acquire(&bounds, daemons, now);
-    if is_granted {
-        context.metrics.record_retry(reason.as_str());
-    }
-    is_granted
-}
-
-/// Whether [`acquire_retry`] would grant a retry.
-pub(crate) fn can_retry(context: &Shared, received: &Received) -> bool {
-    let now = context.now();
-    let state = context.state();
-    if is_contained(&state, received, now) {
-        return false;
-    }
-    let daemons = state.peers.others().count() + 1;
-    let allowance = state.allowances.get(&received.service);
-    allowance.is_some_and(|allowance| allowance.is_available(&state.settings.bounds, daemons, now))
-}
-
 fn conclude(
     last: Option<Response<Bytes>>,
     may_have_run: bool,
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -8,9 +8,10 @@
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
-use crate::attempt::{self, Received, Target};
+use crate::attempt;
 use crate::context::Shared;
 use crate::local_reply::Reason;
+use crate::request::{Received, Target};
 
 /// Interval of checks for a free slot; slots of cold endpoints become free by time alone.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -14,10 +14,11 @@
 use tokio::sync::mpsc;
 use tokio::time as clock;
 
-use crate::attempt::{self, Outcome, Received, StreamStart, Target};
+use crate::attempt::{self, Outcome, StreamStart};
 use crate::body::{self, Body, Incomplete};
 use crate::context::Shared;
-use crate::{early_end, handler, isolation, selection};
+use crate::request::{Received, Target};
+use crate::{early_end, isolation, retry_budget, selection};
 
 /// Chunks buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 4;
@@ -215,7 +216,7 @@
     fn can_resume(&self) -> bool {
         let is_allowed = self.received.route.kind.may_retry()
             && self.sends < self.received.route.max_attempts
-            && handler::can_retry(&self.context, &self.received);
+            && retry_budget::is_available(&self.context, &self.received);
         let model = self.target.model.as_ref();
         let tried = std::slice::from_ref(&self.target.endpoint);
         let next = selection::choose(&self.context, &self.received, tried, model, self.last_event);
@@ -251,7 +252,7 @@
             let remaining = self.received.remaining(self.context.now());
             if !is_allowed
                 || remaining.0 == 0
-                || !handler::acquire_retry(&self.context, &self.received, handler::Retry::Cut)
+                || !retry_budget::acquire(&self.context, &self.received, retry_budget::Retry::Cut)
             {
                 self.log_broken(&why);
                 return None;
