control: serves other relays, apart from the messages themselves

gossip accepted connections for chunks as well. What comes from other relays is now dispatched above gossip and chunks, in one place. No change of behaviour.

--- a/crates/ibishill-relay/src/chunks.rs
+++ b/crates/ibishill-relay/src/chunks.rs
@@ -173,3 +173,15 @@
     let wanted = wanted.iter().take(portion::CHUNKS_MAX);
     wanted.filter_map(|digest| state.chunk(*digest).cloned()).collect()
 }
+
+/// Answers a peer's request for chunks.
+///
+/// # Errors
+///
+/// Fails if a message can't be decoded or encoded.
+pub(crate) fn answer(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
+    let own_address = context.state().settings.peer;
+    let wanted: Vec<chunk::Digest> =
+        gossip::decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
+    message::encode(&found(context, &wanted)).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -4,32 +4,23 @@
 //! the sender lacks; large values are fetched in chunks by [`chunks`]. Updates spread in a few
 //! rounds, also to daemons that can't reach the store.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service;
-use hyper_util::rt::TokioIo;
+use http::{Method, Request, StatusCode};
 use ibishill_core::{event, time};
 use ibishill_decide::{canary, peers};
-use ibishill_state::{chunk, confirmation, transfer};
+use ibishill_state::{confirmation, transfer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
 use crate::state::{Announcement, Merged, News, Table};
-use crate::{chunks, message, upstream};
+use crate::{message, upstream};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -72,12 +63,6 @@
     total: Duration::from_millis(2_000),
 };
 
-/// Longest time that a connection of a peer is served.
-const SERVING_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// Maximum size of an encoded message, in bytes.
-const MESSAGE_MAX: usize = 8 * 1_024 * 1_024;
-
 /// Size from which on a message takes noticeable time on a narrow link, in bytes.
 const LARGE_MESSAGE: usize = 16 * 1_024;
 
@@ -274,7 +259,8 @@
     }
 }
 
-fn decode<T>(body: &[u8], address: SocketAddr) -> Option<T>
+/// Decodes a message, or logs that a peer's is malformed.
+pub(crate) fn decode<T>(body: &[u8], address: SocketAddr) -> Option<T>
 where
     T: DeserializeOwned,
 {
@@ -378,61 +364,12 @@
     }
 }
 
-/// Serves the messages of peers.
-pub(crate) async fn serve(context: Shared, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                event::emit_json(event::Event::PeerRejected, &[event::field("error", &error)]);
-                clock::sleep(EXCHANGE_TIMEOUT).await;
-                continue;
-            }
-        };
-        let context = context.clone();
-        tokio::task::spawn_local(async move {
-            let place = Rc::new(RefCell::new(None));
-            let service =
-                service::service_fn(move |request| handle(context.clone(), place.clone(), request));
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // On failure the peer sees the connection close and counts the exchange as failed.
-            let _ended = clock::timeout(SERVING_TIMEOUT, serving).await;
-        });
-    }
-}
-
-async fn handle(
-    context: Shared,
-    place: Rc<RefCell<Option<chunks::Place>>>,
-    request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    let path = request.uri().path().to_owned();
-    let Ok(body) = Limited::new(request.into_body(), MESSAGE_MAX).collect().await else {
-        return Ok(respond(Err(StatusCode::BAD_REQUEST)));
-    };
-    let body = body.to_bytes();
-    if path == chunks::PATH {
-        let taken = chunks::Place::take(&context);
-        let is_full = taken.is_none();
-        *place.borrow_mut() = taken;
-        let result = if is_full {
-            Err(StatusCode::SERVICE_UNAVAILABLE)
-        } else {
-            answer_chunks(&context, &body)
-        };
-        return Ok(respond(result));
-    }
-    Ok(respond(answer_message(&context, &body)))
-}
-
-fn answer_chunks(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
-    let own_address = context.state().settings.peer;
-    let wanted: Vec<chunk::Digest> = decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
-    let found = chunks::found(context, &wanted);
-    message::encode(&found).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
-}
-
-fn answer_message(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
+/// Answers a peer's message.
+///
+/// # Errors
+///
+/// Fails if a message can't be decoded or encoded.
+pub(crate) fn answer(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
     let own_address = context.state().settings.peer;
     let received: Message = decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
     let (versions, receiver_known) = (received.versions.clone(), received.known);
@@ -442,13 +379,3 @@
     let response = build_message(context, deltas, false, round, Some(receiver_known));
     message::encode(&response).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
-
-fn respond(result: Result<Bytes, StatusCode>) -> Response<Full<Bytes>> {
-    let (status, body) = match result {
-        Ok(body) => (StatusCode::OK, body),
-        Err(status) => (status, Bytes::new()),
-    };
-    let mut response = Response::new(Full::new(body));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -17,8 +17,8 @@
 use crate::error::RelayError;
 use crate::state::{State, Table};
 use crate::{
-    chunks, cold_check, datagrams, feed, gossip, isolation, load_reports, log_writer, metrics,
-    quarantine_rows, rollout, serve,
+    chunks, cold_check, control, datagrams, feed, gossip, isolation, load_reports, log_writer,
+    metrics, quarantine_rows, rollout, serve,
 };
 
 /// Interval of the checks for expired state and for suspensions.
@@ -118,7 +118,7 @@
     for table in Table::ALL {
         tokio::task::spawn_local(feed::run(context.clone(), table));
     }
-    tokio::task::spawn_local(gossip::serve(context.clone(), peer));
+    tokio::task::spawn_local(control::serve(context.clone(), peer));
     tokio::task::spawn_local(gossip::run(context.clone()));
     tokio::task::spawn_local(chunks::run(context.clone()));
     let datagrams = Rc::new(datagrams);
