--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -122,6 +122,7 @@
     StreamResumed = 2406, Warn, "stream resumed at another endpoint";
     StreamBroken = 2407, Warn, "stream broken off";
     RequestDone = 2408, Info, "request answered";
+    RequestForwarded = 2410, Info, "request sent through a peer";
     CallerGone = 2409, Info, "caller gone before the end";
 }
 
--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -2,6 +2,7 @@
 //! that the platform gives a daemon. The platform here is the users' platform, whose store
 //! `ibishill-relay` reads; `ibishill-daemon` does not use these rows.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -132,6 +133,8 @@
     pub vm: id::VmId,
     /// Availability zone of the VM.
     pub zone: id::ZoneId,
+    /// Region of each zone.
+    pub regions: BTreeMap<id::ZoneId, id::RegionId>,
     /// Listen address for callers.
     pub front: SocketAddr,
     /// Listen address of the readiness check.
@@ -153,3 +156,10 @@
     /// Bounds of the deployment.
     pub bounds: Bounds,
 }
+
+impl Settings {
+    /// Whether a zone is in the VM's region; zones without a region are all in one.
+    pub fn is_in_own_region(&self, zone: &id::ZoneId) -> bool {
+        self.regions.get(zone) == self.regions.get(&self.zone)
+    }
+}
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -138,6 +138,8 @@
     Full,
     /// No eligible endpoint, or all were tried.
     NoEndpoint,
+    /// Those that could take it are out of reach from this daemon, but not from its peers.
+    OutOfReach,
 }
 
 /// Load of an endpoint, as its response reported it.
@@ -375,15 +377,21 @@
         if eligible.is_empty() {
             return Choice::NoEndpoint;
         }
+        let is_reached = |endpoint: &&&Endpoint| !self.contacts.is_out(endpoint.key);
+        let reached: Vec<&Endpoint> = eligible.iter().filter(is_reached).copied().collect();
+        let is_partial = reached.len() < eligible.len();
         let is_untried = |endpoint: &&&Endpoint| !request.tried.contains(&endpoint.entry.id);
         let is_healthy = |endpoint: &&&Endpoint| {
             endpoint.breaker.allows(now) && self.reach.allows(&endpoint.entry.zone, now)
         };
         let mut candidates: Vec<&Endpoint> =
-            eligible.iter().filter(is_untried).filter(is_healthy).copied().collect();
+            reached.iter().filter(is_untried).filter(is_healthy).copied().collect();
+        if candidates.is_empty() && is_partial {
+            return Choice::OutOfReach;
+        }
         if candidates.is_empty() {
             // Every untried endpoint is ejected: an ejected one is better than none.
-            candidates = eligible.iter().filter(is_untried).copied().collect();
+            candidates = reached.iter().filter(is_untried).copied().collect();
         }
         if candidates.is_empty() {
             return Choice::NoEndpoint;
@@ -423,7 +431,44 @@
             sample.truncate(SAMPLE_SIZE + 1);
         }
         let best = sample.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)));
-        best.map_or(Choice::Full, |endpoint| Choice::Send(endpoint.entry.id.clone()))
+        match best {
+            Some(endpoint) => Choice::Send(endpoint.entry.id.clone()),
+            None if is_partial => Choice::OutOfReach,
+            None => Choice::Full,
+        }
+    }
+
+    /// Decides what is out of reach; returns whether that has changed.
+    ///
+    /// What endpoints out of reach have failed says nothing about them, so it is forgotten.
+    pub fn judge_contacts(&mut self, now: time::Tick) -> bool {
+        let is_changed = self.contacts.judge(now);
+        if is_changed {
+            for endpoint in self.endpoints.values_mut() {
+                if self.contacts.is_out(endpoint.key) {
+                    endpoint.breaker = outlier::Breaker::default();
+                    endpoint.was_unreachable = false;
+                }
+            }
+        }
+        is_changed
+    }
+
+    /// Whether an endpoint is out of reach from this daemon, but not from its peers.
+    pub fn is_out_of_reach(&self, id: &id::EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| self.contacts.is_out(endpoint.key))
+    }
+
+    /// Whether all endpoints of a service are.
+    pub fn is_service_out(&self, service: &id::ServiceId) -> bool {
+        let mut endpoints =
+            self.endpoints.values().filter(|endpoint| endpoint.entry.service == *service);
+        self.contacts.is_cut() && endpoints.all(|endpoint| self.contacts.is_out(endpoint.key))
+    }
+
+    /// Registration of the incarnation with a key.
+    pub fn entry_of(&self, key: endpoint_key::EndpointKey) -> Option<&fleet::Registration> {
+        self.endpoints.values().find(|endpoint| endpoint.key == key).map(|found| &found.entry)
     }
 
     // Keeps only the first endpoint, by hash, whose load is below the mean load of the other
@@ -539,6 +584,9 @@
         now: time::Tick,
     ) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        if attempt != outlier::Attempt::Good && self.contacts.is_out(endpoint.key) {
+            return;
+        }
         endpoint.breaker.end(attempt, now);
         match attempt {
             outlier::Attempt::Unreachable => endpoint.was_unreachable = true,
--- a/crates/ibishill-decide/src/contact.rs
+++ b/crates/ibishill-decide/src/contact.rs
@@ -39,6 +39,9 @@
 /// Shortest interval between two questions.
 const QUESTION_PAUSE: time::Millis = time::Millis(50);
 
+/// Interval of the probes of endpoints out of reach.
+const PROBE_INTERVAL: time::Millis = time::Millis(400);
+
 /// Endpoints out of reach from which on the others of the same part, or all, count so as well, as long
 /// as none of these answers.
 const INFERENCE_MIN: usize = 2;
@@ -66,11 +69,14 @@
     waiting: Option<time::Tick>,
     // Last answer that a peer has had, if it is later than the failure.
     confirmed: Option<time::Tick>,
+    // Last probe.
+    probed: time::Tick,
 }
 
 impl Contact {
     const fn new(part: Part) -> Self {
-        Self { part, answered: None, failed: None, waiting: None, confirmed: None }
+        let probed = time::Tick(0);
+        Self { part, answered: None, failed: None, waiting: None, confirmed: None, probed }
     }
 }
 
@@ -93,6 +99,8 @@
     peers: BTreeMap<id::VmId, time::Tick>,
     cut: Cut,
     asked: time::Tick,
+    // Last probe of any endpoint.
+    probed: time::Tick,
 }
 
 /// An endpoint and the age of what is asked or told about it.
@@ -128,9 +136,20 @@
         *contact = Contact { answered: Some(now), ..Contact::new(contact.part) };
         self.parts.insert(contact.part, now);
         self.answered = Some(now);
+        if is_out {
+            // What else is out of reach may be back as well.
+            self.probed = time::Tick(0);
+        }
         is_out && self.judge(now)
     }
 
+    /// Records that another endpoint has answered at its address: the path is whole, and it has ended.
+    pub fn record_replaced(&mut self, key: EndpointKey) {
+        if let Some(contact) = self.known.get_mut(&key) {
+            *contact = Contact { answered: contact.answered, ..Contact::new(contact.part) };
+        }
+    }
+
     /// Records a failed connection, or one that ended without a whole answer.
     pub fn record_failure(&mut self, key: EndpointKey, now: time::Tick) {
         if let Some(contact) = self.known.get_mut(&key) {
@@ -265,6 +284,38 @@
         self.known.keys().copied().filter(|key| self.is_out(*key))
     }
 
+    /// Endpoint out of reach that is to be probed now; none if no probe is due.
+    ///
+    /// One that has not failed itself comes first, as its answer ends the inference from others.
+    pub fn take_probe(&mut self, now: time::Tick) -> Option<EndpointKey> {
+        if !self.is_cut() || now.since(self.probed) < PROBE_INTERVAL {
+            return None;
+        }
+        let is_due = |contact: &Contact| {
+            contact.probed.0 == 0 || now.since(contact.probed) >= PROBE_INTERVAL
+        };
+        let due = self.known.iter().filter(|(key, contact)| self.is_out(**key) && is_due(contact));
+        let next = due.min_by_key(|(_, contact)| (contact.failed.is_some(), contact.probed));
+        let next = next.map(|(key, _)| *key)?;
+        self.probed = now;
+        if let Some(contact) = self.known.get_mut(&next) {
+            contact.probed = now;
+        }
+        Some(next)
+    }
+
+    /// Whether an endpoint has answered here or a peer later than `at`.
+    pub fn has_answered_since(&self, key: EndpointKey, at: time::Tick) -> bool {
+        let last = self.known.get(&key).and_then(|contact| contact.answered.max(contact.confirmed));
+        last.is_some_and(|last| last > at)
+    }
+
+    /// Records that a peer does not take requests for endpoints out of reach, until it tells again that
+    /// they have answered it.
+    pub fn record_refusal(&mut self, peer: &id::VmId) {
+        self.peers.remove(peer);
+    }
+
     /// Peers that have lately had answers from endpoints that are out of reach here.
     pub fn reaching(&self, now: time::Tick) -> impl Iterator<Item = &id::VmId> {
         self.peers.iter().filter(move |(_, at)| now.since(**at) < EVIDENCE_TTL).map(|(vm, _)| vm)
--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -69,6 +69,10 @@
 /// Time since the first end, within which answers that clear the key become known.
 const DELIBERATION: time::Millis = time::Millis(1_000);
 
+/// Time after an end from which on an answer of that endpoint shows that it has not ended; earlier ones may
+/// have been on their way.
+const VOID_MARGIN: time::Millis = time::Millis(200);
+
 /// Time after which an end no longer counts.
 const END_TTL: time::Millis = time::Millis::from_secs(600);
 
@@ -346,6 +350,26 @@
         is_new
     }
 
+    /// Withdraws ends of endpoints that have not ended, as `has_answered` tells of an endpoint and a time;
+    /// keys that fewer ends are left against than it takes are no longer refused.
+    pub fn void_ends<F>(&mut self, has_answered: F, now: time::Tick)
+    where
+        F: Fn(endpoint_key::EndpointKey, time::Tick) -> bool,
+    {
+        for (key, record) in &mut self.records {
+            let before = record.ends.len();
+            record.ends.retain(|end| !has_answered(end.endpoint, end.at + VOID_MARGIN));
+            if record.ends.len() == before {
+                continue;
+            }
+            record.changed = now;
+            if record.hold.is_some() && record.ends.len() < rules(*key).refused {
+                record.set_hold(None, record.epoch + 1, now);
+                self.changes.push(Change { key: *key, is_refused: false, ends: before });
+            }
+        }
+    }
+
     fn record(&mut self, key: call::SuspectKey, depth: usize, now: time::Tick) -> &mut Record {
         if self.records.len() >= KEYS_MAX && !self.records.contains_key(&key) {
             let order =
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -423,3 +423,31 @@
         }
     }
 }
+
+#[test]
+fn endpoints_out_of_reach_are_left_to_peers_and_keep_no_blame() {
+    let mut balancer = balancer(2);
+    let pool: id::ServiceId = "pool".parse().unwrap();
+    let (peer, start): (id::VmId, _) = ("vm2".parse().unwrap(), time::Tick(10_000));
+    let ids: [id::EndpointId; 2] = ["e0".parse().unwrap(), "e1".parse().unwrap()];
+    for id in &ids {
+        let key = balancer.key(id).unwrap();
+        let unreachable = outlier::Attempt::Unreachable;
+        balancer.record_attempt(id, unreachable, None, SLOW_START, start);
+        balancer.contacts().record_failure(key, start);
+        let later = start + time::Millis(100);
+        balancer.contacts().record_evidence(&peer, &[(key, time::Millis(0))], later);
+    }
+    let later = start + time::Millis(110);
+    assert!(balancer.judge_contacts(later));
+    let choice = balancer.pick(&request(&pool, &[]), SLOW_START, first_rank, later);
+    assert_eq!(choice, balance::Choice::OutOfReach);
+    assert!(balancer.is_service_out(&pool));
+    for id in &ids {
+        let key = balancer.key(id).unwrap();
+        balancer.contacts().record_answer(key, later);
+        assert!(!balancer.is_cold(id, later));
+    }
+    let choice = balancer.pick(&request(&pool, &[]), SLOW_START, first_rank, later);
+    assert!(matches!(choice, balance::Choice::Send(_)));
+}
--- a/crates/ibishill-decide/tests/relay/contact.rs
+++ b/crates/ibishill-decide/tests/relay/contact.rs
@@ -199,3 +199,32 @@
     let asked = [(key(0), time::Millis(200)), (key(1), time::Millis(200))];
     assert_eq!(contacts.answers(&asked, at(500)), [(key(0), time::Millis(100))]);
 }
+
+#[test]
+fn one_endpoint_at_a_time_is_probed_and_the_next_at_once_after_an_answer() {
+    let mut contacts = contacts();
+    assert_eq!(contacts.take_probe(at(50)), None);
+    for number in [0, 2] {
+        contacts.record_failure(key(number), at(100));
+        contacts.record_evidence(&peer(), &[(key(number), time::Millis(0))], at(200));
+    }
+    contacts.judge(at(210));
+    let first = contacts.take_probe(at(210)).unwrap();
+    assert!([key(1), key(3)].contains(&first), "one that has not failed comes first");
+    assert_eq!(contacts.take_probe(at(300)), None);
+    contacts.record_answer(first, at(310));
+    assert!(!contacts.is_isolated());
+    assert!([key(0), key(2)].contains(&contacts.take_probe(at(320)).unwrap()));
+}
+
+#[test]
+fn peer_that_declines_is_left_until_it_tells_more_answers() {
+    let mut contacts = contacts();
+    contacts.record_failure(key(0), at(100));
+    contacts.record_evidence(&peer(), &[(key(0), time::Millis(0))], at(200));
+    assert_eq!(contacts.reaching(at(210)).collect::<Vec<_>>(), [&peer()]);
+    contacts.record_refusal(&peer());
+    assert_eq!(contacts.reaching(at(220)).count(), 0);
+    contacts.record_evidence(&peer(), &[(key(0), time::Millis(0))], at(300));
+    assert_eq!(contacts.reaching(at(310)).count(), 1);
+}
--- a/crates/ibishill-decide/tests/relay/quarantine.rs
+++ b/crates/ibishill-decide/tests/relay/quarantine.rs
@@ -568,3 +568,19 @@
     quarantine.judge(now);
     assert_eq!(verdict(&quarantine, SOUND_PROMPT, now), quarantine::Verdict::Allowed);
 }
+
+#[test]
+fn ends_of_endpoints_that_answer_later_are_withdrawn_and_the_key_is_released() {
+    let mut quarantine = quarantine::Quarantine::default();
+    for number in 0..3 {
+        quarantine.record_end(&[COPY], key(number), START);
+    }
+    let later = START + time::Millis(1_500);
+    quarantine.judge(later);
+    assert!(is_refused(&quarantine, &[COPY], later));
+    quarantine.void_ends(|endpoint, _| endpoint == key(7), later);
+    assert!(is_refused(&quarantine, &[COPY], later));
+    quarantine.void_ends(|endpoint, _| endpoint == key(1), later);
+    assert_eq!(quarantine.judge(later).len(), 1);
+    assert!(!is_refused(&quarantine, &[COPY], later));
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
@@ -12,7 +12,7 @@
 use tokio::time as clock;
 
 use crate::context::Shared;
-use crate::request::{Received, Target};
+use crate::request::{Destination, Received, Target};
 use crate::upstream::{self, CallError};
 use crate::{early_end, isolation, retry_budget, rollout};
 
@@ -64,11 +64,26 @@
     /// Whether the body has neither a length nor chunks and ends with the connection.
     pub(crate) is_until_close: bool,
     pub(crate) connection: upstream::Connection,
-    pub(crate) guard: AttemptGuard,
+    /// Holds the place at the endpoint; none if a peer does.
+    pub(crate) guard: Option<AttemptGuard>,
+    pub(crate) destination: Destination,
 }
 
 impl Outcome {
-    const fn name(&self) -> &'static str {
+    /// Text for the log: the status, or how the attempt ended.
+    pub(crate) fn label(&self) -> String {
+        match self {
+            Self::Response(response) => response.status().as_u16().to_string(),
+            Self::Stream(start) => {
+                let confidence = start.reply.confidence;
+                confidence.map_or("stream".into(), |confidence| format!("stream {confidence:.2}"))
+            }
+            _ => self.name().to_owned(),
+        }
+    }
+
+    /// Label in the metrics.
+    pub(crate) const fn name(&self) -> &'static str {
         match self {
             Self::ConnectFailed => "unsent",
             Self::NotAttempted => "untried",
@@ -109,7 +124,8 @@
 /// The same for streams; callers leave after four times the target.
 const STREAM_HANG_TIMEOUT_PERCENT: u64 = 200;
 
-fn hang_timeout(route: &route::Route) -> time::Millis {
+/// Time without a response after which a request that may be repeated is retried elsewhere.
+pub(crate) fn hang_timeout(route: &route::Route) -> time::Millis {
     let percent =
         if route.kind.is_stream() { STREAM_HANG_TIMEOUT_PERCENT } else { HANG_TIMEOUT_PERCENT };
     time::Millis(route.latency_target.0 * percent / 100)
@@ -133,20 +149,28 @@
     log_sent(received, target, started, remaining);
     let request = build_request(received, target, remaining);
     let hang_timeout = hang_timeout(&received.route);
-    let mut work = std::pin::pin!(send(received, &registration, request, guard));
-    let has_hang_timeout = can_retry && received.route.kind.may_retry() && hang_timeout < remaining;
-    let early = if has_hang_timeout {
-        clock::timeout(Duration::from_millis(hang_timeout.0), work.as_mut()).await.ok()
+    let mut work = std::pin::pin!(send(received, target, &registration, request, guard));
+    let may_end_early = can_retry && received.route.kind.may_retry();
+    let early = if may_end_early {
+        let limit = Duration::from_millis(hang_timeout.0.min(remaining.0));
+        tokio::select! {
+            found = clock::timeout(limit, work.as_mut()) => found.ok(),
+            () = isolation::out_of_reach(context, &target.endpoint) => None,
+        }
     } else {
         None
     };
     // An unresponsive endpoint ends the attempt early only if a retry is granted.
-    let is_hung = has_hang_timeout
+    let is_hung = may_end_early
         && early.is_none()
+        && received.remaining(context.now()).0 > 0
         && retry_budget::acquire(context, received, retry_budget::Retry::Silent);
     let (outcome, detail) = match early {
         Some(found) => found,
-        None if is_hung => (Outcome::Unresponsive, format!("no answer within {hang_timeout}")),
+        None if is_hung => {
+            let waited = context.now().since(started);
+            (Outcome::Unresponsive, format!("no answer within {waited}"))
+        }
         None => {
             let remaining = received.remaining(context.now());
             match clock::timeout(Duration::from_millis(remaining.0), work.as_mut()).await {
@@ -180,6 +204,7 @@
 
 async fn send(
     received: &Received,
+    target: &Target,
     registration: &fleet::Registration,
     request: Request<Bytes>,
     mut guard: AttemptGuard,
@@ -203,7 +228,11 @@
             };
         }
     };
-    isolation::record_answer(&guard.context, &registration.id);
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        isolation::record_replaced(&guard.context, &registration.id);
+    } else {
+        isolation::record_answer(&guard.context, &registration.id);
+    }
     guard.mark_answering();
     let (parts, body) = response.into_parts();
     let reply = head::decode_reply(parts.status, &parts.headers, &received.metadata.id);
@@ -218,11 +247,13 @@
     if reply.is_encoded || !reply.has_signature {
         return (Outcome::Unknown, "the answer is not signed".into());
     }
-    let is_until_close = !parts.headers.contains_key(header::CONTENT_LENGTH)
-        && !parts.headers.contains_key(header::TRANSFER_ENCODING);
+    let is_until_close = is_until_close(&parts.headers);
     let head = Response::from_parts(parts, ());
     if received.route.kind.is_stream() && head.status().is_success() {
-        let start = StreamStart { head, reply, body, is_until_close, connection, guard };
+        let destination = Destination::Endpoint(target.clone());
+        let guard = Some(guard);
+        let start =
+            StreamStart { head, reply, body, is_until_close, connection, guard, destination };
         return (Outcome::Stream(Box::new(start)), String::new());
     }
     let buffers = guard.context.answers.clone();
@@ -235,6 +266,12 @@
     }
 }
 
+/// Whether an answer has neither a length nor chunks, so that its body ends with the connection.
+pub(crate) fn is_until_close(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 // A refusal or an error may come from before the endpoint, so it does not withdraw a limit.
 fn record_limit(
     context: &Shared,
@@ -341,8 +378,9 @@
             (outlier::Attempt::Failed, Outcome::Response(_)) => Some(canary::Outcome::Failed),
             (outlier::Attempt::Failed, _) => Some(canary::Outcome::Lost),
         };
-        // What a suspect has lost says nothing of the version.
-        let is_excused = is_suspect && answer == Some(canary::Outcome::Lost);
+        // What a suspect has lost says nothing of the version, nor does what is out of reach.
+        let is_excused = (is_suspect || state.balancer.is_out_of_reach(&target.endpoint))
+            && answer == Some(canary::Outcome::Lost);
         if let Some(answer) = answer.filter(|_| !is_excused) {
             record_for_rollout(&mut state, context, received, target, answer);
         }
@@ -426,21 +464,13 @@
     detail: &str,
     started: time::Tick,
 ) {
-    let label = match outcome {
-        Outcome::Response(response) => response.status().as_u16().to_string(),
-        Outcome::Stream(start) => {
-            let confidence = start.reply.confidence;
-            confidence.map_or("stream".into(), |confidence| format!("stream {confidence:.2}"))
-        }
-        _ => outcome.name().to_owned(),
-    };
     let took = context.now().since(started);
     event::emit_json(
         event::Event::AttemptEnded,
         &[
             event::field("request", &received.metadata.id),
             event::field("endpoint", &target.endpoint),
-            event::field("outcome", &label),
+            event::field("outcome", &outcome.label()),
             event::field("took", &took),
             event::field("detail", &detail),
         ],
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -32,8 +32,12 @@
     pub(crate) chunks_serving: Cell<u32>,
     /// Number of running checks of endpoints that may have ended.
     pub(crate) end_checks: Cell<u32>,
-    /// Notified when an endpoint has failed to answer.
+    /// Notified when an endpoint has failed to answer, or one that was out of reach has answered.
     pub(crate) contact_lost: Notify,
+    /// Notified when other endpoints are out of reach than before.
+    pub(crate) reach_changed: Notify,
+    /// Number of requests that are being run for peers.
+    pub(crate) forwarded: Cell<u32>,
     /// Notified when this relay has seen an endpoint end as an answer began.
     pub(crate) evidence_added: Notify,
     /// Notified when connections must be closed because the process is stopping.
@@ -57,6 +61,8 @@
             chunks_serving: Cell::new(0),
             end_checks: Cell::new(0),
             contact_lost: Notify::new(),
+            reach_changed: Notify::new(),
+            forwarded: Cell::new(0),
             evidence_added: Notify::new(),
             shutdown: Notify::new(),
         })
--- a/crates/ibishill-relay/src/control.rs
+++ b/crates/ibishill-relay/src/control.rs
@@ -1,23 +1,25 @@
-//! Serves other relays: their messages and their requests for chunks.
+//! Serves other relays: their messages, their requests for chunks, and callers' requests that they pass on.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use ibishill_core::event;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time as clock;
 
+use crate::body::{self, Body};
 use crate::context::Shared;
-use crate::{chunks, gossip};
+use crate::{chunks, gossip, handler, hop};
 
 /// Longest time that a connection is served.
 const SERVING_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -25,6 +27,9 @@
 /// Maximum size of an encoded message, in bytes.
 const MESSAGE_MAX: usize = 8 * 1_024 * 1_024;
 
+/// Requests of peers that run at the same time, at about 30 KB each.
+const FORWARDED_MAX: u32 = 512;
+
 /// Delay after a failed accept, since file descriptors may be exhausted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(400);
 
@@ -40,22 +45,72 @@
             }
         };
         let context = context.clone();
-        tokio::task::spawn_local(async move {
-            let place = Rc::new(RefCell::new(None));
-            let service =
-                service::service_fn(move |request| handle(context.clone(), place.clone(), request));
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // On failure the peer sees the connection close and counts the exchange as failed.
-            let _ended = clock::timeout(SERVING_TIMEOUT, serving).await;
-        });
+        tokio::task::spawn_local(serve_peer(context, stream));
+    }
+}
+
+async fn serve_peer(context: Shared, stream: TcpStream) {
+    let connection = Rc::new(Connection::default());
+    let service = {
+        let connection = connection.clone();
+        service::service_fn(move |request| handle(context.clone(), connection.clone(), request))
+    };
+    let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut serving = pin::pin!(serving);
+    // On failure the peer sees the connection close and counts the exchange as failed.
+    let ended = clock::timeout(SERVING_TIMEOUT, serving.as_mut()).await;
+    if ended.is_err() && connection.is_forwarding.get() {
+        // A request has a deadline, and ends with its caller.
+        let _ended = serving.await;
+    }
+}
+
+/// Counts a request that runs for a peer until dropped.
+struct ForwardGuard(Shared);
+
+impl ForwardGuard {
+    // None if as many run as may.
+    fn begin(context: &Shared) -> Option<Self> {
+        let count = context.forwarded.get();
+        (count < FORWARDED_MAX).then(|| {
+            context.forwarded.set(count + 1);
+            Self(context.clone())
+        })
+    }
+}
+
+impl Drop for ForwardGuard {
+    fn drop(&mut self) {
+        self.0.forwarded.set(self.0.forwarded.get() - 1);
     }
 }
 
+/// State of a connection.
+#[derive(Default)]
+struct Connection {
+    /// Held while a request for chunks is served.
+    place: RefCell<Option<chunks::Place>>,
+    /// Whether it carries a caller's request.
+    is_forwarding: Cell<bool>,
+    /// Held while that request runs.
+    forward: RefCell<Option<ForwardGuard>>,
+}
+
 async fn handle(
     context: Shared,
-    place: Rc<RefCell<Option<chunks::Place>>>,
+    connection: Rc<Connection>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<Body>, Infallible> {
+    if let Some(hop) = request.headers().get(hop::HOP) {
+        let Some(hop) = hop.to_str().ok().and_then(|text| text.parse().ok()) else {
+            return Ok(respond(Err(StatusCode::BAD_REQUEST)));
+        };
+        connection.is_forwarding.set(true);
+        let guard = ForwardGuard::begin(&context);
+        let is_full = guard.is_none();
+        *connection.forward.borrow_mut() = guard;
+        return Ok(handler::handle_forwarded(context, request, hop, is_full).await);
+    }
     let is_for_chunks = request.uri().path() == chunks::PATH;
     let Ok(body) = Limited::new(request.into_body(), MESSAGE_MAX).collect().await else {
         return Ok(respond(Err(StatusCode::BAD_REQUEST)));
@@ -66,7 +121,7 @@
     }
     let taken = chunks::Place::take(&context);
     let is_full = taken.is_none();
-    *place.borrow_mut() = taken;
+    *connection.place.borrow_mut() = taken;
     let result = if is_full {
         Err(StatusCode::SERVICE_UNAVAILABLE)
     } else {
@@ -75,12 +130,12 @@
     Ok(respond(result))
 }
 
-fn respond(result: Result<Bytes, StatusCode>) -> Response<Full<Bytes>> {
-    let (status, body) = match result {
-        Ok(body) => (StatusCode::OK, body),
+fn respond(result: Result<Bytes, StatusCode>) -> Response<Body> {
+    let (status, content) = match result {
+        Ok(content) => (StatusCode::OK, content),
         Err(status) => (status, Bytes::new()),
     };
-    let mut response = Response::new(Full::new(body));
+    let mut response = Response::new(body::full(content));
     *response.status_mut() = status;
     response
 }
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -199,6 +199,9 @@
         );
         let key = endpoint_key::EndpointKey::of(registration);
         let mut state = context.state();
+        if state.balancer.is_out_of_reach(&registration.id) {
+            return;
+        }
         if state.quarantine.record_end(&self.keys, key, self.at) {
             context.evidence_added.notify_one();
         }
@@ -208,6 +211,8 @@
 
 /// Refuses or releases what the evidence so far blames or clears, and logs it.
 pub(crate) fn judge(state: &mut State, now: time::Tick) {
+    let contacts = &*state.balancer.contacts();
+    state.quarantine.void_ends(|key, at| contacts.has_answered_since(key, at), now);
     for change in state.quarantine.judge(now) {
         event::emit_json(
             event::Event::QuarantineChanged,
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -17,8 +17,8 @@
 use crate::body::{self, Body};
 use crate::context::Shared;
 use crate::local_reply::{self, Reason};
-use crate::request::Received;
-use crate::{request_key, retry_budget, selection, stream};
+use crate::request::{Hop, Received};
+use crate::{hop, request_key, retry_budget, selection, stream};
 
 /// Time within which a request body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -73,6 +73,39 @@
 
 /// Handles a request and returns the response for its caller.
 pub(crate) async fn handle(context: Shared, request: Request<Incoming>) -> Response<Body> {
+    handle_from(context, request, None).await
+}
+
+/// Handles a request that a peer passes on, whose endpoints it does not reach, and returns the response
+/// for the peer; `is_full` if this relay runs as many as it may.
+pub(crate) async fn handle_forwarded(
+    context: Shared,
+    request: Request<Incoming>,
+    hop: Hop,
+    is_full: bool,
+) -> Response<Body> {
+    let mut response = if is_full {
+        let id = head::decode_request(request.headers()).id;
+        local_reply::respond(&context, &id, Reason::ForwardLimit)
+    } else {
+        handle_from(context, request, Some(hop)).await
+    };
+    let is_declined = matches!(
+        response.extensions().get(),
+        Some(
+            Reason::OutOfReach | Reason::ForwardLimit | Reason::NotReady | Reason::CatalogOutdated
+        )
+    );
+    let result = if is_declined { hop::DECLINED } else { hop::DONE };
+    response.headers_mut().insert(hop::RESULT, result);
+    response
+}
+
+async fn handle_from(
+    context: Shared,
+    request: Request<Incoming>,
+    hop: Option<Hop>,
+) -> Response<Body> {
     let arrived = context.now();
     let metadata = head::decode_request(request.headers());
     let mut guard = CallerGuard {
@@ -82,6 +115,7 @@
         is_done: false,
     };
     let response = match receive(&context, request, metadata, arrived).await {
+        Ok(received) if hop.is_some() => run(&context, Received { hop, ..received }).await,
         Ok(received) => run(&context, received).await,
         Err((request, reason)) => local_reply::respond(&context, &request, reason),
     };
@@ -150,6 +184,8 @@
         key,
         arrived,
         deadline: arrived + wait,
+        is_counted: false,
+        hop: None,
     })
 }
 
@@ -193,14 +229,15 @@
     received.route.models.iter().map(model).collect()
 }
 
-async fn run(context: &Shared, received: Received) -> Response<Body> {
+async fn run(context: &Shared, mut received: Received) -> Response<Body> {
     let workspace = received.workspace.as_ref().map(|workspace| workspace.name.clone());
     let guard = RequestGuard::begin(context, workspace);
     let remaining = received.deadline.since(context.now());
     let deadline = clock::Instant::now() + Duration::from_millis(remaining.0);
     let mut has_sent = false;
     let (request, arrived) = (received.metadata.id.clone(), received.arrived);
-    retry_budget::record_request(context, &received);
+    retry_budget::record_request(context, &mut received);
+    follow_variant(context, &received);
     let work = attempts(context, received, &mut has_sent);
     let result = match clock::timeout_at(deadline, work).await {
         Ok(result) => result,
@@ -221,6 +258,15 @@
     }
 }
 
+// Keeps a session on the stable version if the relay that it came through does.
+fn follow_variant(context: &Shared, received: &Received) {
+    if received.hop.as_ref().is_some_and(|hop| hop.is_stable)
+        && let Some(canary) = context.state().canaries.get_mut(&received.service)
+    {
+        canary.pin(received.session_hash());
+    }
+}
+
 async fn attempts(
     context: &Shared,
     received: Received,
@@ -229,18 +275,52 @@
     let models = models(context, &received);
     let mut index = 0;
     let mut tried: Vec<id::EndpointId> = Vec::new();
-    let mut sends = 0;
+    let mut sends = received.hop.as_ref().map_or(0, |hop| hop.sends);
     let mut may_have_run = false;
     let mut last: Option<Response<Bytes>> = None;
     loop {
         let model = models.get(index).map(|model| &model.name);
         let found = selection::choose_or_wait(context, &received, &tried, model).await;
-        let target = match found {
-            Ok(target) => target,
+        let way = match found {
+            Ok(way) => way,
             Err(reason) => return conclude(last, may_have_run, reason),
         };
         let has_retry_left = sends + 1 < received.route.max_attempts;
         let was_sent = std::mem::replace(has_sent, true);
+        let target = match way {
+            selection::Way::Endpoint(target) => target,
+            selection::Way::Peer => {
+                let last_event = received.metadata.last_event;
+                match hop::run(context, &received, last_event, sends).await {
+                    Outcome::ConnectFailed | Outcome::NotAttempted | Outcome::Refused => {
+                        *has_sent = was_sent;
+                        return conclude(last, may_have_run, Reason::OutOfReach);
+                    }
+                    Outcome::TimedOut => return Err(Reason::DeadlineAfterSend),
+                    Outcome::Unknown | Outcome::Unresponsive => {
+                        sends += 1;
+                        may_have_run = true;
+                        let may_retry = received.route.kind.may_retry();
+                        if may_retry
+                            && sends < received.route.max_attempts
+                            && retry_budget::acquire(
+                                context,
+                                &received,
+                                retry_budget::Retry::Unknown,
+                            )
+                        {
+                            continue;
+                        }
+                        return conclude(last, true, Reason::OutcomeUnknown);
+                    }
+                    // The peer has made all attempts that there are.
+                    Outcome::Response(response) => return Ok(forward(response)),
+                    Outcome::Stream(start) => {
+                        return Ok(stream::forward(context, received, *start, sends + 1));
+                    }
+                }
+            }
+        };
         let outcome = attempt::run(context, &received, &target, has_retry_left).await;
         tried.push(target.endpoint.clone());
         match outcome {
@@ -303,7 +383,7 @@
                     tried.clear();
                     continue;
                 }
-                return Ok(stream::forward(context, received, target, *start, sends));
+                return Ok(stream::forward(context, received, *start, sends));
             }
         }
     }
--- /dev/null
+++ b/crates/ibishill-relay/src/hop.rs
@@ -0,0 +1,207 @@
+//! Sends a request through a peer that reaches endpoints which this relay does not.
+//!
+//! The peer decides as if the request came from its own caller, with its own share of what endpoints take,
+//! and never passes it on again. The request goes to the peer's address for other relays, which callers
+//! don't reach.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request, Response};
+use ibishill_adapter::head;
+use ibishill_core::{event, id, time};
+use ibishill_decide::{canary, peers, reach};
+use tokio::time as clock;
+use xxhash_rust::xxh3;
+
+use crate::attempt::{self, Outcome, StreamStart};
+use crate::context::Shared;
+use crate::request::{Destination, Hop, Received};
+use crate::upstream::{self, CallError};
+
+/// Header of a request that comes from another relay; its value is a [`Hop`].
+pub(crate) const HOP: HeaderName = HeaderName::from_static("relay-hop");
+
+/// Header of the answer to such a request.
+pub(crate) const RESULT: HeaderName = HeaderName::from_static("relay-hop-result");
+
+/// Value of [`RESULT`]: the peer has not tried, and another one may.
+pub(crate) const DECLINED: HeaderValue = HeaderValue::from_static("declined");
+
+/// Value of [`RESULT`]: the answer is the caller's.
+pub(crate) const DONE: HeaderValue = HeaderValue::from_static("done");
+
+/// Peers that are tried for one request.
+const TRIED_MAX: usize = 3;
+
+/// Time for which a peer may be silent, as a multiple of that for an endpoint: it retries itself.
+pub(crate) const PATIENCE: u32 = 2;
+
+/// Sends the request through a peer, and records and logs the outcome.
+///
+/// `sends` is the number of attempts so far. [`Outcome::ConnectFailed`] means that no peer has tried.
+pub(crate) async fn run(
+    context: &Shared,
+    received: &Received,
+    last_event: Option<u64>,
+    sends: u32,
+) -> Outcome {
+    for peer in candidates(context, received) {
+        let started = context.now();
+        let remaining = received.remaining(started);
+        log_sent(received, &peer.vm, remaining);
+        let request = build_request(context, received, last_event, sends, remaining);
+        let work = send(context, received, &peer, request);
+        let limit = timeout(received, sends).min(remaining.to_std());
+        let (outcome, detail) = match clock::timeout(limit, work).await {
+            Ok(found) => found,
+            Err(_) if received.remaining(context.now()).0 == 0 => {
+                (Outcome::TimedOut, format!("no answer within {remaining}"))
+            }
+            Err(_) => (Outcome::Unresponsive, format!("no answer within {} ms", limit.as_millis())),
+        };
+        let has_failed = matches!(
+            outcome,
+            Outcome::ConnectFailed | Outcome::Refused | Outcome::Unknown | Outcome::Unresponsive
+        );
+        if has_failed {
+            context.state().balancer.contacts().record_refusal(&peer.vm);
+        }
+        log_ended(context, received, &peer.vm, &outcome, &detail, started);
+        if !matches!(outcome, Outcome::ConnectFailed | Outcome::NotAttempted | Outcome::Refused) {
+            return outcome;
+        }
+    }
+    Outcome::ConnectFailed
+}
+
+// Time for the head of the answer.
+fn timeout(received: &Received, sends: u32) -> Duration {
+    let may_retry = received.route.kind.may_retry() && sends + 1 < received.route.max_attempts;
+    if may_retry {
+        attempt::hang_timeout(&received.route).to_std() * PATIENCE
+    } else {
+        Duration::MAX
+    }
+}
+
+// Peers that lately had answers from endpoints out of reach here, in an order that spreads requests. A
+// request goes to another region only if its caller has connected there.
+fn candidates(context: &Shared, received: &Received) -> Vec<peers::Member> {
+    let now = context.now();
+    let mut state = context.state();
+    let reaching: Vec<id::VmId> = state.balancer.contacts().reaching(now).cloned().collect();
+    let alive = state.peers.alive(now).into_iter().skip(1);
+    let is_candidate = |peer: &&peers::Member| {
+        reaching.contains(&peer.vm) && state.settings.is_in_own_region(&peer.zone)
+    };
+    let mut found: Vec<peers::Member> = alive.filter(is_candidate).cloned().collect();
+    let seed = xxh3::xxh3_64(received.metadata.id.as_bytes());
+    found.sort_by_key(|peer| xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), seed));
+    found.truncate(TRIED_MAX);
+    found
+}
+
+fn build_request(
+    context: &Shared,
+    received: &Received,
+    last_event: Option<u64>,
+    sends: u32,
+    remaining: time::Millis,
+) -> Request<Bytes> {
+    let now = context.now();
+    let hop = {
+        let mut state = context.state();
+        let canary = state.canaries.get_mut(&received.service);
+        let session = received.session_hash();
+        let variant = canary.map(|canary| canary.assign(session, now));
+        Hop {
+            vm: state.settings.vm.clone(),
+            sends,
+            is_counted: received.is_counted,
+            is_stable: variant == Some(canary::Variant::Stable),
+        }
+    };
+    let mut request = Request::new(received.body.clone());
+    *request.method_mut() = received.method.clone();
+    *request.uri_mut() = received.uri.clone();
+    *request.headers_mut() = head::forward_to_relay(&received.headers, remaining, last_event);
+    if let Ok(hop) = HeaderValue::from_str(&hop.to_string()) {
+        request.headers_mut().insert(HOP, hop);
+    }
+    request
+}
+
+async fn send(
+    context: &Shared,
+    received: &Received,
+    peer: &peers::Member,
+    request: Request<Bytes>,
+) -> (Outcome, String) {
+    let stream = match upstream::connect(peer.address, reach::CONNECT_TIMEOUT_MAX).await {
+        Ok(stream) => stream,
+        Err(error @ CallError::NotAttempted(_)) => {
+            return (Outcome::NotAttempted, error.to_string());
+        }
+        Err(error) => return (Outcome::ConnectFailed, error.to_string()),
+    };
+    let (response, connection) = match upstream::send(stream, request).await {
+        Ok(answered) => answered,
+        Err(error @ CallError::Unknown(_)) => return (Outcome::Unknown, error.to_string()),
+        Err(error) => return (Outcome::ConnectFailed, error.to_string()),
+    };
+    let (mut parts, body) = response.into_parts();
+    match parts.headers.remove(RESULT) {
+        Some(result) if result == DONE => {}
+        Some(_) => return (Outcome::Refused, "the peer does not reach endpoints either".into()),
+        None => return (Outcome::Unknown, "the peer can't pass requests on".into()),
+    }
+    let is_until_close = attempt::is_until_close(&parts.headers);
+    let reply = head::decode_reply(parts.status, &parts.headers, &received.metadata.id);
+    let head = Response::from_parts(parts, ());
+    if received.route.kind.is_stream() && head.status().is_success() {
+        let destination = Destination::Peer(peer.vm.clone());
+        let guard = None;
+        let start =
+            StreamStart { head, reply, body, is_until_close, connection, guard, destination };
+        return (Outcome::Stream(Box::new(start)), String::new());
+    }
+    match context.answers.read(body).await {
+        Ok(bytes) => (Outcome::Response(head.map(|()| bytes)), String::new()),
+        Err(error) => (Outcome::Unknown, error.to_string()),
+    }
+}
+
+fn log_sent(received: &Received, peer: &id::VmId, remaining: time::Millis) {
+    event::emit_json(
+        event::Event::RequestForwarded,
+        &[
+            event::field("request", &received.metadata.id),
+            event::field("route", &received.route.name),
+            event::field("peer", peer),
+            event::field("left", &remaining),
+        ],
+    );
+}
+
+fn log_ended(
+    context: &Shared,
+    received: &Received,
+    peer: &id::VmId,
+    outcome: &Outcome,
+    detail: &str,
+    started: time::Tick,
+) {
+    let took = context.now().since(started);
+    context.metrics.record_hop(outcome.name());
+    event::emit_json(
+        event::Event::AttemptEnded,
+        &[
+            event::field("request", &received.metadata.id),
+            event::field("peer", peer),
+            event::field("outcome", &outcome.label()),
+            event::field("took", &took),
+            event::field("detail", &detail),
+        ],
+    );
+}
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -1,22 +1,23 @@
 //! Finds out whether endpoints that don't answer have ended, or are out of reach from this relay only:
 //! peers are asked whether they have had answers since.
 //!
-//! Nothing is sent as long as all endpoints answer.
+//! Nothing is sent as long as all endpoints answer. Those out of reach are probed one at a time.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ibishill_core::{event, id, time};
-use ibishill_decide::contact;
+use ibishill_adapter::{head, store};
+use ibishill_core::{event, fleet, id, time};
+use ibishill_decide::{contact, endpoint_key, reach};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
-use crate::packet;
 use crate::state::State;
+use crate::{packet, upstream};
 
 /// Interval of the checks for endpoints that owe an answer.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -24,6 +25,9 @@
 /// Peers asked at once in the relay's own zone, and as many elsewhere; a whole zone may be cut off.
 const ASKED: usize = 4;
 
+/// Timeout of a probe.
+const PROBE_TIMEOUT: time::Millis = time::Millis(400);
+
 #[derive(Serialize, Deserialize)]
 struct Message {
     /// The sender.
@@ -40,6 +44,10 @@
         let is_notified = waiting.await.is_ok();
         judge(&context);
         let now = context.now();
+        let probe = context.state().balancer.contacts().take_probe(now);
+        if let Some(probe) = probe {
+            tokio::task::spawn_local(run_probe(context.clone(), probe));
+        }
         let endpoints = context.state().balancer.contacts().questions(is_notified, now);
         if endpoints.is_empty() {
             continue;
@@ -117,9 +125,56 @@
 
 fn judge(context: &Shared) {
     let now = context.now();
-    let is_changed = context.state().balancer.contacts().judge(now);
+    let is_changed = context.state().balancer.judge_contacts(now);
     if is_changed {
-        log_change(context);
+        announce(context);
+    }
+}
+
+// Sends a health check to an endpoint that is out of reach; any answer of its own ends that.
+async fn run_probe(context: Shared, key: endpoint_key::EndpointKey) {
+    let (registration, path) = {
+        let mut state = context.state();
+        let Some(registration) = state.balancer.entry_of(key).cloned() else { return };
+        let catalog = state.catalog.as_ref();
+        let service = catalog.and_then(|catalog| catalog.services.get(&registration.service));
+        let path = service.map_or_else(String::new, |service| service.health_path.clone());
+        state.balancer.reach().begin(&registration.zone, context.now());
+        (registration, path)
+    };
+    if check(&registration, path).await {
+        let now = context.now();
+        let none = time::Millis(0);
+        let contact = reach::Contact::Answered;
+        let mut state = context.state();
+        let reach = state.balancer.reach();
+        reach.record(&registration.zone, &registration.id, contact, (none, none), now);
+        drop(state);
+        record_answer(&context, &registration.id);
+        context.contact_lost.notify_one();
+    } else {
+        record_failure(&context, &registration.id);
+    }
+}
+
+// Whether an endpoint answers a health check: another one may have its address by now. Without health checks,
+// whether it accepts a connection.
+async fn check(registration: &fleet::Registration, path: String) -> bool {
+    if path.is_empty() {
+        return upstream::connect(registration.address, PROBE_TIMEOUT).await.is_ok();
+    }
+    let request = store::get(&registration.address.to_string(), path);
+    let limits = upstream::Limits::small(PROBE_TIMEOUT.to_std());
+    let progress = upstream::Progress::default();
+    let response = upstream::exchange(registration.address, request, limits, &progress).await;
+    let health = response.ok().and_then(|response| head::decode_health(response.headers()));
+    health.is_some_and(|health| health.endpoint == registration.id)
+}
+
+/// Waits until an endpoint is out of reach from this relay, but not from its peers.
+pub(crate) async fn out_of_reach(context: &Shared, endpoint: &id::EndpointId) {
+    while !context.state().balancer.is_out_of_reach(endpoint) {
+        context.reach_changed.notified().await;
     }
 }
 
@@ -132,7 +187,15 @@
         key.is_some_and(|key| state.balancer.contacts().record_answer(key, now))
     };
     if is_changed {
-        log_change(context);
+        announce(context);
+    }
+}
+
+/// Records that another endpoint has answered at an endpoint's address.
+pub(crate) fn record_replaced(context: &Shared, endpoint: &id::EndpointId) {
+    let mut state = context.state();
+    if let Some(key) = state.balancer.key(endpoint) {
+        state.balancer.contacts().record_replaced(key);
     }
 }
 
@@ -146,7 +209,10 @@
     }
 }
 
-fn log_change(context: &Shared) {
+// Logs what is out of reach, and wakes requests that wait for endpoints that are.
+fn announce(context: &Shared) {
+    context.reach_changed.notify_waiters();
+    context.capacity_freed.notify_waiters();
     let now = context.now();
     let mut state = context.state();
     let contacts = state.balancer.contacts();
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod gossip;
 mod handler;
 mod head_limit;
+mod hop;
 mod isolation;
 mod load_reports;
 mod local_reply;
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -32,6 +32,10 @@
     NoService,
     /// The service has no eligible endpoint.
     NoEndpoint,
+    /// The service's endpoints are out of reach, and no peer takes the request.
+    OutOfReach,
+    /// The relay runs as many requests for its peers as it may.
+    ForwardLimit,
     /// No endpoint had a free slot within the wait limit.
     NoCapacity,
     /// A segment of the prompt ends endpoints; the time until it is tried again.
@@ -63,6 +67,8 @@
             | Self::NoService
             | Self::NoEndpoint
             | Self::NoCapacity
+            | Self::OutOfReach
+            | Self::ForwardLimit
             | Self::SegmentQuarantined(_)
             | Self::RequestQuarantined(_)
             | Self::Refused
@@ -91,6 +97,8 @@
             Self::BodyIncomplete => "body not received",
             Self::NoService => "no service by weight",
             Self::NoEndpoint => "no endpoint in service",
+            Self::OutOfReach => "no endpoint within reach",
+            Self::ForwardLimit => "too many requests of peers",
             Self::NoCapacity => "no endpoint with room in time",
             Self::SegmentQuarantined(_) => "prompt segment in quarantine",
             Self::RequestQuarantined(_) => "request in quarantine",
@@ -125,6 +133,7 @@
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
     }
+    response.extensions_mut().insert(reason);
     if reason == Reason::BodyIncomplete || reason == Reason::BodyTooLarge {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -46,6 +46,7 @@
     received: Counter<u64>,
     catalog_delay: Histogram<f64>,
     early_ends: Counter<u64>,
+    hops: Counter<u64>,
 }
 
 impl Metrics {
@@ -94,6 +95,7 @@
                 "relay_early_ends",
                 "Endpoints that ended just after an answer began, as seen by this relay",
             ),
+            hops: counter("relay_hops", "Attempts through peers, by outcome"),
             registry,
             _provider: provider,
         })
@@ -128,6 +130,11 @@
         self.response_start.record(took.0 as f64 / 1_000.0, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an attempt through a peer.
+    pub(crate) fn record_hop(&self, outcome: &'static str) {
+        self.hops.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the time that a request waited for a free slot.
     pub(crate) fn record_wait(&self, took: time::Millis) {
         self.wait.record(took.0 as f64 / 1_000.0, &[]);
@@ -188,7 +195,7 @@
          relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n\
          relay_requests_refused {}\n\
          relay_endpoints_limited {}\nrelay_store_restores {}\n\
-         relay_endpoints_out_of_reach {}\n",
+         relay_endpoints_out_of_reach {}\nrelay_forwarded {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -200,6 +207,7 @@
         limited,
         state.restores,
         out_of_reach,
+        context.forwarded.get(),
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/request.rs
+++ b/crates/ibishill-relay/src/request.rs
@@ -1,8 +1,11 @@
-//! A caller's request, and what its attempts send.
+//! A caller's request, and where its attempts go.
+
+use std::{fmt, str};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use ibishill_core::{call, id, route, time};
+use xxhash_rust::xxh3;
 
 /// A request received from a caller, with its resolved route and service.
 pub(crate) struct Received {
@@ -20,8 +23,51 @@
     pub(crate) arrived: time::Tick,
     /// Earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: time::Tick,
+    /// Whether it is counted for the retry budget, here or at the relay that it came through.
+    pub(crate) is_counted: bool,
+    /// What the relay that it came through says; none if it came from its caller.
+    pub(crate) hop: Option<Hop>,
+}
+
+/// What a relay says of a request that it passes on to a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Hop {
+    /// VM of the relay.
+    pub(crate) vm: id::VmId,
+    /// Attempts that it has made.
+    pub(crate) sends: u32,
+    /// Whether it has counted the request for the retry budget.
+    pub(crate) is_counted: bool,
+    /// Whether the session stays with the stable version.
+    pub(crate) is_stable: bool,
+}
+
+impl fmt::Display for Hop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { vm, sends, is_counted, is_stable } = self;
+        write!(f, "{vm} {sends} {is_counted} {is_stable}")
+    }
 }
 
+impl str::FromStr for Hop {
+    type Err = HopError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut fields = text.split(' ');
+        let mut next = || fields.next().ok_or(HopError);
+        Ok(Self {
+            vm: next()?.parse().map_err(|_| HopError)?,
+            sends: next()?.parse().map_err(|_| HopError)?,
+            is_counted: next()?.parse().map_err(|_| HopError)?,
+            is_stable: next()?.parse().map_err(|_| HopError)?,
+        })
+    }
+}
+
+/// Error returned when a text does not describe a [`Hop`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct HopError;
+
 impl Received {
     /// Priority, 0 for the most urgent; the workspace's overrides the route's.
     pub(crate) fn priority(&self) -> u8 {
@@ -54,6 +100,11 @@
         segments.map(call::SuspectKey::Segment).chain([self.whole()]).collect()
     }
 
+    /// Hash of its session, or of the request itself outside of one.
+    pub(crate) fn session_hash(&self) -> u64 {
+        xxh3::xxh3_64(self.metadata.session.as_ref().unwrap_or(&self.metadata.id).as_bytes())
+    }
+
     /// Time until the deadline; 0 once it has passed.
     pub(crate) fn remaining(&self, now: time::Tick) -> time::Millis {
         self.deadline.since(now)
@@ -71,3 +122,31 @@
     /// Prefill cost of the prompt, in thousands of tokens at the largest model.
     pub(crate) prefill: f64,
 }
+
+/// Where an attempt went.
+#[derive(Debug, Clone)]
+pub(crate) enum Destination {
+    /// Directly to an endpoint.
+    Endpoint(Target),
+    /// Through a relay on another VM, which reaches endpoints that this one does not.
+    Peer(id::VmId),
+}
+
+impl Destination {
+    /// The endpoint, if it is known.
+    pub(crate) const fn target(&self) -> Option<&Target> {
+        match self {
+            Self::Endpoint(target) => Some(target),
+            Self::Peer(_) => None,
+        }
+    }
+}
+
+impl fmt::Display for Destination {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Endpoint(target) => target.endpoint.fmt(f),
+            Self::Peer(vm) => write!(f, "peer {vm}"),
+        }
+    }
+}
--- a/crates/ibishill-relay/src/retry_budget.rs
+++ b/crates/ibishill-relay/src/retry_budget.rs
@@ -7,12 +7,19 @@
 use crate::request::Received;
 use crate::state::State;
 
-/// Counts a request, which adds to the budget of its service.
-pub(crate) fn record_request(context: &Shared, received: &Received) {
+/// Counts a request, which adds to the budget of its service; a request that goes through a peer at once
+/// is counted there.
+pub(crate) fn record_request(context: &Shared, received: &mut Received) {
     let now = context.now();
     let mut state = context.state();
-    let bounds = state.settings.bounds;
-    state.allowances.entry(received.service.clone()).or_default().record_request(&bounds, now);
+    if received.hop.is_none() && state.balancer.is_service_out(&received.service) {
+        return;
+    }
+    if !received.hop.as_ref().is_some_and(|hop| hop.is_counted) {
+        let bounds = state.settings.bounds;
+        state.allowances.entry(received.service.clone()).or_default().record_request(&bounds, now);
+    }
+    received.is_counted = true;
     state.balancer.limits().record_request(now);
 }
 
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -39,6 +39,8 @@
     Full,
     /// No eligible endpoint.
     NoEndpoint,
+    /// The endpoints are out of reach from this relay, but not from its peers.
+    OutOfReach,
     /// The request or a segment of its prompt ends endpoints; the time until it is tried again.
     Quarantined(time::Millis),
 }
@@ -61,8 +63,7 @@
     if let quarantine::Verdict::Refused(after) = state.verdict(&received.suspects(), now) {
         return Choice::Quarantined(after);
     }
-    let session = received.metadata.session.as_ref().unwrap_or(&received.metadata.id);
-    let session = xxh3::xxh3_64(session.as_bytes());
+    let session = received.session_hash();
     let slow_start = state.slow_start(&received.service, now);
     let catalog = state.catalog.clone();
     let engine = catalog
@@ -116,6 +117,7 @@
     match choice {
         balance::Choice::Full => Choice::Full,
         balance::Choice::NoEndpoint => Choice::NoEndpoint,
+        balance::Choice::OutOfReach => Choice::OutOfReach,
         balance::Choice::Send(endpoint) => match state.balancer.entry(&endpoint) {
             None => Choice::NoEndpoint,
             Some(entry) => Choice::Send(Target {
@@ -149,7 +151,20 @@
     }
 }
 
-/// Chooses an endpoint, and waits in the queue for a free slot if there is none.
+/// Way of a request's next attempt.
+pub(crate) enum Way {
+    /// Directly to an endpoint.
+    Endpoint(Target),
+    /// Through a peer.
+    Peer,
+}
+
+// A request that a peer has passed on goes no further.
+fn through_peer(received: &Received) -> Result<Way, Reason> {
+    if received.hop.is_some() { Err(Reason::OutOfReach) } else { Ok(Way::Peer) }
+}
+
+/// Chooses the way of the next attempt, and waits in the queue for a free slot if there is none.
 ///
 /// # Errors
 ///
@@ -159,13 +174,14 @@
     received: &Received,
     tried: &[id::EndpointId],
     model: Option<&id::ModelId>,
-) -> Result<Target, Reason> {
+) -> Result<Way, Reason> {
     let (service, priority) = (&received.service, received.priority());
     check_quarantine(context, received)?;
     let is_first = !context.state().wait_queue.has_more_urgent(service, priority);
     if is_first {
         match choose(context, received, tried, model, received.metadata.last_event) {
-            Choice::Send(target) => return Ok(target),
+            Choice::Send(target) => return Ok(Way::Endpoint(target)),
+            Choice::OutOfReach => return through_peer(received),
             Choice::NoEndpoint if !tried.is_empty() => return Err(Reason::NoEndpoint),
             Choice::Quarantined(after) => return Err(quarantined(context, received, after)),
             Choice::NoEndpoint | Choice::Full => {}
@@ -194,8 +210,9 @@
         match choose(context, received, tried, model, received.metadata.last_event) {
             Choice::Send(target) => {
                 context.metrics.record_wait(context.now().since(now));
-                return Ok(target);
+                return Ok(Way::Endpoint(target));
             }
+            Choice::OutOfReach => return through_peer(received),
             Choice::Full => reason = Reason::NoCapacity,
             Choice::NoEndpoint => reason = Reason::NoEndpoint,
             Choice::Quarantined(after) => return Err(quarantined(context, received, after)),
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -17,8 +17,8 @@
 use crate::attempt::{self, Outcome, StreamStart};
 use crate::body::{self, Body, Incomplete};
 use crate::context::Shared;
-use crate::request::{Received, Target};
-use crate::{early_end, isolation, retry_budget, selection};
+use crate::request::{Destination, Received};
+use crate::{early_end, hop, isolation, retry_budget, selection};
 
 /// Chunks buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 4;
@@ -42,7 +42,6 @@
 pub(crate) fn forward(
     context: &Shared,
     received: Received,
-    target: Target,
     start: StreamStart,
     sends: u32,
 ) -> Response<Body> {
@@ -54,7 +53,7 @@
     let forwarder = Forwarder {
         context: context.clone(),
         received,
-        target,
+        destination: start.destination.clone(),
         sender,
         last_event,
         sends,
@@ -69,7 +68,8 @@
 struct Forwarder {
     context: Shared,
     received: Received,
-    target: Target,
+    /// Where the stream comes from.
+    destination: Destination,
     sender: mpsc::Sender<Result<Bytes, Incomplete>>,
     /// Id of the last event that was forwarded.
     last_event: Option<u64>,
@@ -98,16 +98,18 @@
     async fn run(mut self, start: StreamStart) {
         let mut start = start;
         loop {
-            let StreamStart { body, is_until_close, connection, guard, .. } = start;
+            let StreamStart { body, is_until_close, connection, guard, destination, .. } = start;
+            self.destination = destination;
             self.beginning = early_end::Beginning::at(self.context.now());
             let end = self.forward_events(body, is_until_close).await;
             // Closes the connection, so that the endpoint stops before the stream is resumed
             // elsewhere.
             drop(connection);
             drop(guard);
-            if matches!(end, End::Cut(_)) && self.beginning.is_early(self.context.now()) {
-                let endpoint = &self.target.endpoint;
-                early_end::check(&self.context, &self.received, endpoint);
+            if let (End::Cut(_), Some(target)) = (&end, self.destination.target())
+                && self.beginning.is_early(self.context.now())
+            {
+                early_end::check(&self.context, &self.received, &target.endpoint);
             }
             match end {
                 End::Complete => return self.log_done(),
@@ -126,7 +128,9 @@
 
     async fn forward_events(&mut self, mut body: Incoming, is_until_close: bool) -> End {
         let idle_timeout = self.received.route.latency_target.0 * IDLE_TIMEOUT_PERCENT / 100;
-        let idle_timeout = idle_timeout.max(IDLE_TIMEOUT_MIN_MS);
+        let is_direct = self.destination.target().is_some();
+        let patience = if is_direct { 1 } else { u64::from(hop::PATIENCE) };
+        let idle_timeout = idle_timeout.max(IDLE_TIMEOUT_MIN_MS) * patience;
         let mut buffer = BytesMut::new();
         let mut unnumbered = 0;
         let mut pace = pace::Pace::default();
@@ -155,7 +159,9 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             buffer.extend_from_slice(&data);
-            isolation::record_answer(&self.context, &self.target.endpoint);
+            if let Some(target) = self.destination.target() {
+                isolation::record_answer(&self.context, &target.endpoint);
+            }
             let Some(at) = last_separator(&buffer) else {
                 if buffer.len() > EVENT_MAX {
                     return End::Broken(format!("event exceeds {EVENT_MAX} bytes"));
@@ -191,7 +197,7 @@
 
     // The answer has gone on, so its prompt does not end endpoints.
     fn record_survival(&mut self) {
-        if self.beginning.take_survival() {
+        if self.beginning.take_survival() && self.destination.target().is_some() {
             let segments = self.received.suspects();
             let (began, now) = (self.beginning.began(), self.context.now());
             self.context.state().quarantine.record_survival(&segments, began, now);
@@ -207,8 +213,10 @@
 
     // Counts the pace for a roll-out once it is known.
     fn measure(&self, pace: &mut pace::Pace) {
-        if let Some(took) = pace.record(self.events, self.context.now()) {
-            attempt::record_pace(&self.context, &self.received, &self.target, took);
+        if let Some(took) = pace.record(self.events, self.context.now())
+            && let Some(target) = self.destination.target()
+        {
+            attempt::record_pace(&self.context, &self.received, target, took);
         }
     }
 
@@ -217,10 +225,17 @@
         let is_allowed = self.received.route.kind.may_retry()
             && self.sends < self.received.route.max_attempts
             && retry_budget::is_available(&self.context, &self.received);
-        let model = self.target.model.as_ref();
-        let tried = std::slice::from_ref(&self.target.endpoint);
+        let target = self.destination.target();
+        let model = target.and_then(|target| target.model.as_ref());
+        let tried = target.map_or(&[][..], |target| std::slice::from_ref(&target.endpoint));
         let next = selection::choose(&self.context, &self.received, tried, model, self.last_event);
-        is_allowed && matches!(next, selection::Choice::Send(_))
+        let may_hop = self.received.hop.is_none();
+        is_allowed
+            && match next {
+                selection::Choice::Send(_) => true,
+                selection::Choice::OutOfReach => may_hop,
+                _ => false,
+            }
     }
 
     // Records the ids of complete events, which must be consecutive.
@@ -247,7 +262,9 @@
         let kind = self.received.route.kind;
         let mut why = detail;
         loop {
-            self.tried.push(self.target.endpoint.clone());
+            let target = self.destination.target();
+            self.tried.extend(target.map(|target| target.endpoint.clone()));
+            let model = target.and_then(|target| target.model.clone());
             let is_allowed = kind.may_retry() && self.sends < self.received.route.max_attempts;
             let remaining = self.received.remaining(self.context.now());
             if !is_allowed
@@ -257,7 +274,6 @@
                 self.log_broken(&why);
                 return None;
             }
-            let model = self.target.model.clone();
             let next = selection::choose(
                 &self.context,
                 &self.received,
@@ -265,14 +281,22 @@
                 model.as_ref(),
                 self.last_event,
             );
-            let selection::Choice::Send(target) = next else {
-                self.log_broken(&why);
-                return None;
-            };
-            self.target = target;
             let can_retry = self.sends + 1 < self.received.route.max_attempts;
-            let outcome =
-                attempt::run(&self.context, &self.received, &self.target, can_retry).await;
+            let outcome = match next {
+                selection::Choice::Send(target) => {
+                    self.destination = Destination::Endpoint(target.clone());
+                    attempt::run(&self.context, &self.received, &target, can_retry).await
+                }
+                selection::Choice::OutOfReach if self.received.hop.is_none() => {
+                    // What the peers before have used up is unknown, so this one gets one attempt.
+                    let sends = self.received.route.max_attempts.saturating_sub(1);
+                    hop::run(&self.context, &self.received, self.last_event, sends).await
+                }
+                _ => {
+                    self.log_broken(&why);
+                    return None;
+                }
+            };
             match outcome {
                 Outcome::Stream(start) => {
                     self.sends += 1;
@@ -295,15 +319,17 @@
     }
 
     fn record_break(&self) {
-        isolation::record_failure(&self.context, &self.target.endpoint);
+        let Some(target) = self.destination.target() else { return };
+        isolation::record_failure(&self.context, &target.endpoint);
         let now = self.context.now();
         let mut state = self.context.state();
         let slow_start = state.slow_start(&self.received.service, now);
         let failed = outlier::Attempt::Failed;
-        state.balancer.record_attempt(&self.target.endpoint, failed, None, slow_start, now);
-        let (received, target) = (&self.received, &self.target);
-        let lost = canary::Outcome::Lost;
-        attempt::record_for_rollout(&mut state, &self.context, received, target, lost);
+        state.balancer.record_attempt(&target.endpoint, failed, None, slow_start, now);
+        if !state.balancer.is_out_of_reach(&target.endpoint) {
+            let lost = canary::Outcome::Lost;
+            attempt::record_for_rollout(&mut state, &self.context, &self.received, target, lost);
+        }
     }
 
     fn record_end(&self, outcome: &'static str) -> time::Millis {
@@ -323,7 +349,7 @@
             event::Event::RequestDone,
             &[
                 event::field("request", &self.received.metadata.id),
-                event::field("endpoint", &self.target.endpoint),
+                event::field("endpoint", &self.destination),
                 event::field("events", &self.events),
                 event::field("took", &took),
             ],
@@ -347,7 +373,7 @@
             event::Event::StreamResumed,
             &[
                 event::field("request", &self.received.metadata.id),
-                event::field("endpoint", &self.target.endpoint),
+                event::field("endpoint", &self.destination),
                 event::field("events", &self.events),
                 event::field("began", &self.began_before()),
                 event::field("why", &why),
@@ -361,7 +387,7 @@
             event::Event::StreamBroken,
             &[
                 event::field("request", &self.received.metadata.id),
-                event::field("endpoint", &self.target.endpoint),
+                event::field("endpoint", &self.destination),
                 event::field("events", &self.events),
                 event::field("sends", &self.sends),
                 event::field("took", &took),
