division: the senders of an endpoint and their demand, apart from the limit that they divide

endpoint_limit divided requests per second only; slots of endpoints that end by rejections need the same division. No change of behaviour: the tests of endpoint_limit pass unchanged but for the place of demands.

--- a/crates/ibishill-decide/src/endpoint_limit.rs
+++ b/crates/ibishill-decide/src/endpoint_limit.rs
@@ -12,8 +12,7 @@
 use ibishill_core::{id, request_rate, time};
 use serde::{Deserialize, Serialize};
 
-use crate::endpoint_key;
-use crate::rate;
+use crate::{division, endpoint_key, rate};
 
 /// Maximum number of endpoints with a limit; the one named longest ago makes room.
 const ENDPOINTS_MAX: usize = 4_096;
@@ -41,15 +40,6 @@
 /// seem newer than where they come from.
 const HOP_MARGIN: time::Millis = time::Millis(100);
 
-/// Age at which a peer's demand no longer counts.
-const DEMAND_TTL: time::Millis = time::Millis(1_600);
-
-/// Time over which a daemon's demand is averaged, in seconds.
-const DEMAND_WINDOW_S: f64 = 2.0;
-
-/// Demand that counts for a lower one, in requests per second.
-const DEMAND_MIN: f64 = 0.1;
-
 #[derive(Debug, Clone, PartialEq)]
 struct Known {
     // None if it was withdrawn.
@@ -57,9 +47,7 @@
     // When an answer last told it.
     at: time::Tick,
     changed: time::Tick,
-    senders: Vec<id::VmId>,
-    // Membership that the senders are from.
-    generation: Option<u64>,
+    division: division::Division,
     // Share of the limit that this daemon may send, 0 to 1.
     share: f64,
     bucket: rate::Bucket,
@@ -71,8 +59,7 @@
             limit: None,
             at: now,
             changed: now,
-            senders: Vec::new(),
-            generation: None,
+            division: division::Division::default(),
             share: 0.0,
             bucket: rate::Bucket::new(0.0, now),
         }
@@ -117,31 +104,11 @@
     age: time::Millis,
 }
 
-/// Requests per second that a daemon gets, decaying.
-#[derive(Debug, Clone, Copy, Default)]
-struct Demand {
-    rate: f64,
-    at: time::Tick,
-}
-
-impl Demand {
-    fn rate(&self, now: time::Tick) -> f64 {
-        let passed = now.since(self.at).0 as f64 / 1_000.0;
-        self.rate * (-passed / DEMAND_WINDOW_S).exp()
-    }
-
-    fn record(&mut self, now: time::Tick) {
-        let rate = self.rate(now) + 1.0 / DEMAND_WINDOW_S;
-        *self = Self { rate, at: now };
-    }
-}
-
 /// Known limits by endpoint, and the demand by which daemons divide them.
 #[derive(Debug, Clone, Default)]
 pub struct Limits {
     known: BTreeMap<endpoint_key::EndpointKey, Known>,
-    own: Demand,
-    peers: BTreeMap<id::VmId, (f64, time::Tick)>,
+    demands: division::Demands,
 }
 
 impl Limits {
@@ -204,19 +171,9 @@
         is_changed
     }
 
-    /// Counts a request of a caller.
-    pub fn record_request(&mut self, now: time::Tick) {
-        self.own.record(now);
-    }
-
-    /// This daemon's demand for its peers, in requests per second.
-    pub fn demand(&self, now: time::Tick) -> f64 {
-        self.own.rate(now)
-    }
-
-    /// Records the demand that a peer tells, in requests per second.
-    pub fn record_demand(&mut self, vm: &id::VmId, demand: f64, now: time::Tick) {
-        self.peers.insert(vm.clone(), (demand, now));
+    /// Demand by which daemons divide the limits.
+    pub const fn demands(&mut self) -> &mut division::Demands {
+        &mut self.demands
     }
 
     /// Divides the limits anew, and forgets what is out of date.
@@ -228,21 +185,17 @@
         F: Fn(endpoint_key::EndpointKey) -> Vec<id::VmId>,
     {
         self.known.retain(|_, known| now.since(known.at) < LIMIT_TTL);
-        self.peers.retain(|_, (_, at)| now.since(*at) < DEMAND_TTL);
-        let (demand, peers) = (self.own.rate(now).max(DEMAND_MIN), &self.peers);
+        self.demands.expire(now);
         for (endpoint, known) in &mut self.known {
-            if known.generation != Some(generation) {
-                known.senders = senders(*endpoint);
-                known.generation = Some(generation);
-            }
-            known.share = share(&known.senders, own, demand, peers);
+            known.division.refresh(generation, || senders(*endpoint));
+            known.share = share(&known.division, own, &self.demands, now);
         }
     }
 
     /// Daemons that this one shares a limit with; they need to hear of its demand.
     pub fn partners(&self, own: &id::VmId) -> BTreeSet<id::VmId> {
-        let shared = self.known.values().filter(|known| known.senders.contains(own));
-        shared.flat_map(|known| known.senders.iter().filter(|vm| *vm != own)).cloned().collect()
+        let partners = self.known.values().flat_map(|known| known.division.partners(own));
+        partners.cloned().collect()
     }
 
     /// Whether this daemon may send a request to an endpoint now.
@@ -271,17 +224,15 @@
 }
 
 fn share(
-    senders: &[id::VmId],
+    division: &division::Division,
     own: &id::VmId,
-    demand: f64,
-    peers: &BTreeMap<id::VmId, (f64, time::Tick)>,
+    demands: &division::Demands,
+    now: time::Tick,
 ) -> f64 {
-    if !senders.contains(own) {
+    if division.rank(own).is_none() {
         return 0.0;
     }
-    let others = senders.iter().filter(|vm| *vm != own);
-    let others = others.map(|vm| peers.get(vm).map_or(demand, |(told, _)| told.max(DEMAND_MIN)));
-    let sum = demand + others.sum::<f64>();
-    let even = 1.0 / senders.len() as f64;
-    SHARE_USED * (EVEN_SHARE * even + (1.0 - EVEN_SHARE) * demand / sum)
+    let even = 1.0 / division.count() as f64;
+    let by_demand = division.demand_share(own, demands, now);
+    SHARE_USED * (EVEN_SHARE * even + (1.0 - EVEN_SHARE) * by_demand)
 }
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cohort;
 pub mod contact;
 pub mod dispatch;
+pub mod division;
 pub mod endpoint_key;
 pub mod endpoint_limit;
 pub mod escalation;
--- a/crates/ibishill-decide/tests/relay/endpoint_limit.rs
+++ b/crates/ibishill-decide/tests/relay/endpoint_limit.rs
@@ -259,7 +259,7 @@
             }
             let rate = fleet.demand[number % fleet.demand.len()];
             if rng.random_bool((rate * STEP_MS as f64 / 1_000.0).min(1.0)) {
-                daemon.record_request(now);
+                daemon.demands().record_request(now);
                 if daemon.admits(endpoint(), now) {
                     daemon.record_send(endpoint(), now);
                     arrivals.push(at);
@@ -275,7 +275,7 @@
             }
             if (at + phases[number]).is_multiple_of(REPORT_INTERVAL) {
                 let told = daemon.told(16, false, now);
-                let demand = daemon.demand(now);
+                let demand = daemon.demands().own(now);
                 let size = postcard::to_stdvec(&told).unwrap().len();
                 let partners = daemon.partners(&names[number]);
                 let to_all = total <= FANOUT;
@@ -300,7 +300,7 @@
         }
         for (from, to, told, demand) in datagrams {
             daemons[to].merge(told, now);
-            daemons[to].record_demand(&names[from], demand, now);
+            daemons[to].demands().record_peer(&names[from], demand, now);
         }
     }
     (arrivals, most)
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -89,7 +89,7 @@
             versions: state.table_versions(now),
             in_flight: Vec::new(),
             configuration: state.announcement(now),
-            demand: state.balancer.limits().demand(now) as f32,
+            demand: state.balancer.limits().demands().own(now) as f32,
             news: state.news(NEWS_MAX, false, now),
         };
         let alive = state.peers.alive(now);
@@ -149,7 +149,7 @@
     state.record_confirmations(&datagram.versions, now);
     state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
     let demand = f64::from(datagram.demand);
-    state.balancer.limits().record_demand(&datagram.vm, demand, now);
+    state.balancer.limits().demands().record_peer(&datagram.vm, demand, now);
     state.merge_news(datagram.news, now);
     Ok(())
 }
