gate, slot_share: endpoints that end by rejections get no more than their slots

Cause: relays filled an endpoint by reports that are half a second old, up to twice its slots where requests queue there, and a rejection cost nothing. What the others don't take meets the one that is back. The class is a shared resource that each relay spends by its own view.

Now the slots of such endpoints are divided between the relays that send there, of all that are known, live or not, so that the sum holds without messages while relays start, are killed or cut off. The rest waits at the relay. A rejection shows room that was not told: the relay stops for its part of half of the rejections that are borne, then sends as many as had found room and one more each second. Endpoints that start meanwhile get their slots used over 3 s. One record (gate) holds what endpoints state, and the balancer asks it before each send; a relay gossips at its start at once, as it would otherwise take all slots for its own.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -108,7 +108,7 @@
     ZoneReach = 2205, Warn, "zone out of reach or reached again";
     EndpointEnded = 2206, Warn, "endpoint ended as an answer began";
     QuarantineChanged = 2207, Warn, "request or prompt segment refused or released";
-    LimitChanged = 2208, Info, "endpoint named or withdrew a limit";
+    TermsChanged = 2208, Info, "endpoint states other terms";
     EndpointCold = 2210, Info, "health check found an endpoint cold";
     EndpointsOutOfReach = 2211, Warn, "endpoints that answer peers are out of reach, or reached again";
     QuarantineDelayed = 2209, Warn, "state of a prompt segment could not be written yet";
--- a/crates/ibishill-core/src/lib.rs
+++ b/crates/ibishill-core/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod route;
 pub mod secret;
 pub mod store_version;
+pub mod terms;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/crates/ibishill-core/src/terms.rs
@@ -0,0 +1,12 @@
+//! What an endpoint says of itself in an answer.
+
+use crate::request_rate;
+
+/// Terms on which an endpoint takes requests, as one of its answers states them.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Terms {
+    /// Rate of requests that it takes from all daemons together; none if it names none.
+    pub limit: Option<request_rate::RequestRate>,
+    /// Requests that it bears to reject in a second; with more it ends. None if it names no number.
+    pub max_rejections: Option<u32>,
+}
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -19,7 +19,7 @@
 use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
 
 use crate::endpoint_key;
-use crate::{contact, endpoint_limit, outlier, rate, reach};
+use crate::{contact, gate, outlier, rate, reach};
 
 /// Bonus for a cached prefix, in load for each 1,000 shared tokens.
 const PREFIX_BONUS: f64 = 0.03;
@@ -178,7 +178,7 @@
 #[derive(Debug, Clone)]
 pub struct Balancer {
     reports: reports::Reports,
-    limits: endpoint_limit::Limits,
+    gate: gate::Gate,
     contacts: contact::Contacts,
     zone: id::ZoneId,
     endpoints: BTreeMap<id::EndpointId, Endpoint>,
@@ -191,7 +191,7 @@
     pub fn new(zone: id::ZoneId) -> Self {
         Self {
             reports: reports::Reports::default(),
-            limits: endpoint_limit::Limits::default(),
+            gate: gate::Gate::default(),
             contacts: contact::Contacts::default(),
             zone,
             endpoints: BTreeMap::new(),
@@ -214,9 +214,9 @@
         .collect()
     }
 
-    /// Limits that endpoints name.
-    pub const fn limits(&mut self) -> &mut endpoint_limit::Limits {
-        &mut self.limits
+    /// Terms that endpoints state in their answers.
+    pub const fn gate(&mut self) -> &mut gate::Gate {
+        &mut self.gate
     }
 
     /// Contacts with endpoints, and which are out of reach from this daemon only.
@@ -261,11 +261,13 @@
         match self.endpoints.get_mut(&entry.id) {
             Some(endpoint) if endpoint.entry.started == entry.started => {
                 endpoint.cold_until = endpoint.cold_until.max(cold_until);
+                self.gate.register(endpoint.key, &entry, now);
                 endpoint.entry = entry;
             }
             _ => {
                 let key = endpoint_key::EndpointKey::of(&entry);
                 let part = contact::Part::of(&entry);
+                self.gate.register(key, &entry, now);
                 let endpoint = Endpoint {
                     report_key: report_key(&entry.id),
                     key,
@@ -284,6 +286,7 @@
                 };
                 if let Some(earlier) = self.endpoints.insert(entry.id, endpoint) {
                     self.contacts.remove(earlier.key);
+                    self.gate.remove(earlier.key);
                 }
                 self.contacts.register(key, part);
             }
@@ -294,6 +297,7 @@
     pub fn remove(&mut self, id: &id::EndpointId) {
         if let Some(endpoint) = self.endpoints.remove(id) {
             self.contacts.remove(endpoint.key);
+            self.gate.remove(endpoint.key);
         }
     }
 
@@ -399,7 +403,7 @@
         let is_available = |endpoint: &&&Endpoint| {
             self.has_capacity(endpoint, request, now)
                 && admits(endpoint, cold, &rank, now)
-                && self.limits.admits(endpoint.key, now)
+                && self.gate.admits(endpoint.key, endpoint.running, now)
         };
         let mut available: Vec<&Endpoint> =
             candidates.iter().filter(is_available).copied().collect();
@@ -546,7 +550,7 @@
         endpoint.prefill += work.prefill;
         endpoint.breaker.begin(now);
         self.reach.begin(&endpoint.entry.zone, now);
-        self.limits.record_send(endpoint.key, now);
+        self.gate.record_send(endpoint.key, now);
         self.contacts.record_send(endpoint.key, now);
         // Tokens are also taken while the endpoint is warm, so that the bucket is not full when
         // it turns cold.
@@ -609,6 +613,9 @@
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             let slots = f64::from(endpoint.entry.slots);
             endpoint.observed = Some(Observed { others: slots, waiting: 0.0, at: now });
+            // The request itself is still counted.
+            let running = endpoint.running.saturating_sub(1);
+            self.gate.slots().record_rejection(endpoint.key, running, now);
         }
     }
 
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod readers;
 mod retry;
 mod routing;
+mod slot_share;
 mod wait_queue;
 
 use ibishill_core::{fleet, time};
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, endpoint_limit, outlier, reach};
+use ibishill_decide::{balance, canary, gate, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
@@ -239,7 +239,7 @@
     if !reply.matches_request {
         return (Outcome::Unknown, "the answer belongs to another request".into());
     }
-    record_limit(&guard.context, registration, &reply, parts.status, sent);
+    record_terms(&guard.context, registration, &reply, parts.status, sent);
     if reply.not_run {
         guard.context.state().balancer.record_refusal(&guard.endpoint, guard.context.now());
         return (Outcome::Refused, parts.status.to_string());
@@ -272,19 +272,20 @@
         && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-// A refusal or an error may come from before the endpoint, so it does not withdraw a limit.
-fn record_limit(
+// Records the terms that an answer states. One of another endpoint at the same address says nothing.
+fn record_terms(
     context: &Shared,
     registration: &fleet::Registration,
     reply: &head::Reply,
     status: StatusCode,
     sent: time::Tick,
 ) {
-    let is_answer = reply.has_signature && !reply.not_run && status.is_success();
-    if reply.limit.is_some() || is_answer {
-        let statement = endpoint_limit::Statement { limit: reply.limit, sent };
-        context.state().record_limit(registration, statement, context.now());
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
     }
+    let is_complete = reply.has_signature && !reply.not_run && status.is_success();
+    let statement = gate::Statement { terms: reply.terms, is_complete, sent };
+    context.state().record_terms(registration, statement, context.now());
 }
 
 // Opens a connection, and records whether the endpoint's zone is reachable.
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -88,9 +88,11 @@
 /// Exchanges messages with peers, in periodic rounds and at once after an update.
 pub(crate) async fn run(context: Shared) {
     let mut round = 0_u64;
+    // At the start at once: a relay that knows no peers would use what is divided between them.
+    let mut interval = Duration::ZERO;
     loop {
-        let is_notified =
-            clock::timeout(ROUND_INTERVAL, context.rows_changed.notified()).await.is_ok();
+        let is_notified = clock::timeout(interval, context.rows_changed.notified()).await.is_ok();
+        interval = ROUND_INTERVAL;
         round += 1;
         let targets = targets(&context, round, is_notified);
         let exchanges = targets.into_iter().map(|target| {
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -89,7 +89,7 @@
             versions: state.table_versions(now),
             in_flight: Vec::new(),
             configuration: state.announcement(now),
-            demand: state.balancer.limits().demands().own(now) as f32,
+            demand: state.balancer.gate().limits().demands().own(now) as f32,
             news: state.news(NEWS_MAX, false, now),
         };
         let alive = state.peers.alive(now);
@@ -97,7 +97,7 @@
         (datagram, in_flight, peers)
     };
     if peers.len() > FANOUT {
-        let partners = context.state().balancer.limits().partners(&datagram.vm);
+        let partners = context.state().balancer.gate().partners(&datagram.vm);
         peers.sort_by_key(|peer| {
             let hash = xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), round);
             (!partners.contains(&peer.vm), hash)
@@ -149,7 +149,7 @@
     state.record_confirmations(&datagram.versions, now);
     state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
     let demand = f64::from(datagram.demand);
-    state.balancer.limits().demands().record_peer(&datagram.vm, demand, now);
+    state.balancer.gate().limits().demands().record_peer(&datagram.vm, demand, now);
     state.merge_news(datagram.news, now);
     Ok(())
 }
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -187,7 +187,8 @@
     let mut state = context.state();
     let running = |canary: &&canary::Canary| canary.progress() == fleet::Progress::Running;
     let out_of_reach = state.balancer.contacts().out().count();
-    let limited = state.balancer.limits().len();
+    let limited = state.balancer.gate().limits().len();
+    let fragile = state.balancer.gate().slots().fragile_count();
     let suspected = state.balancer.reach().suspect_count();
     let (segments, requests) = state.quarantine.refused_count();
     let mut lines = format!(
@@ -195,7 +196,8 @@
          relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n\
          relay_requests_refused {}\n\
          relay_endpoints_limited {}\nrelay_store_restores {}\n\
-         relay_endpoints_out_of_reach {}\nrelay_forwarded {}\n",
+         relay_endpoints_out_of_reach {}\nrelay_forwarded {}\n\
+         relay_endpoints_fragile {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -208,6 +210,7 @@
         state.restores,
         out_of_reach,
         context.forwarded.get(),
+        fragile,
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/retry_budget.rs
+++ b/crates/ibishill-relay/src/retry_budget.rs
@@ -20,7 +20,7 @@
         state.allowances.entry(received.service.clone()).or_default().record_request(&bounds, now);
     }
     received.is_counted = true;
-    state.balancer.limits().demands().record_request(now);
+    state.balancer.gate().limits().demands().record_request(now);
 }
 
 /// Reason for a further attempt.
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -382,7 +382,7 @@
         }
         self.peers.expire(now);
         self.balancer.reports().expire(now);
-        self.divide_limits(now);
+        self.divide(now);
         early_end::judge(self, now);
     }
 
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -1,8 +1,8 @@
-//! What relays tell each other of endpoints: limits, segments of prompts that end them, and which have
+//! What relays tell each other of endpoints: their terms, segments of prompts that end them, and which have
 //! turned cold.
 
-use ibishill_core::{call, event, fleet, time};
-use ibishill_decide::{endpoint_key, endpoint_limit, quarantine};
+use ibishill_core::{call, event, fleet, terms, time};
+use ibishill_decide::{endpoint_key, endpoint_limit, gate, quarantine, slot_share};
 use serde::{Deserialize, Serialize};
 
 use super::State;
@@ -12,43 +12,53 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct News {
     limits: Vec<endpoint_limit::Told>,
+    /// Services whose endpoints end by rejections.
+    fragile: Vec<slot_share::Told>,
     evidence: Vec<quarantine::evidence::Evidence>,
     /// Endpoints that have turned cold, and how long they stay so.
     cold: Vec<(endpoint_key::EndpointKey, time::Millis)>,
 }
 
 impl State {
-    /// Records what an endpoint's answer says of its limit.
-    pub(crate) fn record_limit(
+    /// Records the terms that an endpoint's answer states.
+    pub(crate) fn record_terms(
         &mut self,
         registration: &fleet::Registration,
-        statement: endpoint_limit::Statement,
+        statement: gate::Statement,
         now: time::Tick,
     ) {
         let endpoint = endpoint_key::EndpointKey::of(registration);
-        if self.balancer.limits().record(endpoint, statement, now) {
-            self.divide_limits(now);
-            let limit = statement.limit.map_or("-".to_owned(), |limit| limit.to_string());
+        if self.balancer.gate().record(endpoint, statement, now) {
+            self.divide(now);
+            let terms::Terms { limit, max_rejections } = statement.terms;
+            let limit = limit.map_or("-".to_owned(), |limit| limit.to_string());
+            let max_rejections = max_rejections.map_or("-".to_owned(), |max| max.to_string());
             event::emit_json(
-                event::Event::LimitChanged,
-                &[event::field("endpoint", &registration.id), event::field("limit", &limit)],
+                event::Event::TermsChanged,
+                &[
+                    event::field("endpoint", &registration.id),
+                    event::field("limit", &limit),
+                    event::field("max_rejections", &max_rejections),
+                ],
             );
         }
     }
 
-    /// Divides the limits of endpoints between the daemons that send there.
-    pub(crate) fn divide_limits(&mut self, now: time::Tick) {
+    /// Divides what endpoints take between the daemons that send there.
+    pub(crate) fn divide(&mut self, now: time::Tick) {
         let (own, peers) = (&self.settings.vm, &self.peers);
-        let senders = |endpoint: endpoint_key::EndpointKey| {
-            peers.known_assigned(&endpoint.to_string(), endpoint_limit::SENDERS)
+        let senders = |endpoint: endpoint_key::EndpointKey, count: usize| {
+            peers.known_assigned(&endpoint.to_string(), count)
         };
-        self.balancer.limits().divide(own, peers.generation(), senders, now);
+        self.balancer.gate().divide(own, peers.generation(), senders, now);
     }
 
     /// Merges what a peer tells of endpoints: limits, and segments of prompts that end them.
     pub(crate) fn merge_news(&mut self, news: News, now: time::Tick) {
-        if self.balancer.limits().merge(news.limits, now) {
-            self.divide_limits(now);
+        let gate = self.balancer.gate();
+        let is_limited = gate.limits().merge(news.limits, now);
+        if gate.slots().merge(news.fragile, now) || is_limited {
+            self.divide(now);
         }
         self.balancer.merge_cold(news.cold, now);
         self.quarantine.merge(news.evidence, now);
@@ -59,7 +69,8 @@
     /// what has changed lately.
     pub(crate) fn news(&mut self, max: (usize, usize), is_complete: bool, now: time::Tick) -> News {
         News {
-            limits: self.balancer.limits().told(max.0, is_complete, now),
+            limits: self.balancer.gate().limits().told(max.0, is_complete, now),
+            fragile: self.balancer.gate().slots().told(max.0, now),
             evidence: self.quarantine.evidence(max.1, is_complete, now),
             cold: self.balancer.told_cold(max.0, now),
         }
