gate: endpoints that say in their answers that they leave get no more requests

Cause: nothing read Server-Leaving; an endpoint left only by its registration. Any answer of the endpoint itself counts now, also a rejection, an error, a stream's head or a health check, not a 421 by whoever has its address. It is out of service for that incarnation; neither an answer without the header nor a registration takes that back, as both may be older. The choice asks, and once more after the connection is open; health checks ask as well. If all endpoints of a service leave, requests are refused at once.

--- a/crates/ibishill-core/src/terms.rs
+++ b/crates/ibishill-core/src/terms.rs
@@ -9,4 +9,6 @@
     pub limit: Option<request_rate::RequestRate>,
     /// Requests that it bears to reject in a second; with more it ends. None if it names no number.
     pub max_rejections: Option<u32>,
+    /// Whether it leaves, and takes no new requests after the drain time.
+    pub is_leaving: bool,
 }
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -337,10 +337,28 @@
     }
 
     fn is_in_service(&self, endpoint: &Endpoint) -> bool {
+        self.is_ready(endpoint) && !self.gate.is_leaving(endpoint.key)
+    }
+
+    // Whether it is in service by its registration, and the operator's orders.
+    fn is_ready(&self, endpoint: &Endpoint) -> bool {
         endpoint.entry.readiness == fleet::Readiness::Ready
             && !self.zones_out.contains_key(&endpoint.entry.zone)
     }
 
+    /// Whether a request may be sent to an endpoint that was chosen a moment ago.
+    pub fn is_open(&self, id: &id::EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| self.gate.is_open(endpoint.key))
+    }
+
+    /// Whether all endpoints of a service that are in service otherwise have said that they leave.
+    pub fn is_service_leaving(&self, service: &id::ServiceId) -> bool {
+        let ready =
+            |endpoint: &&Endpoint| endpoint.entry.service == *service && self.is_ready(endpoint);
+        let mut ready = self.endpoints.values().filter(ready).peekable();
+        ready.peek().is_some() && ready.all(|endpoint| self.gate.is_leaving(endpoint.key))
+    }
+
     /// Counts the endpoints by state.
     pub fn counts(&self, now: time::Tick) -> Counts {
         let mut counts = Counts::default();
--- a/crates/ibishill-decide/src/gate.rs
+++ b/crates/ibishill-decide/src/gate.rs
@@ -3,7 +3,7 @@
 //! All that endpoints state in their answers is kept and judged here, so that each way to an endpoint asks
 //! one question.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ibishill_core::{fleet, id, terms, time};
 
@@ -22,11 +22,28 @@
     pub sent: time::Tick,
 }
 
+/// Time for which an endpoint counts as leaving after it last said so; it is gone by then, and its next
+/// incarnation has another key.
+const LEAVING_TTL: time::Millis = time::Millis::from_secs(60);
+
+/// Time for which peers are told that an endpoint leaves.
+const NEWS_TTL: time::Millis = time::Millis::from_secs(5);
+
+/// An endpoint that leaves, as daemons tell it each other, and for how long it has.
+pub type Leaving = (EndpointKey, time::Millis);
+
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    first: time::Tick,
+    last: time::Tick,
+}
+
 /// Terms of all endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Gate {
     limits: endpoint_limit::Limits,
     slots: slot_share::Slots,
+    leaving: BTreeMap<EndpointKey, Departure>,
 }
 
 impl Gate {
@@ -38,6 +55,7 @@
     /// Removes an endpoint.
     pub fn remove(&mut self, key: EndpointKey) {
         self.slots.remove(key);
+        self.leaving.remove(&key);
     }
 
     /// Limits that endpoints name.
@@ -61,9 +79,44 @@
         if terms.max_rejections.is_some() || is_complete {
             is_changed |= self.slots.record(key, terms.max_rejections, sent, now);
         }
+        if terms.is_leaving {
+            is_changed |= self.record_departure(key, now, now);
+        }
         is_changed
     }
 
+    // Records that an endpoint has said at `first` that it leaves; returns whether this was unknown. It is not
+    // taken back: an answer without it may have been sent before, and so may a registration.
+    fn record_departure(&mut self, key: EndpointKey, first: time::Tick, now: time::Tick) -> bool {
+        let is_new = !self.leaving.contains_key(&key);
+        let departure = self.leaving.entry(key).or_insert(Departure { first, last: first });
+        departure.last = now.max(departure.last);
+        is_new
+    }
+
+    /// Endpoints that leave, at most `count`, for peers.
+    pub fn told_leaving(&self, count: usize, now: time::Tick) -> Vec<Leaving> {
+        let ages = self.leaving.iter().map(|(key, departure)| (*key, now.since(departure.first)));
+        ages.filter(|(_, age)| *age < NEWS_TTL).take(count).collect()
+    }
+
+    /// Merges the endpoints that leave, as a peer tells them.
+    pub fn merge_leaving(&mut self, told: Vec<Leaving>, now: time::Tick) {
+        for (key, age) in told {
+            self.record_departure(key, time::Tick(now.0.saturating_sub(age.0)), now);
+        }
+    }
+
+    /// Whether an endpoint has said that it leaves.
+    pub fn is_leaving(&self, key: EndpointKey) -> bool {
+        self.leaving.contains_key(&key)
+    }
+
+    /// Number of endpoints that leave.
+    pub fn leaving_count(&self) -> usize {
+        self.leaving.len()
+    }
+
     /// Divides what endpoints take anew, and forgets what is out of date; `senders` returns the daemons that
     /// send to an endpoint, at most as many as asked for, in a membership that has changed if `generation`
     /// has.
@@ -71,6 +124,7 @@
     where
         F: Fn(EndpointKey, usize) -> Vec<id::VmId>,
     {
+        self.leaving.retain(|_, departure| now.since(departure.last) < LEAVING_TTL);
         let few = |key: EndpointKey| senders(key, endpoint_limit::SENDERS);
         self.limits.divide(own, generation, few, now);
         self.slots.divide(own, generation, &senders, self.limits.demands(), now);
@@ -85,7 +139,12 @@
 
     /// Whether this daemon may send a request to an endpoint now, where `running` of its own are.
     pub fn admits(&self, key: EndpointKey, running: u32, now: time::Tick) -> bool {
-        self.limits.admits(key, now) && self.slots.admits(key, running, now)
+        self.is_open(key) && self.limits.admits(key, now) && self.slots.admits(key, running, now)
+    }
+
+    /// Whether anything may be sent to an endpoint now, also a request that counts as sent already.
+    pub fn is_open(&self, key: EndpointKey) -> bool {
+        !self.is_leaving(key)
     }
 
     /// Records that this daemon sends a request to an endpoint.
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -216,6 +216,10 @@
         }
         Err(error) => return (Outcome::ConnectFailed, error.to_string()),
     };
+    // What the endpoint says of itself may have arrived while the connection was opened.
+    if !guard.context.state().balancer.is_open(&registration.id) {
+        return (Outcome::NotAttempted, "the endpoint takes no requests now".into());
+    }
     let sent = guard.context.now();
     let (response, connection) = match upstream::send(stream, request).await {
         Ok(answered) => answered,
@@ -285,7 +289,9 @@
     }
     let is_complete = reply.has_signature && !reply.not_run && status.is_success();
     let statement = gate::Statement { terms: reply.terms, is_complete, sent };
-    context.state().record_terms(registration, statement, context.now());
+    if context.state().record_terms(registration, statement, context.now()) {
+        context.evidence_added.notify_one();
+    }
 }
 
 // Opens a connection, and records whether the endpoint's zone is reachable.
--- a/crates/ibishill-relay/src/cold_check.rs
+++ b/crates/ibishill-relay/src/cold_check.rs
@@ -7,9 +7,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Response;
 use ibishill_adapter::{head, store};
 use ibishill_core::{event, fleet, id, time};
-use ibishill_decide::readers;
+use ibishill_decide::{gate, readers};
 use tokio::time as clock;
 
 use crate::context::Shared;
@@ -57,6 +59,7 @@
         let service = catalog.services.get(&entry.service)?;
         let is_limited = service.cold_rate > 0.0 && !service.health_path.is_empty();
         let is_due = is_limited
+            && balancer.is_open(&entry.id)
             && !balancer.is_checked_cold(&entry.id, now)
             && peers.rank(entry.id.as_str(), now) < CHECKERS;
         is_due.then(|| Check {
@@ -78,6 +81,7 @@
     };
     let health = head::decode_health(response.headers());
     let Some(health) = health.filter(|health| health.endpoint == check.endpoint) else { return };
+    record_terms(&context, &check.endpoint, &response);
     let (cold, now) = (health.cold_remaining, context.now());
     if cold.0 == 0 || !context.state().balancer.record_health(&check.endpoint, cold, now) {
         return;
@@ -88,3 +92,19 @@
     );
     context.evidence_added.notify_one();
 }
+
+/// Records the terms that an endpoint states in its answer to a health check.
+pub(crate) fn record_terms(
+    context: &Shared,
+    endpoint: &id::EndpointId,
+    response: &Response<Bytes>,
+) {
+    let now = context.now();
+    let mut state = context.state();
+    let Some(registration) = state.balancer.entry(endpoint).cloned() else { return };
+    let reply = head::decode_reply(response.status(), response.headers(), "");
+    let statement = gate::Statement { terms: reply.terms, is_complete: false, sent: now };
+    if state.record_terms(&registration, statement, now) {
+        context.evidence_added.notify_one();
+    }
+}
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -135,7 +135,10 @@
 async fn run_probe(context: Shared, key: endpoint_key::EndpointKey) {
     let (registration, path) = {
         let mut state = context.state();
-        let Some(registration) = state.balancer.entry_of(key).cloned() else { return };
+        let found = state.balancer.entry_of(key).cloned();
+        let Some(registration) = found.filter(|found| state.balancer.is_open(&found.id)) else {
+            return;
+        };
         let catalog = state.catalog.as_ref();
         let service = catalog.and_then(|catalog| catalog.services.get(&registration.service));
         let path = service.map_or_else(String::new, |service| service.health_path.clone());
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -188,6 +188,7 @@
     let running = |canary: &&canary::Canary| canary.progress() == fleet::Progress::Running;
     let out_of_reach = state.balancer.contacts().out().count();
     let limited = state.balancer.gate().limits().len();
+    let leaving = state.balancer.gate().leaving_count();
     let fragile = state.balancer.gate().slots().fragile_count();
     let suspected = state.balancer.reach().suspect_count();
     let (segments, requests) = state.quarantine.refused_count();
@@ -197,7 +198,7 @@
          relay_requests_refused {}\n\
          relay_endpoints_limited {}\nrelay_store_restores {}\n\
          relay_endpoints_out_of_reach {}\nrelay_forwarded {}\n\
-         relay_endpoints_fragile {}\n",
+         relay_endpoints_fragile {}\nrelay_endpoints_leaving {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -211,6 +212,7 @@
         out_of_reach,
         context.forwarded.get(),
         fragile,
+        leaving,
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -182,7 +182,11 @@
         match choose(context, received, tried, model, received.metadata.last_event) {
             Choice::Send(target) => return Ok(Way::Endpoint(target)),
             Choice::OutOfReach => return through_peer(received),
-            Choice::NoEndpoint if !tried.is_empty() => return Err(Reason::NoEndpoint),
+            Choice::NoEndpoint
+                if !tried.is_empty() || context.state().balancer.is_service_leaving(service) =>
+            {
+                return Err(Reason::NoEndpoint);
+            }
             Choice::Quarantined(after) => return Err(quarantined(context, received, after)),
             Choice::NoEndpoint | Choice::Full => {}
         }
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct News {
     limits: Vec<endpoint_limit::Told>,
+    /// Endpoints that leave.
+    leaving: Vec<gate::Leaving>,
     /// Services whose endpoints end by rejections.
     fragile: Vec<slot_share::Told>,
     evidence: Vec<quarantine::evidence::Evidence>,
@@ -20,17 +22,18 @@
 }
 
 impl State {
-    /// Records the terms that an endpoint's answer states.
+    /// Records the terms that an endpoint's answer states; returns whether peers are to hear of it at once.
     pub(crate) fn record_terms(
         &mut self,
         registration: &fleet::Registration,
         statement: gate::Statement,
         now: time::Tick,
-    ) {
+    ) -> bool {
         let endpoint = endpoint_key::EndpointKey::of(registration);
-        if self.balancer.gate().record(endpoint, statement, now) {
+        let is_changed = self.balancer.gate().record(endpoint, statement, now);
+        if is_changed {
             self.divide(now);
-            let terms::Terms { limit, max_rejections } = statement.terms;
+            let terms::Terms { limit, max_rejections, is_leaving } = statement.terms;
             let limit = limit.map_or("-".to_owned(), |limit| limit.to_string());
             let max_rejections = max_rejections.map_or("-".to_owned(), |max| max.to_string());
             event::emit_json(
@@ -39,9 +42,11 @@
                     event::field("endpoint", &registration.id),
                     event::field("limit", &limit),
                     event::field("max_rejections", &max_rejections),
+                    event::field("is_leaving", &is_leaving),
                 ],
             );
         }
+        is_changed
     }
 
     /// Divides what endpoints take between the daemons that send there.
@@ -56,6 +61,7 @@
     /// Merges what a peer tells of endpoints: limits, and segments of prompts that end them.
     pub(crate) fn merge_news(&mut self, news: News, now: time::Tick) {
         let gate = self.balancer.gate();
+        gate.merge_leaving(news.leaving, now);
         let is_limited = gate.limits().merge(news.limits, now);
         if gate.slots().merge(news.fragile, now) || is_limited {
             self.divide(now);
@@ -70,6 +76,7 @@
     pub(crate) fn news(&mut self, max: (usize, usize), is_complete: bool, now: time::Tick) -> News {
         News {
             limits: self.balancer.gate().limits().told(max.0, is_complete, now),
+            leaving: self.balancer.gate().told_leaving(max.0, now),
             fragile: self.balancer.gate().slots().told(max.0, now),
             evidence: self.quarantine.evidence(max.1, is_complete, now),
             cold: self.balancer.told_cold(max.0, now),
