gate: endpoints that ask for rest get it

Cause: nothing read Retry-After of a rejection; the endpoint counted as full for 1.5 s, fading. The choice, the moment after the connection is open, and health checks ask the same gate. The rest counts neither as load nor as a failure. Where all endpoints rest, requests wait if the first rest ends within their wait limit, and are refused at once with the known time otherwise.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -140,6 +140,8 @@
     NoEndpoint,
     /// Those that could take it are out of reach from this daemon, but not from its peers.
     OutOfReach,
+    /// Those that could take it want no requests from this daemon until then at the earliest.
+    Resting(time::Tick),
 }
 
 /// Load of an endpoint, as its response reported it.
@@ -347,8 +349,8 @@
     }
 
     /// Whether a request may be sent to an endpoint that was chosen a moment ago.
-    pub fn is_open(&self, id: &id::EndpointId) -> bool {
-        self.endpoints.get(id).is_some_and(|endpoint| self.gate.is_open(endpoint.key))
+    pub fn is_open(&self, id: &id::EndpointId, now: time::Tick) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| self.gate.is_open(endpoint.key, now))
     }
 
     /// Whether all endpoints of a service that are in service otherwise have said that they leave.
@@ -418,6 +420,9 @@
         if candidates.is_empty() {
             return Choice::NoEndpoint;
         }
+        let rests = candidates.iter().map(|found| self.gate.resting_until(found.key, now));
+        // None unless all of them rest.
+        let resting = rests.collect::<Option<Vec<_>>>().and_then(|rests| rests.into_iter().min());
         let is_available = |endpoint: &&&Endpoint| {
             self.has_capacity(endpoint, request, now)
                 && admits(endpoint, cold, &rank, now)
@@ -456,7 +461,7 @@
         match best {
             Some(endpoint) => Choice::Send(endpoint.entry.id.clone()),
             None if is_partial => Choice::OutOfReach,
-            None => Choice::Full,
+            None => resting.map_or(Choice::Full, Choice::Resting),
         }
     }
 
--- a/crates/ibishill-decide/src/gate.rs
+++ b/crates/ibishill-decide/src/gate.rs
@@ -44,6 +44,8 @@
     limits: endpoint_limit::Limits,
     slots: slot_share::Slots,
     leaving: BTreeMap<EndpointKey, Departure>,
+    // Until when endpoints want no requests from this daemon.
+    resting: BTreeMap<EndpointKey, time::Tick>,
 }
 
 impl Gate {
@@ -56,6 +58,7 @@
     pub fn remove(&mut self, key: EndpointKey) {
         self.slots.remove(key);
         self.leaving.remove(&key);
+        self.resting.remove(&key);
     }
 
     /// Limits that endpoints name.
@@ -79,6 +82,10 @@
         if terms.max_rejections.is_some() || is_complete {
             is_changed |= self.slots.record(key, terms.max_rejections, sent, now);
         }
+        if let Some(rest) = terms.rest {
+            let until = self.resting.entry(key).or_insert(now);
+            *until = (now + rest).max(*until);
+        }
         if terms.is_leaving {
             is_changed |= self.record_departure(key, now, now);
         }
@@ -125,6 +132,7 @@
         F: Fn(EndpointKey, usize) -> Vec<id::VmId>,
     {
         self.leaving.retain(|_, departure| now.since(departure.last) < LEAVING_TTL);
+        self.resting.retain(|_, until| *until > now);
         let few = |key: EndpointKey| senders(key, endpoint_limit::SENDERS);
         self.limits.divide(own, generation, few, now);
         self.slots.divide(own, generation, &senders, self.limits.demands(), now);
@@ -139,12 +147,19 @@
 
     /// Whether this daemon may send a request to an endpoint now, where `running` of its own are.
     pub fn admits(&self, key: EndpointKey, running: u32, now: time::Tick) -> bool {
-        self.is_open(key) && self.limits.admits(key, now) && self.slots.admits(key, running, now)
+        self.is_open(key, now)
+            && self.limits.admits(key, now)
+            && self.slots.admits(key, running, now)
     }
 
     /// Whether anything may be sent to an endpoint now, also a request that counts as sent already.
-    pub fn is_open(&self, key: EndpointKey) -> bool {
-        !self.is_leaving(key)
+    pub fn is_open(&self, key: EndpointKey, now: time::Tick) -> bool {
+        !self.is_leaving(key) && self.resting_until(key, now).is_none()
+    }
+
+    /// Until when an endpoint wants no requests from this daemon; none if it takes them.
+    pub fn resting_until(&self, key: EndpointKey, now: time::Tick) -> Option<time::Tick> {
+        self.resting.get(&key).copied().filter(|until| *until > now)
     }
 
     /// Records that this daemon sends a request to an endpoint.
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -217,7 +217,8 @@
         Err(error) => return (Outcome::ConnectFailed, error.to_string()),
     };
     // What the endpoint says of itself may have arrived while the connection was opened.
-    if !guard.context.state().balancer.is_open(&registration.id) {
+    let now = guard.context.now();
+    if !guard.context.state().balancer.is_open(&registration.id, now) {
         return (Outcome::NotAttempted, "the endpoint takes no requests now".into());
     }
     let sent = guard.context.now();
@@ -245,6 +246,10 @@
     }
     record_terms(&guard.context, registration, &reply, parts.status, sent);
     if reply.not_run {
+        // An endpoint that asks for rest says nothing about its load.
+        if reply.terms.rest.is_some() {
+            return (Outcome::Refused, parts.status.to_string());
+        }
         guard.context.state().balancer.record_refusal(&guard.endpoint, guard.context.now());
         return (Outcome::Refused, parts.status.to_string());
     }
--- a/crates/ibishill-relay/src/cold_check.rs
+++ b/crates/ibishill-relay/src/cold_check.rs
@@ -59,7 +59,7 @@
         let service = catalog.services.get(&entry.service)?;
         let is_limited = service.cold_rate > 0.0 && !service.health_path.is_empty();
         let is_due = is_limited
-            && balancer.is_open(&entry.id)
+            && balancer.is_open(&entry.id, now)
             && !balancer.is_checked_cold(&entry.id, now)
             && peers.rank(entry.id.as_str(), now) < CHECKERS;
         is_due.then(|| Check {
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -135,8 +135,9 @@
 async fn run_probe(context: Shared, key: endpoint_key::EndpointKey) {
     let (registration, path) = {
         let mut state = context.state();
-        let found = state.balancer.entry_of(key).cloned();
-        let Some(registration) = found.filter(|found| state.balancer.is_open(&found.id)) else {
+        let (found, now) = (state.balancer.entry_of(key).cloned(), context.now());
+        let Some(registration) = found.filter(|found| state.balancer.is_open(&found.id, now))
+        else {
             return;
         };
         let catalog = state.catalog.as_ref();
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -32,6 +32,8 @@
     NoService,
     /// The service has no eligible endpoint.
     NoEndpoint,
+    /// All endpoints want no requests from this relay; the time until the first one does.
+    EndpointsResting(time::Millis),
     /// The service's endpoints are out of reach, and no peer takes the request.
     OutOfReach,
     /// The relay runs as many requests for its peers as it may.
@@ -67,6 +69,7 @@
             | Self::NoService
             | Self::NoEndpoint
             | Self::NoCapacity
+            | Self::EndpointsResting(_)
             | Self::OutOfReach
             | Self::ForwardLimit
             | Self::SegmentQuarantined(_)
@@ -82,6 +85,7 @@
             Self::SegmentQuarantined(after) | Self::RequestQuarantined(after) => {
                 Some(time::Millis::from_secs(after.ceil_secs().max(1)))
             }
+            Self::EndpointsResting(after) => Some(after),
             _ => (self.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER),
         }
     }
@@ -97,6 +101,7 @@
             Self::BodyIncomplete => "body not received",
             Self::NoService => "no service by weight",
             Self::NoEndpoint => "no endpoint in service",
+            Self::EndpointsResting(_) => "all endpoints ask for rest",
             Self::OutOfReach => "no endpoint within reach",
             Self::ForwardLimit => "too many requests of peers",
             Self::NoCapacity => "no endpoint with room in time",
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -39,6 +39,8 @@
     Full,
     /// No eligible endpoint.
     NoEndpoint,
+    /// The eligible endpoints want no requests from this relay until then at the earliest.
+    Resting(time::Tick),
     /// The endpoints are out of reach from this relay, but not from its peers.
     OutOfReach,
     /// The request or a segment of its prompt ends endpoints; the time until it is tried again.
@@ -118,6 +120,7 @@
         balance::Choice::Full => Choice::Full,
         balance::Choice::NoEndpoint => Choice::NoEndpoint,
         balance::Choice::OutOfReach => Choice::OutOfReach,
+        balance::Choice::Resting(until) => Choice::Resting(until),
         balance::Choice::Send(endpoint) => match state.balancer.entry(&endpoint) {
             None => Choice::NoEndpoint,
             Some(entry) => Choice::Send(Target {
@@ -177,6 +180,8 @@
 ) -> Result<Way, Reason> {
     let (service, priority) = (&received.service, received.priority());
     check_quarantine(context, received)?;
+    let now = context.now();
+    let wait_limit = wait_queue::wait_limit(received.route.latency_target, received.remaining(now));
     let is_first = !context.state().wait_queue.has_more_urgent(service, priority);
     if is_first {
         match choose(context, received, tried, model, received.metadata.last_event) {
@@ -188,11 +193,12 @@
                 return Err(Reason::NoEndpoint);
             }
             Choice::Quarantined(after) => return Err(quarantined(context, received, after)),
-            Choice::NoEndpoint | Choice::Full => {}
+            Choice::Resting(until) if until > now + wait_limit => {
+                return Err(Reason::EndpointsResting(until.since(now)));
+            }
+            Choice::NoEndpoint | Choice::Full | Choice::Resting(_) => {}
         }
     }
-    let now = context.now();
-    let wait_limit = wait_queue::wait_limit(received.route.latency_target, received.remaining(now));
     let waiter = wait_queue::Waiter {
         ticket: 0,
         priority,
@@ -218,6 +224,10 @@
             }
             Choice::OutOfReach => return through_peer(received),
             Choice::Full => reason = Reason::NoCapacity,
+            Choice::Resting(until) if until > now + wait_limit => {
+                return Err(Reason::EndpointsResting(until.since(context.now())));
+            }
+            Choice::Resting(_) => reason = Reason::NoCapacity,
             Choice::NoEndpoint => reason = Reason::NoEndpoint,
             Choice::Quarantined(after) => return Err(quarantined(context, received, after)),
         }
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -33,7 +33,7 @@
         let is_changed = self.balancer.gate().record(endpoint, statement, now);
         if is_changed {
             self.divide(now);
-            let terms::Terms { limit, max_rejections, is_leaving } = statement.terms;
+            let terms::Terms { limit, max_rejections, is_leaving, .. } = statement.terms;
             let limit = limit.map_or("-".to_owned(), |limit| limit.to_string());
             let max_rejections = max_rejections.map_or("-".to_owned(), |max| max.to_string());
             event::emit_json(
