--- a/crates/ibishill-decide/src/contact.rs
+++ b/crates/ibishill-decide/src/contact.rs
@@ -12,7 +12,7 @@
 use crate::endpoint_key::EndpointKey;
 
 /// Maximum number of endpoints that peers are asked about at once.
-pub const QUESTION_MAX: usize = 64;
+pub const QUESTION_MAX: usize = 16;
 
 /// Time without any answer after which endpoints that owe one are suspected; streams send events several
 /// times a second.
@@ -33,11 +33,20 @@
 /// Time by which a peer's answer must be later than the failure here, above the latency of a message.
 const EVIDENCE_MARGIN: time::Millis = time::Millis(30);
 
-/// Interval at which peers are asked, apart from new failures.
-const QUESTION_INTERVAL: time::Millis = time::Millis(400);
+/// Time after a failure from which on peers are asked: they need an answer that is later.
+const QUESTION_DELAY: time::Millis = time::Millis(80);
 
-/// Shortest interval between two questions.
-const QUESTION_PAUSE: time::Millis = time::Millis(50);
+/// Interval at which peers are asked about endpoints that have just failed.
+const QUESTION_INTERVAL: time::Millis = time::Millis(200);
+
+/// Time after a failure for which it has just happened.
+const RECENT: time::Millis = time::Millis(1_000);
+
+/// Interval for endpoints out of reach, so that the word of peers stays fresh.
+const REFRESH_INTERVAL: time::Millis = time::Millis(400);
+
+/// Interval for others, which have probably ended.
+const IDLE_INTERVAL: time::Millis = time::Millis(1_000);
 
 /// Interval of the probes of endpoints out of reach.
 const PROBE_INTERVAL: time::Millis = time::Millis(400);
@@ -182,22 +191,26 @@
     }
 
     /// Endpoints to ask peers about, and how far back their answers matter; empty if none is due.
-    pub fn questions(&mut self, is_notified: bool, now: time::Tick) -> Vec<Aged> {
-        let interval = if is_notified { QUESTION_PAUSE } else { QUESTION_INTERVAL };
-        if now.since(self.asked) < interval {
-            return Vec::new();
-        }
+    pub fn questions(&mut self, now: time::Tick) -> Vec<Aged> {
         let suspects = self.known.iter().filter_map(|(key, contact)| {
-            let since = self.suspected(contact, now)?;
-            Some((contact.confirmed, *key, now.since(since).min(EVIDENCE_TTL)))
+            let age = now.since(self.suspected(contact, now)?);
+            (age >= QUESTION_DELAY).then_some((contact.confirmed, *key, age))
         });
         let mut suspects: Vec<_> = suspects.collect();
+        let interval = if suspects.iter().any(|(_, _, age)| *age < RECENT) {
+            QUESTION_INTERVAL
+        } else if self.is_cut() {
+            REFRESH_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
+        if suspects.is_empty() || now.since(self.asked) < interval {
+            return Vec::new();
+        }
+        self.asked = now;
         suspects.sort_unstable();
         suspects.truncate(QUESTION_MAX);
-        if !suspects.is_empty() {
-            self.asked = now;
-        }
-        suspects.into_iter().map(|(_, key, age)| (key, age)).collect()
+        suspects.into_iter().map(|(_, key, age)| (key, age.min(EVIDENCE_TTL))).collect()
     }
 
     /// Which of the endpoints that a peer asks about have answered here recently enough, and when.
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -32,8 +32,8 @@
     pub(crate) chunks_serving: Cell<u32>,
     /// Number of running checks of endpoints that may have ended.
     pub(crate) end_checks: Cell<u32>,
-    /// Notified when an endpoint has failed to answer, or one that was out of reach has answered.
-    pub(crate) contact_lost: Notify,
+    /// Notified when an endpoint that was out of reach has answered a probe.
+    pub(crate) probe_answered: Notify,
     /// Notified when other endpoints are out of reach than before.
     pub(crate) reach_changed: Notify,
     /// Number of requests that are being run for peers.
@@ -60,7 +60,7 @@
             chunks_wanted: Notify::new(),
             chunks_serving: Cell::new(0),
             end_checks: Cell::new(0),
-            contact_lost: Notify::new(),
+            probe_answered: Notify::new(),
             reach_changed: Notify::new(),
             forwarded: Cell::new(0),
             evidence_added: Notify::new(),
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -40,15 +40,16 @@
 pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
     let mut round = 0;
     loop {
-        let waiting = clock::timeout(POLL_INTERVAL, context.contact_lost.notified());
-        let is_notified = waiting.await.is_ok();
+        // A probe that was answered is followed by the next one at once.
+        let waiting = clock::timeout(POLL_INTERVAL, context.probe_answered.notified());
+        let _woken = waiting.await;
         judge(&context);
         let now = context.now();
         let probe = context.state().balancer.contacts().take_probe(now);
         if let Some(probe) = probe {
             tokio::task::spawn_local(run_probe(context.clone(), probe));
         }
-        let endpoints = context.state().balancer.contacts().questions(is_notified, now);
+        let endpoints = context.state().balancer.contacts().questions(now);
         if endpoints.is_empty() {
             continue;
         }
@@ -155,7 +156,7 @@
         reach.record(&registration.zone, &registration.id, contact, (none, none), now);
         drop(state);
         record_answer(&context, &registration.id);
-        context.contact_lost.notify_one();
+        context.probe_answered.notify_one();
     } else {
         record_failure(&context, &registration.id);
     }
@@ -209,7 +210,6 @@
     let mut state = context.state();
     if let Some(key) = state.balancer.key(endpoint) {
         state.balancer.contacts().record_failure(key, now);
-        context.contact_lost.notify_one();
     }
 }
 
