peers: a relay that reaches no endpoint leaves its part of what is divided to the others

A relay that is isolated says so in its datagrams, and the others divide without it. Back, it waits 1.5 s until they have heard, and sends what finds no part through a peer meanwhile; one that is silent counts as back, so that nobody's part is used twice.

--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -17,6 +17,13 @@
 /// Time without a new heartbeat after which a daemon is removed.
 const REMOVE_AFTER: time::Millis = time::Millis(60_000);
 
+/// Time without word after which a daemon no longer counts as isolated.
+const ISOLATION_TTL: time::Millis = time::Millis(1_600);
+
+/// Time after its isolation for which a daemon leaves its part of what is divided to the others, until they have
+/// all heard that it is back.
+const RETURN_DELAY: time::Millis = time::Millis(1_500);
+
 /// Heartbeat of a daemon, which its peers pass on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -40,6 +47,8 @@
 struct Known {
     member: Member,
     last_seen: time::Tick,
+    // When it last said that it reaches no endpoint.
+    isolated: Option<time::Tick>,
 }
 
 /// Known daemons.
@@ -47,14 +56,25 @@
 pub struct Peers {
     own: Member,
     known: BTreeMap<id::VmId, Known>,
-    // Number of times that a daemon was added or removed.
+    // Number of times that the daemons have changed which divide something.
     generation: u64,
+    // Whether this daemon reaches no endpoint, and when it takes its part again.
+    is_isolated: bool,
+    returns: time::Tick,
+    is_sharing: bool,
 }
 
 impl Peers {
     /// Creates a membership of this daemon alone.
     pub const fn new(own: Member) -> Self {
-        Self { own, known: BTreeMap::new(), generation: 0 }
+        Self {
+            own,
+            known: BTreeMap::new(),
+            generation: 0,
+            is_isolated: false,
+            returns: time::Tick(0),
+            is_sharing: true,
+        }
     }
 
     /// This daemon's own entry.
@@ -79,12 +99,14 @@
                 let is_newer =
                     (member.start, member.beat) > (known.member.start, known.member.beat);
                 if is_newer {
-                    *known = Known { member, last_seen: now };
+                    let isolated = known.isolated;
+                    *known = Known { member, last_seen: now, isolated };
                 }
                 false
             }
             None => {
-                self.known.insert(member.vm.clone(), Known { member, last_seen: now });
+                self.known
+                    .insert(member.vm.clone(), Known { member, last_seen: now, isolated: None });
                 self.generation += 1;
                 true
             }
@@ -96,6 +118,42 @@
         let before = self.known.len();
         self.known.retain(|_, known| now.since(known.last_seen) < REMOVE_AFTER);
         self.generation += u64::from(self.known.len() < before);
+        for known in self.known.values_mut() {
+            if known.isolated.is_some_and(|at| now.since(at) >= ISOLATION_TTL) {
+                known.isolated = None;
+                self.generation += 1;
+            }
+        }
+        self.update_sharing(now);
+    }
+
+    /// Records whether this daemon reaches no endpoint, although others do.
+    pub fn set_isolated(&mut self, is_isolated: bool, now: time::Tick) {
+        if self.is_isolated && !is_isolated {
+            self.returns = now + RETURN_DELAY;
+        }
+        self.is_isolated = is_isolated;
+        self.update_sharing(now);
+    }
+
+    fn update_sharing(&mut self, now: time::Tick) {
+        let is_sharing = !self.is_isolated && self.returns <= now;
+        self.generation += u64::from(is_sharing != self.is_sharing);
+        self.is_sharing = is_sharing;
+    }
+
+    /// Whether this daemon uses its part of what is divided. One that reaches no endpoint leaves it to the
+    /// others, until a while after its return.
+    pub const fn is_sharing(&self) -> bool {
+        self.is_sharing
+    }
+
+    /// Records whether another daemon says that it reaches no endpoint.
+    pub fn record_isolation(&mut self, vm: &id::VmId, is_isolated: bool, now: time::Tick) {
+        if let Some(known) = self.known.get_mut(vm) {
+            self.generation += u64::from(known.isolated.is_some() != is_isolated);
+            known.isolated = is_isolated.then_some(now);
+        }
     }
 
     /// Changes whenever the set of known daemons does.
@@ -141,10 +199,14 @@
         alive
     }
 
-    /// The first `count` of all known daemons, live or not, in the order of [`Peers::known_rank`].
+    /// The first `count` of all known daemons, live or not, in the order of [`Peers::known_rank`], but for
+    /// those that leave their part to the others.
     pub fn known_assigned(&self, duty: &str, count: usize) -> Vec<id::VmId> {
         let seed = xxh3::xxh3_64(duty.as_bytes());
-        let mut all: Vec<&Member> = std::iter::once(&self.own).chain(self.others()).collect();
+        let others = self.known.values().filter(|known| known.isolated.is_none());
+        let own = self.is_sharing.then_some(&self.own);
+        let mut all: Vec<&Member> =
+            own.into_iter().chain(others.map(|known| &known.member)).collect();
         all.sort_by_key(|member| {
             std::cmp::Reverse(xxh3::xxh3_64_with_seed(member.vm.as_str().as_bytes(), seed))
         });
--- a/crates/ibishill-decide/tests/relay/peers.rs
+++ b/crates/ibishill-decide/tests/relay/peers.rs
@@ -82,3 +82,76 @@
     ranks.sort_unstable();
     assert_eq!(ranks, (0..names.len()).collect::<Vec<_>>());
 }
+
+struct Case {
+    name: &'static str,
+    /// Whether another daemon says at these times, in milliseconds, that it reaches no endpoint.
+    told: &'static [(u64, bool)],
+    /// The same of this daemon.
+    own: &'static [(u64, bool)],
+    at: u64,
+    /// Whether each of the two has a part.
+    expected: (bool, bool),
+}
+
+const CASES: &[Case] = &[
+    Case { name: "all reach endpoints", told: &[], own: &[], at: 100, expected: (true, true) },
+    Case {
+        name: "the other is isolated",
+        told: &[(100, true)],
+        own: &[],
+        at: 600,
+        expected: (true, false),
+    },
+    Case {
+        name: "the other is back",
+        told: &[(100, true), (600, false)],
+        own: &[],
+        at: 700,
+        expected: (true, true),
+    },
+    Case {
+        name: "the other has been isolated and fell silent",
+        told: &[(100, true)],
+        own: &[],
+        at: 1_800,
+        expected: (true, true),
+    },
+    Case { name: "isolated", told: &[], own: &[(100, true)], at: 700, expected: (false, true) },
+    Case {
+        name: "just back",
+        told: &[],
+        own: &[(100, true), (700, false)],
+        at: 1_000,
+        expected: (false, true),
+    },
+    Case {
+        name: "back for long enough that all know",
+        told: &[],
+        own: &[(100, true), (700, false)],
+        at: 2_300,
+        expected: (true, true),
+    },
+];
+
+#[test]
+fn daemon_that_reaches_no_endpoint_leaves_its_part_to_the_others_until_they_know_that_it_is_back() {
+    for Case { name, told, own, at, expected } in CASES {
+        let mut view = peers::Peers::new(member("own", 1, 1));
+        view.record(member("other", 1, 1), time::Tick(0));
+        let before = view.generation();
+        let other = "other".parse().unwrap();
+        for (at, is_isolated) in *told {
+            view.record_isolation(&other, *is_isolated, time::Tick(*at));
+        }
+        for (at, is_isolated) in *own {
+            view.set_isolated(*is_isolated, time::Tick(*at));
+        }
+        view.expire(time::Tick(*at));
+        let senders = view.known_assigned("e0", 4);
+        let has_part = |vm: &str| senders.iter().any(|sender| sender.as_str() == vm);
+        assert_eq!((has_part("own"), has_part("other")), *expected, "{name}");
+        let is_changed = !told.is_empty() || !own.is_empty();
+        assert_eq!(view.generation() > before, is_changed, "{name}");
+    }
+}
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -216,9 +216,13 @@
 // Logs what is out of reach, and wakes requests that wait for endpoints that are.
 fn announce(context: &Shared) {
     context.reach_changed.notify_waiters();
+    context.evidence_added.notify_one();
     context.capacity_freed.notify_waiters();
     let now = context.now();
     let mut state = context.state();
+    let is_isolated = state.balancer.contacts().is_isolated();
+    state.peers.set_isolated(is_isolated, now);
+    state.divide(now);
     let contacts = state.balancer.contacts();
     let (is_isolated, out) = (contacts.is_isolated(), contacts.out().count());
     let peers: Vec<String> = contacts.reaching(now).map(ToString::to_string).collect();
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -52,6 +52,8 @@
     #[serde(rename = "shares")]
     in_flight: Vec<balance::reports::InFlight>,
     configuration: Announcement,
+    /// Whether the sender reaches no endpoint, although its peers do.
+    is_isolated: bool,
     /// Requests per second that the sender gets from callers.
     demand: f32,
     news: News,
@@ -89,6 +91,7 @@
             versions: state.table_versions(now),
             in_flight: Vec::new(),
             configuration: state.announcement(now),
+            is_isolated: state.balancer.contacts().is_isolated(),
             demand: state.balancer.gate().limits().demands().own(now) as f32,
             news: state.news(NEWS_MAX, false, now),
         };
@@ -148,6 +151,7 @@
     state.record_announcement(&datagram.configuration, now);
     state.record_confirmations(&datagram.versions, now);
     state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
+    state.peers.record_isolation(&datagram.vm, datagram.is_isolated, now);
     let demand = f64::from(datagram.demand);
     state.balancer.gate().limits().demands().record_peer(&datagram.vm, demand, now);
     state.merge_news(datagram.news, now);
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -117,6 +117,8 @@
         }
     };
     match choice {
+        // Until it takes its part again, a relay that is back can't send to endpoints that are divided.
+        balance::Choice::Full if !state.peers.is_sharing() => Choice::OutOfReach,
         balance::Choice::Full => Choice::Full,
         balance::Choice::NoEndpoint => Choice::NoEndpoint,
         balance::Choice::OutOfReach => Choice::OutOfReach,
