--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -137,7 +137,9 @@
     metadata: ibishill_core::call::Metadata,
     arrived: time::Tick,
 ) -> Result<Received, (String, Reason)> {
-    let (parts, incoming) = request.into_parts();
+    let (mut parts, incoming) = request.into_parts();
+    // Only between relays.
+    parts.headers.remove(hop::HOP);
 
     let fail = |reason| (metadata.id.clone(), reason);
     let catalog = catalog(context, arrived).await.ok_or_else(|| fail(Reason::NotReady))?;
