control: a relay that stops ends the requests that it runs for peers, and takes no more

A request through a peer got 502 when that peer stopped: it waited for its callers' connections only, and went on taking requests of peers until the end. It declines these at once now, so that another peer is tried, and waits within its grace for those that run. request_behind_a_peer_that_stops_is_answered failed before (502) and passes.

--- a/crates/ibishill-relay/src/control.rs
+++ b/crates/ibishill-relay/src/control.rs
@@ -106,7 +106,8 @@
             return Ok(respond(Err(StatusCode::BAD_REQUEST)));
         };
         connection.is_forwarding.set(true);
-        let guard = ForwardGuard::begin(&context);
+        let is_stopping = context.state().is_stopping;
+        let guard = ForwardGuard::begin(&context).filter(|_| !is_stopping);
         let is_full = guard.is_none();
         *connection.forward.borrow_mut() = guard;
         return Ok(handler::handle_forwarded(context, request, hop, is_full).await);
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -77,7 +77,7 @@
 }
 
 /// Handles a request that a peer passes on, whose endpoints it does not reach, and returns the response
-/// for the peer; `is_full` if this relay runs as many as it may.
+/// for the peer; `is_full` if this relay takes no more.
 pub(crate) async fn handle_forwarded(
     context: Shared,
     request: Request<Incoming>,
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -154,7 +154,8 @@
     event::emit_json(event::Event::RelayStopping, &[event::field("open", &open)]);
     clock::sleep(ACCEPT_AFTER_STOP.min(grace.to_std())).await;
     context.shutdown.notify_waiters();
-    while context.state().connections > 0 && context.now().since(started) < grace {
+    let is_busy = || context.state().connections > 0 || context.forwarded.get() > 0;
+    while is_busy() && context.now().since(started) < grace {
         clock::sleep(Duration::from_millis(20)).await;
     }
     let open = context.state().connections;
