hop: a peer that declines or fails comes last for a while, it is not left out

With one peer that reaches endpoints, a single connection that failed there left its callers without any for up to 0.4 s.

--- a/crates/ibishill-decide/src/contact.rs
+++ b/crates/ibishill-decide/src/contact.rs
@@ -51,6 +51,9 @@
 /// Interval of the probes of endpoints out of reach.
 const PROBE_INTERVAL: time::Millis = time::Millis(400);
 
+/// Time for which a peer that has not taken a request comes after the others.
+const DECLINED_TTL: time::Millis = time::Millis(500);
+
 /// Endpoints out of reach from which on the others of the same part, or all, count so as well, as long
 /// as none of these answers.
 const INFERENCE_MIN: usize = 2;
@@ -104,8 +107,9 @@
     // Last answer by part, and of any endpoint.
     parts: BTreeMap<Part, time::Tick>,
     answered: Option<time::Tick>,
-    // Last answer that each peer has confirmed.
+    // Last answer that each peer has confirmed, and when it last did not take a request.
     peers: BTreeMap<id::VmId, time::Tick>,
+    declined: BTreeMap<id::VmId, time::Tick>,
     cut: Cut,
     asked: time::Tick,
     // Last probe of any endpoint.
@@ -243,6 +247,7 @@
     /// Decides what is out of reach; returns whether that has changed.
     pub fn judge(&mut self, now: time::Tick) -> bool {
         self.peers.retain(|_, at| now.since(*at) < EVIDENCE_TTL);
+        self.declined.retain(|_, at| now.since(*at) < DECLINED_TTL);
         let is_fresh = |at: time::Tick| now.since(at) < EVIDENCE_TTL;
         let confirmed =
             self.known.iter().filter(|(_, contact)| contact.confirmed.is_some_and(is_fresh));
@@ -323,10 +328,14 @@
         last.is_some_and(|last| last > at)
     }
 
-    /// Records that a peer does not take requests for endpoints out of reach, until it tells again that
-    /// they have answered it.
-    pub fn record_refusal(&mut self, peer: &id::VmId) {
-        self.peers.remove(peer);
+    /// Records that a peer has not taken a request for endpoints out of reach.
+    pub fn record_declined(&mut self, peer: &id::VmId, now: time::Tick) {
+        self.declined.insert(peer.clone(), now);
+    }
+
+    /// Whether a peer has lately not taken a request.
+    pub fn has_declined(&self, peer: &id::VmId, now: time::Tick) -> bool {
+        self.declined.get(peer).is_some_and(|at| now.since(*at) < DECLINED_TTL)
     }
 
     /// Peers that have lately had answers from endpoints that are out of reach here.
--- a/crates/ibishill-relay/src/hop.rs
+++ b/crates/ibishill-relay/src/hop.rs
@@ -60,12 +60,9 @@
             }
             Err(_) => (Outcome::Unresponsive, format!("no answer within {} ms", limit.as_millis())),
         };
-        let has_failed = matches!(
-            outcome,
-            Outcome::ConnectFailed | Outcome::Refused | Outcome::Unknown | Outcome::Unresponsive
-        );
-        if has_failed {
-            context.state().balancer.contacts().record_refusal(&peer.vm);
+        if matches!(outcome, Outcome::ConnectFailed | Outcome::Refused | Outcome::Unknown) {
+            let now = context.now();
+            context.state().balancer.contacts().record_declined(&peer.vm, now);
         }
         log_ended(context, received, &peer.vm, &outcome, &detail, started);
         if !matches!(outcome, Outcome::ConnectFailed | Outcome::NotAttempted | Outcome::Refused) {
@@ -97,7 +94,11 @@
     };
     let mut found: Vec<peers::Member> = alive.filter(is_candidate).cloned().collect();
     let seed = xxh3::xxh3_64(received.metadata.id.as_bytes());
-    found.sort_by_key(|peer| xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), seed));
+    let contacts = state.balancer.contacts();
+    found.sort_by_key(|peer| {
+        let hash = xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), seed);
+        (contacts.has_declined(&peer.vm, now), hash)
+    });
     found.truncate(TRIED_MAX);
     found
 }
