--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -5,18 +5,20 @@
 //! same endpoint; endpoints that restart cold, fail or leave. Each daemon knows its own
 //! in-flight work exactly, and that of others from responses and from peers' reports.
 
+mod access;
 mod cold;
 mod endpoint;
+mod placement;
 pub mod reports;
 
 use std::collections::BTreeMap;
 
 use ibishill_core::{fleet, id, time};
-use xxhash_rust::xxh3;
 
 use cold::admits;
 pub use cold::{COLD_SENDERS, SlowStart, cold_rate};
 use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
+use placement::{prefix_endpoint, request_hash, small_model_threshold};
 
 use crate::endpoint_key;
 use crate::{contact, gate, outlier, rate, reach};
@@ -216,21 +218,6 @@
         .collect()
     }
 
-    /// Terms that endpoints state in their answers.
-    pub const fn gate(&mut self) -> &mut gate::Gate {
-        &mut self.gate
-    }
-
-    /// Contacts with endpoints, and which are out of reach from this daemon only.
-    pub const fn contacts(&mut self) -> &mut contact::Contacts {
-        &mut self.contacts
-    }
-
-    /// Key of an endpoint's incarnation.
-    pub fn key(&self, id: &id::EndpointId) -> Option<endpoint_key::EndpointKey> {
-        self.endpoints.get(id).map(|endpoint| endpoint.key)
-    }
-
     /// In-flight work reported by peers.
     pub const fn reports(&mut self) -> &mut reports::Reports {
         &mut self.reports
@@ -348,19 +335,6 @@
             && !self.zones_out.contains_key(&endpoint.entry.zone)
     }
 
-    /// Whether a request may be sent to an endpoint that was chosen a moment ago.
-    pub fn is_open(&self, id: &id::EndpointId, now: time::Tick) -> bool {
-        self.endpoints.get(id).is_some_and(|endpoint| self.gate.is_open(endpoint.key, now))
-    }
-
-    /// Whether all endpoints of a service that are in service otherwise have said that they leave.
-    pub fn is_service_leaving(&self, service: &id::ServiceId) -> bool {
-        let ready =
-            |endpoint: &&Endpoint| endpoint.entry.service == *service && self.is_ready(endpoint);
-        let mut ready = self.endpoints.values().filter(ready).peekable();
-        ready.peek().is_some() && ready.all(|endpoint| self.gate.is_leaving(endpoint.key))
-    }
-
     /// Counts the endpoints by state.
     pub fn counts(&self, now: time::Tick) -> Counts {
         let mut counts = Counts::default();
@@ -465,39 +439,6 @@
         }
     }
 
-    /// Decides what is out of reach; returns whether that has changed.
-    ///
-    /// What endpoints out of reach have failed says nothing about them, so it is forgotten.
-    pub fn judge_contacts(&mut self, now: time::Tick) -> bool {
-        let is_changed = self.contacts.judge(now);
-        if is_changed {
-            for endpoint in self.endpoints.values_mut() {
-                if self.contacts.is_out(endpoint.key) {
-                    endpoint.breaker = outlier::Breaker::default();
-                    endpoint.was_unreachable = false;
-                }
-            }
-        }
-        is_changed
-    }
-
-    /// Whether an endpoint is out of reach from this daemon, but not from its peers.
-    pub fn is_out_of_reach(&self, id: &id::EndpointId) -> bool {
-        self.endpoints.get(id).is_some_and(|endpoint| self.contacts.is_out(endpoint.key))
-    }
-
-    /// Whether all endpoints of a service are.
-    pub fn is_service_out(&self, service: &id::ServiceId) -> bool {
-        let mut endpoints =
-            self.endpoints.values().filter(|endpoint| endpoint.entry.service == *service);
-        self.contacts.is_cut() && endpoints.all(|endpoint| self.contacts.is_out(endpoint.key))
-    }
-
-    /// Registration of the incarnation with a key.
-    pub fn entry_of(&self, key: endpoint_key::EndpointKey) -> Option<&fleet::Registration> {
-        self.endpoints.values().find(|endpoint| endpoint.key == key).map(|found| &found.entry)
-    }
-
     // Keeps only the first endpoint, by hash, whose load is below the mean load of the other
     // versions' endpoints, if that mean is at least `PACK_MIN_LOAD`.
     fn pack(&self, available: &mut Vec<&Endpoint>, request: &Request<'_>, now: time::Tick) {
@@ -655,25 +596,3 @@
         load / f64::max(count, 1.0)
     }
 }
-
-// The smallest hash among the engines that the smallest model prefers.
-fn small_model_threshold(endpoints: &[&Endpoint]) -> u64 {
-    let mut hashes: Vec<u64> = endpoints.iter().map(|endpoint| endpoint_hash(endpoint)).collect();
-    hashes.sort_unstable_by(|a, b| b.cmp(a));
-    let count = (endpoints.len() as f64 * SMALL_MODEL_SHARE).round().max(1.0) as usize;
-    hashes.get(count - 1).copied().unwrap_or_default()
-}
-
-fn request_hash(endpoint: &Endpoint, request: &Request<'_>) -> u64 {
-    xxh3::xxh3_64_with_seed(endpoint.entry.id.as_str().as_bytes(), request.seed)
-}
-
-// Rendezvous hashing of the prefix: daemons that know the same endpoints agree on the one with
-// the highest hash; if it fails or is full, the next one takes its place.
-fn prefix_endpoint(endpoints: &[&Endpoint], request: &Request<'_>) -> Option<u32> {
-    let (prefix, _) = request.prefix?;
-    let weight = |endpoint: &&&Endpoint| {
-        xxh3::xxh3_64_with_seed(endpoint.entry.id.as_str().as_bytes(), prefix)
-    };
-    endpoints.iter().max_by_key(weight).map(|endpoint| endpoint.report_key)
-}
--- /dev/null
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -0,0 +1,71 @@
+//! Which endpoints may be sent to: not those out of reach from this daemon, nor those that say they take
+//! nothing.
+
+use ibishill_core::{fleet, id, time};
+
+use super::{Balancer, Endpoint};
+use crate::{contact, endpoint_key, gate, outlier};
+
+impl Balancer {
+    /// Contacts with endpoints, and which are out of reach from this daemon only.
+    pub const fn contacts(&mut self) -> &mut contact::Contacts {
+        &mut self.contacts
+    }
+
+    /// Key of an endpoint's incarnation.
+    pub fn key(&self, id: &id::EndpointId) -> Option<endpoint_key::EndpointKey> {
+        self.endpoints.get(id).map(|endpoint| endpoint.key)
+    }
+
+    /// Terms that endpoints state in their answers.
+    pub const fn gate(&mut self) -> &mut gate::Gate {
+        &mut self.gate
+    }
+
+    /// Decides what is out of reach; returns whether that has changed.
+    ///
+    /// What endpoints out of reach have failed says nothing about them, so it is forgotten.
+    pub fn judge_contacts(&mut self, now: time::Tick) -> bool {
+        let is_changed = self.contacts.judge(now);
+        if is_changed {
+            for endpoint in self.endpoints.values_mut() {
+                if self.contacts.is_out(endpoint.key) {
+                    endpoint.breaker = outlier::Breaker::default();
+                    endpoint.was_unreachable = false;
+                }
+            }
+        }
+        is_changed
+    }
+
+    /// Whether an endpoint is out of reach from this daemon, but not from its peers.
+    pub fn is_out_of_reach(&self, id: &id::EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| self.contacts.is_out(endpoint.key))
+    }
+
+    /// Whether all endpoints of a service are.
+    pub fn is_service_out(&self, service: &id::ServiceId) -> bool {
+        let mut endpoints =
+            self.endpoints.values().filter(|endpoint| endpoint.entry.service == *service);
+        self.contacts.is_cut() && endpoints.all(|endpoint| self.contacts.is_out(endpoint.key))
+    }
+
+    /// Registration of the incarnation with a key.
+    pub fn entry_of(&self, key: endpoint_key::EndpointKey) -> Option<&fleet::Registration> {
+        self.endpoints.values().find(|endpoint| endpoint.key == key).map(|found| &found.entry)
+    }
+
+    /// Whether a request may be sent to an endpoint now, by what it says of itself; it may have been chosen a moment
+    /// ago.
+    pub fn is_open(&self, id: &id::EndpointId, now: time::Tick) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| self.gate.is_open(endpoint.key, now))
+    }
+
+    /// Whether all endpoints of a service that are in service otherwise have said that they leave.
+    pub fn is_service_leaving(&self, service: &id::ServiceId) -> bool {
+        let ready =
+            |endpoint: &&Endpoint| endpoint.entry.service == *service && self.is_ready(endpoint);
+        let mut ready = self.endpoints.values().filter(ready).peekable();
+        ready.peek().is_some() && ready.all(|endpoint| self.gate.is_leaving(endpoint.key))
+    }
+}
