--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -187,6 +187,10 @@
 
     // The endpoint that the request was sent to has ended.
     fn record_end(&self, context: &Shared, registration: &fleet::Registration) {
+        // It refuses connections of this relay only.
+        if context.state().balancer.is_out_of_reach(&registration.id) {
+            return;
+        }
         context.metrics.record_early_end();
         let keys: Vec<String> = self.keys.iter().map(ToString::to_string).collect();
         event::emit_json(
@@ -199,9 +203,6 @@
         );
         let key = endpoint_key::EndpointKey::of(registration);
         let mut state = context.state();
-        if state.balancer.is_out_of_reach(&registration.id) {
-            return;
-        }
         if state.quarantine.record_end(&self.keys, key, self.at) {
             context.evidence_added.notify_one();
         }
