isolation: relays that are cut off at the same moment ask different peers

The order is the relay's own now, and half of the places rotate. Endpoints that have ended could take all 16 places of a question, so that the word on those out of reach went stale; half are theirs now. Found by reading. peers_are_asked_again_about_endpoints_out_of_reach_however_many_have_ended; the tests of relays cut off pass.

--- a/crates/ibishill-decide/src/contact.rs
+++ b/crates/ibishill-decide/src/contact.rs
@@ -213,8 +213,12 @@
         }
         self.asked = now;
         suspects.sort_unstable();
-        suspects.truncate(QUESTION_MAX);
-        suspects.into_iter().map(|(_, key, age)| (key, age.min(EVIDENCE_TTL))).collect()
+        // Many that have ended must not keep the word on those out of reach from being refreshed.
+        let (new, known): (Vec<_>, Vec<_>) =
+            suspects.into_iter().partition(|(confirmed, _, _)| confirmed.is_none());
+        let new_count = QUESTION_MAX - known.len().min(QUESTION_MAX / 2);
+        let chosen = new.into_iter().take(new_count).chain(known).take(QUESTION_MAX);
+        chosen.map(|(_, key, age)| (key, age.min(EVIDENCE_TTL))).collect()
     }
 
     /// Which of the endpoints that a peer asks about have answered here recently enough, and when.
--- a/crates/ibishill-decide/tests/relay/contact.rs
+++ b/crates/ibishill-decide/tests/relay/contact.rs
@@ -1,5 +1,5 @@
 use ibishill_core::{fleet, id, time};
-use ibishill_decide::contact::{Contacts, Part};
+use ibishill_decide::contact::{self, Contacts, Part};
 use ibishill_decide::endpoint_key::EndpointKey;
 
 const START: time::Tick = time::Tick(10_000);
@@ -192,6 +192,20 @@
     assert!(contacts.questions(at(2_000)).is_empty());
 }
 
+#[test]
+fn peers_are_asked_again_about_endpoints_out_of_reach_however_many_have_ended() {
+    let mut contacts = contacts();
+    contacts.record_failure(key(0), at(100));
+    contacts.record_evidence(&peer(), &[(key(0), time::Millis(0))], at(200));
+    for number in 10..40 {
+        contacts.register(key(number), part("a"));
+        contacts.record_failure(key(number), at(150));
+    }
+    let asked = contacts.questions(at(300));
+    assert_eq!(asked.len(), contact::QUESTION_MAX);
+    assert!(asked.iter().any(|(asked, _)| *asked == key(0)));
+}
+
 #[test]
 fn questions_are_answered_by_what_has_been_heard_since() {
     let mut contacts = contacts();
--- a/crates/ibishill-relay/src/hop.rs
+++ b/crates/ibishill-relay/src/hop.rs
@@ -82,8 +82,8 @@
     }
 }
 
-// Peers that lately had answers from endpoints out of reach here, in an order that spreads requests. A
-// request goes to another region only if its caller has connected there.
+// Peers that lately had answers from endpoints out of reach here, in an order that spreads requests. Requests
+// stay in the region that their callers have connected to.
 fn candidates(context: &Shared, received: &Received) -> Vec<peers::Member> {
     let now = context.now();
     let mut state = context.state();
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -9,7 +9,7 @@
 
 use ibishill_adapter::{head, store};
 use ibishill_core::{event, fleet, id, time};
-use ibishill_decide::{contact, endpoint_key, reach};
+use ibishill_decide::{contact, endpoint_key, peers, reach};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time as clock;
@@ -25,6 +25,10 @@
 /// Peers asked at once in the relay's own zone, and as many elsewhere; a whole zone may be cut off.
 const ASKED: usize = 4;
 
+/// Of these, peers that have confirmed answers lately. The others are asked in turn, so that a relay's requests
+/// spread over more peers than it asks at once.
+const ASKED_AGAIN: usize = 2;
+
 /// Timeout of a probe.
 const PROBE_TIMEOUT: time::Millis = time::Millis(400);
 
@@ -60,17 +64,23 @@
     }
 }
 
-// Addresses of the peers to ask: those that have confirmed answers lately, so that their word stays fresh,
-// and others in turn.
+// Addresses of the peers to ask, in an order of this relay's own.
 fn asked(state: &mut State, round: u64, now: time::Tick) -> Vec<SocketAddr> {
     let reaching: Vec<id::VmId> = state.balancer.contacts().reaching(now).cloned().collect();
-    let hash = |vm: &id::VmId| xxh3::xxh3_64_with_seed(vm.as_str().as_bytes(), round);
-    let own = &state.peers.own().zone;
+    let own = state.peers.own();
+    let seed = xxh3::xxh3_64_with_seed(own.vm.as_str().as_bytes(), round);
     let mut peers: Vec<_> = state.peers.alive(now).into_iter().skip(1).collect();
-    peers.sort_by_key(|peer| (!reaching.contains(&peer.vm), hash(&peer.vm)));
-    let (near, far): (Vec<_>, Vec<_>) = peers.into_iter().partition(|peer| peer.zone == *own);
-    let chosen = near.into_iter().take(ASKED).chain(far.into_iter().take(ASKED));
-    chosen.map(|peer| peer.address).collect()
+    peers.sort_by_key(|peer| xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), seed));
+    let (near, far): (Vec<_>, Vec<_>) = peers.into_iter().partition(|peer| peer.zone == own.zone);
+    let choose = |peers: Vec<&peers::Member>| {
+        let (again, new): (Vec<_>, Vec<_>) =
+            peers.into_iter().partition(|peer| reaching.contains(&peer.vm));
+        let again_count = ASKED_AGAIN.max(ASKED.saturating_sub(new.len())).min(again.len());
+        let (again, late) = again.split_at(again_count);
+        let order = again.iter().chain(&new).chain(late);
+        order.take(ASKED).map(|peer| peer.address).collect::<Vec<_>>()
+    };
+    [choose(near), choose(far)].concat()
 }
 
 async fn send(socket: &UdpSocket, kind: packet::Kind, message: &Message, peers: &[SocketAddr]) {
