gate: a relay that may send to no endpoint of a service sends through one that may

With six relays and an endpoint that names a limit, two relays refused all of its requests: a limit is divided between four. The same holds for slots of endpoints that end by rejections, at a size where a service has fewer senders than relays: about one in twenty of 83 relays (worked out for 40 endpoints of six slots).

Such a request goes to a relay that has a part, by the same way as from a relay that is cut off, and is declined there if that one has none either. It replaces the special case of a relay that is just back.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -140,7 +140,8 @@
     Full,
     /// No eligible endpoint, or all were tried.
     NoEndpoint,
-    /// Those that could take it are out of reach from this daemon, but not from its peers.
+    /// Those that could take it are out of reach from this daemon, or divided between others; peers can
+    /// send to them.
     OutOfReach,
     /// Those that could take it want no requests from this daemon until then at the earliest.
     Resting(time::Tick),
@@ -185,19 +186,21 @@
     gate: gate::Gate,
     contacts: contact::Contacts,
     zone: id::ZoneId,
+    own: id::VmId,
     endpoints: BTreeMap<id::EndpointId, Endpoint>,
     zones_out: BTreeMap<id::ZoneId, ()>,
     reach: reach::Reach,
 }
 
 impl Balancer {
-    /// Creates a balancer without endpoints, for a daemon in `zone`.
-    pub fn new(zone: id::ZoneId) -> Self {
+    /// Creates a balancer without endpoints, for the daemon `own` in `zone`.
+    pub fn new(own: id::VmId, zone: id::ZoneId) -> Self {
         Self {
             reports: reports::Reports::default(),
             gate: gate::Gate::default(),
             contacts: contact::Contacts::default(),
             zone,
+            own,
             endpoints: BTreeMap::new(),
             zones_out: BTreeMap::new(),
             reach: reach::Reach::default(),
@@ -434,7 +437,7 @@
         let best = sample.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)));
         match best {
             Some(endpoint) => Choice::Send(endpoint.entry.id.clone()),
-            None if is_partial => Choice::OutOfReach,
+            None if is_partial || !self.senders(request.service).is_empty() => Choice::OutOfReach,
             None => resting.map_or(Choice::Full, Choice::Resting),
         }
     }
--- a/crates/ibishill-decide/src/balance/access.rs
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -1,6 +1,8 @@
 //! Which endpoints may be sent to: not those out of reach from this daemon, nor those that say they take
 //! nothing.
 
+use std::collections::BTreeSet;
+
 use ibishill_core::{fleet, id, time};
 
 use super::{Balancer, Endpoint};
@@ -50,6 +52,29 @@
         self.contacts.is_cut() && endpoints.all(|endpoint| self.contacts.is_out(endpoint.key))
     }
 
+    // Daemons that a service's endpoints are divided between, if this one may send to none of them.
+    pub(super) fn senders(&self, service: &id::ServiceId) -> BTreeSet<id::VmId> {
+        let mut senders = BTreeSet::new();
+        let endpoints = self.endpoints.values();
+        for endpoint in endpoints.filter(|endpoint| endpoint.entry.service == *service) {
+            if !self.is_in_service(endpoint) {
+                continue;
+            }
+            match self.gate.other_senders(&self.own, endpoint.key) {
+                Some(others) => senders.extend(others.iter().cloned()),
+                None => return BTreeSet::new(),
+            }
+        }
+        senders
+    }
+
+    /// Peers that can send to a service's endpoints where this daemon can't: those that reach them, or that
+    /// they are divided between.
+    pub fn forwarders(&self, service: &id::ServiceId, now: time::Tick) -> BTreeSet<id::VmId> {
+        let reaching: BTreeSet<id::VmId> = self.contacts.reaching(now).cloned().collect();
+        if reaching.is_empty() { self.senders(service) } else { reaching }
+    }
+
     /// Registration of the incarnation with a key.
     pub fn entry_of(&self, key: endpoint_key::EndpointKey) -> Option<&fleet::Registration> {
         self.endpoints.values().find(|endpoint| endpoint.key == key).map(|found| &found.entry)
--- a/crates/ibishill-decide/src/division.rs
+++ b/crates/ibishill-decide/src/division.rs
@@ -90,6 +90,11 @@
         self.senders.len()
     }
 
+    /// The senders.
+    pub fn senders(&self) -> &[id::VmId] {
+        &self.senders
+    }
+
     /// Position of a daemon among the senders; none if it is not one.
     pub fn rank(&self, own: &id::VmId) -> Option<usize> {
         self.senders.iter().position(|vm| vm == own)
--- a/crates/ibishill-decide/src/endpoint_limit.rs
+++ b/crates/ibishill-decide/src/endpoint_limit.rs
@@ -204,6 +204,12 @@
         known.rate().is_none_or(|rate| known.bucket.has_token(rate, now))
     }
 
+    /// Daemons that send to an endpoint; none if it has no limit.
+    pub fn division(&self, endpoint: endpoint_key::EndpointKey) -> Option<&division::Division> {
+        let known = self.known.get(&endpoint)?;
+        known.limit.map(|_| &known.division)
+    }
+
     /// Records that this daemon sends a request to an endpoint.
     pub fn record_send(&mut self, endpoint: endpoint_key::EndpointKey, now: time::Tick) {
         let Some(known) = self.known.get_mut(&endpoint) else { return };
--- a/crates/ibishill-decide/src/gate.rs
+++ b/crates/ibishill-decide/src/gate.rs
@@ -8,7 +8,7 @@
 use ibishill_core::{fleet, id, terms, time};
 
 use crate::endpoint_key::EndpointKey;
-use crate::{endpoint_limit, slot_share};
+use crate::{division, endpoint_limit, slot_share};
 
 /// Terms that an answer states.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -152,6 +152,13 @@
             && self.slots.admits(key, running, now)
     }
 
+    /// Other daemons that an endpoint is divided between; none if this one may send to it as well.
+    pub fn other_senders(&self, own: &id::VmId, key: EndpointKey) -> Option<&[id::VmId]> {
+        let divisions = [self.limits.division(key), self.slots.division(key)];
+        let excluding = |division: &&division::Division| division.rank(own).is_none();
+        divisions.into_iter().flatten().find(excluding).map(division::Division::senders)
+    }
+
     /// Whether anything may be sent to an endpoint now, also a request that counts as sent already.
     pub fn is_open(&self, key: EndpointKey, now: time::Tick) -> bool {
         !self.is_leaving(key) && self.resting_until(key, now).is_none()
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -127,7 +127,8 @@
         self.update_sharing(now);
     }
 
-    /// Records whether this daemon reaches no endpoint, although others do.
+    /// Records whether this daemon reaches no endpoint, although others do. Its part of what is divided is the
+    /// others' then, until a while after its return.
     pub fn set_isolated(&mut self, is_isolated: bool, now: time::Tick) {
         if self.is_isolated && !is_isolated {
             self.returns = now + RETURN_DELAY;
@@ -142,12 +143,6 @@
         self.is_sharing = is_sharing;
     }
 
-    /// Whether this daemon uses its part of what is divided. One that reaches no endpoint leaves it to the
-    /// others, until a while after its return.
-    pub const fn is_sharing(&self) -> bool {
-        self.is_sharing
-    }
-
     /// Records whether another daemon says that it reaches no endpoint.
     pub fn record_isolation(&mut self, vm: &id::VmId, is_isolated: bool, now: time::Tick) {
         if let Some(known) = self.known.get_mut(vm) {
--- a/crates/ibishill-decide/src/slot_share.rs
+++ b/crates/ibishill-decide/src/slot_share.rs
@@ -228,6 +228,12 @@
         running < known.allowed(*fragile, now)
     }
 
+    /// Daemons that send to an endpoint; none if it does not end by rejections.
+    pub fn division(&self, key: EndpointKey) -> Option<&division::Division> {
+        let known = self.known.get(&key)?;
+        self.fragile.get(&known.service).map(|_| &known.division)
+    }
+
     /// Whether an endpoint ends by rejections.
     pub fn is_fragile(&self, key: EndpointKey) -> bool {
         self.known.get(&key).is_some_and(|known| self.fragile.contains_key(&known.service))
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -22,7 +22,7 @@
 }
 
 fn balancer(count: usize) -> balance::Balancer {
-    let mut balancer = balance::Balancer::new("a".parse().unwrap());
+    let mut balancer = balance::Balancer::new("own".parse().unwrap(), "a".parse().unwrap());
     for at in 0..count {
         balancer.register(entry(&format!("e{at}"), "a"), time::Tick(0));
     }
@@ -264,7 +264,7 @@
 
 #[test]
 fn request_leaves_zone_once_it_is_loaded() {
-    let mut balancer = balance::Balancer::new("a".parse().unwrap());
+    let mut balancer = balance::Balancer::new("own".parse().unwrap(), "a".parse().unwrap());
     balancer.register(entry("near", "a"), time::Tick(0));
     balancer.register(entry("far", "b"), time::Tick(0));
     let service = "pool".parse().unwrap();
--- a/crates/ibishill-decide/tests/relay/reach.rs
+++ b/crates/ibishill-decide/tests/relay/reach.rs
@@ -169,7 +169,7 @@
 #[test]
 fn partitioned_zone_costs_few_connect_timeouts() {
     let service: id::ServiceId = "pool".parse().unwrap();
-    let mut balancer = balance::Balancer::new(zone("a"));
+    let mut balancer = balance::Balancer::new("own".parse().unwrap(), zone("a"));
     for (name, at) in ["a", "b"].into_iter().flat_map(|z| (0..ENDPOINTS).map(move |n| (z, n))) {
         let entry = fleet::Registration {
             id: endpoint(&format!("{name}{at}")),
--- a/crates/ibishill-relay/src/hop.rs
+++ b/crates/ibishill-relay/src/hop.rs
@@ -82,15 +82,15 @@
     }
 }
 
-// Peers that lately had answers from endpoints out of reach here, in an order that spreads requests. Requests
-// stay in the region that their callers have connected to.
+// Peers that can send where this relay can't, in an order that spreads requests. Requests stay in the region
+// that their callers have connected to.
 fn candidates(context: &Shared, received: &Received) -> Vec<peers::Member> {
     let now = context.now();
     let mut state = context.state();
-    let reaching: Vec<id::VmId> = state.balancer.contacts().reaching(now).cloned().collect();
+    let forwarders = state.balancer.forwarders(&received.service, now);
     let alive = state.peers.alive(now).into_iter().skip(1);
     let is_candidate = |peer: &&peers::Member| {
-        reaching.contains(&peer.vm) && state.settings.is_in_own_region(&peer.zone)
+        forwarders.contains(&peer.vm) && state.settings.is_in_own_region(&peer.zone)
     };
     let mut found: Vec<peers::Member> = alive.filter(is_candidate).cloned().collect();
     let seed = xxh3::xxh3_64(received.metadata.id.as_bytes());
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -116,10 +116,7 @@
             choice
         }
     };
-    let has_peer = state.balancer.contacts().reaching(now).next().is_some();
     match choice {
-        // Until it takes its part again, a relay that is back can't send to endpoints that are divided.
-        balance::Choice::Full if !state.peers.is_sharing() && has_peer => Choice::OutOfReach,
         balance::Choice::Full => Choice::Full,
         balance::Choice::NoEndpoint => Choice::NoEndpoint,
         balance::Choice::OutOfReach => Choice::OutOfReach,
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -159,7 +159,7 @@
             catalog_since: time::Tick(0),
             ahead: None,
             is_update_due: false,
-            balancer: balance::Balancer::new(settings.zone.clone()),
+            balancer: balance::Balancer::new(settings.vm.clone(), settings.zone.clone()),
             recent_sessions: canary::RecentSessions::default(),
             canaries: BTreeMap::new(),
             peers: peers::Peers::new(own),
