--- a/crates/ibishill-decide/src/contact.rs
+++ b/crates/ibishill-decide/src/contact.rs
@@ -42,10 +42,10 @@
 /// Time after a failure for which it has just happened.
 const RECENT: time::Millis = time::Millis(1_000);
 
-/// Interval for endpoints out of reach, so that the word of peers stays fresh.
+/// Interval for endpoints out of reach, shorter than the time for which evidence counts.
 const REFRESH_INTERVAL: time::Millis = time::Millis(400);
 
-/// Interval for others, which have probably ended.
+/// Interval for endpoints that no peer has confirmed for a while, which have probably ended.
 const IDLE_INTERVAL: time::Millis = time::Millis(1_000);
 
 /// Interval of the probes of endpoints out of reach.
@@ -213,7 +213,7 @@
         }
         self.asked = now;
         suspects.sort_unstable();
-        // Many that have ended must not keep the word on those out of reach from being refreshed.
+        // Keeps room for endpoints out of reach, whose evidence must be refreshed, if many have ended.
         let (new, known): (Vec<_>, Vec<_>) =
             suspects.into_iter().partition(|(confirmed, _, _)| confirmed.is_none());
         let new_count = QUESTION_MAX - known.len().min(QUESTION_MAX / 2);
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -17,7 +17,7 @@
 /// Time without a new heartbeat after which a daemon is removed.
 const REMOVE_AFTER: time::Millis = time::Millis(60_000);
 
-/// Time without word after which a daemon no longer counts as isolated.
+/// Time without a report after which a daemon no longer counts as isolated.
 const ISOLATION_TTL: time::Millis = time::Millis(1_600);
 
 /// Time after its isolation for which a daemon leaves its part of what is divided to the others, until they have
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -87,7 +87,7 @@
     match packet::encode(kind, message) {
         Ok(bytes) => {
             for peer in peers {
-                // What is lost is asked again.
+                // A lost question is repeated in the next round.
                 let _sent = socket.send_to(&bytes, peer).await;
             }
         }
