control: a malformed request between relays is refused with a log line

A header between relays that named attempts ended the task that served it (attempt to add with overflow; in a release build the number would wrap to 0 and give the request all its attempts again). Only other relays reach that port.

malformed_request_between_relays_is_refused_and_counts_no_attempts failed before and passes, with the other tests of hops.

--- a/crates/ibishill-relay/src/control.rs
+++ b/crates/ibishill-relay/src/control.rs
@@ -103,6 +103,10 @@
 ) -> Result<Response<Body>, Infallible> {
     if let Some(hop) = request.headers().get(hop::HOP) {
         let Some(hop) = hop.to_str().ok().and_then(|text| text.parse().ok()) else {
+            event::emit_json(
+                event::Event::PeerRejected,
+                &[event::field("error", &format!("{}: {hop:?} is not valid", hop::HOP))],
+            );
             return Ok(respond(Err(StatusCode::BAD_REQUEST)));
         };
         connection.is_forwarding.set(true);
--- a/crates/ibishill-relay/src/request.rs
+++ b/crates/ibishill-relay/src/request.rs
@@ -57,7 +57,7 @@
         let mut next = || fields.next().ok_or(HopError);
         Ok(Self {
             vm: next()?.parse().map_err(|_| HopError)?,
-            sends: next()?.parse().map_err(|_| HopError)?,
+            sends: next()?.parse::<u16>().map_err(|_| HopError)?.into(),
             is_counted: next()?.parse().map_err(|_| HopError)?,
             is_stable: next()?.parse().map_err(|_| HopError)?,
         })
