--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -303,22 +303,6 @@
         self.endpoints.values().map(|endpoint| &endpoint.entry)
     }
 
-    /// Takes a zone out of service: its endpoints get no new requests.
-    pub fn take_zone_out(&mut self, zone: id::ZoneId) {
-        self.zones_out.insert(zone, ());
-    }
-
-    /// Puts a zone back in service; its endpoints count as cold for `duration`.
-    pub fn put_zone_back(&mut self, zone: &id::ZoneId, duration: time::Millis, now: time::Tick) {
-        if self.zones_out.remove(zone).is_none() {
-            return;
-        }
-        for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.entry.zone == *zone)
-        {
-            endpoint.cold_until = endpoint.cold_until.max(now + duration);
-        }
-    }
-
     /// Whether a version has an endpoint in service.
     pub fn has_version(&self, service: &id::ServiceId, version: &id::VersionId) -> bool {
         self.endpoints.values().any(|endpoint| {
--- a/crates/ibishill-decide/src/balance/access.rs
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -1,5 +1,5 @@
-//! Which endpoints may be sent to: not those out of reach from this daemon, nor those that say they take
-//! nothing.
+//! Which endpoints may be sent to: not those of a zone out of service, those out of reach from this daemon, nor
+//! those that say they take nothing.
 
 use std::collections::BTreeSet;
 
@@ -24,6 +24,22 @@
         &mut self.gate
     }
 
+    /// Takes a zone out of service: its endpoints get no new requests.
+    pub fn take_zone_out(&mut self, zone: id::ZoneId) {
+        self.zones_out.insert(zone, ());
+    }
+
+    /// Puts a zone back in service; its endpoints count as cold for `duration`.
+    pub fn put_zone_back(&mut self, zone: &id::ZoneId, duration: time::Millis, now: time::Tick) {
+        if self.zones_out.remove(zone).is_none() {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.entry.zone == *zone)
+        {
+            endpoint.cold_until = endpoint.cold_until.max(now + duration);
+        }
+    }
+
     /// Decides what is out of reach; returns whether that has changed.
     ///
     /// What endpoints out of reach have failed says nothing about them, so it is forgotten.
