told: what relays tell each other stands below the state

Moves Announcement and News out of the state, so that their encoding can be shared by gossip and load reports with calls downward only. No change of behaviour.

--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -19,7 +19,8 @@
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
-use crate::state::{Announcement, Merged, News, Table};
+use crate::state::{Merged, Table};
+use crate::told::{Announcement, News};
 use crate::{message, upstream};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -38,4 +38,5 @@
 mod state;
 mod store_row;
 mod stream;
+mod told;
 mod upstream;
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -19,7 +19,8 @@
 
 use crate::context::Shared;
 use crate::packet;
-use crate::state::{Announcement, News, State, Table};
+use crate::state::{State, Table};
+use crate::told::{Announcement, News};
 
 /// Interval between reports; requests take about a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -12,10 +12,8 @@
 use ibishill_core::{event, fleet, id, route, store_version, time};
 use ibishill_decide::{balance, canary, escalation, peers, quarantine, retry, wait_queue};
 use ibishill_state::{chunk, confirmation, replica, transfer};
-use serde::{Deserialize, Serialize};
-
-pub(crate) use news::News;
 
+use crate::told::Announcement;
 use crate::{early_end, restored};
 
 /// Time after a store outage for which endpoints whose registration lapsed are kept: live ones
@@ -68,15 +66,6 @@
 /// from those that have it; notices come several times a second.
 const NOTICE_MAX: time::Millis = time::Millis(1_500);
 
-/// Configuration that a relay has in force, as it tells its peers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Announcement {
-    /// Version; 0 before the first.
-    version: u64,
-    /// Time since any relay first had it, as far as the sender knows.
-    age: time::Millis,
-}
-
 /// Result of merging a delta.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Merged {
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -1,25 +1,11 @@
-//! What relays tell each other of endpoints: their terms, segments of prompts that end them, and which have
-//! turned cold.
+//! Records and merges what relays tell each other of endpoints.
 
 use ibishill_core::{call, event, fleet, terms, time};
-use ibishill_decide::{endpoint_key, endpoint_limit, gate, quarantine, slot_share};
-use serde::{Deserialize, Serialize};
+use ibishill_decide::{endpoint_key, gate, quarantine};
 
 use super::State;
 use crate::early_end;
-
-/// What relays tell each other of endpoints.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub(crate) struct News {
-    limits: Vec<endpoint_limit::Told>,
-    /// Endpoints that leave.
-    leaving: Vec<gate::Leaving>,
-    /// Services whose endpoints end by rejections.
-    fragile: Vec<slot_share::Told>,
-    evidence: Vec<quarantine::evidence::Evidence>,
-    /// Endpoints that have turned cold, and how long they stay so.
-    cold: Vec<(endpoint_key::EndpointKey, time::Millis)>,
-}
+use crate::told::News;
 
 impl State {
     /// Records the terms that an endpoint's answer states; returns whether peers are to hear of it at once.
