rollout: a verdict reaches each relay by the store as well, names its order, and is asked for before each send

Callers: requests went on to a version after its rollback. An order is named by the version of its row. Status rows are followed like the other tables while a roll-out is open. A relay whose order is older than its process sends nothing to the new version until the store or an informed peer has told. A rollback for evidence overrides a completion; one for want of proof yields to it. attempt::may_send is the one place that every way to an endpoint asks. E2301 and E2303 (new) tell the order, its age, whose counts are known and how old; E2304 (new) the first send to a version.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -113,6 +113,8 @@
     EndpointsOutOfReach = 2211, Warn, "endpoints that answer peers are out of reach, or reached again";
     QuarantineDelayed = 2209, Warn, "state of a prompt segment could not be written yet";
     RolloutChanged = 2301, Info, "roll-out changed";
+    RolloutHeard = 2303, Info, "verdict on a roll-out heard";
+    VersionSent = 2304, Info, "first request to a new version";
     StatusDelayed = 2302, Warn, "state of a roll-out could not be written yet";
     RequestSent = 2401, Info, "request sent to an endpoint";
     AttemptEnded = 2402, Info, "attempt ended";
--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -65,6 +65,17 @@
     pub duration: time::Millis,
 }
 
+/// State of a roll-out as operators are told it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// Service that is moved.
+    pub service: id::ServiceId,
+    /// Target version.
+    pub to: id::VersionId,
+    /// Progress.
+    pub progress: Progress,
+}
+
 /// Progress of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Progress {
@@ -102,6 +113,8 @@
     ZoneOut(id::ZoneId),
     /// A registered endpoint.
     Registration(Registration),
+    /// What operators are told of a roll-out.
+    Status(Status),
 }
 
 /// Time and traffic bounds that the deployment sets.
--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -13,8 +13,9 @@
 mod recent_sessions;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
-use ibishill_core::{fleet, id, time};
+use ibishill_core::{fleet, id, store_version, time};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
@@ -91,6 +92,9 @@
 /// Paces that are needed to judge by them; they hardly depend on the prompt.
 const PACES_MIN: u64 = 8;
 
+/// Processes of one VM whose counts are kept; it restarts a few times in a roll-out at most.
+const PROCESSES_MAX: usize = 4;
+
 /// Maximum number of sessions that are remembered.
 const SESSIONS_MAX: usize = 4_096;
 
@@ -209,15 +213,48 @@
     pub is_cleared: bool,
     /// Sessions of the initial share that began on the old version; empty in the second half.
     pub pinned: Vec<u64>,
+    /// Version of the order's row; none if the sender's build does not tell.
+    #[serde(skip)]
+    pub order: Option<store_version::StoreVersion>,
+    /// Whether the sender rolled back for want of proof, not for evidence of faults.
+    #[serde(skip)]
+    pub is_unproven: bool,
+    /// Whether a verdict may have been reached before the sender heard of the order.
+    #[serde(skip)]
+    pub is_uninformed: bool,
+}
+
+/// Answers of the new version that one process has counted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Source {
+    /// VM of the process.
+    pub vm: id::VmId,
+    /// Answers, errors and losses.
+    pub answers: Answers,
+    /// Time since the counts were heard.
+    pub age: time::Millis,
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Answers { all, failed, lost, .. } = self.answers;
+        write!(f, "{}:{all}/{failed}/{lost}@{}", self.vm, self.age)
+    }
 }
 
 /// One daemon's view of a roll-out.
 #[derive(Debug, Clone)]
 pub struct Canary {
     order: fleet::Rollout,
+    // When this daemon heard of it.
+    known_at: time::Tick,
     ordered_at: time::Tick,
     progress: fleet::Progress,
-    tallies: BTreeMap<id::VmId, Tally>,
+    // Version of the order's row.
+    version: Option<store_version::StoreVersion>,
+    // By process, as a VM's next process counts anew.
+    tallies: BTreeMap<(id::VmId, u64), Tally>,
+    heard: BTreeMap<(id::VmId, u64), time::Tick>,
     pinned: BTreeSet<u64>,
     exposure: f64,
     // Share reached so far; it does not grow while the version is in doubt.
@@ -228,6 +265,12 @@
     peer_doubt: Option<time::Tick>,
     // Whether answers have proved that the version is sound; without it, the share does not grow.
     is_cleared: bool,
+    // Whether it was rolled back for want of proof.
+    is_unproven: bool,
+    // Whether this daemon would know of a verdict on the order.
+    is_informed: bool,
+    // Whether this daemon has sent a request to the new version.
+    has_sent: bool,
 }
 
 impl Canary {
@@ -235,18 +278,84 @@
     pub fn new(order: fleet::Rollout, bounds: &fleet::Bounds, now: time::Tick) -> Self {
         Self {
             order,
+            known_at: now,
             ordered_at: now,
             progress: fleet::Progress::Running,
+            version: None,
             tallies: BTreeMap::new(),
+            heard: BTreeMap::new(),
             pinned: BTreeSet::new(),
             exposure: bounds.expose_share * EXPOSURE_FACTOR,
             reached: bounds.expose_share * EXPOSURE_FACTOR,
             sees_doubt: false,
             peer_doubt: None,
             is_cleared: false,
+            is_unproven: false,
+            is_informed: true,
+            has_sent: false,
         }
     }
 
+    /// Names the order by the version of its row.
+    pub const fn set_version(&mut self, version: store_version::StoreVersion) {
+        self.version = Some(version);
+    }
+
+    /// Version of the order's row, if it is known.
+    pub const fn version(&self) -> Option<store_version::StoreVersion> {
+        self.version
+    }
+
+    /// Whether a stored status was written after the order, so that it is about this one.
+    pub fn is_about(&self, status: store_version::StoreVersion, progress: fleet::Progress) -> bool {
+        // Rows of a restored store have other numbers; a rollback counts all the same.
+        let is_rollback = progress == fleet::Progress::RolledBack;
+        self.version.is_none_or(
+            |order| {
+                if order.era == status.era { status > order } else { is_rollback }
+            },
+        )
+    }
+
+    /// Time since this daemon heard of the order, while what the store says of it matters: until a while
+    /// after its deadline, or until a verdict would be known.
+    pub fn follows_store(&self, now: time::Tick) -> Option<time::Millis> {
+        let is_open = self.age(now).0 < self.order.duration.0.saturating_mul(2);
+        (is_open || !self.is_informed).then(|| now.since(self.known_at))
+    }
+
+    /// Whether a later row of the same store with this order is a new one, and not the same written
+    /// again: operators repeat a write that was not answered.
+    pub fn is_over(&self, now: time::Tick) -> bool {
+        self.progress != fleet::Progress::Running && self.age(now) >= self.order.duration
+    }
+
+    /// Requires that a peer or the store says how far the roll-out is, before the new version gets
+    /// requests: the order is older than this process.
+    pub const fn require_news(&mut self) {
+        self.is_informed = false;
+    }
+
+    /// Records that a verdict on the order would be known here.
+    pub const fn inform(&mut self) {
+        self.is_informed = true;
+    }
+
+    /// Whether a verdict on the order would be known here.
+    pub const fn is_informed(&self) -> bool {
+        self.is_informed
+    }
+
+    /// Records a request to a version; returns whether it is the first one to the new version.
+    pub fn record_send(&mut self, version: &id::VersionId) -> bool {
+        *version == self.order.to && !std::mem::replace(&mut self.has_sent, true)
+    }
+
+    /// Whether a version may get a request now.
+    pub fn allows(&self, version: &id::VersionId) -> bool {
+        self.progress != fleet::Progress::RolledBack || *version != self.order.to
+    }
+
     /// The order that started the roll-out.
     pub const fn order(&self) -> &fleet::Rollout {
         &self.order
@@ -296,6 +405,10 @@
         match self.progress {
             fleet::Progress::RolledBack => return Variant::Stable,
             fleet::Progress::Completed => return Variant::Candidate,
+            fleet::Progress::Running if !self.is_informed => {
+                self.pin(session);
+                return Variant::Stable;
+            }
             fleet::Progress::Running => {}
         }
         let is_held = self.pins_sessions(now)
@@ -365,25 +478,27 @@
         now: time::Tick,
     ) -> &mut Answers {
         let window = (self.elapsed(now) * WINDOW_COUNT).min(WINDOW_COUNT - 1.0) as u8;
-        let tally = self.tallies.entry(own.clone()).or_default();
+        let key = (own.clone(), start);
+        self.heard.insert(key.clone(), now);
+        let tally = self.tallies.entry(key).or_default();
         tally.start = start;
         let routes = tally.windows.entry(window).or_default();
         let pair = routes.entry(route.clone()).or_default();
         if *version == self.order.to { &mut pair.candidate } else { &mut pair.stable }
     }
 
-    /// Merges a peer's snapshot; ignored if it is of a roll-out to another version.
-    pub fn merge(&mut self, snapshot: Snapshot, own: &id::VmId, now: time::Tick) {
-        if snapshot.to != self.order.to {
-            return;
+    /// Merges a peer's snapshot; returns whether it changed the progress. Ignored if it is of another
+    /// order.
+    pub fn merge(&mut self, snapshot: Snapshot, own: &id::VmId, now: time::Tick) -> bool {
+        if snapshot.to != self.order.to || self.is_other_order(snapshot.order) {
+            return false;
         }
+        self.is_informed |= !snapshot.is_uninformed;
         if snapshot.age > self.age(now) {
             self.ordered_at = time::Tick(now.0.saturating_sub(snapshot.age.0));
         }
         for (vm, tally) in snapshot.tallies {
-            if vm != *own && self.tallies.get(&vm).is_none_or(|known| known.size() < tally.size()) {
-                self.tallies.insert(vm, tally);
-            }
+            self.merge_tally(vm, tally, own, now);
         }
         for session in snapshot.pinned {
             self.pin(session);
@@ -392,22 +507,71 @@
             self.peer_doubt = Some(now);
         }
         self.is_cleared |= snapshot.is_cleared;
-        self.merge_progress(snapshot.progress);
+        let before = self.progress;
+        match snapshot.progress {
+            // The completion was proved.
+            fleet::Progress::RolledBack
+                if snapshot.is_unproven && before == fleet::Progress::Completed => {}
+            fleet::Progress::RolledBack => self.roll_back(snapshot.is_unproven),
+            progress => self.merge_progress(progress),
+        }
+        self.progress != before
+    }
+
+    // Rows of a store that was restored have other numbers, so they don't tell orders apart.
+    fn is_other_order(&self, told: Option<store_version::StoreVersion>) -> bool {
+        let both = self.version.zip(told);
+        both.is_some_and(|(own, told)| own.era == told.era && own.number != told.number)
+    }
+
+    fn merge_tally(&mut self, vm: id::VmId, tally: Tally, own: &id::VmId, now: time::Tick) {
+        if vm == *own {
+            return;
+        }
+        let key = (vm, tally.start);
+        if self.tallies.get(&key).is_some_and(|known| known.size() > tally.size()) {
+            return;
+        }
+        self.heard.insert(key.clone(), now);
+        let of_vm = (key.0.clone(), 0)..=(key.0.clone(), u64::MAX);
+        self.tallies.insert(key, tally);
+        let mut of_vm = self.tallies.range(of_vm).map(|(key, _)| key.clone());
+        let (first, count) = (of_vm.next(), 1 + of_vm.count());
+        if let Some(first) = first.filter(|_| count > PROCESSES_MAX) {
+            self.tallies.remove(&first);
+            self.heard.remove(&first);
+        }
+    }
+
+    fn roll_back(&mut self, is_unproven: bool) {
+        let was_rolled_back = self.progress == fleet::Progress::RolledBack;
+        self.is_unproven = is_unproven && (self.is_unproven || !was_rolled_back);
+        self.progress = fleet::Progress::RolledBack;
     }
 
     /// Merges another daemon's or this daemon's progress. A finished roll-out never runs again,
-    /// and a rollback overrides a completion.
+    /// and a rollback overrides a completion, unless it was for want of the proof that completed it.
     pub fn merge_progress(&mut self, progress: fleet::Progress) {
-        let is_rollback = progress == fleet::Progress::RolledBack;
-        if is_rollback || self.progress == fleet::Progress::Running {
-            self.progress = progress;
+        let yields = self.progress == fleet::Progress::RolledBack && self.is_unproven;
+        match progress {
+            fleet::Progress::RolledBack => self.roll_back(self.is_unproven),
+            fleet::Progress::Completed if yields => self.progress = progress,
+            _ if self.progress == fleet::Progress::Running => self.progress = progress,
+            _ => {}
         }
     }
 
-    /// Sets the progress to the final one that the operator was told, even if it differs from
-    /// this daemon's own.
-    pub fn set_progress(&mut self, progress: fleet::Progress) {
-        self.progress = progress;
+    /// Merges the progress in the store, which operators have acted on; returns whether this daemon's
+    /// has changed. Only a rollback for evidence overrides it.
+    pub fn merge_stored(&mut self, stored: fleet::Progress) -> bool {
+        let before = self.progress;
+        self.is_informed = true;
+        match stored {
+            fleet::Progress::RolledBack => self.roll_back(false),
+            fleet::Progress::Completed => self.merge_progress(stored),
+            fleet::Progress::Running => {}
+        }
+        self.progress != before
     }
 
     /// The state to send to a peer: includes this daemon's counts if the peer is a decider, and the
@@ -415,8 +579,9 @@
     pub fn snapshot(&self, own: &id::VmId, to_decider: bool, now: time::Tick) -> Snapshot {
         let is_running = self.progress == fleet::Progress::Running;
         let has_pins = is_running && self.pins_sessions(now);
-        let tally = self.tallies.get(own).filter(|_| to_decider && is_running);
-        let own_tally = tally.map(|tally| (own.clone(), tally.clone()));
+        let of_own = self.tallies.range((own.clone(), 0)..=(own.clone(), u64::MAX));
+        let tally = of_own.last().filter(|_| to_decider && is_running);
+        let own_tally = tally.map(|(_, tally)| (own.clone(), tally.clone()));
         Snapshot {
             service: self.order.service.clone(),
             to: self.order.to.clone(),
@@ -426,9 +591,25 @@
             is_doubted: self.sees_doubt && is_running,
             is_cleared: self.is_cleared,
             pinned: if has_pins { self.pinned.iter().copied().collect() } else { Vec::new() },
+            order: self.version,
+            is_unproven: self.is_unproven,
+            is_uninformed: !self.is_informed,
         }
     }
 
+    /// Whose answers of the new version are known, for the log.
+    pub fn sources(&self, now: time::Tick) -> Vec<Source> {
+        let source = |((vm, start), tally): (&(id::VmId, u64), &Tally)| {
+            let mut answers = Answers::default();
+            let pairs = tally.windows.values().flat_map(Routes::values);
+            pairs.for_each(|pair| answers.add(&pair.candidate));
+            let heard = self.heard.get(&(vm.clone(), *start));
+            let age = heard.map_or(time::Millis(0), |at| now.since(*at));
+            Source { vm: vm.clone(), answers, age }
+        };
+        self.tallies.iter().map(source).collect()
+    }
+
     // Answers counted by all daemons, by time window.
     fn windows(&self) -> BTreeMap<u8, Routes> {
         let mut windows: BTreeMap<u8, Routes> = BTreeMap::new();
@@ -531,7 +712,8 @@
         let evidence = self.evidence();
         self.sees_doubt = evidence > (1.0 / DOUBT_ALPHA).ln();
         self.is_cleared = self.is_cleared || self.is_sound();
-        if evidence > (1.0 / ALPHA).ln() {
+        self.is_unproven = evidence <= (1.0 / ALPHA).ln();
+        if !self.is_unproven {
             return fleet::Progress::RolledBack;
         }
         let elapsed = self.elapsed(now);
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -1,4 +1,4 @@
-use ibishill_core::{fleet, id, time};
+use ibishill_core::{fleet, id, store_version, time};
 use ibishill_decide::canary;
 
 use crate::bounds;
@@ -382,3 +382,152 @@
         assert_eq!(canary.progress(), case.expected, "{:?}", case.merged);
     }
 }
+
+const fn row(era: u64, number: u64) -> store_version::StoreVersion {
+    store_version::StoreVersion { era: store_version::Era(era), number }
+}
+
+// A roll-out whose order is the row `version`.
+fn ordered(version: store_version::StoreVersion) -> canary::Canary {
+    let mut canary = start();
+    canary.set_version(version);
+    canary
+}
+
+#[test]
+fn stored_status_counts_for_its_own_order_only() {
+    use fleet::Progress::{Completed, RolledBack, Running};
+    struct Case {
+        name: &'static str,
+        own: fleet::Progress,
+        status: (store_version::StoreVersion, fleet::Progress),
+        expected: fleet::Progress,
+    }
+    let case = |name, own, status, expected| Case { name, own, status, expected };
+    let cases = [
+        case("rolled back", Running, (row(1, 11), RolledBack), RolledBack),
+        case("completed", Running, (row(1, 11), Completed), Completed),
+        case("older than the order", Running, (row(1, 9), RolledBack), Running),
+        case("completed before the order", Running, (row(1, 9), Completed), Running),
+        case("rollback of a restored store", Running, (row(2, 3), RolledBack), RolledBack),
+        case("completion of a restored store", Running, (row(2, 3), Completed), Running),
+        case("rollback over a completion", Completed, (row(1, 11), RolledBack), RolledBack),
+        case("completion over evidence", RolledBack, (row(1, 11), Completed), RolledBack),
+        case("running says nothing", RolledBack, (row(1, 11), Running), RolledBack),
+    ];
+    for case in cases {
+        let mut canary = ordered(row(1, 10));
+        canary.merge_progress(case.own);
+        if canary.is_about(case.status.0, case.status.1) {
+            canary.merge_stored(case.status.1);
+        }
+        assert_eq!(canary.progress(), case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn peers_verdict_counts_for_its_own_order_only() {
+    use fleet::Progress::{Completed, RolledBack, Running};
+    struct Case {
+        name: &'static str,
+        // The order of the peer; none if its build does not tell.
+        order: Option<store_version::StoreVersion>,
+        is_unproven: bool,
+        own: fleet::Progress,
+        expected: fleet::Progress,
+    }
+    let case =
+        |name, order, is_unproven, own, expected| Case { name, order, is_unproven, own, expected };
+    let cases = [
+        case("same order", Some(row(1, 10)), false, Running, RolledBack),
+        case("an order before", Some(row(1, 4)), false, Running, Running),
+        case("a restored store", Some(row(2, 4)), false, Running, RolledBack),
+        case("an earlier build", None, false, Running, RolledBack),
+        case("evidence over a completion", Some(row(1, 10)), false, Completed, RolledBack),
+        case("want of proof over a completion", Some(row(1, 10)), true, Completed, Completed),
+    ];
+    let own: id::VmId = "own".parse().unwrap();
+    for case in cases {
+        let mut canary = ordered(row(1, 10));
+        canary.merge_progress(case.own);
+        let mut peer = start();
+        peer.merge_progress(RolledBack);
+        let snapshot = peer.snapshot(&"peer".parse().unwrap(), false, time::Tick(0));
+        let told =
+            canary::Snapshot { order: case.order, is_unproven: case.is_unproven, ..snapshot };
+        canary.merge(told, &own, time::Tick(0));
+        assert_eq!(canary.progress(), case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn rollback_for_want_of_proof_yields_to_a_completion() {
+    let mut canary = start();
+    let verdict = canary.verdict(true, time::Tick(DURATION));
+    canary.merge_progress(verdict);
+    assert_eq!(canary.progress(), fleet::Progress::RolledBack);
+    canary.merge_progress(fleet::Progress::Completed);
+    assert_eq!(canary.progress(), fleet::Progress::Completed);
+}
+
+#[test]
+fn order_from_before_the_start_waits_for_news() {
+    let assigned = |canary: &mut canary::Canary| {
+        (0..200).any(|session| {
+            let at = time::Tick(DURATION * 3 / 5);
+            canary.assign(session * 7_919, at) == canary::Variant::Candidate
+        })
+    };
+    let mut canary = start();
+    canary.require_news();
+    assert!(!assigned(&mut canary), "nobody has told");
+    let own: id::VmId = "own".parse().unwrap();
+    let mut peer = start();
+    peer.require_news();
+    let told =
+        |peer: &canary::Canary| peer.snapshot(&"peer".parse().unwrap(), false, time::Tick(0));
+    canary.merge(told(&peer), &own, time::Tick(0));
+    assert!(!assigned(&mut canary), "a peer has told that does not know either");
+    canary.merge(told(&start()), &own, time::Tick(0));
+    assert!(assigned(&mut canary), "a peer has told");
+    let mut canary = start();
+    canary.require_news();
+    canary.merge_stored(fleet::Progress::Running);
+    assert!(assigned(&mut canary), "the store has told");
+}
+
+#[test]
+fn same_order_written_again_is_a_new_one_after_its_deadline_only() {
+    let mut canary = ordered(row(1, 10));
+    assert!(!canary.is_over(time::Tick(DURATION)), "still running");
+    canary.merge_progress(fleet::Progress::RolledBack);
+    assert!(!canary.is_over(time::Tick(DURATION - 1)), "a repeated write");
+    assert!(canary.is_over(time::Tick(DURATION)), "ordered again");
+}
+
+#[test]
+fn counts_of_a_relay_outlive_its_restart() {
+    let (own, peer): (id::VmId, id::VmId) = ("own".parse().unwrap(), "peer".parse().unwrap());
+    let route = "route".parse().unwrap();
+    let mut decider = start();
+    for process in 1..=2_u64 {
+        let mut canary = start();
+        for _ in 0..5 {
+            let version = order().to;
+            let of_peer = (&peer, process);
+            canary.record_answer(of_peer, &route, &version, canary::Outcome::Failed, time::Tick(0));
+        }
+        decider.merge(canary.snapshot(&peer, true, time::Tick(0)), &own, time::Tick(0));
+    }
+    assert_eq!(decider.totals().candidate.failed, 10);
+    assert_eq!(decider.sources(time::Tick(7)).len(), 2);
+}
+
+#[test]
+fn version_that_was_rolled_back_may_get_no_request() {
+    let mut canary = start();
+    let (old, new) = ("v1".parse().unwrap(), order().to);
+    assert!(canary.allows(&old) && canary.allows(&new));
+    canary.merge_progress(fleet::Progress::RolledBack);
+    assert!(canary.allows(&old) && !canary.allows(&new));
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -13,8 +13,9 @@
 
 use crate::context::Shared;
 use crate::request::{Destination, Received, Target};
+use crate::state::State;
 use crate::upstream::{self, CallError};
-use crate::{early_end, isolation, retry_budget, rollout};
+use crate::{early_end, isolation, retry_budget, rollout, rollout_log};
 
 /// Counts an attempt as in flight at its endpoint until dropped.
 pub(crate) struct AttemptGuard {
@@ -221,6 +222,9 @@
     if !guard.context.state().balancer.is_open(&registration.id, now) {
         return (Outcome::NotAttempted, "the endpoint takes no requests now".into());
     }
+    if !may_send(&mut guard.context.state(), &received.service, &registration.version, now) {
+        return (Outcome::NotAttempted, "the version was rolled back".into());
+    }
     let sent = guard.context.now();
     let (response, connection) = match upstream::send(stream, request).await {
         Ok(answered) => answered,
@@ -275,6 +279,21 @@
     }
 }
 
+// Whether a version of a service may get a request now; each way to an endpoint ends here. Logs the first
+// request to a version that is rolled out.
+fn may_send(
+    state: &mut State,
+    service: &id::ServiceId,
+    version: &id::VersionId,
+    now: time::Tick,
+) -> bool {
+    let Some(canary) = state.canaries.get_mut(service) else { return true };
+    if canary.allows(version) && canary.record_send(version) {
+        rollout_log::log(event::Event::VersionSent, canary, "sent", "own", now);
+    }
+    canary.allows(version)
+}
+
 /// Whether an answer has neither a length nor chunks, so that its body ends with the connection.
 pub(crate) fn is_until_close(headers: &HeaderMap) -> bool {
     !headers.contains_key(header::CONTENT_LENGTH)
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -75,17 +75,18 @@
     match table {
         Table::Orders => ORDERS_BATCH_DELAY,
         Table::Endpoints => ENDPOINTS_BATCH_DELAY,
+        Table::Statuses => ORDERS_BATCH_DELAY,
     }
 }
 
-// None while daemons discover each other after the deployment's first start.
+// None while daemons discover each other after the deployment's first start, or nobody needs the table.
 fn reader_status(context: &Shared, table: Table) -> Option<readers::Status> {
     let now = context.now();
     let state = context.state();
     let status = readers::Status {
         rank: state.peers.rank_by_link(table.name(), now),
         count: state.peers.alive_count(now),
-        age: state.table_age(table, now),
+        age: state.reading_age(table, now)?,
         behind: state.catalog_missing_for(now).filter(|_| table == Table::Orders),
         silent_rounds: state.silent_rounds,
         apply: state.settings.bounds.apply,
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod restored;
 mod retry_budget;
 mod rollout;
+mod rollout_log;
 mod selection;
 mod serve;
 mod state;
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use ibishill_adapter::{row, store};
-use ibishill_core::{event, fleet, id, time};
+use ibishill_core::{event, fleet, id, store_version, time};
 use ibishill_decide::canary;
 use tokio::time as clock;
 
 use crate::context::Shared;
 use crate::state::State;
-use crate::{gossip, store_row};
+use crate::{gossip, rollout_log, store_row};
 
 /// Interval between evaluations of the counts.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -35,12 +35,12 @@
             reports.clear();
             era = current;
         }
-        for (service, to, progress) in rollouts(&context) {
+        for rollout in rollouts(&context) {
+            let service = rollout.service.clone();
             let report = reports.entry(service.clone()).or_default();
-            if report.to.as_ref() != Some(&to) || report.progress != Some(progress) {
+            if report.rollout.as_ref() != Some(&rollout) {
                 *report = Report {
-                    to: Some(to.clone()),
-                    progress: Some(progress),
+                    rollout: Some(rollout.clone()),
                     version: report.version,
                     polls: 0,
                     is_done: false,
@@ -53,7 +53,7 @@
             if !is_due(&context, &service, report.polls) {
                 continue;
             }
-            match write(&context, &service, &to, progress, report.version).await {
+            match write(&context, &rollout, report.version).await {
                 Ok(Outcome::Done) => report.is_done = true,
                 Ok(Outcome::Retry(version)) => report.version = version,
                 Err(detail) => {
@@ -63,7 +63,7 @@
                     );
                     clock::sleep(WRITE_BACKOFF).await;
                     // The write may have taken effect although its response was lost.
-                    match read_back(&context, &service, &to, progress).await {
+                    match read_back(&context, &rollout).await {
                         Ok(Outcome::Done) => report.is_done = true,
                         Ok(Outcome::Retry(version)) => report.version = version,
                         Err(_) => {}
@@ -74,10 +74,19 @@
     }
 }
 
+/// State of a roll-out that operators are told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Rollout {
+    service: id::ServiceId,
+    to: id::VersionId,
+    /// Version of the order's row.
+    order: Option<store_version::StoreVersion>,
+    progress: fleet::Progress,
+}
+
 #[derive(Debug, Default)]
 struct Report {
-    to: Option<id::VersionId>,
-    progress: Option<fleet::Progress>,
+    rollout: Option<Rollout>,
     /// Number of the row's last known version, for the conditional write.
     version: u64,
     polls: u32,
@@ -112,31 +121,21 @@
         return;
     }
     canary.merge_progress(verdict);
-    let totals = canary.totals();
-    event::emit_json(
-        event::Event::RolloutChanged,
-        &[
-            event::field("service", service),
-            event::field("to", &canary.order().to),
-            event::field("state", &format!("{verdict:?}")),
-            event::field("age", &canary.age(now)),
-            event::field("evidence", &format!("{:.1}", canary.evidence())),
-            event::field("stable", &totals.stable.all),
-            event::field("stable_failed", &totals.stable.failed),
-            event::field("stable_lost", &totals.stable.lost),
-            event::field("candidate", &totals.candidate.all),
-            event::field("candidate_failed", &totals.candidate.failed),
-            event::field("candidate_lost", &totals.candidate.lost),
-        ],
-    );
+    let (state, event) = (format!("{verdict:?}"), event::Event::RolloutChanged);
+    rollout_log::log(event, canary, &state, "own", now);
 }
 
-fn rollouts(context: &Shared) -> Vec<(id::ServiceId, id::VersionId, fleet::Progress)> {
+fn rollouts(context: &Shared) -> Vec<Rollout> {
     let state = context.state();
-    let entry = |(service, canary): (&id::ServiceId, &canary::Canary)| {
-        (service.clone(), canary.order().to.clone(), canary.progress())
+    let entry = |(service, canary): (&id::ServiceId, &canary::Canary)| Rollout {
+        service: service.clone(),
+        to: canary.order().to.clone(),
+        order: canary.version(),
+        progress: canary.progress(),
     };
-    state.canaries.iter().map(entry).collect()
+    // A relay that would not know of a verdict has nothing to tell.
+    let informed = state.canaries.iter().filter(|(_, canary)| canary.is_informed());
+    informed.map(entry).collect()
 }
 
 enum Outcome {
@@ -145,56 +144,39 @@
     Retry(u64),
 }
 
-async fn write(
-    context: &Shared,
-    service: &id::ServiceId,
-    to: &id::VersionId,
-    progress: fleet::Progress,
-    expected: u64,
-) -> Result<Outcome, String> {
-    let key = row::status_key(service);
-    let value = row::encode_status(to, progress);
+async fn write(context: &Shared, rollout: &Rollout, expected: u64) -> Result<Outcome, String> {
+    let key = row::status_key(&rollout.service);
+    let value = row::encode_status(&rollout.to, rollout.progress);
     match store_row::write(context, row::STATUS, &key, &value, expected).await? {
         store::WriteOutcome::Committed(_) => Ok(Outcome::Done),
-        store::WriteOutcome::Conflict(rows) => Ok(rows
-            .first()
-            .map_or(Outcome::Retry(0), |row| compare(context, service, to, progress, row))),
+        store::WriteOutcome::Conflict(rows) => {
+            Ok(rows.first().map_or(Outcome::Retry(0), |row| compare(context, rollout, row)))
+        }
     }
 }
 
-async fn read_back(
-    context: &Shared,
-    service: &id::ServiceId,
-    to: &id::VersionId,
-    progress: fleet::Progress,
-) -> Result<Outcome, String> {
+async fn read_back(context: &Shared, rollout: &Rollout) -> Result<Outcome, String> {
     let rows = store_row::read(context, row::STATUS).await?;
-    let key = row::status_key(service);
+    let key = row::status_key(&rollout.service);
     let found = rows.iter().find(|row| row.key == key);
-    Ok(found.map_or(Outcome::Retry(0), |row| compare(context, service, to, progress, row)))
+    Ok(found.map_or(Outcome::Retry(0), |row| compare(context, rollout, row)))
 }
 
-// Compares the stored status with the one to be written. A final status that is already stored
-// prevails and is adopted.
-fn compare(
-    context: &Shared,
-    service: &id::ServiceId,
-    to: &id::VersionId,
-    progress: fleet::Progress,
-    found: &fleet::RawRow,
-) -> Outcome {
-    match found.value.as_ref().map(|value| row::decode_status(value)) {
-        Some(Ok((at, state))) if at == *to && is_final(state) => {
-            if let Some(canary) = context.state().canaries.get_mut(service) {
-                canary.set_progress(state);
-            }
-            Outcome::Done
-        }
-        Some(Ok((at, state))) if at == *to && state == progress => Outcome::Done,
-        _ => Outcome::Retry(found.version.number),
+// Compares the stored status with the one to be written. A final status of the same order that is already
+// stored is adopted, unless this relay rolled back for evidence.
+fn compare(context: &Shared, rollout: &Rollout, found: &fleet::RawRow) -> Outcome {
+    let retry = Outcome::Retry(found.version.number);
+    let stored = found.value.as_ref().map(|value| row::decode_status(value));
+    let Some(Ok((to, stored))) = stored else { return retry };
+    let now = context.now();
+    let mut state = context.state();
+    let Some(canary) = state.canaries.get_mut(&rollout.service) else { return retry };
+    if to != rollout.to || !canary.is_about(found.version, stored) {
+        return retry;
     }
-}
-
-const fn is_final(progress: fleet::Progress) -> bool {
-    !matches!(progress, fleet::Progress::Running)
+    if canary.merge_stored(stored) {
+        let state = format!("{stored:?}");
+        rollout_log::log(event::Event::RolloutHeard, canary, &state, "store", now);
+    }
+    if canary.progress() == stored { Outcome::Done } else { retry }
 }
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -1,6 +1,7 @@
 //! State of one relay, updated from store rows, peers and responses.
 
 mod news;
+mod rollouts;
 mod rows;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,16 +33,19 @@
     Orders,
     /// Registrations of endpoints.
     Endpoints,
+    /// What operators are told of roll-outs.
+    Statuses,
 }
 
 impl Table {
-    pub(crate) const ALL: [Self; 2] = [Self::Orders, Self::Endpoints];
+    pub(crate) const ALL: [Self; 3] = [Self::Orders, Self::Endpoints, Self::Statuses];
 
     /// Name of the table in the store.
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Orders => row::ORDERS,
             Self::Endpoints => row::ENDPOINTS,
+            Self::Statuses => row::STATUS,
         }
     }
 }
@@ -308,6 +312,21 @@
         self.replica(table).confirmed.at().map(|at| now.since(at))
     }
 
+    /// The same for a reader of the table: none while nobody needs the table, and no more than the time for which
+    /// it has been needed.
+    pub(crate) fn reading_age(
+        &self,
+        table: Table,
+        now: time::Tick,
+    ) -> Option<Option<time::Millis>> {
+        let age = self.table_age(table, now);
+        if table != Table::Statuses {
+            return Some(age);
+        }
+        let needed = self.canaries.values().filter_map(|canary| canary.follows_store(now)).max()?;
+        Some(Some(age.map_or(needed, |age| age.min(needed))))
+    }
+
     /// Versions of the replicas and their confirmations, for peers.
     pub(crate) fn table_versions(&self, now: time::Tick) -> Vec<confirmation::Told> {
         let told = |table: &Table| {
@@ -332,6 +351,7 @@
     pub(crate) fn confirm(&mut self, table: Table, stamp: confirmation::Stamp, at: time::Tick) {
         self.record_outage(table, at);
         self.replicas.entry(table).or_default().confirmed.record(stamp, at);
+        self.inform_canaries();
     }
 
     /// Records a failed call to the store; returns whether the previous call succeeded.
--- a/crates/ibishill-relay/src/state/rows.rs
+++ b/crates/ibishill-relay/src/state/rows.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, store_version, time};
-use ibishill_decide::canary;
 use ibishill_state::replica;
 
 use super::{LAPSE_GRACE, Merged, State, Table};
@@ -36,6 +35,7 @@
                 self.apply_record(table, record, is_initial, now);
             }
         }
+        self.inform_canaries();
         let delay = self.record_catalog(before, &changed, source, now);
         self.is_update_due |= !changed.is_empty();
         Merged { is_changed: !changed.is_empty(), is_pending: false, delay }
@@ -121,7 +121,7 @@
         Some(delay)
     }
 
-    fn apply_record(
+    pub(super) fn apply_record(
         &mut self,
         table: Table,
         record: &fleet::RawRow,
@@ -161,7 +161,8 @@
                 }
                 self.catalog = Some(Rc::new(*catalog));
             }
-            fleet::Row::Rollout(order) => self.apply_rollout(order, now),
+            fleet::Row::Rollout(order) => self.apply_rollout(order, version, is_initial, now),
+            fleet::Row::Status(status) => self.apply_status(&status, version, now),
             fleet::Row::ZoneOut(zone) => {
                 event::emit_json(
                     event::Event::ZoneChanged,
@@ -200,27 +201,6 @@
         }
     }
 
-    fn apply_rollout(&mut self, order: fleet::Rollout, now: time::Tick) {
-        let is_known = self.canaries.get(&order.service).is_some_and(|c| *c.order() == order);
-        if is_known {
-            return;
-        }
-        event::emit_json(
-            event::Event::RolloutChanged,
-            &[
-                event::field("service", &order.service),
-                event::field("to", &order.to),
-                event::field("state", &"ordered"),
-            ],
-        );
-        let bounds = &self.settings.bounds;
-        let mut canary = canary::Canary::new(order.clone(), bounds, now);
-        for session in self.recent_sessions.active(bounds.session_gap, now) {
-            canary.pin(session);
-        }
-        self.canaries.insert(order.service, canary);
-    }
-
     fn apply_removal(&mut self, table: Table, record: &fleet::RawRow, now: time::Tick) {
         match table {
             Table::Endpoints => {
@@ -235,6 +215,7 @@
                     self.remove_endpoint(&id, "removed", now);
                 }
             }
+            Table::Statuses => {}
             Table::Orders => {
                 if let Some(zone) = row::zone_out(&record.key) {
                     event::emit_json(
