wire: messages between relays are numbered parts, and those of earlier builds are read

Callers: while VMs are replaced, relays of two builds were two systems: on a roll-out neither side heard the other's counts or verdict, and deciders were picked among relays that could not read what they were sent, so the bad version got requests from each side until that side alone had evidence (EXPOSURE). Cause: plain structs in postcard, by position and without a version; a message that did not decode was dropped whole. Now: protobuf (prost) with one number a part; unknown numbers are skipped, missing ones are empty, an unreadable part is logged and costs nothing else.

--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -92,6 +92,13 @@
 /// Paces that are needed to judge by them; they hardly depend on the prompt.
 const PACES_MIN: u64 = 8;
 
+/// Answers of one version, route and window that a daemon can have counted; sums of all daemons stay below
+/// what the counters hold.
+const ANSWERS_MAX: u64 = 1 << 24;
+
+/// Routes times windows in the counts of one daemon.
+const ROUTES_MAX: usize = 16_384;
+
 /// Processes of one VM whose counts are kept; it restarts a few times in a roll-out at most.
 const PROCESSES_MAX: usize = 4;
 
@@ -148,6 +155,16 @@
         self.paces.add(&other.paces);
     }
 
+    // Whether a peer can have counted so.
+    const fn is_plausible(&self) -> bool {
+        let Self { all, failed, lost, times, paces } = self;
+        *failed <= *all
+            && *all <= ANSWERS_MAX
+            && *lost <= ANSWERS_MAX
+            && times.is_plausible(ANSWERS_MAX)
+            && paces.is_plausible(ANSWERS_MAX)
+    }
+
     const fn errors(&self) -> counts::Proportion {
         counts::Proportion { hits: self.failed, total: self.all }
     }
@@ -187,6 +204,13 @@
 pub type Routes = BTreeMap<id::RouteId, Comparison>;
 
 impl Tally {
+    fn is_plausible(&self) -> bool {
+        let routes = self.windows.values();
+        let pairs = routes.clone().flat_map(Routes::values);
+        let mut answers = pairs.flat_map(|pair| [&pair.stable, &pair.candidate]);
+        routes.map(Routes::len).sum::<usize>() <= ROUTES_MAX && answers.all(Answers::is_plausible)
+    }
+
     fn size(&self) -> (u64, u64) {
         let count = |answers: &Answers| answers.all + answers.lost + answers.paces.count;
         let all = |pair: &Comparison| count(&pair.stable) + count(&pair.candidate);
@@ -525,7 +549,7 @@
     }
 
     fn merge_tally(&mut self, vm: id::VmId, tally: Tally, own: &id::VmId, now: time::Tick) {
-        if vm == *own {
+        if vm == *own || !tally.is_plausible() {
             return;
         }
         let key = (vm, tally.start);
--- a/crates/ibishill-decide/src/rollout/moments.rs
+++ b/crates/ibishill-decide/src/rollout/moments.rs
@@ -9,6 +9,9 @@
 /// Steps per doubling of the time; times are rounded to them so that sums are integers.
 const STEPS_PER_DOUBLING: f64 = 100.0;
 
+/// Steps of the longest time that can be recorded.
+const STEPS_MAX: u64 = 64 * STEPS_PER_DOUBLING as u64;
+
 /// Count, sum and sum of squares of the binary logarithms of times in milliseconds, in hundredths.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Moments {
@@ -27,6 +30,14 @@
         self.squares += steps * steps;
     }
 
+    /// Whether a peer's sums can be those of at most `count_max` times.
+    pub const fn is_plausible(&self, count_max: u64) -> bool {
+        let Self { count, sum, squares } = *self;
+        count <= count_max
+            && sum <= count.saturating_mul(STEPS_MAX)
+            && squares <= count.saturating_mul(STEPS_MAX * STEPS_MAX)
+    }
+
     /// Adds the times of another daemon.
     pub const fn add(&mut self, other: &Self) {
         self.count += other.count;
--- a/crates/ibishill-relay/src/chunks.rs
+++ b/crates/ibishill-relay/src/chunks.rs
@@ -181,7 +181,9 @@
 /// Fails if a message can't be decoded or encoded.
 pub(crate) fn answer(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
     let own_address = context.state().settings.peer;
-    let wanted: Vec<chunk::Digest> =
-        gossip::decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
+    let wanted: Vec<chunk::Digest> = message::decode(body).map_err(|error| {
+        gossip::reject(own_address, &error);
+        StatusCode::BAD_REQUEST
+    })?;
     message::encode(&found(context, &wanted)).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -7,7 +7,7 @@
 use ibishill_core::{clock, id, time};
 use tokio::sync::Notify;
 
-use crate::{answer, metrics, state};
+use crate::{answer, metrics, peer_formats, state};
 
 /// Offset of the clock at start, in milliseconds, so that times before the start are representable.
 const ORIGIN_MS: u64 = 10_000_000;
@@ -18,6 +18,8 @@
     pub(crate) metrics: metrics::Metrics,
     /// Memory of answers that are being read.
     pub(crate) answers: answer::Buffers,
+    /// Encodings that peers read.
+    pub(crate) peer_formats: RefCell<peer_formats::PeerFormats>,
     origin: Instant,
     /// Start time of the process, in milliseconds since the Unix epoch; distinguishes it from
     /// earlier processes on the same VM.
@@ -53,6 +55,7 @@
             state: RefCell::new(state),
             metrics,
             answers: answer::Buffers::default(),
+            peer_formats: RefCell::default(),
             origin: Instant::now(),
             start,
             capacity_freed: Notify::new(),
--- a/crates/ibishill-relay/src/datagrams.rs
+++ b/crates/ibishill-relay/src/datagrams.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ibishill_core::event;
 use tokio::net::UdpSocket;
 use tokio::time as clock;
 
 use crate::context::Shared;
-use crate::{isolation, load_reports, packet};
+use crate::wire::Format;
+use crate::{gossip, isolation, load_reports, packet, wire};
 
 /// Receives datagrams and passes each on by its kind.
 pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
@@ -17,8 +17,8 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
-                if let Err(error) = receive(&context, &socket, &buffer[..length]).await {
-                    reject(from, &error);
+                if let Err(error) = receive(&context, &socket, &buffer[..length], from).await {
+                    gossip::reject(from, &error);
                 }
             }
             // An ICMP error from a peer that is down is reported here.
@@ -27,19 +27,25 @@
     }
 }
 
-async fn receive(context: &Shared, socket: &UdpSocket, bytes: &[u8]) -> Result<(), String> {
-    let (kind, payload) = packet::split(bytes).ok_or("unknown kind of datagram")?;
-    let received = match kind {
-        packet::Kind::Report => load_reports::receive(context, payload),
-        packet::Kind::Question => isolation::answer(context, socket, payload).await,
-        packet::Kind::Answer => isolation::receive(context, payload),
+async fn receive(
+    context: &Shared,
+    socket: &UdpSocket,
+    bytes: &[u8],
+    from: SocketAddr,
+) -> Result<(), String> {
+    let report = match packet::split(bytes) {
+        Some((packet::Kind::Report, payload)) => wire::decode_report(payload, Format::Layout)?,
+        Some((packet::Kind::Parts, payload)) => wire::decode_report(payload, Format::Parts)?,
+        Some((packet::Kind::Question, payload)) => {
+            let answered = isolation::answer(context, socket, payload).await;
+            return answered.map_err(|error| error.to_string());
+        }
+        Some((packet::Kind::Answer, payload)) => {
+            return isolation::receive(context, payload).map_err(|error| error.to_string());
+        }
+        None => wire::decode_unmarked_report(bytes)?,
     };
-    received.map_err(|error| error.to_string())
-}
-
-fn reject(from: SocketAddr, error: &str) {
-    event::emit_json(
-        event::Event::PeerRejected,
-        &[event::field("peer", &from), event::field("error", &error)],
-    );
+    report.skipped.iter().for_each(|part| gossip::reject(from, part));
+    load_reports::receive(context, report.message, report.format);
+    Ok(())
 }
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -9,19 +9,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use ibishill_core::{event, time};
 use ibishill_decide::{canary, peers};
 use ibishill_state::{confirmation, transfer};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
 use crate::state::{Merged, Table};
-use crate::told::{Announcement, News};
-use crate::{message, upstream};
+use crate::wire::Format;
+use crate::{rollout_log, upstream, wire};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -67,25 +65,6 @@
 /// Size from which on a message takes noticeable time on a narrow link, in bytes.
 const LARGE_MESSAGE: usize = 16 * 1_024;
 
-/// Message between relays.
-#[derive(Debug, Serialize, Deserialize)]
-struct Message {
-    /// Address of the sender for its peers.
-    address: SocketAddr,
-    members: Vec<peers::Member>,
-    /// Number of daemons that the sender knows, including itself.
-    known: usize,
-    /// By table, the sender's version and its confirmation.
-    #[serde(rename = "have")]
-    versions: Vec<confirmation::Told>,
-    /// Deltas that the receiver lacks, with the index of their table in `Table::ALL`.
-    #[serde(rename = "rows")]
-    deltas: Vec<(usize, transfer::Delta)>,
-    canaries: Vec<canary::Snapshot>,
-    configuration: Announcement,
-    news: News,
-}
-
 /// Exchanges messages with peers, in periodic rounds and at once after an update.
 pub(crate) async fn run(context: Shared) {
     let mut round = 0_u64;
@@ -219,16 +198,30 @@
     target: Target,
     deltas: Vec<(usize, transfer::Delta)>,
     round: u64,
-) -> Option<Message> {
+) -> Option<wire::Gossip> {
     let address = target.address;
     let message = build_message(context, deltas, target.is_decider, round, None);
-    let body = match message::encode(&message) {
+    let format = context.peer_formats.borrow().of_message(address, context.now());
+    let mut response = post(context, &message, address, format).await?;
+    if format == Format::Parts && response.status() == StatusCode::BAD_REQUEST {
+        context.peer_formats.borrow_mut().reject(address, context.now());
+        response = post(context, &message, address, Format::Layout).await?;
+    }
+    let decoded = decode(response.body(), address)?;
+    context.peer_formats.borrow_mut().record(address, decoded.format, context.now());
+    Some(decoded.message)
+}
+
+async fn post(
+    context: &Shared,
+    message: &wire::Gossip,
+    address: SocketAddr,
+    format: Format,
+) -> Option<Response<Bytes>> {
+    let body = match wire::encode_gossip(message, format) {
         Ok(body) => body,
         Err(error) => {
-            event::emit_json(
-                event::Event::PeerRejected,
-                &[event::field("peer", &address), event::field("error", &error)],
-            );
+            reject(address, &error);
             return None;
         }
     };
@@ -243,7 +236,7 @@
     let received = progress.received.get();
     context.metrics.record_exchange(response.is_ok(), received);
     match response {
-        Ok(response) => decode(response.body(), address),
+        Ok(response) => Some(response),
         Err(error) => {
             // A dead peer shows by its missing heartbeats; only a slow transfer is logged.
             if received > 0 || sent >= LARGE_MESSAGE {
@@ -262,18 +255,23 @@
     }
 }
 
-/// Decodes a message, or logs that a peer's is malformed.
-pub(crate) fn decode<T>(body: &[u8], address: SocketAddr) -> Option<T>
-where
-    T: DeserializeOwned,
-{
-    match message::decode(body) {
-        Ok(message) => Some(message),
+/// Logs that a message of a peer, or a part of one, can't be used.
+pub(crate) fn reject(peer: SocketAddr, error: &str) {
+    event::emit_json(
+        event::Event::PeerRejected,
+        &[event::field("peer", &peer), event::field("error", &error)],
+    );
+}
+
+// Logs what can't be read.
+fn decode(body: &[u8], peer: SocketAddr) -> Option<wire::Decoded<wire::Gossip>> {
+    match wire::decode_gossip(body) {
+        Ok(decoded) => {
+            decoded.skipped.iter().for_each(|part| reject(peer, part));
+            Some(decoded)
+        }
         Err(error) => {
-            event::emit_json(
-                event::Event::PeerRejected,
-                &[event::field("peer", &address), event::field("error", &error)],
-            );
+            reject(peer, &error);
             None
         }
     }
@@ -286,7 +284,7 @@
     is_decider: bool,
     round: u64,
     receiver_known: Option<usize>,
-) -> Message {
+) -> wire::Gossip {
     let now = context.now();
     let mut state = context.state();
     let known = state.peers.others().count() + 1;
@@ -298,8 +296,9 @@
     let own = &state.settings.vm;
     let canaries =
         state.canaries.values().map(|canary| canary.snapshot(own, is_decider, now)).collect();
-    Message {
+    wire::Gossip {
         address: state.settings.advertised,
+        build: wire::BUILD.to_owned(),
         members: state.peers.sample(count, round, now),
         known,
         versions: state.table_versions(now),
@@ -319,7 +318,7 @@
     tables.filter_map(|(at, (table, told))| Some((at, state.delta(table, told.version)?))).collect()
 }
 
-fn record(context: &Shared, message: Message) {
+fn record(context: &Shared, message: wire::Gossip) {
     let now = context.now();
     let own = context.vm();
     let mut state = context.state();
@@ -346,8 +345,11 @@
         snapshots.insert(snapshot.service.clone(), snapshot);
     }
     for (service, snapshot) in snapshots {
-        if let Some(canary) = state.canaries.get_mut(&service) {
-            canary.merge(snapshot, &own, now);
+        let Some(canary) = state.canaries.get_mut(&service) else { continue };
+        if canary.merge(snapshot, &own, now) {
+            let progress = format!("{:?}", canary.progress());
+            let source = format!("{} {}", message.address, message.build);
+            rollout_log::log(event::Event::RolloutHeard, canary, &progress, &source, now);
         }
     }
     drop(state);
@@ -374,11 +376,13 @@
 /// Fails if a message can't be decoded or encoded.
 pub(crate) fn answer(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
     let own_address = context.state().settings.peer;
-    let received: Message = decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
+    let wire::Decoded { message: received, format, .. } =
+        decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
+    context.peer_formats.borrow_mut().record(received.address, format, context.now());
     let (versions, receiver_known) = (received.versions.clone(), received.known);
     record(context, received);
     let round = context.now().0;
     let deltas = missing_deltas(context, &versions);
     let response = build_message(context, deltas, false, round, Some(receiver_known));
-    message::encode(&response).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    wire::encode_gossip(&response, format).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -5,22 +5,20 @@
 //! one. The datagrams also carry the confirmations of the tables, since they reach every peer in
 //! one hop.
 
+use std::collections::{BTreeMap, btree_map};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ibishill_core::{event, id, store_version};
-use ibishill_decide::balance;
-use ibishill_state::confirmation;
-use serde::{Deserialize, Serialize};
+use ibishill_core::store_version;
 use tokio::net::UdpSocket;
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
-use crate::packet;
 use crate::state::{State, Table};
-use crate::told::{Announcement, News};
+use crate::wire::Format;
+use crate::{gossip, packet, wire};
 
 /// Interval between reports; requests take about a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -35,8 +33,8 @@
 /// Maximum size of an endpoint's entry, in bytes.
 const ENTRY_SIZE_MAX: usize = 7;
 
-/// Size of the number of entries, in bytes, above that of an empty list.
-const LENGTH_SIZE: usize = 1;
+/// Size of what precedes the entries, in bytes, above that of an empty list, and of the kind of datagram.
+const HEADER_SIZE: usize = 8;
 
 /// Maximum number of limits and of suspects that one datagram tells of.
 const NEWS_MAX: (usize, usize) = (16, 8);
@@ -44,22 +42,6 @@
 /// Delay of the datagram that announces new evidence, so that ends at the same moment share one.
 const EVIDENCE_DELAY: Duration = Duration::from_millis(50);
 
-#[derive(Serialize, Deserialize)]
-struct Datagram {
-    vm: id::VmId,
-    /// By table, the sender's version and its confirmation.
-    #[serde(rename = "have")]
-    versions: Vec<confirmation::Told>,
-    #[serde(rename = "shares")]
-    in_flight: Vec<balance::reports::InFlight>,
-    configuration: Announcement,
-    /// Whether the sender reaches no endpoint, although its peers do.
-    is_isolated: bool,
-    /// Requests per second that the sender gets from callers.
-    demand: f32,
-    news: News,
-}
-
 /// Sends load reports.
 pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
     let mut ticks = clock::interval(REPORT_INTERVAL);
@@ -82,15 +64,15 @@
 
 async fn send(context: &Shared, socket: &UdpSocket, round: u64) {
     let now = context.now();
-    let (datagram, in_flight, mut peers) = {
+    let (report, mut peers) = {
         let mut state = context.state();
         let mut in_flight = state.balancer.in_flight();
         in_flight.sort_by_key(|work| std::cmp::Reverse(work.running));
         in_flight.truncate(ENTRIES_MAX);
-        let datagram = Datagram {
+        let report = wire::Report {
             vm: state.settings.vm.clone(),
             versions: state.table_versions(now),
-            in_flight: Vec::new(),
+            in_flight,
             configuration: state.announcement(now),
             is_isolated: state.balancer.contacts().is_isolated(),
             demand: state.balancer.gate().limits().demands().own(now) as f32,
@@ -98,65 +80,66 @@
         };
         let alive = state.peers.alive(now);
         let peers: Vec<_> = alive.into_iter().skip(1).cloned().collect();
-        (datagram, in_flight, peers)
+        (report, peers)
     };
     if peers.len() > FANOUT {
-        let partners = context.state().balancer.gate().partners(&datagram.vm);
+        let partners = context.state().balancer.gate().partners(&report.vm);
         peers.sort_by_key(|peer| {
             let hash = xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), round);
             (!partners.contains(&peer.vm), hash)
         });
         peers.truncate(FANOUT);
     }
-    let bytes = match encode(datagram, in_flight) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            event::emit_json(event::Event::PeerRejected, &[event::field("error", &error)]);
-            return;
-        }
-    };
+    let mut encoded: BTreeMap<Format, Vec<u8>> = BTreeMap::new();
     for peer in peers {
+        let format = context.peer_formats.borrow().of_datagram(peer.address, now);
+        if let btree_map::Entry::Vacant(entry) = encoded.entry(format) {
+            match encode(&report, format) {
+                Ok(bytes) => entry.insert(bytes),
+                Err(error) => {
+                    gossip::reject(peer.address, &error);
+                    return;
+                }
+            };
+        }
         // A report that can't be sent is superseded by the next one.
-        let _sent = socket.send_to(&bytes, peer.address).await;
+        let _sent = socket.send_to(&encoded[&format], peer.address).await;
     }
 }
 
-// Encodes a datagram with as many of the entries as fit.
-fn encode(
-    mut datagram: Datagram,
-    mut in_flight: Vec<balance::reports::InFlight>,
-) -> Result<Vec<u8>, postcard::Error> {
-    let size = packet::encode(packet::Kind::Report, &datagram)?.len();
-    in_flight.truncate(packet::SIZE_MAX.saturating_sub(size + LENGTH_SIZE) / ENTRY_SIZE_MAX);
-    datagram.in_flight = in_flight;
-    packet::encode(packet::Kind::Report, &datagram)
+// Encodes a report with as many of the endpoints as fit into a datagram.
+fn encode(report: &wire::Report, format: Format) -> Result<Vec<u8>, String> {
+    let mut fitting = wire::Report { in_flight: Vec::new(), ..report.clone() };
+    let size = wire::encode_report(&fitting, format)?.len() + HEADER_SIZE;
+    let count = packet::SIZE_MAX.saturating_sub(size) / ENTRY_SIZE_MAX;
+    fitting.in_flight = report.in_flight.iter().take(count).copied().collect();
+    let kind = match format {
+        Format::Layout => packet::Kind::Report,
+        Format::Parts => packet::Kind::Parts,
+    };
+    Ok(packet::mark(kind, wire::encode_report(&fitting, format)?))
 }
 
-/// Records a peer's report.
-///
-/// # Errors
-///
-/// Fails if the report can't be decoded.
-pub(crate) fn receive(context: &Shared, payload: &[u8]) -> Result<(), postcard::Error> {
-    let datagram: Datagram = postcard::from_bytes(payload)?;
+/// Records a peer's report, which came in this encoding.
+pub(crate) fn receive(context: &Shared, report: wire::Report, format: Format) {
     let now = context.now();
     let mut state = context.state();
-    if let Some(sender) = state.peers.address(&datagram.vm) {
-        let reported = datagram.versions.iter().map(|told| told.version);
+    if let Some(sender) = state.peers.address(&report.vm) {
+        context.peer_formats.borrow_mut().record(sender, format, now);
+        let reported = report.versions.iter().map(|told| told.version);
         if record_versions(&mut state, reported, sender) {
             // Starts a gossip round, which gets the missing rows from the sender.
             state.ahead = Some(sender);
             context.rows_changed.notify_one();
         }
     }
-    state.record_announcement(&datagram.configuration, now);
-    state.record_confirmations(&datagram.versions, now);
-    state.balancer.reports().record(&datagram.vm, datagram.in_flight, now);
-    state.peers.record_isolation(&datagram.vm, datagram.is_isolated, now);
-    let demand = f64::from(datagram.demand);
-    state.balancer.gate().limits().demands().record_peer(&datagram.vm, demand, now);
-    state.merge_news(datagram.news, now);
-    Ok(())
+    state.record_announcement(&report.configuration, now);
+    state.record_confirmations(&report.versions, now);
+    state.balancer.reports().record(&report.vm, report.in_flight, now);
+    state.peers.record_isolation(&report.vm, report.is_isolated, now);
+    let demand = f64::from(report.demand);
+    state.balancer.gate().limits().demands().record_peer(&report.vm, demand, now);
+    state.merge_news(report.news, now);
 }
 
 // Records which versions a peer has; returns whether this relay lacks one that it isn't fetching.
--- a/crates/ibishill-relay/src/packet.rs
+++ b/crates/ibishill-relay/src/packet.rs
@@ -1,4 +1,5 @@
-//! Datagrams between relays: a byte for the kind, then a payload in postcard.
+//! Datagrams between relays: a byte for the kind, then a payload in postcard or, of load reports, as
+//! in [`crate::wire`]. A kind's payload never changes; another one gets another kind.
 
 use serde::Serialize;
 
@@ -14,10 +15,25 @@
     Question,
     /// Which of them have answered the relay that was asked.
     Answer,
+    /// A load report in numbered parts.
+    Parts,
 }
 
+/// Number of [`Kind::Parts`]; none that begins a datagram of a build without kinds, which begins with the
+/// length of a name.
+const PARTS: u8 = 0xff;
+
 impl Kind {
-    const ALL: [Self; 3] = [Self::Report, Self::Question, Self::Answer];
+    const fn number(self) -> u8 {
+        match self {
+            Self::Report => 0,
+            Self::Question => 1,
+            Self::Answer => 2,
+            Self::Parts => PARTS,
+        }
+    }
+
+    const ALL: [Self; 4] = [Self::Report, Self::Question, Self::Answer, Self::Parts];
 }
 
 /// Encodes a datagram.
@@ -29,11 +45,18 @@
 where
     T: Serialize,
 {
-    postcard::to_extend(payload, vec![kind as u8])
+    postcard::to_extend(payload, vec![kind.number()])
+}
+
+/// Puts the byte for the kind before an encoded payload.
+pub(crate) fn mark(kind: Kind, mut payload: Vec<u8>) -> Vec<u8> {
+    payload.insert(0, kind.number());
+    payload
 }
 
 /// Splits a datagram into its kind and its payload; none if the kind is unknown.
 pub(crate) fn split(bytes: &[u8]) -> Option<(Kind, &[u8])> {
     let (kind, payload) = bytes.split_first()?;
-    Some((*Kind::ALL.get(usize::from(*kind))?, payload))
+    let kind = Kind::ALL.into_iter().find(|found| found.number() == *kind)?;
+    Some((kind, payload))
 }
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -177,6 +177,7 @@
             state.balancer.contacts().reset(now);
         }
         state.expire(now);
+        context.peer_formats.borrow_mut().expire(now);
         let is_ready = state.is_ready(now);
         let version = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
         drop(state);
