--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request};
+use http::Request;
 use ibishill_adapter::error::DecodeError;
 use ibishill_adapter::store;
 use ibishill_core::{event, fleet, store_version, time};
@@ -17,7 +17,7 @@
 
 use crate::context::Shared;
 use crate::state::Table;
-use crate::{gossip, upstream};
+use crate::{gossip, store_answer, upstream};
 
 /// Time beyond the poll's own wait after which a call is abandoned, since its connection may be
 /// dead. Reads of a whole table do not wait, so this is their whole timeout for each page.
@@ -223,7 +223,7 @@
     context.metrics.record_store_call(response.is_ok(), progress.received.get());
     let response = response.map_err(|error| Failure::Other(error.to_string()))?;
     let answered = progress.head.get().map_or_else(|| context.now(), |head| context.at(head));
-    let era = accept_era(context, response.headers()).map_err(Failure::Other)?;
+    let era = store_answer::accept_era(context, response.headers()).map_err(Failure::Other)?;
     match store::decode_rows(response.status(), response.body(), era) {
         Ok(rows) => Ok((rows, answered)),
         Err(DecodeError::Refused { status: 410 }) => Err(Failure::Gone),
@@ -231,28 +231,6 @@
     }
 }
 
-/// Decodes the era of an answer of the store.
-///
-/// # Errors
-///
-/// Fails, and logs it, if the era is not a number, or has gone down or away; the answer says nothing
-/// then.
-pub(crate) fn accept_era(
-    context: &Shared,
-    headers: &HeaderMap,
-) -> Result<store_version::Era, String> {
-    let known = context.state().era();
-    let detail = match store::decode_era(headers) {
-        Ok(told) => match told.unwrap_or_default() {
-            era if era >= known => return Ok(era),
-            era => format!("era {era} of the store's answer is below {known}"),
-        },
-        Err(error) => error.to_string(),
-    };
-    event::emit_json(event::Event::EraInvalid, &[event::field("detail", &detail)]);
-    Err(detail)
-}
-
 fn record_read(context: &Shared, table: Table, read: Read) {
     let now = context.now();
     let mut state = context.state();
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod selection;
 mod serve;
 mod state;
+mod store_answer;
 mod store_row;
 mod stream;
 mod told;
--- /dev/null
+++ b/crates/ibishill-relay/src/store_answer.rs
@@ -0,0 +1,29 @@
+//! What an answer of the store says of the store itself.
+
+use http::HeaderMap;
+use ibishill_adapter::store;
+use ibishill_core::{event, store_version};
+
+use crate::context::Shared;
+
+/// Decodes the era of an answer of the store.
+///
+/// # Errors
+///
+/// Fails, and logs it, if the era is not a number, or has gone down or away; the answer says nothing
+/// then.
+pub(crate) fn accept_era(
+    context: &Shared,
+    headers: &HeaderMap,
+) -> Result<store_version::Era, String> {
+    let known = context.state().era();
+    let detail = match store::decode_era(headers) {
+        Ok(told) => match told.unwrap_or_default() {
+            era if era >= known => return Ok(era),
+            era => format!("era {era} of the store's answer is below {known}"),
+        },
+        Err(error) => error.to_string(),
+    };
+    event::emit_json(event::Event::EraInvalid, &[event::field("detail", &detail)]);
+    Err(detail)
+}
--- a/crates/ibishill-relay/src/store_row.rs
+++ b/crates/ibishill-relay/src/store_row.rs
@@ -8,7 +8,7 @@
 use ibishill_core::fleet;
 
 use crate::context::Shared;
-use crate::{feed, upstream};
+use crate::{store_answer, upstream};
 
 /// Timeout of a write or a read.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -27,7 +27,7 @@
 ) -> Result<store::WriteOutcome, String> {
     let host = context.state().settings.store.to_string();
     let response = call(context, store::write(&host, table, key, value, expected)).await?;
-    let era = feed::accept_era(context, response.headers())?;
+    let era = store_answer::accept_era(context, response.headers())?;
     let outcome = store::decode_write(response.status(), response.body(), era);
     outcome.map_err(|error| error.to_string())
 }
@@ -40,7 +40,7 @@
 pub(crate) async fn read(context: &Shared, table: &str) -> Result<Vec<fleet::RawRow>, String> {
     let host = context.state().settings.store.to_string();
     let response = call(context, store::read(&host, table, None)).await?;
-    let era = feed::accept_era(context, response.headers())?;
+    let era = store_answer::accept_era(context, response.headers())?;
     let rows = store::decode_rows(response.status(), response.body(), era);
     Ok(rows.map_err(|error| error.to_string())?.rows)
 }
