--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -224,7 +224,7 @@
     let response = response.map_err(|error| Failure::Other(error.to_string()))?;
     let answered = progress.head.get().map_or_else(|| context.now(), |head| context.at(head));
     let era = store_answer::accept_era(context, response.headers()).map_err(Failure::Other)?;
-    match store::decode_rows(response.status(), response.body(), era) {
+    match store_answer::decode_rows(&response, era) {
         Ok(rows) => Ok((rows, answered)),
         Err(DecodeError::Refused { status: 410 }) => Err(Failure::Gone),
         Err(error) => Err(Failure::Other(error.to_string())),
--- a/crates/ibishill-relay/src/store_answer.rs
+++ b/crates/ibishill-relay/src/store_answer.rs
@@ -1,11 +1,32 @@
 //! What an answer of the store says of the store itself.
 
-use http::HeaderMap;
+use bytes::Bytes;
+use http::{HeaderMap, Response};
+use ibishill_adapter::error::DecodeError;
 use ibishill_adapter::store;
 use ibishill_core::{event, store_version};
 
 use crate::context::Shared;
 
+/// Decodes rows, and logs those that have no name or version; the others hold.
+///
+/// # Errors
+///
+/// Fails if the store answered with an unexpected status, or the answer as a whole is malformed.
+pub(crate) fn decode_rows(
+    response: &Response<Bytes>,
+    era: store_version::Era,
+) -> Result<store::Rows, DecodeError> {
+    let rows = store::decode_rows(response.status(), response.body(), era)?;
+    for error in &rows.unreadable {
+        event::emit_json(
+            event::Event::RowInvalid,
+            &[event::field("row", &"-"), event::field("error", error)],
+        );
+    }
+    Ok(rows)
+}
+
 /// Decodes the era of an answer of the store.
 ///
 /// # Errors
--- a/crates/ibishill-relay/src/store_row.rs
+++ b/crates/ibishill-relay/src/store_row.rs
@@ -41,7 +41,7 @@
     let host = context.state().settings.store.to_string();
     let response = call(context, store::read(&host, table, None)).await?;
     let era = store_answer::accept_era(context, response.headers())?;
-    let rows = store::decode_rows(response.status(), response.body(), era);
+    let rows = store_answer::decode_rows(&response, era);
     Ok(rows.map_err(|error| error.to_string())?.rows)
 }
 
