attempt: only a refusal that tells the request's id counts as not run (REFUSED, TWICE)

Callers: a request that a runner had run was answered with 503 and not-run, or ran at a second runner. Cause: a refusal without an id, or one that the endpoint wrote before it had read the request, was taken for the answer; so was a success with the header of a refusal. Played: refusals before the request, before, behind and inside an answer's packet, cut off, in and behind interim heads, of another id and of none. What held before: another id, an answer behind the first one, interim heads, a head that is cut off.

--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -249,6 +249,10 @@
         return (Outcome::Unknown, "the answer belongs to another request".into());
     }
     record_terms(&guard.context, registration, &reply, parts.status, sent);
+    if reply.not_run && !is_own_refusal(&reply, parts.status, received) {
+        let detail = format!("{} without the request's id", parts.status);
+        return (Outcome::Unknown, detail);
+    }
     if reply.not_run {
         // An endpoint that asks for rest says nothing about its load.
         if reply.terms.rest.is_some() {
@@ -294,6 +298,13 @@
     canary.allows(version)
 }
 
+// Whether a refusal is of this request: it tells the id, and is no success. An endpoint that is not the one
+// meant, or gets no id, has none to tell.
+fn is_own_refusal(reply: &head::Reply, status: StatusCode, received: &Received) -> bool {
+    let has_no_id = received.metadata.id.is_empty() || status == StatusCode::MISDIRECTED_REQUEST;
+    !status.is_success() && (reply.echoes_request || has_no_id)
+}
+
 /// Whether an answer has neither a length nor chunks, so that its body ends with the connection.
 pub(crate) fn is_until_close(headers: &HeaderMap) -> bool {
     !headers.contains_key(header::CONTENT_LENGTH)
