--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod chunks;
 mod cold_check;
 mod context;
+mod continuation;
 mod control;
 mod datagrams;
 mod early_end;
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::body::{self, Body, Incomplete};
 use crate::context::Shared;
 use crate::request::{Destination, Received};
-use crate::{early_end, hop, isolation, retry_budget, selection};
+use crate::{continuation, early_end, hop, isolation, retry_budget, selection};
 
 /// Chunks buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 4;
@@ -58,6 +58,8 @@
         last_event,
         sends,
         events: 0,
+        is_continued: false,
+        has_unnumbered: false,
         beginning: early_end::Beginning::at(context.now()),
         tried: Vec::new(),
     };
@@ -77,6 +79,11 @@
     sends: u32,
     /// Events forwarded so far.
     events: u64,
+    /// Whether the next event is the first one of an endpoint that continues the stream.
+    is_continued: bool,
+    /// Whether something was forwarded since the last event with an id that an endpoint would send again,
+    /// or leave out.
+    has_unnumbered: bool,
     /// How the answer of the present endpoint has begun.
     beginning: early_end::Beginning,
     tried: Vec<id::EndpointId>,
@@ -170,10 +177,21 @@
             };
             let events = buffer.split_to(at + SEPARATOR.len()).freeze();
             let before = self.events;
+            if let Some(last) = self.last_event.filter(|_| self.is_continued)
+                && let Err(detail) = continuation::check_beginning(&events, last)
+            {
+                return End::Broken(detail);
+            }
+            self.is_continued &= continuation::is_comment(&events);
             match self.record_ids(&events) {
                 Ok(()) => {}
                 Err(detail) => return End::Broken(detail),
             }
+            self.has_unnumbered = if self.events == before {
+                self.has_unnumbered || !continuation::is_comment(&events)
+            } else {
+                false
+            };
             unnumbered = if self.events == before { unnumbered + events.len() } else { 0 };
             if unnumbered > EVENT_MAX {
                 return End::Broken(format!("no event within {EVENT_MAX} bytes"));
@@ -244,7 +262,7 @@
             let Some(text) = line.strip_prefix(b"id:") else { continue };
             let text = std::str::from_utf8(text).unwrap_or_default().trim();
             let Ok(number) = text.parse::<u64>() else { continue };
-            if self.last_event.is_some_and(|last| number != last + 1) {
+            if self.last_event.is_some_and(|last| Some(number) != last.checked_add(1)) {
                 return Err(format!(
                     "gap in event ids: {number} after {}",
                     self.last_event.unwrap_or_default()
@@ -259,6 +277,10 @@
 
     async fn resume(&mut self, detail: String) -> Option<StreamStart> {
         self.record_break();
+        if self.has_unnumbered {
+            self.log_broken(&format!("{detail}; events without an id can't be continued"));
+            return None;
+        }
         let kind = self.received.route.kind;
         let mut why = detail;
         loop {
@@ -300,7 +322,12 @@
             match outcome {
                 Outcome::Stream(start) => {
                     self.sends += 1;
+                    if let Err(detail) = continuation::check_head(&start.head) {
+                        why = format!("the next endpoint {detail}");
+                        continue;
+                    }
                     self.log_resumed(&why);
+                    self.is_continued = true;
                     return Some(*start);
                 }
                 Outcome::ConnectFailed | Outcome::NotAttempted => {
