--- a/crates/ibishill-relay/src/hop.rs
+++ b/crates/ibishill-relay/src/hop.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use ibishill_adapter::head;
 use ibishill_core::{event, id, time};
 use ibishill_decide::{canary, peers, reach};
@@ -155,6 +155,10 @@
     match parts.headers.remove(RESULT) {
         Some(result) if result == DONE => {}
         Some(_) => return (Outcome::Refused, "the peer does not reach endpoints either".into()),
+        // Builds up to 92cc6db take the request for a message that they can't read.
+        None if parts.status == StatusCode::BAD_REQUEST => {
+            return (Outcome::Refused, "the peer's build takes no requests".into());
+        }
         None => return (Outcome::Unknown, "the peer can't pass requests on".into()),
     }
     let is_until_close = attempt::is_until_close(&parts.headers);
