--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -10,16 +10,18 @@
 //! from a tenth of the requests, of all sizes and amid unrelated faults. A bad version may be
 //! slow, or fail on a single route, only late or only under load.
 
+mod exchange;
 mod recent_sessions;
+mod tally;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 
 use ibishill_core::{fleet, id, store_version, time};
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+pub use exchange::Snapshot;
 pub use recent_sessions::RecentSessions;
+pub use tally::{Answers, Comparison, Routes, Source, Tally};
 
 use crate::rollout::{counts, moments, sequential};
 
@@ -92,16 +94,6 @@
 /// Paces that are needed to judge by them; they hardly depend on the prompt.
 const PACES_MIN: u64 = 8;
 
-/// Answers of one version, route and window that a daemon can have counted; sums of all daemons stay below
-/// what the counters hold.
-const ANSWERS_MAX: u64 = 1 << 24;
-
-/// Routes times windows in the counts of one daemon.
-const ROUTES_MAX: usize = 16_384;
-
-/// Processes of one VM whose counts are kept; it restarts a few times in a roll-out at most.
-const PROCESSES_MAX: usize = 4;
-
 /// Maximum number of sessions that are remembered.
 const SESSIONS_MAX: usize = 4_096;
 
@@ -131,141 +123,6 @@
     Answered(time::Millis),
 }
 
-/// Answers of one version on one route.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answers {
-    /// All answers, including errors.
-    pub all: u64,
-    /// Answers with an error.
-    pub failed: u64,
-    /// Requests without a valid answer, which are not in `all`.
-    pub lost: u64,
-    /// Times to the first part of the answers received since both versions get requests.
-    pub times: moments::Moments,
-    /// Paces of streams, in the same period.
-    pub paces: moments::Moments,
-}
-
-impl Answers {
-    const fn add(&mut self, other: &Self) {
-        self.all += other.all;
-        self.failed += other.failed;
-        self.lost += other.lost;
-        self.times.add(&other.times);
-        self.paces.add(&other.paces);
-    }
-
-    // Whether a peer can have counted so.
-    const fn is_plausible(&self) -> bool {
-        let Self { all, failed, lost, times, paces } = self;
-        *failed <= *all
-            && *all <= ANSWERS_MAX
-            && *lost <= ANSWERS_MAX
-            && times.is_plausible(ANSWERS_MAX)
-            && paces.is_plausible(ANSWERS_MAX)
-    }
-
-    const fn errors(&self) -> counts::Proportion {
-        counts::Proportion { hits: self.failed, total: self.all }
-    }
-
-    const fn losses(&self) -> counts::Proportion {
-        counts::Proportion { hits: self.lost, total: self.all + self.lost }
-    }
-}
-
-/// Answers of both versions on one route.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Comparison {
-    /// The old version.
-    pub stable: Answers,
-    /// The new version.
-    pub candidate: Answers,
-}
-
-impl Comparison {
-    const fn add(&mut self, other: &Self) {
-        self.stable.add(&other.stable);
-        self.candidate.add(&other.candidate);
-    }
-}
-
-/// One daemon's counts of a roll-out.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tally {
-    /// Start of the daemon's process; counts of a later process replace those of an earlier one.
-    pub start: u64,
-    /// Answers by time window and by route, as a version may fail only late or under load, or
-    /// only for one kind of request.
-    pub windows: BTreeMap<u8, Routes>,
-}
-
-/// Answers of both versions by route.
-pub type Routes = BTreeMap<id::RouteId, Comparison>;
-
-impl Tally {
-    fn is_plausible(&self) -> bool {
-        let routes = self.windows.values();
-        let pairs = routes.clone().flat_map(Routes::values);
-        let mut answers = pairs.flat_map(|pair| [&pair.stable, &pair.candidate]);
-        routes.map(Routes::len).sum::<usize>() <= ROUTES_MAX && answers.all(Answers::is_plausible)
-    }
-
-    fn size(&self) -> (u64, u64) {
-        let count = |answers: &Answers| answers.all + answers.lost + answers.paces.count;
-        let all = |pair: &Comparison| count(&pair.stable) + count(&pair.candidate);
-        (self.start, self.windows.values().flat_map(Routes::values).map(all).sum())
-    }
-}
-
-/// State of a roll-out that a daemon gossips to its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The service.
-    pub service: id::ServiceId,
-    /// The version that the service moves to.
-    pub to: id::VersionId,
-    /// Time since the order, as far as the sender knows.
-    pub age: time::Millis,
-    /// Progress as seen by the sender.
-    pub progress: fleet::Progress,
-    /// Counts by daemon: the sender's, if the roll-out is running and the receiver decides about it.
-    pub tallies: BTreeMap<id::VmId, Tally>,
-    /// Whether the sender's evidence stops the share from growing.
-    pub is_doubted: bool,
-    /// Whether any daemon that the sender heard of has seen proof that the version is sound.
-    pub is_cleared: bool,
-    /// Sessions of the initial share that began on the old version; empty in the second half.
-    pub pinned: Vec<u64>,
-    /// Version of the order's row; none if the sender's build does not tell.
-    #[serde(skip)]
-    pub order: Option<store_version::StoreVersion>,
-    /// Whether the sender rolled back for want of proof, not for evidence of faults.
-    #[serde(skip)]
-    pub is_unproven: bool,
-    /// Whether a verdict may have been reached before the sender heard of the order.
-    #[serde(skip)]
-    pub is_uninformed: bool,
-}
-
-/// Answers of the new version that one process has counted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Source {
-    /// VM of the process.
-    pub vm: id::VmId,
-    /// Answers, errors and losses.
-    pub answers: Answers,
-    /// Time since the counts were heard.
-    pub age: time::Millis,
-}
-
-impl fmt::Display for Source {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Answers { all, failed, lost, .. } = self.answers;
-        write!(f, "{}:{all}/{failed}/{lost}@{}", self.vm, self.age)
-    }
-}
-
 /// One daemon's view of a roll-out.
 #[derive(Debug, Clone)]
 pub struct Canary {
@@ -511,129 +368,6 @@
         if *version == self.order.to { &mut pair.candidate } else { &mut pair.stable }
     }
 
-    /// Merges a peer's snapshot; returns whether it changed the progress. Ignored if it is of another
-    /// order.
-    pub fn merge(&mut self, snapshot: Snapshot, own: &id::VmId, now: time::Tick) -> bool {
-        if snapshot.to != self.order.to || self.is_other_order(snapshot.order) {
-            return false;
-        }
-        self.is_informed |= !snapshot.is_uninformed;
-        if snapshot.age > self.age(now) {
-            self.ordered_at = time::Tick(now.0.saturating_sub(snapshot.age.0));
-        }
-        for (vm, tally) in snapshot.tallies {
-            self.merge_tally(vm, tally, own, now);
-        }
-        for session in snapshot.pinned {
-            self.pin(session);
-        }
-        if snapshot.is_doubted {
-            self.peer_doubt = Some(now);
-        }
-        self.is_cleared |= snapshot.is_cleared;
-        let before = self.progress;
-        match snapshot.progress {
-            // The completion was proved.
-            fleet::Progress::RolledBack
-                if snapshot.is_unproven && before == fleet::Progress::Completed => {}
-            fleet::Progress::RolledBack => self.roll_back(snapshot.is_unproven),
-            progress => self.merge_progress(progress),
-        }
-        self.progress != before
-    }
-
-    // Rows of a store that was restored have other numbers, so they don't tell orders apart.
-    fn is_other_order(&self, told: Option<store_version::StoreVersion>) -> bool {
-        let both = self.version.zip(told);
-        both.is_some_and(|(own, told)| own.era == told.era && own.number != told.number)
-    }
-
-    fn merge_tally(&mut self, vm: id::VmId, tally: Tally, own: &id::VmId, now: time::Tick) {
-        if vm == *own || !tally.is_plausible() {
-            return;
-        }
-        let key = (vm, tally.start);
-        if self.tallies.get(&key).is_some_and(|known| known.size() > tally.size()) {
-            return;
-        }
-        self.heard.insert(key.clone(), now);
-        let of_vm = (key.0.clone(), 0)..=(key.0.clone(), u64::MAX);
-        self.tallies.insert(key, tally);
-        let mut of_vm = self.tallies.range(of_vm).map(|(key, _)| key.clone());
-        let (first, count) = (of_vm.next(), 1 + of_vm.count());
-        if let Some(first) = first.filter(|_| count > PROCESSES_MAX) {
-            self.tallies.remove(&first);
-            self.heard.remove(&first);
-        }
-    }
-
-    fn roll_back(&mut self, is_unproven: bool) {
-        let was_rolled_back = self.progress == fleet::Progress::RolledBack;
-        self.is_unproven = is_unproven && (self.is_unproven || !was_rolled_back);
-        self.progress = fleet::Progress::RolledBack;
-    }
-
-    /// Merges another daemon's or this daemon's progress. A finished roll-out never runs again,
-    /// and a rollback overrides a completion, unless it was for want of the proof that completed it.
-    pub fn merge_progress(&mut self, progress: fleet::Progress) {
-        let yields = self.progress == fleet::Progress::RolledBack && self.is_unproven;
-        match progress {
-            fleet::Progress::RolledBack => self.roll_back(self.is_unproven),
-            fleet::Progress::Completed if yields => self.progress = progress,
-            _ if self.progress == fleet::Progress::Running => self.progress = progress,
-            _ => {}
-        }
-    }
-
-    /// Merges the progress in the store, which operators have acted on; returns whether this daemon's
-    /// has changed. Only a rollback for evidence overrides it.
-    pub fn merge_stored(&mut self, stored: fleet::Progress) -> bool {
-        let before = self.progress;
-        self.is_informed = true;
-        match stored {
-            fleet::Progress::RolledBack => self.roll_back(false),
-            fleet::Progress::Completed => self.merge_progress(stored),
-            fleet::Progress::Running => {}
-        }
-        self.progress != before
-    }
-
-    /// The state to send to a peer: includes this daemon's counts if the peer is a decider, and the
-    /// pinned sessions during the first half.
-    pub fn snapshot(&self, own: &id::VmId, to_decider: bool, now: time::Tick) -> Snapshot {
-        let is_running = self.progress == fleet::Progress::Running;
-        let has_pins = is_running && self.pins_sessions(now);
-        let of_own = self.tallies.range((own.clone(), 0)..=(own.clone(), u64::MAX));
-        let tally = of_own.last().filter(|_| to_decider && is_running);
-        let own_tally = tally.map(|(_, tally)| (own.clone(), tally.clone()));
-        Snapshot {
-            service: self.order.service.clone(),
-            to: self.order.to.clone(),
-            age: self.age(now),
-            progress: self.progress,
-            tallies: own_tally.into_iter().collect(),
-            is_doubted: self.sees_doubt && is_running,
-            is_cleared: self.is_cleared,
-            pinned: if has_pins { self.pinned.iter().copied().collect() } else { Vec::new() },
-            order: self.version,
-            is_unproven: self.is_unproven,
-            is_uninformed: !self.is_informed,
-        }
-    }
-
-    /// Whose answers of the new version are known, for the log.
-    pub fn sources(&self, now: time::Tick) -> Vec<Source> {
-        let source = |((vm, start), tally): (&(id::VmId, u64), &Tally)| {
-            let mut answers = Answers::default();
-            let pairs = tally.windows.values().flat_map(Routes::values);
-            pairs.for_each(|pair| answers.add(&pair.candidate));
-            let heard = self.heard.get(&(vm.clone(), *start));
-            let age = heard.map_or(time::Millis(0), |at| now.since(*at));
-            Source { vm: vm.clone(), answers, age }
-        };
-        self.tallies.iter().map(source).collect()
-    }
-
     // Answers counted by all daemons, by time window.
     fn windows(&self) -> BTreeMap<u8, Routes> {
         let mut windows: BTreeMap<u8, Routes> = BTreeMap::new();
--- a/crates/ibishill-relay/src/chunks.rs
+++ b/crates/ibishill-relay/src/chunks.rs
@@ -15,7 +15,7 @@
 
 use crate::context::Shared;
 use crate::state::Table;
-use crate::{gossip, message, upstream};
+use crate::{gossip, message, peer_log, upstream};
 
 /// Path of requests for chunks.
 pub(crate) const PATH: &str = "/chunks";
@@ -182,7 +182,7 @@
 pub(crate) fn answer(context: &Shared, body: &[u8]) -> Result<Bytes, StatusCode> {
     let own_address = context.state().settings.peer;
     let wanted: Vec<chunk::Digest> = message::decode(body).map_err(|error| {
-        gossip::reject(own_address, &error);
+        peer_log::reject(own_address, &error);
         StatusCode::BAD_REQUEST
     })?;
     message::encode(&found(context, &wanted)).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
--- a/crates/ibishill-relay/src/datagrams.rs
+++ b/crates/ibishill-relay/src/datagrams.rs
@@ -9,7 +9,7 @@
 
 use crate::context::Shared;
 use crate::wire::Format;
-use crate::{gossip, isolation, load_reports, packet, wire};
+use crate::{isolation, load_reports, packet, peer_log, wire};
 
 /// Receives datagrams and passes each on by its kind.
 pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
@@ -18,7 +18,7 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
                 if let Err(error) = receive(&context, &socket, &buffer[..length], from).await {
-                    gossip::reject(from, &error);
+                    peer_log::reject(from, &error);
                 }
             }
             // An ICMP error from a peer that is down is reported here.
@@ -45,7 +45,7 @@
         }
         None => wire::decode_unmarked_report(bytes)?,
     };
-    report.skipped.iter().for_each(|part| gossip::reject(from, part));
+    report.skipped.iter().for_each(|part| peer_log::reject(from, part));
     load_reports::receive(context, report.message, report.format);
     Ok(())
 }
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -19,7 +19,7 @@
 use crate::context::Shared;
 use crate::state::{Merged, Table};
 use crate::wire::Format;
-use crate::{rollout_log, upstream, wire};
+use crate::{peer_log, rollout_log, upstream, wire};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -221,7 +221,7 @@
     let body = match wire::encode_gossip(message, format) {
         Ok(body) => body,
         Err(error) => {
-            reject(address, &error);
+            peer_log::reject(address, &error);
             return None;
         }
     };
@@ -255,23 +255,15 @@
     }
 }
 
-/// Logs that a message of a peer, or a part of one, can't be used.
-pub(crate) fn reject(peer: SocketAddr, error: &str) {
-    event::emit_json(
-        event::Event::PeerRejected,
-        &[event::field("peer", &peer), event::field("error", &error)],
-    );
-}
-
 // Logs what can't be read.
 fn decode(body: &[u8], peer: SocketAddr) -> Option<wire::Decoded<wire::Gossip>> {
     match wire::decode_gossip(body) {
         Ok(decoded) => {
-            decoded.skipped.iter().for_each(|part| reject(peer, part));
+            decoded.skipped.iter().for_each(|part| peer_log::reject(peer, part));
             Some(decoded)
         }
         Err(error) => {
-            reject(peer, &error);
+            peer_log::reject(peer, &error);
             None
         }
     }
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod packet;
 mod peer_formats;
+mod peer_log;
 mod quarantine_rows;
 mod request;
 mod request_key;
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -18,7 +18,7 @@
 use crate::context::Shared;
 use crate::state::{State, Table};
 use crate::wire::Format;
-use crate::{gossip, packet, wire};
+use crate::{packet, peer_log, wire};
 
 /// Interval between reports; requests take about a second.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -97,7 +97,7 @@
             match encode(&report, format) {
                 Ok(bytes) => entry.insert(bytes),
                 Err(error) => {
-                    gossip::reject(peer.address, &error);
+                    peer_log::reject(peer.address, &error);
                     return;
                 }
             };
