selection: a request that only a rolled-back version could run is refused at once

Callers waited for an endpoint up to the wait limit, although none of another version was registered. The request can't be served as long as the verdict stands.

--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -188,7 +188,9 @@
             Choice::Send(target) => return Ok(Way::Endpoint(target)),
             Choice::OutOfReach => return through_peer(received),
             Choice::NoEndpoint
-                if !tried.is_empty() || context.state().balancer.is_service_leaving(service) =>
+                if !tried.is_empty()
+                    || context.state().balancer.is_service_leaving(service)
+                    || is_rolled_back_alone(context, service) =>
             {
                 return Err(Reason::NoEndpoint);
             }
@@ -235,6 +237,15 @@
     Err(reason)
 }
 
+// Whether the service has endpoints of a version only that was rolled back.
+fn is_rolled_back_alone(context: &Shared, service: &id::ServiceId) -> bool {
+    let state = context.state();
+    let Some(canary) = state.canaries.get(service) else { return false };
+    let to = &canary.order().to;
+    let mut entries = state.balancer.entries();
+    !canary.allows(to) && !entries.any(|entry| entry.service == *service && entry.version != *to)
+}
+
 fn quarantined(context: &Shared, received: &Received, after: time::Millis) -> Reason {
     let whole = context.state().verdict(&[received.whole()], context.now());
     match whole {
