--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -146,7 +146,7 @@
     peer_doubt: Option<time::Tick>,
     // Whether answers have proved that the version is sound; without it, the share does not grow.
     is_cleared: bool,
-    // Whether it was rolled back for want of proof.
+    // Whether its rollback is, or would be by the last verdict, for want of proof.
     is_unproven: bool,
     // Whether this daemon would know of a verdict on the order.
     is_informed: bool,
