contact: silence counts only if a check gets no answer either

Cause: an endpoint that owes an answer here for 1.5 s and answers peers meanwhile was taken for out of reach; an engine that reads a long prompt does just that. Ruled out: hang timeouts (twice the route's target, later) and silent connections (the endpoint answers the probe at once). Now such an endpoint is checked first, at an engine by a call that needs no slot; the check begins so early that a real cut is found as fast as before.

Tests: request_at_a_busy_endpoint_is_not_taken_away_from_it fails on ("the request ran 2 times") and passes; callers_of_relays_without_a_path_to_any_endpoint_are_served passes as it was. The case "all silent here, as peers get answers" of only_endpoints_that_answer_peers_are_out_of_reach asserted the fault: peers' answers fit a busy endpoint as well. It has an unanswered check now, and two cases without one assert the opposite.

--- a/crates/ibishill-decide/src/contact.rs
+++ b/crates/ibishill-decide/src/contact.rs
@@ -3,6 +3,10 @@
 //! Designed for a daemon that loses its paths to all endpoints, or to those of a zone or service, while
 //! callers, the store and its peers still reach it. A failure alone does not tell a broken path from an
 //! endpoint that has ended. An answer that a peer has had since from the same incarnation does.
+//!
+//! Where hundreds of daemons share the endpoints, one of them hears little from each, and an endpoint that is
+//! busy with long prompts answers its peers all the while. So silence counts only once a probe of its own,
+//! which waits behind no prompt, has got no answer either.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,6 +25,16 @@
 /// The same for one part only, whose endpoints may all be busy with a first event.
 const PART_SILENCE: time::Millis = time::Millis(1_500);
 
+/// Time without any answer after which an endpoint that owes one is checked; the check takes the rest of
+/// [`SILENCE`].
+const CHECK_SILENCE: time::Millis = time::Millis(250);
+
+/// The same for one part only, and for [`PART_SILENCE`].
+const PART_CHECK_SILENCE: time::Millis = time::Millis(1_100);
+
+/// Interval of the checks of an endpoint.
+const CHECK_INTERVAL: time::Millis = time::Millis(1_000);
+
 /// Time after which an endpoint that owes an answer is no longer suspected; its caller may have left.
 const WAITING_TTL: time::Millis = time::Millis::from_secs(30);
 
@@ -79,6 +93,10 @@
     failed: Option<(time::Tick, time::Tick)>,
     // First send since that is not answered.
     waiting: Option<time::Tick>,
+    // Whether a check since then has not been answered either.
+    is_unanswered: bool,
+    // Last check.
+    checked: Option<time::Tick>,
     // Last answer that a peer has had, if it is later than the failure.
     confirmed: Option<time::Tick>,
     // Last probe.
@@ -87,8 +105,16 @@
 
 impl Contact {
     const fn new(part: Part) -> Self {
-        let probed = time::Tick(0);
-        Self { part, answered: None, failed: None, waiting: None, confirmed: None, probed }
+        Self {
+            part,
+            answered: None,
+            failed: None,
+            waiting: None,
+            is_unanswered: false,
+            checked: None,
+            confirmed: None,
+            probed: time::Tick(0),
+        }
     }
 }
 
@@ -156,8 +182,8 @@
         is_out && self.judge(now)
     }
 
-    /// Records that another endpoint has answered at its address: the path is whole, and it has ended.
-    pub fn record_replaced(&mut self, key: EndpointKey) {
+    /// Records that something has answered at its address: the path is whole. It may be another endpoint.
+    pub fn record_path(&mut self, key: EndpointKey) {
         if let Some(contact) = self.known.get_mut(&key) {
             *contact = Contact { answered: contact.answered, ..Contact::new(contact.part) };
         }
@@ -185,15 +211,46 @@
         let failed = contact.failed.filter(|(_, last)| now.since(*last) < FAILURE_TTL);
         let failed = failed.map(|(first, _)| first);
         failed.or_else(|| {
-            let waiting = contact.waiting?;
-            let waited = now.since(waiting);
-            let part = self.parts.get(&contact.part).copied();
-            let is_silent = (waited >= SILENCE && is_quiet(self.answered, SILENCE, now))
-                || (waited >= PART_SILENCE && is_quiet(part, PART_SILENCE, now));
-            (is_silent && waited < WAITING_TTL).then_some(waiting)
+            let waiting = contact.waiting.filter(|_| contact.is_unanswered)?;
+            self.is_silent(contact, (SILENCE, PART_SILENCE), now).then_some(waiting)
         })
     }
 
+    // Whether an endpoint owes an answer, and there was none of any endpoint, or of its part, for these times.
+    fn is_silent(
+        &self,
+        contact: &Contact,
+        (total, of_part): (time::Millis, time::Millis),
+        now: time::Tick,
+    ) -> bool {
+        let waited = contact.waiting.map_or(time::Millis(0), |waiting| now.since(waiting));
+        let part = self.parts.get(&contact.part).copied();
+        let is_silent = (waited >= total && is_quiet(self.answered, total, now))
+            || (waited >= of_part && is_quiet(part, of_part, now));
+        is_silent && waited < WAITING_TTL
+    }
+
+    /// Endpoint that owes an answer for so long that it is to be checked now; none if there is none.
+    pub fn take_check(&mut self, now: time::Tick) -> Option<EndpointKey> {
+        let limits = (CHECK_SILENCE, PART_CHECK_SILENCE);
+        let is_due = |contact: &Contact| {
+            !contact.is_unanswered
+                && is_quiet(contact.checked, CHECK_INTERVAL, now)
+                && self.is_silent(contact, limits, now)
+        };
+        let due = self.known.iter().filter(|(key, contact)| is_due(contact) && !self.is_out(**key));
+        let next = due.min_by_key(|(_, contact)| contact.waiting).map(|(key, _)| *key)?;
+        self.known.get_mut(&next)?.checked = Some(now);
+        Some(next)
+    }
+
+    /// Records that a check was not answered.
+    pub fn record_unanswered(&mut self, key: EndpointKey) {
+        if let Some(contact) = self.known.get_mut(&key) {
+            contact.is_unanswered = contact.waiting.is_some();
+        }
+    }
+
     /// Endpoints to ask peers about, and how far back their answers matter; empty if none is due.
     pub fn questions(&mut self, now: time::Tick) -> Vec<Aged> {
         let suspects = self.known.iter().filter_map(|(key, contact)| {
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -29,6 +29,9 @@
 /// spread over more peers than it asks at once.
 const ASKED_AGAIN: usize = 2;
 
+/// Timeout of a check: with the silence before it, the time after which an endpoint is suspected.
+const CHECK_TIMEOUT: time::Millis = time::Millis(300);
+
 /// Timeout of a probe.
 const PROBE_TIMEOUT: time::Millis = time::Millis(400);
 
@@ -53,6 +56,10 @@
         if let Some(probe) = probe {
             tokio::task::spawn_local(run_probe(context.clone(), probe));
         }
+        let check = context.state().balancer.contacts().take_check(now);
+        if let Some(check) = check {
+            tokio::task::spawn_local(run_check(context.clone(), check));
+        }
         let endpoints = context.state().balancer.contacts().questions(now);
         if endpoints.is_empty() {
             continue;
@@ -172,6 +179,37 @@
     }
 }
 
+// Finds out whether the path to an endpoint that owes an answer is whole: any response shows that. An engine
+// is asked for its load, as a health check waits for a slot there.
+async fn run_check(context: Shared, key: endpoint_key::EndpointKey) {
+    let (registration, path) = {
+        let state = context.state();
+        let Some(registration) = state.balancer.entry_of(key).cloned() else { return };
+        let catalog = state.catalog.as_ref();
+        let service = catalog.and_then(|catalog| catalog.services.get(&registration.service));
+        let path = service.map_or_else(String::new, |service| match service.engine {
+            Some(_) => head::LOAD_PATH.to_owned(),
+            None => service.health_path.clone(),
+        });
+        (registration, path)
+    };
+    let is_answered = if path.is_empty() {
+        upstream::connect(registration.address, CHECK_TIMEOUT).await.is_ok()
+    } else {
+        let request = store::get(&registration.address.to_string(), path);
+        let limits = upstream::Limits::small(CHECK_TIMEOUT.to_std());
+        let progress = upstream::Progress::default();
+        let response = upstream::exchange(registration.address, request, limits, &progress).await;
+        response.is_ok()
+    };
+    let mut state = context.state();
+    if is_answered {
+        state.balancer.contacts().record_path(key);
+    } else {
+        state.balancer.contacts().record_unanswered(key);
+    }
+}
+
 // Whether an endpoint answers a health check: another one may have its address by now. Without health checks,
 // whether it accepts a connection.
 async fn check(registration: &fleet::Registration, path: String) -> bool {
@@ -210,7 +248,7 @@
 pub(crate) fn record_replaced(context: &Shared, endpoint: &id::EndpointId) {
     let mut state = context.state();
     if let Some(key) = state.balancer.key(endpoint) {
-        state.balancer.contacts().record_replaced(key);
+        state.balancer.contacts().record_path(key);
     }
 }
 
