readers: calls in an outage hardly grow with the number of relays; one reader for 64

Cause: in an outage each of 195 relays is overdue at the same moment and calls for three tables, again each 0.5 to 2 s. What one of them would learn, the readers tell it within a second. Now eight standbys read 0.7 s before the others are overdue; the others spread their first calls over 20 ms for each relay and wait 40 ms for each relay after a failure; a relay that reads for itself only asks for one table while the store is down; readers share their retries, and there is one for 64 relays, as standbys stand behind them. Up to 32 relays nothing changes; a relay that hears of no peer backs off as before.

Restarts of all relays still cost three reads each.

--- a/crates/ibishill-decide/tests/relay/readers.rs
+++ b/crates/ibishill-decide/tests/relay/readers.rs
@@ -42,6 +42,7 @@
             behind: None,
             silent_rounds: case.silent,
             apply: time::Millis(2_000),
+            spread: 0.5,
         };
         assert_eq!(readers::should_read(status), case.expected, "{}", case.name);
     }
@@ -59,6 +60,7 @@
             behind: None,
             silent_rounds: 0,
             apply,
+            spread: 0.5,
         };
         let began = (0..).step_by(10).find(|age| readers::should_read(status(*age))).unwrap();
         assert!(began + READ <= apply.0, "{apply}: reads after {began} ms");
@@ -94,6 +96,7 @@
                 behind: None,
                 silent_rounds: 0,
                 apply: time::Millis(2_000),
+                spread: 0.5,
             };
             let (mut at, mut failures) = (0, 0);
             while at < outage.lasts {
@@ -152,9 +155,70 @@
             behind: case.behind.map(time::Millis),
             silent_rounds: 0,
             apply: time::Millis(3_000),
+            spread: 0.5,
         };
         assert_eq!(readers::should_read(status), case.reads, "{}", case.name);
         let is_whole = readers::should_read_whole(case.superseded, status);
         assert_eq!(is_whole, case.is_whole, "{}", case.name);
     }
 }
+
+// Calls for one table until everyone has read again, in an outage that begins just after a confirmation.
+fn calls_in_outage(count: usize, lasts: u64) -> u64 {
+    let mut calls = 0;
+    for rank in 0..count {
+        let status = |age| readers::Status {
+            rank,
+            count,
+            age: Some(time::Millis(age)),
+            behind: None,
+            silent_rounds: 0,
+            apply: time::Millis(4_000),
+            spread: rank as f64 / count as f64,
+        };
+        let (mut at, mut failures) = (0, 0);
+        while at < lasts {
+            if !readers::should_read(status(at)) {
+                at += 50;
+                continue;
+            }
+            calls += 1;
+            failures += 1;
+            at += readers::backoff(status(at), failures, 0.5).0;
+        }
+    }
+    calls
+}
+
+#[test]
+fn outage_costs_hardly_more_calls_in_larger_deployments() {
+    let small = calls_in_outage(195, 8_000);
+    let large = calls_in_outage(910, 8_000);
+    // Standbys and readers call all the while; the others once, those of the first four seconds.
+    assert!(small <= 400, "195: {small} calls");
+    assert!(large <= 1_000, "910: {large} calls");
+}
+
+#[test]
+fn standbys_read_before_the_others_of_a_large_deployment() {
+    for count in [65, 195, 910] {
+        let overdue = |rank| {
+            (0..20_000).step_by(10).find(|age| {
+                readers::should_read(readers::Status {
+                    rank,
+                    count,
+                    age: Some(time::Millis(*age)),
+                    behind: None,
+                    silent_rounds: 0,
+                    apply: time::Millis(4_000),
+                    spread: 0.0,
+                })
+            })
+        };
+        let standby = overdue((count / 64).max(2)).unwrap();
+        let other = overdue(count - 1).unwrap();
+        let usual = readers::feed_timeout(time::Millis(4_000)).0 + REPORT;
+        assert!(standby > usual, "{count}: reads in calm, after {standby} ms");
+        assert!(standby + 500 <= other && other <= 4_000, "{count}: {standby} {other}");
+    }
+}
--- a/crates/ibishill-relay/src/feed.rs
+++ b/crates/ibishill-relay/src/feed.rs
@@ -9,7 +9,7 @@
 use http::Request;
 use ibishill_adapter::error::DecodeError;
 use ibishill_adapter::store;
-use ibishill_core::{event, fleet, store_version, time};
+use ibishill_core::{event, fleet, id, store_version, time};
 use ibishill_decide::readers;
 use ibishill_state::{confirmation, replica};
 use tokio::time as clock;
@@ -50,7 +50,7 @@
 pub(crate) async fn run(context: Shared, table: Table) {
     let mut superseded = 0;
     loop {
-        if !reader_status(&context, table).is_some_and(readers::should_read) {
+        if !is_due(&context, table) || is_redundant(&context, table) {
             clock::sleep(POLL_INTERVAL).await;
             continue;
         }
@@ -71,6 +71,19 @@
     }
 }
 
+fn is_due(context: &Shared, table: Table) -> bool {
+    reader_status(context, table).is_some_and(readers::should_read)
+}
+
+// Whether the reading of another table finds out whether the store is back, so that a relay that reads for
+// itself only does not call for each.
+fn is_redundant(context: &Shared, table: Table) -> bool {
+    let is_reader = reader_status(context, table).is_some_and(readers::is_reader);
+    let is_down = context.state().store_failures > 0;
+    let mut earlier = Table::ALL.into_iter().take_while(|other| *other != table);
+    is_down && !is_reader && earlier.any(|other| is_due(context, other))
+}
+
 const fn batch_delay(table: Table) -> Duration {
     match table {
         Table::Orders => ORDERS_BATCH_DELAY,
@@ -90,17 +103,23 @@
         behind: state.catalog_missing_for(now).filter(|_| table == Table::Orders),
         silent_rounds: state.silent_rounds,
         apply: state.settings.bounds.apply,
+        spread: spread(&state.settings.vm, state.store_failures),
     };
     let delay = if readers::is_reader(status) { DISCOVERY_TIME } else { READERS_ONLY_TIME };
     let is_discovering = state.settings.is_bootstrap && context.uptime() < delay;
     (!is_discovering).then_some(status)
 }
 
+// Where this relay stands in what all of them spread, from 0 to 1; anew after each failure.
+fn spread(vm: &id::VmId, failures: u32) -> f64 {
+    let hash = xxh3::xxh3_64_with_seed(vm.as_str().as_bytes(), u64::from(failures));
+    hash as f64 / u64::MAX as f64
+}
+
 // Waits before the next call; returns early if a peer has delivered what was overdue.
 async fn back_off(context: &Shared, table: Table) {
     let failures = context.state().store_failures;
-    let seed = xxh3::xxh3_64_with_seed(context.vm().as_str().as_bytes(), u64::from(failures));
-    let jitter = seed as f64 / u64::MAX as f64;
+    let jitter = spread(&context.vm(), failures);
     let started = context.now();
     while let Some(status) =
         reader_status(context, table).filter(|status| readers::should_read(*status))
@@ -169,9 +188,7 @@
 // Reads the whole table after a pause that differs between daemons, as the feeds of all readers end at
 // the same moment.
 async fn read_again(context: &Shared, table: Table) -> Result<Read, String> {
-    let seed = xxh3::xxh3_64(context.vm().as_str().as_bytes());
-    let share = seed as f64 / u64::MAX as f64;
-    clock::sleep(READ_AGAIN_SPREAD.mul_f64(share)).await;
+    clock::sleep(READ_AGAIN_SPREAD.mul_f64(spread(&context.vm(), 0))).await;
     read_all(context, table).await
 }
 
