--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -42,6 +42,8 @@
     pub(crate) forwarded: Cell<u32>,
     /// Notified when this relay has seen an endpoint end as an answer began.
     pub(crate) evidence_added: Notify,
+    /// Notified when requests must be answered because the process is about to end.
+    pub(crate) ending: Notify,
     /// Notified when connections must be closed because the process is stopping.
     pub(crate) shutdown: Notify,
 }
@@ -67,6 +69,7 @@
             reach_changed: Notify::new(),
             forwarded: Cell::new(0),
             evidence_added: Notify::new(),
+            ending: Notify::new(),
             shutdown: Notify::new(),
         })
     }
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -241,12 +241,15 @@
     retry_budget::record_request(context, &mut received);
     follow_variant(context, &received);
     let work = attempts(context, received, &mut has_sent);
-    let result = match clock::timeout_at(deadline, work).await {
-        Ok(result) => result,
-        Err(_) => {
-            Err(if has_sent { Reason::DeadlineAfterSend } else { Reason::DeadlineBeforeSend })
-        }
+    let result = tokio::select! {
+        result = clock::timeout_at(deadline, work) => result.ok(),
+        () = context.ending.notified() => None,
     };
+    let result = result.unwrap_or(Err(if has_sent {
+        Reason::DeadlineAfterSend
+    } else {
+        Reason::DeadlineBeforeSend
+    }));
     drop(guard);
     match result {
         Ok(response) => {
@@ -287,6 +290,10 @@
             Ok(way) => way,
             Err(reason) => return conclude(last, may_have_run, reason),
         };
+        let sends_until = context.state().sends_until;
+        if sends_until.is_some_and(|until| context.now() >= until) {
+            return conclude(last, may_have_run, Reason::Stopping);
+        }
         let has_retry_left = sends + 1 < received.route.max_attempts;
         let was_sent = std::mem::replace(has_sent, true);
         let target = match way {
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -36,6 +36,8 @@
     EndpointsResting(time::Millis),
     /// The service's endpoints are out of reach, and no peer takes the request.
     OutOfReach,
+    /// The relay stops, and the request may not be finished before its process ends.
+    Stopping,
     /// The relay runs as many requests for its peers as it may.
     ForwardLimit,
     /// No endpoint had a free slot within the wait limit.
@@ -71,6 +73,7 @@
             | Self::NoCapacity
             | Self::EndpointsResting(_)
             | Self::OutOfReach
+            | Self::Stopping
             | Self::ForwardLimit
             | Self::SegmentQuarantined(_)
             | Self::RequestQuarantined(_)
@@ -103,6 +106,7 @@
             Self::NoEndpoint => "no endpoint in service",
             Self::EndpointsResting(_) => "all endpoints ask for rest",
             Self::OutOfReach => "no endpoint within reach",
+            Self::Stopping => "the relay stops",
             Self::ForwardLimit => "too many requests of peers",
             Self::NoCapacity => "no endpoint with room in time",
             Self::SegmentQuarantined(_) => "prompt segment in quarantine",
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -38,6 +38,13 @@
 /// routed elsewhere after two failed readiness checks, one second apart.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
 
+/// Time after SIGTERM from which on nothing is sent to an endpoint: requests that were read slowly or waited
+/// for a slot are refused as not run.
+const SEND_AFTER_STOP: time::Millis = time::Millis(3_000);
+
+/// Time before the exit at which requests that still run are answered, rather than cut off.
+const ANSWER_MARGIN: time::Millis = time::Millis(300);
+
 /// Time before the end of the grace period at which the process exits by itself.
 const EXIT_MARGIN: time::Millis = time::Millis(400);
 
@@ -148,6 +155,7 @@
     let grace = {
         let mut state = context.state();
         state.is_stopping = true;
+        state.sends_until = Some(started + SEND_AFTER_STOP);
         state.settings.bounds.grace.saturating_sub(EXIT_MARGIN)
     };
     let open = context.state().connections;
@@ -155,7 +163,13 @@
     clock::sleep(ACCEPT_AFTER_STOP.min(grace.to_std())).await;
     context.shutdown.notify_waiters();
     let is_busy = || context.state().connections > 0 || context.forwarded.get() > 0;
+    let answers_at = started + grace.saturating_sub(ANSWER_MARGIN);
+    let mut is_answered = false;
     while is_busy() && context.now().since(started) < grace {
+        if !is_answered && context.now() >= answers_at {
+            is_answered = true;
+            context.ending.notify_waiters();
+        }
         clock::sleep(Duration::from_millis(20)).await;
     }
     let open = context.state().connections;
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -120,6 +120,8 @@
     /// In-flight requests by workspace.
     pub(crate) in_flight: BTreeMap<Option<id::WorkspaceId>, u32>,
     pub(crate) is_stopping: bool,
+    /// When a relay that stops sends no more requests; those sent later may not be finished.
+    pub(crate) sends_until: Option<time::Tick>,
     /// Open connections of callers.
     pub(crate) connections: u32,
     /// Consecutive gossip rounds in which no peer has responded.
@@ -162,6 +164,7 @@
             pressures: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             is_stopping: false,
+            sends_until: None,
             connections: 0,
             silent_rounds: 0,
             is_store_down: false,
