report_targets, starts: long prompts are told at once, and reports reach all peers in turn

Causes: a prompt is read within the time between two reports; and the 64 peers of a round were chosen by a hash of the round and the receiver, so all relays that had started together told the same ones, and with 194 peers a relay knew nothing of anyone for 30% of the time. Now each relay tells the peers of its zone each time and the others in turn, in an order of its own, a report counts for as long as its turn takes (isolation too), and the beginning and end of a long prompt are told at once to at most 32 relays of the engine's zone, out of an allowance of 96 datagrams a second. Builds before this one get none of the new datagrams: they don't say that they read them.

The argument of Reports::record in an older test is new, its assertions are as they were.

--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -5,6 +5,7 @@
 pub mod cascade;
 pub mod cold;
 pub mod decide;
+pub mod knowledge;
 pub mod latency;
 pub mod overload;
 pub mod place;
@@ -71,5 +72,10 @@
         purpose: "orders to engines: time until a roll-out's demand is met, thrash, lost answers",
         run: place::run,
     },
+    Experiment {
+        name: "knowledge",
+        purpose: "waits at engines by what relays know of each other, at four sizes",
+        run: knowledge::run,
+    },
     Experiment { name: "decide", purpose: "processor time of one decision", run: decide::run },
 ];
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -221,6 +221,12 @@
         .collect()
     }
 
+    /// This daemon's own in-flight work at one endpoint; none if the endpoint is unknown.
+    pub fn in_flight_at(&self, id: &id::EndpointId) -> Option<reports::InFlight> {
+        let endpoint = self.endpoints.get(id)?;
+        Some(reports::InFlight::new(endpoint.report_key, endpoint.running, endpoint.prefill))
+    }
+
     /// In-flight work reported by peers.
     pub const fn reports(&mut self) -> &mut reports::Reports {
         &mut self.reports
@@ -229,7 +235,7 @@
     // Requests that other daemons have in flight at an endpoint, and their prefill cost.
     fn others_load(&self, endpoint: &Endpoint, now: time::Tick) -> (f64, f64) {
         let (observed, waiting) = endpoint.observed_load(now);
-        let (running, prefill) = self.reports.total(endpoint.report_key);
+        let (running, prefill) = self.reports.total(endpoint.report_key, now);
         (observed.max(running), prefill.max(waiting * (WAITING_SLOTS - 1.0) / PREFILL_SLOTS))
     }
 
--- a/crates/ibishill-decide/src/balance/reports.rs
+++ b/crates/ibishill-decide/src/balance/reports.rs
@@ -2,17 +2,14 @@
 //!
 //! Designed for bursts, in which many daemons choose at the same moment, and a response reports
 //! an endpoint's load only after it has started. Each daemon knows its own in-flight
-//! requests at once, so it reports those. Sums are kept by endpoint, so that a choice costs no
-//! more than without reports.
+//! requests at once, so it reports those. They are kept by endpoint, so that a choice looks at
+//! those of one endpoint only.
 
 use std::collections::BTreeMap;
 
 use ibishill_core::{id, time};
 use serde::{Deserialize, Serialize};
 
-/// Age above which a peer's report is dropped.
-pub const REPORT_TTL: time::Millis = time::Millis(1_600);
-
 /// Units of reported prefill cost per 1,000 tokens at the largest model.
 const PREFILL_UNITS: f64 = 4.0;
 
@@ -39,58 +36,91 @@
     }
 }
 
-#[derive(Debug, Clone)]
-struct Report {
+/// Time after which a prompt that a peer has told of is taken for read: the datagram that tells so may be lost.
+const READING_TTL: time::Millis = time::Millis(3_000);
+
+// What a peer has in flight at one endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    sender: u32,
     at: time::Tick,
-    work: Vec<InFlight>,
+    work: InFlight,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sender {
+    number: u32,
+    until: time::Tick,
 }
 
-/// Newest report of each peer, and their sums by endpoint.
+/// Newest report of each peer, and what was told since, by endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Reports {
-    peers: BTreeMap<id::VmId, Report>,
-    // By endpoint: requests and outstanding prefill cost.
-    sums: BTreeMap<u32, (f64, f64)>,
+    senders: BTreeMap<id::VmId, Sender>,
+    next: u32,
+    endpoints: BTreeMap<u32, Vec<Told>>,
 }
 
 impl Reports {
-    /// Records the report of a peer, which replaces its earlier one.
-    pub fn record(&mut self, vm: &id::VmId, work: Vec<InFlight>, now: time::Tick) {
-        self.add(&work, 1.0);
-        if let Some(earlier) = self.peers.insert(vm.clone(), Report { at: now, work }) {
-            self.add(&earlier.work, -1.0);
+    /// Records the report of a peer, which replaces its earlier one and counts for `ttl`.
+    pub fn record(
+        &mut self,
+        vm: &id::VmId,
+        work: Vec<InFlight>,
+        ttl: time::Millis,
+        now: time::Tick,
+    ) {
+        let sender = self.sender(vm, ttl, now);
+        self.endpoints.retain(|_, told| {
+            told.retain(|told| told.sender != sender);
+            !told.is_empty()
+        });
+        for work in work {
+            self.endpoints.entry(work.endpoint).or_default().push(Told { sender, at: now, work });
         }
     }
 
-    /// Drops reports older than [`REPORT_TTL`].
-    pub fn expire(&mut self, now: time::Tick) {
-        let is_expired = |report: &Report| now.since(report.at) > REPORT_TTL;
-        let expired = self.peers.iter().filter(|(_, report)| is_expired(report));
-        let expired: Vec<id::VmId> = expired.map(|(vm, _)| vm.clone()).collect();
-        for vm in expired {
-            if let Some(report) = self.peers.remove(&vm) {
-                self.add(&report.work, -1.0);
-            }
+    /// Records what a peer has in flight at one endpoint, beside the rest of its report.
+    pub fn update(&mut self, vm: &id::VmId, work: InFlight, ttl: time::Millis, now: time::Tick) {
+        let sender = self.sender(vm, ttl, now);
+        let told = self.endpoints.entry(work.endpoint).or_default();
+        told.retain(|told| told.sender != sender);
+        told.push(Told { sender, at: now, work });
+    }
+
+    fn sender(&mut self, vm: &id::VmId, ttl: time::Millis, now: time::Tick) -> u32 {
+        let until = now + ttl;
+        if let Some(sender) = self.senders.get_mut(vm) {
+            sender.until = sender.until.max(until);
+            return sender.number;
         }
-        if self.peers.is_empty() {
-            self.sums.clear();
+        self.next = self.next.wrapping_add(1);
+        self.senders.insert(vm.clone(), Sender { number: self.next, until });
+        self.next
+    }
+
+    /// Drops the reports of peers that have told nothing for longer than their reports count.
+    pub fn expire(&mut self, now: time::Tick) {
+        let expired = self.senders.values().filter(|sender| sender.until < now);
+        let expired: Vec<u32> = expired.map(|sender| sender.number).collect();
+        if expired.is_empty() {
+            return;
         }
+        self.senders.retain(|_, sender| sender.until >= now);
+        self.endpoints.retain(|_, told| {
+            told.retain(|told| !expired.contains(&told.sender));
+            !told.is_empty()
+        });
     }
 
     /// Requests that peers have in flight at an endpoint, and their outstanding prefill cost in
     /// thousands of tokens at the largest model.
-    pub fn total(&self, endpoint: u32) -> (f64, f64) {
-        self.sums.get(&endpoint).copied().unwrap_or_default()
-    }
-
-    fn add(&mut self, work: &[InFlight], sign: f64) {
-        for item in work {
-            let sums = self.sums.entry(item.endpoint).or_default();
-            sums.0 += sign * f64::from(item.running);
-            sums.1 += sign * f64::from(item.reading) / PREFILL_UNITS;
-            if sums.0 <= 0.0 {
-                self.sums.remove(&item.endpoint);
-            }
-        }
+    pub fn total(&self, endpoint: u32, now: time::Tick) -> (f64, f64) {
+        let told = self.endpoints.get(&endpoint).map_or(&[][..], Vec::as_slice);
+        told.iter().fold((0.0, 0.0), |(running, prefill), told| {
+            let is_read = now.since(told.at) >= READING_TTL;
+            let reading = if is_read { 0.0 } else { f64::from(told.work.reading) };
+            (running + f64::from(told.work.running), prefill + reading / PREFILL_UNITS)
+        })
     }
 }
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod rate;
 pub mod reach;
 pub mod readers;
+pub mod report_targets;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+use crate::report_targets;
+
 /// Time without a new heartbeat after which a daemon counts as dead.
 ///
 /// A message carries only a few heartbeats, so that its size does not grow with the
@@ -17,9 +19,6 @@
 /// Time without a new heartbeat after which a daemon is removed.
 const REMOVE_AFTER: time::Millis = time::Millis(60_000);
 
-/// Time without a report after which a daemon no longer counts as isolated.
-const ISOLATION_TTL: time::Millis = time::Millis(1_600);
-
 /// Time after its isolation for which a daemon leaves its part of what is divided to the others, until they have
 /// all heard that it is back.
 const RETURN_DELAY: time::Millis = time::Millis(1_500);
@@ -118,8 +117,10 @@
         let before = self.known.len();
         self.known.retain(|_, known| now.since(known.last_seen) < REMOVE_AFTER);
         self.generation += u64::from(self.known.len() < before);
+        let (near, far) = self.count();
         for known in self.known.values_mut() {
-            if known.isolated.is_some_and(|at| now.since(at) >= ISOLATION_TTL) {
+            let ttl = report_targets::ttl(known.member.zone == self.own.zone, near, far);
+            if known.isolated.is_some_and(|at| now.since(at) >= ttl) {
                 known.isolated = None;
                 self.generation += 1;
             }
@@ -127,6 +128,20 @@
         self.update_sharing(now);
     }
 
+    // Number of other known daemons in this daemon's zone, and elsewhere.
+    fn count(&self) -> (usize, usize) {
+        let near = self.others().filter(|member| member.zone == self.own.zone).count();
+        (near, self.known.len() - near)
+    }
+
+    /// Time for which a report of another daemon counts.
+    pub fn report_ttl(&self, vm: &id::VmId) -> time::Millis {
+        let known = self.known.get(vm);
+        let is_near = known.is_some_and(|known| known.member.zone == self.own.zone);
+        let (near, far) = self.count();
+        report_targets::ttl(is_near, near, far)
+    }
+
     /// Records whether this daemon reaches no endpoint, although others do. Its part of what is divided is the
     /// others' then, until a while after its return.
     pub fn set_isolated(&mut self, is_isolated: bool, now: time::Tick) {
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -306,7 +306,8 @@
         assert_eq!(own.running, 1);
         for (at, running) in case.reports {
             let in_flight = balance::reports::InFlight { running: *running, ..own };
-            balancer.reports().record(&"vm".parse().unwrap(), vec![in_flight], time::Tick(*at));
+            let (vm, ttl) = ("vm".parse().unwrap(), time::Millis(1_600));
+            balancer.reports().record(&vm, vec![in_flight], ttl, time::Tick(*at));
         }
         assert!(case.reports.iter().all(|(_, running)| *running <= slots));
         balancer.reports().expire(time::Tick(case.now));
@@ -451,3 +452,25 @@
     let choice = balancer.pick(&request(&pool, &[]), SLOW_START, first_rank, later);
     assert!(matches!(choice, balance::Choice::Send(_)));
 }
+
+// Until the next report, peers would take an engine that has just begun a long prompt for free.
+#[test]
+fn reading_that_a_peer_tells_of_at_once_counts_beside_its_report() {
+    let (now, ttl) = (time::Tick(1_000), time::Millis(1_600));
+    let work = |endpoint, reading| balance::reports::InFlight { endpoint, running: 1, reading };
+    let peer = "vm".parse().unwrap();
+    let mut reports = balance::reports::Reports::default();
+    reports.record(&peer, vec![work(1, 0), work(2, 8)], ttl, now);
+    reports.update(&peer, work(1, 40), ttl, now);
+    assert_eq!(reports.total(1, now), (1.0, 10.0));
+    assert_eq!(reports.total(2, now), (1.0, 2.0), "the rest of the report stands");
+    reports.update(&peer, work(1, 0), ttl, now);
+    assert_eq!(reports.total(1, now), (1.0, 0.0), "the prompt was read");
+    reports.update(&peer, work(1, 40), time::Millis(4_000), now);
+    let lost = now + time::Millis(3_000);
+    assert_eq!(reports.total(1, lost), (1.0, 0.0), "the end was not heard");
+    reports.record(&peer, vec![work(2, 0)], ttl, now);
+    assert_eq!(reports.total(1, now), (0.0, 0.0), "a report replaces all before");
+    reports.expire(now + time::Millis(4_001));
+    assert_eq!(reports.total(2, now), (0.0, 0.0));
+}
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod reach;
 mod readers;
+mod report_targets;
 mod retry;
 mod routing;
 mod slot_share;
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -38,6 +38,7 @@
         if is_trial {
             context.evidence_added.notify_one();
         }
+        context.record_reading(endpoint, work.prefill);
         Self { context: context.clone(), endpoint: endpoint.clone(), work, is_answering: false }
     }
 
@@ -45,6 +46,7 @@
     fn mark_answering(&mut self) {
         if !std::mem::replace(&mut self.is_answering, true) {
             self.context.state().balancer.record_response_start(&self.endpoint, self.work);
+            self.context.record_reading(&self.endpoint, self.work.prefill);
         }
     }
 }
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use ibishill_core::{clock, id, time};
+use ibishill_decide::report_targets;
 use tokio::sync::Notify;
 
 use crate::{answer, metrics, peer_formats, state};
@@ -42,6 +43,10 @@
     pub(crate) forwarded: Cell<u32>,
     /// Notified when this relay has seen an endpoint end as an answer began.
     pub(crate) evidence_added: Notify,
+    /// Endpoints that have just begun or ended to read a prompt of this relay, with its prefill cost.
+    pub(crate) readings: RefCell<Vec<(id::EndpointId, f64)>>,
+    /// Notified when there are some.
+    pub(crate) reading_changed: Notify,
     /// Notified when requests must be answered because the process is about to end.
     pub(crate) ending: Notify,
     /// Notified when connections must be closed because the process is stopping.
@@ -69,11 +74,21 @@
             reach_changed: Notify::new(),
             forwarded: Cell::new(0),
             evidence_added: Notify::new(),
+            readings: RefCell::default(),
+            reading_changed: Notify::new(),
             ending: Notify::new(),
             shutdown: Notify::new(),
         })
     }
 
+    /// Records that an endpoint begins or ends to read a prompt, which peers may be told of.
+    pub(crate) fn record_reading(&self, endpoint: &id::EndpointId, prefill: f64) {
+        if report_targets::is_told(prefill) {
+            self.readings.borrow_mut().push((endpoint.clone(), prefill));
+            self.reading_changed.notify_one();
+        }
+    }
+
     /// Borrows the state; the guard must not be held across an await.
     pub(crate) fn state(&self) -> RefMut<'_, state::State> {
         self.state.borrow_mut()
--- a/crates/ibishill-relay/src/datagrams.rs
+++ b/crates/ibishill-relay/src/datagrams.rs
@@ -9,7 +9,7 @@
 
 use crate::context::Shared;
 use crate::wire::Format;
-use crate::{isolation, load_reports, packet, peer_log, wire};
+use crate::{isolation, load_reports, packet, peer_log, starts, wire};
 
 /// Receives datagrams and passes each on by its kind.
 pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
@@ -43,6 +43,9 @@
         Some((packet::Kind::Answer, payload)) => {
             return isolation::receive(context, payload).map_err(|error| error.to_string());
         }
+        Some((packet::Kind::Start, payload)) => {
+            return starts::receive(context, payload).map_err(|error| error.to_string());
+        }
         None => wire::decode_unmarked_report(bytes)?,
     };
     report.skipped.iter().for_each(|part| peer_log::reject(from, part));
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -39,6 +39,7 @@
 mod rollout_log;
 mod selection;
 mod serve;
+mod starts;
 mod state;
 mod store_answer;
 mod store_row;
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -11,22 +11,15 @@
 use std::time::Duration;
 
 use ibishill_core::store_version;
+use ibishill_decide::report_targets;
 use tokio::net::UdpSocket;
 use tokio::time as clock;
-use xxhash_rust::xxh3;
 
 use crate::context::Shared;
 use crate::state::{State, Table};
 use crate::wire::Format;
 use crate::{packet, peer_log, wire};
 
-/// Interval between reports; requests take about a second.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Peers that a report is sent to: 13 KB/s with 100 bytes each. In larger deployments, each report
-/// goes to a different selection, besides those that share an endpoint's limit with this relay.
-const FANOUT: usize = 64;
-
 /// Maximum number of endpoints in one datagram, those with the most requests first.
 const ENTRIES_MAX: usize = 160;
 
@@ -44,7 +37,7 @@
 
 /// Sends load reports.
 pub(crate) async fn run(context: Shared, socket: Rc<UdpSocket>) {
-    let mut ticks = clock::interval(REPORT_INTERVAL);
+    let mut ticks = clock::interval(report_targets::INTERVAL.to_std());
     ticks.set_missed_tick_behavior(clock::MissedTickBehavior::Delay);
     let mut round = 0;
     loop {
@@ -64,7 +57,7 @@
 
 async fn send(context: &Shared, socket: &UdpSocket, round: u64) {
     let now = context.now();
-    let (report, mut peers) = {
+    let (report, peers) = {
         let mut state = context.state();
         let mut in_flight = state.balancer.in_flight();
         in_flight.sort_by_key(|work| std::cmp::Reverse(work.running));
@@ -76,34 +69,29 @@
             configuration: state.announcement(now),
             is_isolated: state.balancer.contacts().is_isolated(),
             demand: state.balancer.gate().limits().demands().own(now) as f32,
+            hears_starts: true,
             news: state.news(NEWS_MAX, false, now),
         };
-        let alive = state.peers.alive(now);
-        let peers: Vec<_> = alive.into_iter().skip(1).cloned().collect();
+        let partners = state.balancer.gate().partners(&report.vm);
+        let alive: Vec<_> = state.peers.alive(now).into_iter().skip(1).collect();
+        let peers = report_targets::select(state.peers.own(), &alive, &partners, round);
+        let peers: Vec<_> = peers.into_iter().map(|peer| peer.address).collect();
         (report, peers)
     };
-    if peers.len() > FANOUT {
-        let partners = context.state().balancer.gate().partners(&report.vm);
-        peers.sort_by_key(|peer| {
-            let hash = xxh3::xxh3_64_with_seed(peer.vm.as_str().as_bytes(), round);
-            (!partners.contains(&peer.vm), hash)
-        });
-        peers.truncate(FANOUT);
-    }
     let mut encoded: BTreeMap<Format, Vec<u8>> = BTreeMap::new();
     for peer in peers {
-        let format = context.peer_formats.borrow().of_datagram(peer.address, now);
+        let format = context.peer_formats.borrow().of_datagram(peer, now);
         if let btree_map::Entry::Vacant(entry) = encoded.entry(format) {
             match encode(&report, format) {
                 Ok(bytes) => entry.insert(bytes),
                 Err(error) => {
-                    peer_log::reject(peer.address, &error);
+                    peer_log::reject(peer, &error);
                     return;
                 }
             };
         }
         // A report that can't be sent is superseded by the next one.
-        let _sent = socket.send_to(&encoded[&format], peer.address).await;
+        let _sent = socket.send_to(&encoded[&format], peer).await;
     }
 }
 
@@ -125,7 +113,10 @@
     let now = context.now();
     let mut state = context.state();
     if let Some(sender) = state.peers.address(&report.vm) {
-        context.peer_formats.borrow_mut().record(sender, format, now);
+        let mut formats = context.peer_formats.borrow_mut();
+        formats.record(sender, format, now);
+        formats.record_starts(sender, report.hears_starts, now);
+        drop(formats);
         let reported = report.versions.iter().map(|told| told.version);
         if record_versions(&mut state, reported, sender) {
             // Starts a gossip round, which gets the missing rows from the sender.
@@ -135,7 +126,8 @@
     }
     state.record_announcement(&report.configuration, now);
     state.record_confirmations(&report.versions, now);
-    state.balancer.reports().record(&report.vm, report.in_flight, now);
+    let ttl = state.peers.report_ttl(&report.vm);
+    state.balancer.reports().record(&report.vm, report.in_flight, ttl, now);
     state.peers.record_isolation(&report.vm, report.is_isolated, now);
     let demand = f64::from(report.demand);
     state.balancer.gate().limits().demands().record_peer(&report.vm, demand, now);
--- a/crates/ibishill-relay/src/packet.rs
+++ b/crates/ibishill-relay/src/packet.rs
@@ -17,12 +17,17 @@
     Answer,
     /// A load report in numbered parts.
     Parts,
+    /// What the sender has in flight at an endpoint to which it has just sent a request.
+    Start,
 }
 
 /// Number of [`Kind::Parts`]; none that begins a datagram of a build without kinds, which begins with the
 /// length of a name.
 const PARTS: u8 = 0xff;
 
+/// Number of [`Kind::Start`].
+const START: u8 = 0xfe;
+
 impl Kind {
     const fn number(self) -> u8 {
         match self {
@@ -30,10 +35,11 @@
             Self::Question => 1,
             Self::Answer => 2,
             Self::Parts => PARTS,
+            Self::Start => START,
         }
     }
 
-    const ALL: [Self; 4] = [Self::Report, Self::Question, Self::Answer, Self::Parts];
+    const ALL: [Self; 5] = [Self::Report, Self::Question, Self::Answer, Self::Parts, Self::Start];
 }
 
 /// Encodes a datagram.
--- a/crates/ibishill-relay/src/peer_formats.rs
+++ b/crates/ibishill-relay/src/peer_formats.rs
@@ -16,9 +16,14 @@
 /// rejected, so they need proof.
 const PROVEN_TTL: time::Millis = time::Millis(5_000);
 
+/// Time after a report that said so for which a peer is told of single requests; reports come more rarely in
+/// large deployments.
+const HEARS_STARTS_TTL: time::Millis = time::Millis(30_000);
+
 /// Peers and what their messages have shown.
 #[derive(Debug, Default)]
 pub(crate) struct PeerFormats {
+    hears_starts: BTreeMap<SocketAddr, time::Tick>,
     rejected: BTreeMap<SocketAddr, time::Tick>,
     proven: BTreeMap<SocketAddr, time::Tick>,
 }
@@ -46,6 +51,20 @@
         }
     }
 
+    /// Records whether a peer's report says that it reads datagrams of single requests.
+    pub(crate) fn record_starts(&mut self, peer: SocketAddr, hears_starts: bool, now: time::Tick) {
+        if hears_starts {
+            self.hears_starts.insert(peer, now);
+        } else {
+            self.hears_starts.remove(&peer);
+        }
+    }
+
+    /// Whether a peer reads datagrams of single requests.
+    pub(crate) fn hears_starts(&self, peer: SocketAddr, now: time::Tick) -> bool {
+        self.hears_starts.get(&peer).is_some_and(|at| now.since(*at) < HEARS_STARTS_TTL)
+    }
+
     /// Records that a peer has rejected a message in parts.
     pub(crate) fn reject(&mut self, peer: SocketAddr, now: time::Tick) {
         self.proven.remove(&peer);
@@ -54,6 +73,7 @@
 
     /// Forgets what is too old to count.
     pub(crate) fn expire(&mut self, now: time::Tick) {
+        self.hears_starts.retain(|_, at| now.since(*at) < HEARS_STARTS_TTL);
         self.rejected.retain(|_, at| now.since(*at) < REJECTED_TTL);
         self.proven.retain(|_, at| now.since(*at) < PROVEN_TTL);
     }
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -18,7 +18,7 @@
 use crate::state::{State, Table};
 use crate::{
     chunks, cold_check, control, datagrams, feed, gossip, isolation, load_reports, log_writer,
-    metrics, quarantine_rows, rollout, serve,
+    metrics, quarantine_rows, rollout, serve, starts,
 };
 
 /// Interval of the checks for expired state and for suspensions.
@@ -131,6 +131,7 @@
     let datagrams = Rc::new(datagrams);
     tokio::task::spawn_local(datagrams::run(context.clone(), datagrams.clone()));
     tokio::task::spawn_local(load_reports::run(context.clone(), datagrams.clone()));
+    tokio::task::spawn_local(starts::run(context.clone(), datagrams.clone()));
     tokio::task::spawn_local(isolation::run(context.clone(), datagrams));
     tokio::task::spawn_local(cold_check::run(context.clone()));
     tokio::task::spawn_local(rollout::watch(context.clone()));
--- a/crates/ibishill-relay/src/wire.rs
+++ b/crates/ibishill-relay/src/wire.rs
@@ -62,6 +62,8 @@
     pub(crate) is_isolated: bool,
     /// Requests per second that the sender gets from callers.
     pub(crate) demand: f32,
+    /// Whether the sender reads datagrams that tell of single requests.
+    pub(crate) hears_starts: bool,
     pub(crate) news: News,
 }
 
--- a/crates/ibishill-relay/src/wire/envelope.rs
+++ b/crates/ibishill-relay/src/wire/envelope.rs
@@ -48,6 +48,8 @@
     is_isolated: bool,
     #[prost(float, tag = "17")]
     demand: f32,
+    #[prost(bool, tag = "18")]
+    hears_starts: bool,
 }
 
 /// State of a roll-out.
@@ -101,6 +103,7 @@
             in_flight: list(&report.in_flight)?,
             is_isolated: report.is_isolated,
             demand: report.demand,
+            hears_starts: report.hears_starts,
             ..Self::of_news(&report.news, &report.configuration)?
         })
     }
@@ -150,6 +153,7 @@
             configuration: self.announcement(skipped),
             is_isolated: self.is_isolated,
             demand: self.demand,
+            hears_starts: self.hears_starts,
             news: self.news(skipped),
         })
     }
--- a/crates/ibishill-relay/src/wire/layout.rs
+++ b/crates/ibishill-relay/src/wire/layout.rs
@@ -56,7 +56,7 @@
 }
 
 pub(super) fn encode_report(report: &Report) -> Result<Vec<u8>, String> {
-    let Report { vm, versions, in_flight, configuration, is_isolated, demand, news } = report;
+    let Report { vm, versions, in_flight, configuration, is_isolated, demand, news, .. } = report;
     let layout = (vm, versions, in_flight, configuration, is_isolated, demand, news);
     postcard::to_stdvec(&layout).map_err(|error| error.to_string())
 }
@@ -76,7 +76,9 @@
     let (vm, versions, in_flight, configuration) = reported;
     let mut skipped = Vec::new();
     let news = news(rest, &mut skipped);
-    let message = Report { vm, versions, in_flight, configuration, is_isolated, demand, news };
+    let hears_starts = false;
+    let message =
+        Report { vm, versions, in_flight, configuration, is_isolated, demand, hears_starts, news };
     Decoded { message, format: Format::Layout, skipped }
 }
 
