balance: requests compare engines of their own zone first

Now four of the zone and two others are compared, sixteen and four for a long prompt, of which the peers hear at once and so don't choose the same one; those of other zones make up for what the zone lacks.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -18,10 +18,10 @@
 use cold::admits;
 pub use cold::{COLD_SENDERS, SlowStart, cold_rate};
 use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
-use placement::{prefix_endpoint, request_hash, small_model_threshold};
+use placement::{nearest, prefix_endpoint, request_hash, small_model_threshold};
 
 use crate::endpoint_key;
-use crate::{contact, gate, outlier, rate, reach};
+use crate::{contact, gate, outlier, rate, reach, report_targets};
 
 /// Bonus for a cached prefix, in load for each 1,000 shared tokens.
 const PREFIX_BONUS: f64 = 0.03;
@@ -66,9 +66,13 @@
 /// like a fault of the version.
 const PACK_MIN_LOAD: f64 = 0.5;
 
-/// Endpoints sampled for a request, besides the one that caches its prefix. Many daemons know
-/// the same loads; if all of them compared all endpoints, all would choose the same one.
-const SAMPLE_SIZE: usize = 6;
+/// Endpoints compared for a request in the daemon's own zone and elsewhere, besides the one that caches its
+/// prefix. Many daemons know the same loads; if all of them compared all endpoints, all would choose the
+/// same one.
+const SAMPLE_SIZE: (usize, usize) = (4, 2);
+
+/// The same for a request of which the peers hear at once, so that they don't choose the same one.
+const SAMPLE_SIZE_TOLD: (usize, usize) = (16, 4);
 
 /// Number of endpoints up to which all are compared.
 const SAMPLE_ALL_MAX: usize = 12;
@@ -416,13 +420,16 @@
         };
         let is_prefix_endpoint =
             |endpoint: &Endpoint| prefix_endpoint.is_some_and(|key| key == endpoint.report_key);
+        let size =
+            if report_targets::is_told(request.prefill) { SAMPLE_SIZE_TOLD } else { SAMPLE_SIZE };
         // Preferred engines are sampled alone if there are enough of them.
-        let mut sample = if preferred.len() > SAMPLE_SIZE { preferred } else { available };
+        let is_enough = preferred.len() > SAMPLE_SIZE.0 + SAMPLE_SIZE.1;
+        let mut sample = if is_enough { preferred } else { available };
         if sample.len() > SAMPLE_ALL_MAX {
             sample.sort_by_key(|endpoint| {
                 (!is_prefix_endpoint(endpoint), request_hash(endpoint, request))
             });
-            sample.truncate(SAMPLE_SIZE + 1);
+            sample = nearest(sample, &self.zone, size);
         }
         let best = sample.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)));
         match best {
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -474,3 +474,23 @@
     reports.expire(now + time::Millis(4_001));
     assert_eq!(reports.total(2, now), (0.0, 0.0));
 }
+
+#[test]
+fn requests_stay_in_the_zone_of_a_large_deployment_while_it_has_room() {
+    let mut balancer = balance::Balancer::new("own".parse().unwrap(), "a".parse().unwrap());
+    for at in 0..120 {
+        let zone = ["a", "b", "c", "d", "e", "f"][at % 6];
+        balancer.register(entry(&format!("e{at}"), zone), time::Tick(0));
+    }
+    let service = "pool".parse().unwrap();
+    for prefill in [0.0, 12.0] {
+        let mut near = 0;
+        for seed in 0..200 {
+            let request = balance::Request { seed, prefill, ..request(&service, &[]) };
+            let choice = balancer.pick(&request, SLOW_START, first_rank, time::Tick(0));
+            let balance::Choice::Send(id) = choice else { panic!("{choice:?}") };
+            near += usize::from(balancer.entry(&id).unwrap().zone.as_str() == "a");
+        }
+        assert!(near >= 195, "{prefill}: {near} of 200 in the zone");
+    }
+}
