peers: a relay that restarts after its clock was set back is alive for its peers

Heartbeats are ordered by the start of the process, a time of day, and then by their number. After a step of the clock (new with the large deployments) and a restart, peers took the new process for an older one, for dead after 6 s, and forgot the old one only after 60 s: no reports, no rows at once, no part of limits for it. Now a relay that hears of an earlier process of its VM with a later start takes a number above it, as in protocols of group membership, and a process that counts as dead is replaced by any other. Of the other uses of the time of day there is none in the relay.

Test: relay_that_restarts_after_its_clock_was_set_back_is_alive_for_its_peers fails before ("not the process that lives") and passes; heartbeat_of_older_process_is_ignored holds as it was.

--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -32,7 +32,8 @@
     pub zone: id::ZoneId,
     /// Address for its peers.
     pub address: SocketAddr,
-    /// Start time of its process; a later process replaces an earlier one.
+    /// Start time of its process by the time of day, or a number above that of its earlier processes; a later process
+    /// replaces an earlier one.
     pub start: u64,
     /// Sequence number of its heartbeat.
     pub beat: u64,
@@ -91,12 +92,19 @@
     /// daemon is new.
     pub fn record(&mut self, member: Member, now: time::Tick) -> bool {
         if member.vm == self.own.vm {
+            // An earlier process whose clock was ahead: peers must not take this one for the older.
+            if member.start > self.own.start {
+                self.own.start = member.start + 1;
+            }
             return false;
         }
         match self.known.get_mut(&member.vm) {
             Some(known) => {
-                let is_newer =
-                    (member.start, member.beat) > (known.member.start, known.member.beat);
+                // A process that counts as dead is replaced by any other one: the time of day may be set back.
+                let is_dead = now.since(known.last_seen) >= HEARTBEAT_TIMEOUT;
+                let is_newer = (member.start, member.beat)
+                    > (known.member.start, known.member.beat)
+                    || (is_dead && member.start != known.member.start);
                 if is_newer {
                     let isolated = known.isolated;
                     *known = Known { member, last_seen: now, isolated };
--- a/crates/ibishill-decide/tests/relay/peers.rs
+++ b/crates/ibishill-decide/tests/relay/peers.rs
@@ -155,3 +155,37 @@
         assert_eq!(view.generation() > before, is_changed, "{name}");
     }
 }
+
+// The start of a process is a time of day, which may be set back between two of them.
+#[test]
+fn relay_that_restarts_after_its_clock_was_set_back_is_alive_for_its_peers() {
+    struct Case {
+        name: &'static str,
+        /// Time without a heartbeat, in milliseconds.
+        silence: u64,
+        /// Whether the relay hears what its peers know of it.
+        hears: bool,
+    }
+    let cases = [
+        Case { name: "quick restart", silence: 300, hears: true },
+        Case { name: "after the peers took it for dead", silence: 7_000, hears: true },
+        Case { name: "without what they know of it", silence: 7_000, hears: false },
+    ];
+    for case in cases {
+        let mut peer = peers::Peers::new(member("peer", 1, 1));
+        let known = member("vm", 4_000_000, 50);
+        peer.record(known.clone(), time::Tick(0));
+        let mut restarted = peers::Peers::new(member("vm", 1_000, 1));
+        if case.hears {
+            restarted.record(known, time::Tick(0));
+        }
+        restarted.heartbeat(true);
+        let now = time::Tick(case.silence);
+        peer.record(restarted.own().clone(), now);
+        let later = now + time::Millis(peers::HEARTBEAT_TIMEOUT.0 - 500);
+        let is_alive = peer.alive(later).iter().any(|found| found.vm.as_str() == "vm");
+        assert!(is_alive, "{}", case.name);
+        let start = peer.alive(later)[1].start;
+        assert_eq!(start, restarted.own().start, "{}: not the process that lives", case.name);
+    }
+}
