--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -328,7 +328,10 @@
         path.write_text(json.dumps({
             "id": name, "port": port, "slots": slots, "log": str(log), "start": START, **behaviour
         }))
-        process = subprocess.Popen([sys.executable, str(LIB / "runner.py"), str(path)])
+        # A session of its own: a group that loses its parent's shell wakes the processes that are stopped.
+        process = subprocess.Popen(
+            [sys.executable, str(LIB / "runner.py"), str(path)], start_new_session=True
+        )
         self.processes.append(process)
         runner = {"process": process, "id": name, "port": port, "log": log, "service": service,
                   "zone": zone, "version": version, "slots": slots}
@@ -496,6 +499,9 @@
 def main(file, case):
     """Runs a case: exits with 1 if it returns a broken rule, 0 if none, 2 if it could not run."""
     folder = Path(file).resolve().parent
+    # Ends what was started also when the script itself is ended.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))
 
     async def run():
         fleet = Fleet(folder)
