--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -499,31 +499,41 @@
 def main(file, case):
     """Runs a case: exits with 1 if it returns a broken rule, 0 if none, 2 if it could not run."""
     folder = Path(file).resolve().parent
+    fleets = []
+
+    # Leaves without waiting for the stand-ins' own tasks, which may still wait for their callers.
+    def leave(code, text=""):
+        if text:
+            print(text, flush=True)
+        os._exit(code)
+
     # Ends what was started also when the script itself is ended.
-    for number in (signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, lambda *_: sys.exit(2))
+    def end(*_):
+        fleets[-1].end()
+        leave(2)
 
-    async def run():
+    async def once():
         fleet = Fleet(folder)
+        fleets.append(fleet)
         try:
             await fleet.store.start()
             fleet.record.line("case", trouble=TROUBLE)
-            broken = await asyncio.wait_for(case(fleet), 110)
+            broken = await asyncio.wait_for(case(fleet), 100)
             fleet.record.line("result", broken=broken or "no rule")
             return broken
         finally:
             fleet.end()
 
-    try:
+    async def run():
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, end)
         try:
-            broken = asyncio.run(run())
-        except PortTaken:
-            broken = asyncio.run(run())
-    except CannotRun as error:
-        print(f"could not run: {error}")
-        sys.exit(2)
-    except Exception as error:  # noqa: BLE001: whatever it was, the rule was not judged
-        print(f"could not run: {error!r}")
-        sys.exit(2)
-    print(broken or "held")
-    sys.exit(1 if broken else 0)
+            try:
+                broken = await once()
+            except PortTaken:
+                broken = await once()
+        except Exception as error:  # noqa: BLE001: whatever it was, the rule was not judged
+            leave(2, f"could not run: {error!r}")
+        leave(1 if broken else 0, broken or "held")
+
+    asyncio.run(run())
