relay: a response that ends during the upload, or has no valid status, is never complete

Cause: a response without a length ends with its connection. An endpoint that sent a FIN during the upload, or a FIN and a reset, gave an ordinary end of file, so the caller got a part with 200; the same on streams and through a peer. The HTTP library also passes on 101 and 600 to 999. The present code did hold for a reset alone (direct: during and behind the upload), and for 000, 099, 1000, 20, -200.

--- a/crates/ibishill-relay/src/head_limit.rs
+++ b/crates/ibishill-relay/src/head_limit.rs
@@ -10,11 +10,12 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::connection_end::EndChecked;
 
 /// Connection that fails to read once the limit is exceeded.
 pub(crate) struct HeadLimited {
-    stream: TcpStream,
+    stream: EndChecked,
     limit: Limit,
 }
 
@@ -31,7 +32,7 @@
 
 impl HeadLimited {
     /// Limits `stream` to `bytes`, until the returned limit is lifted.
-    pub(crate) fn new(stream: TcpStream, bytes: usize) -> (Self, Limit) {
+    pub(crate) fn new(stream: EndChecked, bytes: usize) -> (Self, Limit) {
         let limit = Limit(Rc::new(Cell::new(Some(bytes))));
         (Self { stream, limit: limit.clone() }, limit)
     }
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod body;
 mod chunks;
 mod cold_check;
+mod connection_end;
 mod context;
 mod continuation;
 mod control;
--- a/crates/ibishill-relay/src/upstream.rs
+++ b/crates/ibishill-relay/src/upstream.rs
@@ -7,6 +7,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 use std::{fmt, io};
 
@@ -22,6 +23,7 @@
 use tokio::task::JoinHandle;
 use tokio::time as clock;
 
+use crate::connection_end::EndChecked;
 use crate::head_limit::HeadLimited;
 
 /// Maximum size of a response head, in bytes.
@@ -37,6 +39,9 @@
 /// Maximum size of a response body that is not streamed, in bytes.
 const BODY_MAX: usize = 8 * 1_024 * 1_024;
 
+/// Statuses of a final response; RFC 9110 has none above, and those below precede a final one.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Time limits of a call. Its duration is not limited as such, since the size of a response and
 /// the bandwidth are unknown; a transfer that stalls is ended.
 #[derive(Debug, Clone, Copy)]
@@ -137,7 +142,7 @@
 ///
 /// # Errors
 ///
-/// Distinguishes whether the request may have been received.
+/// Distinguishes whether the request may have been received; a response whose status does not exist counts as none.
 pub(crate) async fn send(
     stream: TcpStream,
     request: Request<Bytes>,
@@ -145,7 +150,7 @@
 ) -> Result<(Response<Incoming>, Connection), CallError> {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(buffer);
-    let (stream, limit) = HeadLimited::new(stream, HEADS_MAX);
+    let (stream, limit) = HeadLimited::new(EndChecked::new(stream), HEADS_MAX);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) =
         handshake.map_err(|error| CallError::Connect(error.to_string()))?;
@@ -156,6 +161,11 @@
     let connection = Connection { task };
     let response = sender.send_request(request.map(Full::new)).await;
     let response = response.map_err(|error| CallError::Unknown(error.to_string()))?;
+    let status = response.status().as_u16();
+    // The HTTP library passes these on. No request asks for a switch of protocols.
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(CallError::Unknown(format!("status {status} ends no request")));
+    }
     limit.lift();
     Ok((response, connection))
 }
