relay: a resumed stream takes one retry for each further attempt

Cause: an endpoint that does not respond is given up only once a retry is granted; resume took a second one before the next attempt, so the allowance of all requests of the service was used up faster. Change: resume remembers the grant. One through a peer takes none itself, so it is still taken there. Measured: answers.rs, resumed_stream_takes_one_retry_for_each_further_attempt, failed before (relay_repeats: cut 2, silent 1) and passes (1 and 1), 6 of 6 runs.

--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -310,6 +310,7 @@
         }
         let kind = self.received.route.kind;
         let mut why = detail;
+        let mut is_granted = false;
         loop {
             let target = self.destination.target();
             self.tried.extend(target.map(|target| target.endpoint.clone()));
@@ -318,7 +319,12 @@
             let remaining = self.received.remaining(self.context.now());
             if !is_allowed
                 || remaining.0 == 0
-                || !retry_budget::acquire(&self.context, &self.received, retry_budget::Retry::Cut)
+                || !(std::mem::take(&mut is_granted)
+                    || retry_budget::acquire(
+                        &self.context,
+                        &self.received,
+                        retry_budget::Retry::Cut,
+                    ))
             {
                 self.log_broken(&why);
                 return None;
@@ -334,7 +340,10 @@
             let outcome = match next {
                 selection::Choice::Send(target) => {
                     self.destination = Destination::Endpoint(target.clone());
-                    attempt::run(&self.context, &self.received, &target, can_retry).await
+                    let outcome =
+                        attempt::run(&self.context, &self.received, &target, can_retry).await;
+                    is_granted = matches!(outcome, Outcome::Unresponsive);
+                    outcome
                 }
                 selection::Choice::OutOfReach if self.received.hop.is_none() => {
                     let grant = hop::Grant::one(&self.received, self.sends);
