relay: a conflicting row without a key or version is logged

Cause: decode_write dropped what was wrong with the rows of a conflict, so a relay whose writes kept conflicting did not say why. Change: WriteOutcome::Conflict holds the unreadable rows, and each gets an E2102, as those of reads do.

--- a/crates/ibishill-relay/src/quarantine_rows.rs
+++ b/crates/ibishill-relay/src/quarantine_rows.rs
@@ -67,7 +67,7 @@
                 context.state().quarantine.mark_stored(hold.key, hold.epoch);
                 return Ok(());
             }
-            store::WriteOutcome::Conflict(rows) => {
+            store::WriteOutcome::Conflict { rows, .. } => {
                 let found = rows.first();
                 let stored = found.and_then(|found| decode(&found.key, found));
                 if let Some(stored) = stored.filter(|stored| stored.epoch >= hold.epoch) {
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -149,7 +149,7 @@
     let value = row::encode_status(&rollout.to, rollout.progress);
     match store_row::write(context, row::STATUS, &key, &value, expected).await? {
         store::WriteOutcome::Committed(_) => Ok(Outcome::Done),
-        store::WriteOutcome::Conflict(rows) => {
+        store::WriteOutcome::Conflict { rows, .. } => {
             Ok(rows.first().map_or(Outcome::Retry(0), |row| compare(context, rollout, row)))
         }
     }
--- a/crates/ibishill-relay/src/store_answer.rs
+++ b/crates/ibishill-relay/src/store_answer.rs
@@ -18,13 +18,33 @@
     era: store_version::Era,
 ) -> Result<store::Rows, DecodeError> {
     let rows = store::decode_rows(response.status(), response.body(), era)?;
-    for error in &rows.unreadable {
+    log_unreadable(&rows.unreadable);
+    Ok(rows)
+}
+
+/// Decodes the outcome of a write, and logs a conflicting row that has no name or version.
+///
+/// # Errors
+///
+/// Fails if the store answered with an unexpected status, or the answer as a whole is malformed.
+pub(crate) fn decode_write(
+    response: &Response<Bytes>,
+    era: store_version::Era,
+) -> Result<store::WriteOutcome, DecodeError> {
+    let outcome = store::decode_write(response.status(), response.body(), era)?;
+    if let store::WriteOutcome::Conflict { unreadable, .. } = &outcome {
+        log_unreadable(unreadable);
+    }
+    Ok(outcome)
+}
+
+fn log_unreadable(errors: &[DecodeError]) {
+    for error in errors {
         event::emit_json(
             event::Event::RowInvalid,
             &[event::field("row", &"-"), event::field("error", error)],
         );
     }
-    Ok(rows)
 }
 
 /// Decodes the era of an answer of the store.
--- a/crates/ibishill-relay/src/store_row.rs
+++ b/crates/ibishill-relay/src/store_row.rs
@@ -28,7 +28,7 @@
     let host = context.state().settings.store.to_string();
     let response = call(context, store::write(&host, table, key, value, expected)).await?;
     let era = store_answer::accept_era(context, response.headers())?;
-    let outcome = store::decode_write(response.status(), response.body(), era);
+    let outcome = store_answer::decode_write(&response, era);
     outcome.map_err(|error| error.to_string())
 }
 
