ibishill check-config: checks a configuration of the users' platform before it is sent

Decoding ends at the first error and relays keep the configuration before, so operators saw one error at a time, after sending, and nothing of entries without effect.

Exit status 0, 1 with errors, 2 for incorrect usage.

--- a/crates/ibishill/src/command.rs
+++ b/crates/ibishill/src/command.rs
@@ -2,6 +2,7 @@
 
 mod certs;
 mod check;
+mod check_config;
 mod explain;
 mod operate;
 mod serve;
@@ -39,6 +40,7 @@
         }),
         Subcommand::Explain => explain::run(&args),
         Subcommand::Check => check::run(&args, &options),
+        Subcommand::CheckConfig => check_config::run(&args, &options),
         Subcommand::Certs => certs::run(&args, &options),
         Subcommand::KeyHash => key_hash(&args, &options),
         Subcommand::Completions => completions(&args),
--- a/crates/ibishill/src/table.rs
+++ b/crates/ibishill/src/table.rs
@@ -6,6 +6,7 @@
     Relay,
     Explain,
     Check,
+    CheckConfig,
     Apply,
     Diff,
     Rollout,
@@ -133,6 +134,17 @@
                   as settings, any other file as declarations.",
         options: &[PARTIAL, JSON],
     },
+    Spec {
+        subcommand: Subcommand::CheckConfig,
+        name: "check-config",
+        args: "FILE [IN-FORCE]",
+        choices: &[],
+        about: "check a configuration of the users' platform",
+        details: "FILE is the JSON document for the row op/config, IN-FORCE the one that is there now.\n\
+                  Reports errors, entries that never match and limits that contradict each other, all\n\
+                  together, and the differences from IN-FORCE. Exits with 1 if there is an error.",
+        options: &[JSON],
+    },
     Spec {
         subcommand: Subcommand::Apply,
         name: "apply",
--- a/crates/ibishill/tests/commands/main.rs
+++ b/crates/ibishill/tests/commands/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the command line: help, completions, exit codes, errors and hints.
 
+mod check_config;
 mod examples;
 mod exits;
 mod explain;
--- a/crates/ibishill/tests/commands/snapshots.rs
+++ b/crates/ibishill/tests/commands/snapshots.rs
@@ -10,6 +10,7 @@
     "relay",
     "explain",
     "check",
+    "check-config",
     "apply",
     "diff",
     "rollout",
--- a/crates/ibishill/tests/commands/snapshots/completions.fish
+++ b/crates/ibishill/tests/commands/snapshots/completions.fish
@@ -4,6 +4,8 @@
 complete -c ibishill -n __fish_use_subcommand -a check -d "check settings and declarations"
 complete -c ibishill -n '__fish_seen_subcommand_from check' -l partial -d "the document adds to what is declared"
 complete -c ibishill -n '__fish_seen_subcommand_from check' -l json -d "print JSON"
+complete -c ibishill -n __fish_use_subcommand -a check-config -d "check a configuration of the users' platform"
+complete -c ibishill -n '__fish_seen_subcommand_from check-config' -l json -d "print JSON"
 complete -c ibishill -n __fish_use_subcommand -a apply -d "put declarations in force"
 complete -c ibishill -n '__fish_seen_subcommand_from apply' -l partial -d "the document adds to what is declared"
 complete -c ibishill -n '__fish_seen_subcommand_from apply' -l change-id -r -d "id of the change; the same id is never carried out twice"
--- a/crates/ibishill/tests/commands/snapshots/completions.zsh
+++ b/crates/ibishill/tests/commands/snapshots/completions.zsh
@@ -3,13 +3,14 @@
 _ibishill() {
     local word="${COMP_WORDS[COMP_CWORD]}" list=""
     if [ "$COMP_CWORD" -eq 1 ]; then
-        list="serve relay explain check apply diff rollout withdraw zone endpoint status wait audit refusals billing certs key-hash completions try --help --version"
+        list="serve relay explain check check-config apply diff rollout withdraw zone endpoint status wait audit refusals billing certs key-hash completions try --help --version"
     else
         case "${COMP_WORDS[1]}" in
             serve) list="--help" ;;
             relay) list="--help" ;;
             explain) list="--help" ;;
             check) list="--partial --json --help" ;;
+            check-config) list="--json --help" ;;
             apply) list="--partial --change-id --expect --daemon --token-file --ca --server-name --json --help" ;;
             diff) list="--partial --daemon --token-file --ca --server-name --json --help" ;;
             rollout) list="start pause resume advance halt --from --to --stages --reason --change-id --expect --daemon --token-file --ca --server-name --json --help" ;;
