relay: an accepted connection that is reset does not count as an answer

Cause: where a service has no health checks, a probe of an endpoint out of reach took an accepted connection for an answer. If what lies between accepts and resets connections, the relay left its peers at once, and told them of answers as well.

Change: without health checks, a probe and a check need a connection that stays open for 100 ms. Endpoints with health checks were handled already and are as before. Not handled: connections that are reset only once a request is sent, without health checks.

--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -35,6 +35,10 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: time::Millis = time::Millis(400);
 
+/// Time after a connection within which one that leads nowhere is reset; a round trip between zones and a process
+/// that is busy are within it.
+const RESET_TIMEOUT: Duration = Duration::from_millis(100);
+
 #[derive(Serialize, Deserialize)]
 struct Message {
     /// The sender.
@@ -194,7 +198,7 @@
         (registration, path)
     };
     let is_answered = if path.is_empty() {
-        upstream::connect(registration.address, CHECK_TIMEOUT).await.is_ok()
+        keeps_connection(registration.address, CHECK_TIMEOUT).await
     } else {
         let request = store::get(&registration.address.to_string(), path);
         let limits = upstream::Limits::small(CHECK_TIMEOUT.to_std());
@@ -211,10 +215,10 @@
 }
 
 // Whether an endpoint answers a health check: another one may have its address by now. Without health checks,
-// whether it accepts a connection.
+// whether it accepts a connection and keeps it.
 async fn check(registration: &fleet::Registration, path: String) -> bool {
     if path.is_empty() {
-        return upstream::connect(registration.address, PROBE_TIMEOUT).await.is_ok();
+        return keeps_connection(registration.address, PROBE_TIMEOUT).await;
     }
     let request = store::get(&registration.address.to_string(), path);
     let limits = upstream::Limits::small(PROBE_TIMEOUT.to_std());
@@ -224,6 +228,14 @@
     health.is_some_and(|health| health.endpoint == registration.id)
 }
 
+// Whether a connection is accepted and stays open: what lies between may accept connections for endpoints that
+// it does not reach, and reset them. A server waits for the request, or greets.
+async fn keeps_connection(address: SocketAddr, timeout: time::Millis) -> bool {
+    let Ok(stream) = upstream::connect(address, timeout).await else { return false };
+    let greeting = clock::timeout(RESET_TIMEOUT, stream.peek(&mut [0])).await;
+    !matches!(greeting, Ok(Ok(0) | Err(_)))
+}
+
 /// Waits until an endpoint is out of reach from this relay, but not from its peers.
 pub(crate) async fn out_of_reach(context: &Shared, endpoint: &id::EndpointId) {
     while !context.state().balancer.is_out_of_reach(endpoint) {
