relay: the connection of a probe must stay open longer after each relapse

Change: contact.rs decides how long (Contacts::hold): 400 ms, doubled up to 3.2 s each time that requests fail after a connection stayed open, by part, until an endpoint answers. Peers serve meanwhile. A connection that stayed open is not told to peers as an answer.

--- a/crates/ibishill-decide/src/contact.rs
+++ b/crates/ibishill-decide/src/contact.rs
@@ -7,6 +7,10 @@
 //! Where hundreds of daemons share the endpoints, one of them hears little from each, and an endpoint that is
 //! busy with long prompts answers its peers all the while. So silence counts only once a probe of its own,
 //! which waits behind no prompt, has got no answer either.
+//!
+//! What lies between may accept connections for endpoints that it does not reach, and reset them later. Where
+//! endpoints have no health checks, a probe can only see that a connection stays open. How long it must do so doubles
+//! each time that requests fail after it, so it exceeds the delay of the reset after a few of them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -72,6 +76,13 @@
 /// as none of these answers.
 const INFERENCE_MIN: usize = 2;
 
+/// Time for which the connection of a probe must stay open. Meanwhile peers serve, so a long one costs callers nothing;
+/// with 100 ms, relays on a busy machine failed more requests until the time had doubled often enough.
+const HOLD_MIN: time::Millis = time::Millis(400);
+
+/// Longest of these times, as a power of two of the shortest: 3.2 s.
+const RELAPSES_MAX: u32 = 3;
+
 /// Endpoints of one service in one zone: a low part of a hash of both.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Part(u32);
@@ -118,6 +129,15 @@
     }
 }
 
+/// How a part was reached again by connections that stayed open.
+#[derive(Debug, Clone, Copy, Default)]
+struct Kept {
+    // When, if nothing has answered or failed since.
+    at: Option<time::Tick>,
+    // Times in a row that requests failed after it.
+    relapses: u32,
+}
+
 /// What is out of reach.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 struct Cut {
@@ -133,6 +153,7 @@
     // Last answer by part, and of any endpoint.
     parts: BTreeMap<Part, time::Tick>,
     answered: Option<time::Tick>,
+    kept: BTreeMap<Part, Kept>,
     // Last answer that each peer has confirmed, and when it last did not take a request.
     peers: BTreeMap<id::VmId, time::Tick>,
     declined: BTreeMap<id::VmId, time::Tick>,
@@ -170,9 +191,36 @@
 
     /// Records an answer of an endpoint, or a part of one; returns whether the cut has changed.
     pub fn record_answer(&mut self, key: EndpointKey, now: time::Tick) -> bool {
+        let Some(contact) = self.known.get(&key) else { return false };
+        self.kept.remove(&contact.part);
+        self.record_reached(key, Some(now), now)
+    }
+
+    /// Records that the connection of a probe has stayed open for [`Contacts::hold`]; returns whether the cut has
+    /// changed. Peers are not told of it as of an answer.
+    pub fn record_kept(&mut self, key: EndpointKey, now: time::Tick) -> bool {
+        let Some(contact) = self.known.get(&key) else { return false };
+        let answered = contact.answered;
+        self.kept.entry(contact.part).or_default().at = Some(now);
+        self.record_reached(key, answered, now)
+    }
+
+    /// Time for which the connection of a probe must stay open.
+    pub fn hold(&self, key: EndpointKey) -> time::Millis {
+        let part = self.known.get(&key).map(|contact| contact.part);
+        let kept = part.and_then(|part| self.kept.get(&part)).copied().unwrap_or_default();
+        time::Millis(HOLD_MIN.0 << kept.relapses)
+    }
+
+    fn record_reached(
+        &mut self,
+        key: EndpointKey,
+        answered: Option<time::Tick>,
+        now: time::Tick,
+    ) -> bool {
         let is_out = self.is_out(key);
         let Some(contact) = self.known.get_mut(&key) else { return false };
-        *contact = Contact { answered: Some(now), ..Contact::new(contact.part) };
+        *contact = Contact { answered, ..Contact::new(contact.part) };
         self.parts.insert(contact.part, now);
         self.answered = Some(now);
         if is_out {
@@ -194,6 +242,11 @@
         if let Some(contact) = self.known.get_mut(&key) {
             let first = contact.failed.map_or(now, |(first, _)| first);
             contact.failed = Some((first, now));
+            if let Some(kept) = self.kept.get_mut(&contact.part)
+                && kept.at.take().is_some_and(|at| now.since(at) < FAILURE_TTL)
+            {
+                kept.relapses = (kept.relapses + 1).min(RELAPSES_MAX);
+            }
         }
     }
 
--- a/crates/ibishill-decide/tests/relay/contact.rs
+++ b/crates/ibishill-decide/tests/relay/contact.rs
@@ -289,3 +289,32 @@
     assert!(!contacts.questions(at(3_000)).is_empty());
     assert_eq!(contacts.take_check(at(3_000)), None, "one without an answer is enough");
 }
+
+// Guards against a relay that takes connections which are accepted and reset later for answers, so that it
+// leaves its peers again and again, and tells them of answers that it has not had.
+#[test]
+fn connection_must_stay_open_longer_after_each_failure_behind_it() {
+    let mut contacts = contacts();
+    let peer: id::VmId = "vm".parse().unwrap();
+    let mut now = START + time::Millis(100);
+    let mut holds = Vec::new();
+    for _ in 0..8 {
+        for number in [0, 1] {
+            contacts.record_failure(key(number), now);
+        }
+        let later = now + time::Millis(200);
+        let told = [(key(0), time::Millis(0)), (key(1), time::Millis(0))];
+        contacts.record_evidence(&peer, &told, later);
+        contacts.judge(later);
+        assert!(contacts.is_out(key(0)));
+        holds.push(contacts.hold(key(0)).0);
+        assert_eq!(contacts.hold(key(2)).0, 400, "another part");
+        assert!(contacts.record_kept(key(0), later));
+        assert!(!contacts.is_isolated());
+        assert!(contacts.answers(&[(key(0), time::Millis(50))], later).is_empty(), "told to peers");
+        now = later + time::Millis(300);
+    }
+    assert_eq!(holds, [400, 800, 1_600, 3_200, 3_200, 3_200, 3_200, 3_200]);
+    contacts.record_answer(key(0), now);
+    assert_eq!(contacts.hold(key(0)).0, 400, "after an answer");
+}
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -35,10 +35,6 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: time::Millis = time::Millis(400);
 
-/// Time after a connection within which one that leads nowhere is reset; a round trip between zones and a process
-/// that is busy are within it.
-const RESET_TIMEOUT: Duration = Duration::from_millis(100);
-
 #[derive(Serialize, Deserialize)]
 struct Message {
     /// The sender.
@@ -155,7 +151,7 @@
 
 // Sends a health check to an endpoint that is out of reach; any answer of its own ends that.
 async fn run_probe(context: Shared, key: endpoint_key::EndpointKey) {
-    let (registration, path) = {
+    let (registration, path, hold) = {
         let mut state = context.state();
         let (found, now) = (state.balancer.entry_of(key).cloned(), context.now());
         let Some(registration) = found.filter(|found| state.balancer.is_open(&found.id, now))
@@ -166,17 +162,29 @@
         let service = catalog.and_then(|catalog| catalog.services.get(&registration.service));
         let path = service.map_or_else(String::new, |service| service.health_path.clone());
         state.balancer.reach().begin(&registration.zone, context.now());
-        (registration, path)
+        let hold = state.balancer.contacts().hold(key);
+        (registration, path, hold)
+    };
+    let has_check = !path.is_empty();
+    let is_reached = if has_check {
+        check(&registration, path).await
+    } else {
+        keeps_connection(registration.address, PROBE_TIMEOUT, hold).await
     };
-    if check(&registration, path).await {
+    if is_reached {
         let now = context.now();
         let none = time::Millis(0);
         let contact = reach::Contact::Answered;
         let mut state = context.state();
         let reach = state.balancer.reach();
         reach.record(&registration.zone, &registration.id, contact, (none, none), now);
+        let is_changed = !has_check && state.balancer.contacts().record_kept(key, now);
         drop(state);
-        record_answer(&context, &registration.id);
+        if has_check {
+            record_answer(&context, &registration.id);
+        } else if is_changed {
+            announce(&context);
+        }
         context.probe_answered.notify_one();
     } else {
         record_failure(&context, &registration.id);
@@ -186,8 +194,8 @@
 // Finds out whether the path to an endpoint that owes an answer is whole: any response shows that. An engine
 // is asked for its load, as a health check waits for a slot there.
 async fn run_check(context: Shared, key: endpoint_key::EndpointKey) {
-    let (registration, path) = {
-        let state = context.state();
+    let (registration, path, hold) = {
+        let mut state = context.state();
         let Some(registration) = state.balancer.entry_of(key).cloned() else { return };
         let catalog = state.catalog.as_ref();
         let service = catalog.and_then(|catalog| catalog.services.get(&registration.service));
@@ -195,10 +203,11 @@
             Some(_) => head::LOAD_PATH.to_owned(),
             None => service.health_path.clone(),
         });
-        (registration, path)
+        let hold = state.balancer.contacts().hold(key);
+        (registration, path, hold)
     };
     let is_answered = if path.is_empty() {
-        keeps_connection(registration.address, CHECK_TIMEOUT).await
+        keeps_connection(registration.address, CHECK_TIMEOUT, hold).await
     } else {
         let request = store::get(&registration.address.to_string(), path);
         let limits = upstream::Limits::small(CHECK_TIMEOUT.to_std());
@@ -214,12 +223,8 @@
     }
 }
 
-// Whether an endpoint answers a health check: another one may have its address by now. Without health checks,
-// whether it accepts a connection and keeps it.
+// Whether an endpoint answers a health check: another one may have its address by now.
 async fn check(registration: &fleet::Registration, path: String) -> bool {
-    if path.is_empty() {
-        return keeps_connection(registration.address, PROBE_TIMEOUT).await;
-    }
     let request = store::get(&registration.address.to_string(), path);
     let limits = upstream::Limits::small(PROBE_TIMEOUT.to_std());
     let progress = upstream::Progress::default();
@@ -228,11 +233,10 @@
     health.is_some_and(|health| health.endpoint == registration.id)
 }
 
-// Whether a connection is accepted and stays open: what lies between may accept connections for endpoints that
-// it does not reach, and reset them. A server waits for the request, or greets.
-async fn keeps_connection(address: SocketAddr, timeout: time::Millis) -> bool {
+// Whether a connection is accepted and stays open: a server waits for the request, or greets.
+async fn keeps_connection(address: SocketAddr, timeout: time::Millis, hold: time::Millis) -> bool {
     let Ok(stream) = upstream::connect(address, timeout).await else { return false };
-    let greeting = clock::timeout(RESET_TIMEOUT, stream.peek(&mut [0])).await;
+    let greeting = clock::timeout(hold.to_std(), stream.peek(&mut [0])).await;
     !matches!(greeting, Ok(Ok(0) | Err(_)))
 }
 
