relay: one budget for the memory of callers' data, from limits.memory-mb; connections are limited

Cause: each body was limited, all of them together were not; the parts of a body were kept as a list, at some hundred bytes for a chunk of one byte, each with the read buffer that it was cut from; a body whose declared length was over the limit was read up to the limit first; nothing limited connections. Change: ibishill-decide `memory` derives the limits and decides what is given up first: uploads without progress, then the body that asks; never one that has arrived whole. Bodies are copied to one buffer whose capacity is counted and released with its last reference. 413 at once for a declared length over the limit; of a refused body at most 512 KB are read for 0.5 s and dropped. Connections are limited by limits.max-fds and the memory; those without a request are closed first. The limits of answers and unread answers join the budget. Without limits.memory-mb they are as before, and bodies are limited one by one.

--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -160,6 +160,10 @@
     pub advertised: SocketAddr,
     /// Bandwidth of the VM's link; 0 if unknown.
     pub link: link::Bandwidth,
+    /// Memory that the process may use, in bytes; none if unknown.
+    pub memory: Option<usize>,
+    /// File descriptors that the process may have open; none if unknown.
+    pub descriptors: Option<usize>,
     /// Addresses of some other daemons, possibly outdated.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole deployment is starting for the first time.
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod hedge;
 pub mod index;
 pub mod limiter;
+pub mod memory;
 pub mod outlier;
 pub mod owner;
 pub mod peers;
--- /dev/null
+++ b/crates/ibishill-decide/src/memory.rs
@@ -0,0 +1,174 @@
+//! The memory that a relay keeps for data of callers and endpoints, and what it gives up when that is used up.
+//!
+//! Load: callers that send large bodies at the same time, whole or in pieces of any size, and stop short of the end or
+//! go on without one; callers that open connections and send nothing. What makes no progress is given up before what
+//! does. Bodies that have arrived whole are never given up: their requests may be running.
+
+use ibishill_core::time;
+
+/// Memory for answers that are being read, in bytes, unless the settings give the relay less.
+const ANSWERS_MAX: usize = 16 * 1_024 * 1_024;
+
+/// Memory for all that callers have yet to read, in bytes, unless the settings give the relay less; VMs have 88 MB and
+/// more.
+const UNREAD_MAX: usize = 24 * 1_024 * 1_024;
+
+/// Memory of a caller's connection while its head is read, in bytes.
+const CONNECTION_SIZE: usize = 16 * 1_024;
+
+/// Descriptors that a relay needs for itself, at most: its listeners, the store, peers, probes and scrapes.
+const OWN_DESCRIPTORS: usize = 64;
+
+/// Size up to which a body is taken while there is any memory left, in bytes: ordinary bodies have up to 72 KB.
+const ORDINARY_SIZE: usize = 128 * 1_024;
+
+/// Time without progress from which on an upload or a connection may be given up.
+const STALL_MIN: time::Millis = time::Millis(1_000);
+
+/// Bytes that count as progress of an upload. Callers that send single bytes to look alive make none.
+const PROGRESS_SIZE: usize = 4 * 1_024;
+
+/// Limits of a relay, derived from what its settings give it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Budget {
+    /// All data of callers and endpoints, in bytes.
+    pub total: usize,
+    /// Bodies of callers, in bytes.
+    pub bodies: usize,
+    /// Answers that are being read from endpoints, in bytes.
+    pub answers: usize,
+    /// Answers that callers have yet to read, in bytes.
+    pub unread: usize,
+    /// Open connections of callers.
+    pub connections: usize,
+}
+
+impl Budget {
+    /// Budget of a relay with this memory in bytes and this many descriptors, as far as they are known.
+    ///
+    /// Half of the memory is for data: five eighths of it at most for bodies, a quarter for answers that are being read,
+    /// and at least an eighth for what callers have yet to read, so that running requests can be answered while bodies
+    /// take all that they may. The other half is for the process, its connections (a quarter of the memory) and what
+    /// the allocator can't use.
+    pub fn of(memory: Option<usize>, descriptors: Option<usize>) -> Self {
+        let total = memory.map_or(usize::MAX, |memory| memory / 2);
+        let by_memory = memory.map_or(usize::MAX, |memory| memory / 4 / CONNECTION_SIZE);
+        // A request has a descriptor for its caller and one for its endpoint.
+        let by_descriptors =
+            descriptors.map_or(usize::MAX, |count| (count - OWN_DESCRIPTORS.min(count / 4)) / 2);
+        Self {
+            total,
+            bodies: memory.map_or(usize::MAX, |_| total / 8 * 5),
+            answers: ANSWERS_MAX.min(total / 4),
+            unread: UNREAD_MAX.min(total / 8 * 5),
+            connections: by_memory.min(by_descriptors).max(1),
+        }
+    }
+
+    /// What callers may have yet to read while bodies and answers that are being read occupy `others` bytes.
+    pub fn unread_beside(&self, others: usize) -> usize {
+        self.unread.min(self.total.saturating_sub(others).max(self.total / 8))
+    }
+}
+
+/// Memory in use, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// All data of callers and endpoints.
+    pub total: usize,
+    /// Bodies of callers, those of running requests included.
+    pub bodies: usize,
+}
+
+/// A body that is being received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Upload {
+    /// Memory that it occupies, in bytes.
+    pub size: usize,
+    /// Bytes that have arrived since it last made progress.
+    fresh: usize,
+    /// When it last made progress.
+    progress: time::Tick,
+}
+
+impl Upload {
+    /// An upload that begins.
+    pub const fn begin(now: time::Tick) -> Self {
+        Self { size: 0, fresh: 0, progress: now }
+    }
+
+    /// Records that bytes have arrived.
+    pub fn record(&mut self, bytes: usize, now: time::Tick) {
+        self.fresh += bytes;
+        if self.fresh >= PROGRESS_SIZE {
+            (self.fresh, self.progress) = (0, now);
+        }
+    }
+}
+
+/// Memory that an upload asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Claim {
+    /// Number of the upload.
+    pub number: u64,
+    /// What it occupies, in bytes.
+    pub held: usize,
+    /// What it wants to occupy, in bytes.
+    pub size: usize,
+}
+
+/// Whether an upload may grow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Growth {
+    /// It fits.
+    Fits,
+    /// It may fit once this other upload has been given up.
+    Evict(u64),
+    /// It is to be refused.
+    Refuse,
+}
+
+/// Decides whether an upload may grow; `uploads` are all of them.
+///
+/// Bodies beyond the ordinary size may only take as much as they leave free, or half of the budget altogether, so that
+/// the last of the memory stays for ordinary ones.
+pub fn grow<I>(budget: &Budget, usage: Usage, claim: Claim, uploads: I, now: time::Tick) -> Growth
+where
+    I: Iterator<Item = (u64, Upload)>,
+{
+    let Claim { number, held, size } = claim;
+    let growth = size.saturating_sub(held);
+    let bodies = usage.bodies.saturating_add(growth);
+    let fits = bodies <= budget.bodies && usage.total.saturating_add(growth) <= budget.total;
+    let is_shared = size <= ORDINARY_SIZE
+        || size <= budget.bodies.saturating_sub(bodies)
+        || bodies.saturating_sub(size) <= budget.bodies / 2;
+    if fits && is_shared {
+        return Growth::Fits;
+    }
+    let others = uploads.filter(|(found, upload)| *found != number && upload.size > 0);
+    stalled(others, now).map_or(Growth::Refuse, Growth::Evict)
+}
+
+/// The upload that is given up first: of those that have stalled, the one that did first.
+pub fn stalled<I>(uploads: I, now: time::Tick) -> Option<u64>
+where
+    I: Iterator<Item = (u64, Upload)>,
+{
+    let stalled = uploads.filter(|(_, upload)| is_stalled(upload.progress, now));
+    stalled.min_by_key(|(_, upload)| upload.progress).map(|(number, _)| number)
+}
+
+/// The connection that is closed when another one would exceed the limit: of those without a request, whose numbers
+/// and last activity are given, the one that has been inactive for the longest time.
+pub fn inactive<I>(connections: I, now: time::Tick) -> Option<u64>
+where
+    I: Iterator<Item = (u64, time::Tick)>,
+{
+    let stalled = connections.filter(|(_, active)| is_stalled(*active, now));
+    stalled.min_by_key(|(_, active)| *active).map(|(number, _)| number)
+}
+
+fn is_stalled(since: time::Tick, now: time::Tick) -> bool {
+    now.since(since) >= STALL_MIN
+}
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/memory.rs
@@ -0,0 +1,176 @@
+use ibishill_core::time;
+use ibishill_decide::memory;
+
+const MB: usize = 1_000_000;
+
+/// An upload that occupies `size` bytes and made progress until `progress`.
+fn upload((number, size, progress): (u64, usize, u64)) -> (u64, memory::Upload) {
+    let mut upload = memory::Upload::begin(time::Tick(0));
+    upload.record(size, time::Tick(progress));
+    upload.size = size;
+    (number, upload)
+}
+
+// Guards against callers that fill the memory with bodies that they do not end, and against refusals of ordinary
+// bodies meanwhile.
+#[test]
+fn uploads_without_progress_are_given_up_before_those_with_progress() {
+    struct Case {
+        name: &'static str,
+        /// Number, size and time of the last progress; the present time is 2,000.
+        uploads: &'static [(u64, usize, u64)],
+        /// Bodies of running requests, in bytes.
+        running: usize,
+        /// Answers, in bytes.
+        answers: usize,
+        size: usize,
+        expected: memory::Growth,
+    }
+    // 100 MB: 50 for data, 31.25 of it for bodies.
+    let budget = memory::Budget::of(Some(100 * MB), None);
+    use memory::Growth::{Evict, Fits, Refuse};
+    let cases = [
+        Case {
+            name: "nothing held",
+            uploads: &[],
+            running: 0,
+            answers: 0,
+            size: 31 * MB,
+            expected: Fits,
+        },
+        Case {
+            name: "more than all",
+            uploads: &[],
+            running: 0,
+            answers: 0,
+            size: 32 * MB,
+            expected: Refuse,
+        },
+        Case {
+            name: "the longest without progress first",
+            uploads: &[(1, 10 * MB, 1_900), (2, 10 * MB, 900), (3, 10 * MB, 800)],
+            running: 0,
+            answers: 0,
+            size: 2 * MB,
+            expected: Evict(3),
+        },
+        Case {
+            name: "all make progress",
+            uploads: &[(1, 15 * MB, 1_900), (2, 15 * MB, 1_950)],
+            running: 0,
+            answers: 0,
+            size: 2 * MB,
+            expected: Refuse,
+        },
+        Case {
+            name: "ordinary body beside large ones",
+            uploads: &[(1, 15 * MB, 1_900), (2, 15 * MB, 1_950)],
+            running: 0,
+            answers: 0,
+            size: 72_000,
+            expected: Fits,
+        },
+        Case {
+            name: "large body that would take the last of the memory",
+            uploads: &[],
+            running: 30 * MB,
+            answers: 0,
+            size: MB,
+            expected: Refuse,
+        },
+        Case {
+            name: "running requests only",
+            uploads: &[],
+            running: 31 * MB,
+            answers: 0,
+            size: MB,
+            expected: Refuse,
+        },
+        Case {
+            name: "answers occupy the memory",
+            uploads: &[(1, 10 * MB, 500)],
+            running: 0,
+            answers: 40 * MB,
+            size: MB,
+            expected: Evict(1),
+        },
+    ];
+    for case in cases {
+        let bodies = case.running + case.uploads.iter().map(|(_, size, _)| size).sum::<usize>();
+        let usage = memory::Usage { total: bodies + case.answers, bodies };
+        let claim = memory::Claim { number: 9, held: 0, size: case.size };
+        let uploads = case.uploads.iter().copied().map(upload);
+        let found = memory::grow(&budget, usage, claim, uploads, time::Tick(2_000));
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+// Guards against callers that send single bytes to look alive.
+#[test]
+fn single_bytes_are_no_progress() {
+    let mut upload = memory::Upload::begin(time::Tick(0));
+    for now in (0..3_000).step_by(100) {
+        upload.record(1, time::Tick(now));
+    }
+    assert_eq!(memory::stalled([(1, upload)].into_iter(), time::Tick(3_000)), Some(1));
+    upload.record(72_000, time::Tick(3_000));
+    assert_eq!(memory::stalled([(1, upload)].into_iter(), time::Tick(3_500)), None);
+}
+
+#[test]
+fn budget_follows_the_settings() {
+    struct Case {
+        memory: Option<usize>,
+        descriptors: Option<usize>,
+        /// Bodies, answers, unread.
+        bytes: [usize; 3],
+        connections: usize,
+    }
+    let mebibyte = 1_024 * 1_024;
+    let cases = [
+        // The constants before there was a budget.
+        Case {
+            memory: None,
+            descriptors: None,
+            bytes: [usize::MAX, 16 * mebibyte, 24 * mebibyte],
+            connections: usize::MAX,
+        },
+        Case {
+            memory: Some(88 * MB),
+            descriptors: Some(4_100),
+            bytes: [27_500_000, 11_000_000, 24 * mebibyte],
+            connections: 1_342,
+        },
+        Case {
+            memory: Some(260 * MB),
+            descriptors: Some(4_100),
+            bytes: [81_250_000, 16 * mebibyte, 24 * mebibyte],
+            connections: 2_018,
+        },
+        Case {
+            memory: None,
+            descriptors: Some(100),
+            bytes: [usize::MAX, 16 * mebibyte, 24 * mebibyte],
+            connections: 37,
+        },
+    ];
+    for Case { memory, descriptors, bytes, connections } in cases {
+        let budget = memory::Budget::of(memory, descriptors);
+        let found = [budget.bodies, budget.answers, budget.unread];
+        assert_eq!((found, budget.connections), (bytes, connections), "{memory:?} {descriptors:?}");
+        // Answers of running requests always have an eighth.
+        let left = budget.unread_beside(budget.bodies.saturating_add(budget.answers));
+        assert!(left >= (budget.total / 8).min(budget.unread), "{memory:?}: {left}");
+    }
+}
+
+// Guards against closing connections that have just been opened or used.
+#[test]
+fn connection_without_a_request_for_the_longest_time_is_closed() {
+    let cases =
+        [(&[(1, 1_500), (2, 1_200)][..], None), (&[(1, 1_500), (2, 900), (3, 400)], Some(3))];
+    for (connections, expected) in cases {
+        let connections = connections.iter().map(|(number, at)| (*number, time::Tick(*at)));
+        assert_eq!(memory::inactive(connections, time::Tick(2_000)), expected);
+    }
+}
--- a/crates/ibishill-relay/src/answer.rs
+++ b/crates/ibishill-relay/src/answer.rs
@@ -3,35 +3,53 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
-use crate::unread;
 use crate::upstream::CallError;
+use crate::{memory, unread};
 
-/// Memory for answers that are being read, in bytes.
-const SHARED_MAX: usize = 16 * 1_024 * 1_024;
+/// Smallest buffer of an answer whose length is not known, in bytes.
+const BUFFER_MIN: usize = 4 * 1_024;
+
+/// What a request and the buffers of its connections hold beside while its answer is read, in bytes.
+const READ_AHEAD: usize = 32 * 1_024;
 
 /// Memory that answers occupy while they are read.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Buffers(Rc<Cell<usize>>);
+#[derive(Clone)]
+pub(crate) struct Buffers {
+    memory: Rc<memory::Memory>,
+    /// Whole answers that are being read.
+    reading: Rc<Cell<usize>>,
+}
 
 /// Memory of one answer, released when dropped.
 pub(crate) struct Share {
-    buffers: Buffers,
+    memory: Rc<memory::Memory>,
     size: usize,
 }
 
+/// Counts a whole answer that is being read until dropped.
+struct Reading(Rc<Cell<usize>>);
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Share {
     /// Changes the size in bytes, unless it grows beyond what the others leave free: an answer without end is
     /// given up while there is room for ordinary ones.
     pub(crate) fn resize(&mut self, size: usize) -> bool {
-        let used = self.buffers.0.get() - self.size + size;
-        if size > self.size && size > SHARED_MAX.saturating_sub(used) {
+        let answers = &self.memory.answers;
+        let used = answers.used() - self.size + size;
+        if size > self.size && size > self.memory.budget.answers.saturating_sub(used) {
             return false;
         }
-        self.buffers.0.set(used);
+        answers.sub(self.size);
+        answers.add(size);
         self.size = size;
         true
     }
@@ -39,14 +57,24 @@
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.buffers.0.set(self.buffers.0.get() - self.size);
+        self.memory.answers.sub(self.size);
     }
 }
 
 impl Buffers {
+    /// Buffers within the relay's memory.
+    pub(crate) fn new(memory: &Rc<memory::Memory>) -> Self {
+        Self { memory: memory.clone(), reading: Rc::default() }
+    }
+
     /// Begins an answer, of which nothing has been read.
     pub(crate) fn share(&self) -> Share {
-        Share { buffers: self.clone(), size: 0 }
+        Share { memory: self.memory.clone(), size: 0 }
+    }
+
+    // All that answers occupy that are being read, with the buffers of their connections.
+    fn used(&self) -> usize {
+        self.memory.answers.used() + self.reading.get() * READ_AHEAD
     }
 
     /// Reads an endpoint's whole answer, as far as there is room for more that waits for callers.
@@ -59,24 +87,33 @@
         mut body: Incoming,
         unread: &unread::Unread,
     ) -> Result<Bytes, CallError> {
+        let declared = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
+        self.reading.set(self.reading.get() + 1);
+        let _reading = Reading(self.reading.clone());
         let mut share = self.share();
-        let mut content = BytesMut::new();
+        let mut content = Vec::new();
         loop {
-            unread.room().await;
+            // What is being read will have to wait for callers, so it counts there already.
+            unread.room(|| self.used()).await;
             let Some(frame) = body.frame().await else { break };
             let frame = frame.map_err(|error| CallError::Unknown(error.to_string()))?;
             let data = frame.into_data().unwrap_or_default();
-            if share.resize(content.len() + data.len()) {
-                content.extend_from_slice(&data);
-                // The buffer grows in steps.
-                if share.resize(content.capacity()) {
-                    continue;
+            let length = content.len() + data.len();
+            if length > content.capacity() {
+                // The buffer grows in steps, the last of which ends where the answer does.
+                let capacity = length.max(content.capacity() * 2).max(BUFFER_MIN);
+                let capacity = capacity.min(declared.unwrap_or(usize::MAX).max(length));
+                if !share.resize(capacity) {
+                    let detail =
+                        format!("the answer exceeds the memory left, {} bytes", share.size);
+                    return Err(CallError::Unknown(detail));
                 }
+                content.reserve_exact(capacity - content.len());
             }
-            let detail = format!("the answer exceeds the memory left, {} bytes", share.size);
-            return Err(CallError::Unknown(detail));
+            content.extend_from_slice(&data);
         }
-        // A copy, so that the unused part of the buffer is freed.
-        Ok(Bytes::copy_from_slice(&content))
+        // The unused part of the buffer is freed.
+        content.shrink_to_fit();
+        Ok(Bytes::from(content))
     }
 }
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -5,10 +5,10 @@
 use std::time::Instant;
 
 use ibishill_core::{clock, id, time};
-use ibishill_decide::report_targets;
+use ibishill_decide::{memory as budget, report_targets};
 use tokio::sync::Notify;
 
-use crate::{answer, metrics, peer_formats, state, unread};
+use crate::{answer, connections, memory, metrics, peer_formats, state, unread};
 
 /// Offset of the clock at start, in milliseconds, so that times before the start are representable.
 const ORIGIN_MS: u64 = 10_000_000;
@@ -17,6 +17,10 @@
 pub(crate) struct Context {
     state: RefCell<state::State>,
     pub(crate) metrics: metrics::Metrics,
+    /// Memory for data of callers and endpoints.
+    pub(crate) memory: Rc<memory::Memory>,
+    /// Connections of callers.
+    pub(crate) connections: connections::Connections,
     /// Memory of answers that are being read.
     pub(crate) answers: answer::Buffers,
     /// Memory of answers that callers have yet to read.
@@ -60,11 +64,15 @@
 
 impl Context {
     pub(crate) fn new(state: state::State, metrics: metrics::Metrics, start: u64) -> Shared {
+        let (bytes, descriptors) = (state.settings.memory, state.settings.descriptors);
+        let memory = memory::Memory::new(budget::Budget::of(bytes, descriptors));
         Rc::new(Self {
             state: RefCell::new(state),
             metrics,
-            answers: answer::Buffers::default(),
-            unread: unread::Unread::default(),
+            answers: answer::Buffers::new(&memory),
+            unread: unread::Unread::new(&memory),
+            memory,
+            connections: connections::Connections::default(),
             peer_formats: RefCell::default(),
             origin: Instant::now(),
             start,
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use ibishill_adapter::head;
 use ibishill_core::{event, id, route, time};
@@ -18,7 +17,7 @@
 use crate::context::Shared;
 use crate::local_reply::{self, Reason};
 use crate::request::{Hop, Received};
-use crate::{abort, hop, request_key, retry_budget, selection, stream, unread};
+use crate::{abort, hop, request_key, retry_budget, selection, stream, unread, upload};
 
 /// Time within which a request body must arrive, if the request's deadline is not earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -172,7 +171,10 @@
     let wait = metadata.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + wait;
     let limit = BODY_TIMEOUT.min(deadline.since(context.now()).to_std());
-    let body = read_body(incoming, catalog.limits.body_bytes, limit).await.map_err(fail)?;
+    // Reading on would ask a caller for its body that waits for permission to send it.
+    let may_discard = !parts.headers.contains_key(header::EXPECT);
+    let body = upload::read(context, incoming, catalog.limits.body_bytes, limit, may_discard);
+    let body = body.await.map_err(fail)?;
     let uri = parts
         .uri
         .path_and_query()
@@ -215,15 +217,6 @@
     }
 }
 
-async fn read_body(incoming: Incoming, size: usize, limit: Duration) -> Result<Bytes, Reason> {
-    let collected = Limited::new(incoming, size).collect();
-    match clock::timeout(limit, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete),
-    }
-}
-
 fn engine_models<'a>(catalog: &'a route::Catalog, service: &id::ServiceId) -> &'a [route::Model] {
     let engine = catalog.services.get(service).and_then(|service| service.engine.as_ref());
     engine.map_or(&[], |engine| engine.models.as_slice())
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -26,6 +26,8 @@
     Unauthorized,
     /// The request body exceeds the limit.
     BodyTooLarge,
+    /// The memory for request bodies is used up.
+    NoMemory,
     /// The request body did not arrive in full or in time.
     BodyIncomplete,
     /// The route's weights select no service.
@@ -71,6 +73,7 @@
             | Self::NoService
             | Self::NoEndpoint
             | Self::NoCapacity
+            | Self::NoMemory
             | Self::EndpointsResting(_)
             | Self::OutOfReach
             | Self::Stopping
@@ -102,6 +105,7 @@
             Self::Unauthorized => "key missing or unknown",
             Self::BodyTooLarge => "body too large",
             Self::BodyIncomplete => "body not received",
+            Self::NoMemory => "no memory for the body",
             Self::NoService => "no service by weight",
             Self::NoEndpoint => "no endpoint in service",
             Self::EndpointsResting(_) => "all endpoints ask for rest",
@@ -143,7 +147,7 @@
         }
     }
     response.extensions_mut().insert(reason);
-    if reason == Reason::BodyIncomplete || reason == Reason::BodyTooLarge {
+    if matches!(reason, Reason::BodyIncomplete | Reason::BodyTooLarge | Reason::NoMemory) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- /dev/null
+++ b/crates/ibishill-relay/src/memory.rs
@@ -0,0 +1,241 @@
+//! Counts the memory for data of callers and endpoints against the relay's budget.
+//!
+//! Bodies, answers that are being read and answers that callers have yet to read have limits of their own within the
+//! budget. What to give up is decided in [`ibishill_decide::memory`].
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use ibishill_core::time;
+use ibishill_decide::memory;
+use tokio::sync::Notify;
+use tokio::time as clock;
+
+/// Interval of attempts to get memory that uploads which were given up are about to release.
+const RETRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Memory of one kind in use, which counts for the total as well; clones share it.
+#[derive(Debug, Clone)]
+pub(crate) struct Counter {
+    own: Arc<AtomicUsize>,
+    total: Arc<AtomicUsize>,
+}
+
+impl Counter {
+    fn new(total: &Arc<AtomicUsize>) -> Self {
+        Self { own: Arc::default(), total: total.clone() }
+    }
+
+    /// Adds bytes.
+    pub(crate) fn add(&self, bytes: usize) {
+        self.own.fetch_add(bytes, Ordering::Relaxed);
+        self.total.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Subtracts bytes.
+    pub(crate) fn sub(&self, bytes: usize) {
+        self.own.fetch_sub(bytes, Ordering::Relaxed);
+        self.total.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    /// Memory of this kind, in bytes.
+    pub(crate) fn used(&self) -> usize {
+        self.own.load(Ordering::Relaxed)
+    }
+}
+
+/// Memory of a relay for data of callers and endpoints.
+pub(crate) struct Memory {
+    pub(crate) budget: memory::Budget,
+    total: Arc<AtomicUsize>,
+    /// Bodies of callers.
+    pub(crate) bodies: Counter,
+    /// Answers that are being read from endpoints.
+    pub(crate) answers: Counter,
+    /// Answers that callers have yet to read.
+    pub(crate) unread: Counter,
+    uploads: RefCell<BTreeMap<u64, Entry>>,
+    next: Cell<u64>,
+    origin: Instant,
+}
+
+struct Entry {
+    upload: memory::Upload,
+    /// Notified when it is given up.
+    evicted: Rc<Notify>,
+}
+
+/// A body that is being received; its memory is released when dropped.
+pub(crate) struct Upload {
+    memory: Rc<Memory>,
+    number: u64,
+    /// Memory that it occupies, in bytes.
+    size: usize,
+    evicted: Rc<Notify>,
+}
+
+/// Memory of a body that has arrived whole, released when dropped.
+pub(crate) struct Body {
+    bytes: Vec<u8>,
+    size: usize,
+    bodies: Counter,
+}
+
+impl AsRef<[u8]> for Body {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.bodies.sub(self.size);
+    }
+}
+
+/// Error of an upload for which there is no memory.
+pub(crate) struct Exhausted;
+
+impl Memory {
+    /// Memory with nothing in use.
+    pub(crate) fn new(budget: memory::Budget) -> Rc<Self> {
+        let total = Arc::default();
+        Rc::new(Self {
+            budget,
+            bodies: Counter::new(&total),
+            answers: Counter::new(&total),
+            unread: Counter::new(&total),
+            total,
+            uploads: RefCell::default(),
+            next: Cell::new(0),
+            origin: Instant::now(),
+        })
+    }
+
+    /// All memory in use, in bytes.
+    pub(crate) fn used(&self) -> usize {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    // Time since the start, which differs from that of other decisions.
+    fn now(&self) -> time::Tick {
+        let passed = self.origin.elapsed().as_millis();
+        time::Tick(u64::try_from(passed).unwrap_or(u64::MAX))
+    }
+
+    /// What callers may have yet to read, in bytes.
+    pub(crate) fn unread_limit(&self) -> usize {
+        self.budget.unread_beside(self.bodies.used() + self.answers.used())
+    }
+
+    /// Gives up stalled uploads while the budget is exceeded.
+    pub(crate) fn relieve(&self) {
+        let mut excess = self.used().saturating_sub(self.budget.total);
+        while excess > 0 {
+            let Some(size) = self.evict_stalled(1) else { break };
+            excess = excess.saturating_sub(size);
+        }
+    }
+
+    /// Gives up the upload that has stalled first, of those that occupy `size_min` bytes; returns its size.
+    pub(crate) fn evict_stalled(&self, size_min: usize) -> Option<usize> {
+        let number = {
+            let uploads = self.uploads.borrow();
+            let all = uploads.iter().map(|(number, entry)| (*number, entry.upload));
+            memory::stalled(all.filter(|(_, upload)| upload.size >= size_min), self.now())?
+        };
+        self.evict(number)
+    }
+
+    // It is no longer a candidate, although its memory is released a little later.
+    fn evict(&self, number: u64) -> Option<usize> {
+        let entry = self.uploads.borrow_mut().remove(&number)?;
+        entry.evicted.notify_one();
+        Some(entry.upload.size)
+    }
+
+    /// Begins to receive a body.
+    pub(crate) fn begin_upload(self: &Rc<Self>) -> Upload {
+        let number = self.next.replace(self.next.get() + 1);
+        let evicted = Rc::<Notify>::default();
+        let upload = memory::Upload::begin(self.now());
+        self.uploads.borrow_mut().insert(number, Entry { upload, evicted: evicted.clone() });
+        Upload { memory: self.clone(), number, size: 0, evicted }
+    }
+}
+
+impl Upload {
+    /// Completes once the upload has been given up for others.
+    pub(crate) async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    /// Records that bytes have arrived.
+    pub(crate) fn record(&self, bytes: usize) {
+        let now = self.memory.now();
+        if let Some(entry) = self.memory.uploads.borrow_mut().get_mut(&self.number) {
+            entry.upload.record(bytes, now);
+        }
+    }
+
+    /// Grows to `size` bytes, and waits for the memory of others that are given up for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no memory for it.
+    pub(crate) async fn grow(&mut self, size: usize) -> Result<(), Exhausted> {
+        while !self.try_grow(size)? {
+            clock::sleep(RETRY_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    // Whether it has grown; if not, it may once others have released their memory.
+    fn try_grow(&mut self, size: usize) -> Result<bool, Exhausted> {
+        let memory = &self.memory;
+        let claim = memory::Claim { number: self.number, held: self.size, size };
+        let mut released = 0;
+        loop {
+            let usage = memory::Usage {
+                total: memory.used().saturating_sub(released),
+                bodies: memory.bodies.used().saturating_sub(released),
+            };
+            let growth = {
+                let uploads = memory.uploads.borrow();
+                let all = uploads.iter().map(|(number, entry)| (*number, entry.upload));
+                memory::grow(&memory.budget, usage, claim, all, memory.now())
+            };
+            match growth {
+                memory::Growth::Fits if released > 0 => return Ok(false),
+                memory::Growth::Fits => break,
+                memory::Growth::Evict(number) => {
+                    released += memory.evict(number).ok_or(Exhausted)?;
+                }
+                memory::Growth::Refuse => return Err(Exhausted),
+            }
+        }
+        memory.bodies.add(size - self.size);
+        self.size = size;
+        if let Some(entry) = memory.uploads.borrow_mut().get_mut(&self.number) {
+            entry.upload.size = size;
+        }
+        Ok(true)
+    }
+
+    /// Ends the upload, since the body has arrived whole; its memory is released with the returned bytes.
+    pub(crate) fn complete(mut self, bytes: Vec<u8>) -> Body {
+        let size = std::mem::take(&mut self.size);
+        Body { bytes, size, bodies: self.memory.bodies.clone() }
+    }
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        self.memory.uploads.borrow_mut().remove(&self.number);
+        self.memory.bodies.sub(self.size);
+    }
+}
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -199,6 +199,8 @@
          relay_endpoints_limited {}\nrelay_store_restores {}\n\
          relay_endpoints_out_of_reach {}\nrelay_forwarded {}\n\
          relay_unread_bytes {}\n\
+         relay_body_bytes {}\nrelay_answer_bytes {}\nrelay_memory_bytes {}\n\
+         relay_connections_refused {}\nrelay_connections_closed {}\n\
          relay_endpoints_fragile {}\nrelay_endpoints_leaving {}\n",
         state.connections,
         state.peers.alive_count(now),
@@ -213,6 +215,11 @@
         out_of_reach,
         context.forwarded.get(),
         context.unread.used(),
+        context.memory.bodies.used(),
+        context.memory.answers.used(),
+        context.memory.used(),
+        context.connections.refused.get(),
+        context.connections.closed.get(),
         fragile,
         leaving,
     );
--- a/crates/ibishill-relay/src/serve.rs
+++ b/crates/ibishill-relay/src/serve.rs
@@ -15,7 +15,7 @@
 use tokio::time as clock;
 
 use crate::context::Shared;
-use crate::{abort, handler};
+use crate::{body, connections, handler};
 
 /// Limits that apply before a configuration is loaded.
 const DEFAULT_LIMITS: route::Limits = route::Limits {
@@ -44,8 +44,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let guard = ConnectionGuard::new(&context);
-                tokio::task::spawn_local(serve_caller(context.clone(), stream, guard));
+                // Otherwise it is closed at once, so that its caller goes to another relay.
+                if let Some(connection) = connections::Connection::accept(&context) {
+                    tokio::task::spawn_local(serve_caller(context.clone(), stream, connection));
+                }
             }
             Err(error) => record_accept_error(&error).await,
         }
@@ -57,34 +59,22 @@
     clock::sleep(ACCEPT_BACKOFF).await;
 }
 
-/// Counts a caller's connection until dropped.
-struct ConnectionGuard(Shared);
-
-impl ConnectionGuard {
-    fn new(context: &Shared) -> Self {
-        context.state().connections += 1;
-        Self(context.clone())
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.state().connections -= 1;
-    }
-}
-
-async fn serve_caller(context: Shared, stream: TcpStream, _guard: ConnectionGuard) {
+async fn serve_caller(context: Shared, stream: TcpStream, connection: connections::Connection) {
     if let Err(error) = stream.set_nodelay(true) {
         event::emit_json(event::Event::CallerGone, &[event::field("error", &error)]);
         return;
     }
     let limits = context.state().catalog.as_ref().map_or(DEFAULT_LIMITS, |catalog| catalog.limits);
-    let abort = abort::Abort::default();
+    let abort = connection.abort.clone();
     let service = {
         let (context, abort) = (context.clone(), abort.clone());
+        let activity = connection.activity.clone();
         service::service_fn(move |request| {
-            let (context, abort) = (context.clone(), abort.clone());
-            async move { Ok::<_, Infallible>(handler::handle(context, request, abort).await) }
+            let (context, abort, active) = (context.clone(), abort.clone(), activity.begin());
+            async move {
+                let response = handler::handle(context, request, abort).await;
+                Ok::<_, Infallible>(response.map(|body| body::active(body, active)))
+            }
         })
     };
     let mut builder = http1::Builder::new();
--- a/crates/ibishill-relay/src/unread.rs
+++ b/crates/ibishill-relay/src/unread.rs
@@ -6,6 +6,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -15,10 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time as clock;
 
-use crate::abort;
-
-/// Memory for all that callers have yet to read, in bytes; VMs have 88 MB and more.
-const SHARED_MAX: usize = 24 * 1_024 * 1_024;
+use crate::{abort, memory};
 
 /// What may wait for a caller while more is read from its endpoint, in bytes.
 const STREAM_MAX: usize = 8 * 1_024;
@@ -39,9 +37,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Memory of all answers that callers have yet to read.
-#[derive(Default)]
 pub(crate) struct Unread {
-    used: Arc<AtomicUsize>,
+    memory: Rc<memory::Memory>,
     /// Answers whose callers read nothing, the oldest first.
     stalled: RefCell<BTreeMap<u64, Stalled>>,
     next: Cell<u64>,
@@ -73,7 +70,7 @@
 /// Bytes that count until they are written to the caller's connection.
 struct Held {
     bytes: Bytes,
-    used: Arc<AtomicUsize>,
+    used: memory::Counter,
     part: Part,
 }
 
@@ -86,7 +83,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         let size = self.bytes.len() + CHUNK_OVERHEAD;
-        self.used.fetch_sub(size, Ordering::Relaxed);
+        self.used.sub(size);
         self.part.held.fetch_sub(size, Ordering::Relaxed);
         self.part.freed.notify_one();
     }
@@ -107,7 +104,7 @@
         let part = answer.part.clone();
         let stalled = Stalled { request, since: Instant::now(), part, size, abort };
         unread.stalled.borrow_mut().insert(number, stalled);
-        unread.used.fetch_add(size, Ordering::Relaxed);
+        unread.memory.unread.add(size);
         Self { unread, number, size }
     }
 }
@@ -115,7 +112,7 @@
 impl Drop for StallGuard<'_> {
     fn drop(&mut self) {
         self.unread.stalled.borrow_mut().remove(&self.number);
-        self.unread.used.fetch_sub(self.size, Ordering::Relaxed);
+        self.unread.memory.unread.sub(self.size);
     }
 }
 
@@ -127,9 +124,15 @@
 }
 
 impl Unread {
+    /// Nothing unread, within the relay's memory.
+    pub(crate) fn new(memory: &Rc<memory::Memory>) -> Self {
+        let (stalled, next) = (RefCell::default(), Cell::default());
+        Self { memory: memory.clone(), stalled, next }
+    }
+
     /// Memory in use, in bytes.
     pub(crate) fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
+        self.memory.unread.used()
     }
 
     /// Waits until the caller has read enough for more to be read from the endpoint; returns whether that took
@@ -138,7 +141,7 @@
         let mut stall = None;
         loop {
             let has_read = answer.part.held.load(Ordering::Relaxed) <= STREAM_MAX;
-            if self.make_room() && has_read {
+            if self.make_room(0) && has_read {
                 return stall.is_some();
             }
             stall.get_or_insert_with(|| StallGuard::begin(self, answer, READ_AHEAD));
@@ -150,9 +153,13 @@
         }
     }
 
-    /// Waits until the memory is not exhausted.
-    pub(crate) async fn room(&self) {
-        while !self.make_room() {
+    /// Waits until the memory is not exhausted; `others` is what counts beside, in bytes.
+    pub(crate) async fn room<F>(&self, others: F)
+    where
+        F: Fn() -> usize,
+    {
+        // While no caller has anything to read, nothing else would make room.
+        while !self.make_room(if self.used() > 0 { others() } else { 0 }) {
             clock::sleep(RETRY_INTERVAL).await;
         }
     }
@@ -160,9 +167,9 @@
     /// Counts bytes that wait for the caller until they are written.
     pub(crate) fn add(&self, answer: &Answer, bytes: Bytes) -> Bytes {
         let size = bytes.len() + CHUNK_OVERHEAD;
-        self.used.fetch_add(size, Ordering::Relaxed);
+        self.memory.unread.add(size);
         answer.part.held.fetch_add(size, Ordering::Relaxed);
-        let (used, part) = (self.used.clone(), answer.part.clone());
+        let (used, part) = (self.memory.unread.clone(), answer.part.clone());
         Bytes::from_owner(Held { bytes, used, part })
     }
 
@@ -170,16 +177,18 @@
     pub(crate) async fn drained(&self, answer: &Answer) {
         let _stall = StallGuard::begin(self, answer, 0);
         while answer.part.held.load(Ordering::Relaxed) > 0 {
-            self.make_room();
+            self.make_room(0);
             answer.part.freed.notified().await;
         }
     }
 
     // Whether the memory is not exhausted; disconnects callers that read nothing until it is not.
-    fn make_room(&self) -> bool {
-        let mut used = self.used();
+    fn make_room(&self, others: usize) -> bool {
+        self.memory.relieve();
+        let limit = self.memory.unread_limit();
+        let mut used = self.used() + others;
         let mut stalled = self.stalled.borrow_mut();
-        while used > SHARED_MAX {
+        while used > limit {
             let oldest = stalled.first_entry();
             let oldest = oldest.filter(|found| found.get().since.elapsed() >= STALL_MIN);
             let Some(oldest) = oldest.map(|found| found.remove()) else { break };
@@ -190,6 +199,6 @@
             oldest.abort.request();
             used = used.saturating_sub(oldest.size + oldest.part.held.load(Ordering::Relaxed));
         }
-        self.used() <= SHARED_MAX
+        self.used() + others <= limit
     }
 }
--- /dev/null
+++ b/crates/ibishill-relay/src/upload.rs
@@ -0,0 +1,100 @@
+//! Receives the body of a request within the relay's memory.
+//!
+//! Chunks are copied to one buffer whose capacity is counted: a list of them costs some hundred bytes for a chunk of
+//! one byte, and each keeps the whole buffer that it was cut from.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use tokio::time as clock;
+
+use crate::context::Shared;
+use crate::local_reply::Reason;
+use crate::memory;
+
+/// Smallest buffer of a body whose length is not declared, in bytes.
+const BUFFER_MIN: usize = 4 * 1_024;
+
+/// What is read of a body after its request was refused, in bytes: about what the kernel has buffered, so that most
+/// callers see the refusal and not a reset.
+const DISCARD_MAX: usize = 512 * 1_024;
+
+/// Time for which a refused body is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Reads a body of at most `limit` bytes within `timeout`; what follows after a refusal is discarded, if
+/// `may_discard`.
+///
+/// # Errors
+///
+/// Fails if the body is too large, is not received in time, or if there is no memory for it.
+pub(crate) async fn read(
+    context: &Shared,
+    mut incoming: Incoming,
+    limit: usize,
+    timeout: Duration,
+    may_discard: bool,
+) -> Result<Bytes, Reason> {
+    if incoming.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let result = match clock::timeout(timeout, receive(context, &mut incoming, limit)).await {
+        Ok(result) => result,
+        Err(_) => Err(Reason::BodyIncomplete),
+    };
+    // A body that has not arrived in time is not on its way, so its connection is closed at once.
+    let is_on_way = matches!(result, Err(Reason::BodyTooLarge | Reason::NoMemory));
+    if is_on_way && may_discard {
+        tokio::task::spawn_local(clock::timeout(DISCARD_TIMEOUT, discard(incoming)));
+    }
+    result
+}
+
+async fn receive(context: &Shared, incoming: &mut Incoming, limit: usize) -> Result<Bytes, Reason> {
+    let hint = incoming.size_hint();
+    if hint.lower() > limit as u64 {
+        return Err(Reason::BodyTooLarge);
+    }
+    let declared = hint.exact().and_then(|length| usize::try_from(length).ok());
+    let mut upload = context.memory.begin_upload();
+    let mut content = Vec::new();
+    loop {
+        let frame = tokio::select! {
+            frame = incoming.frame() => frame,
+            () = upload.evicted() => return Err(Reason::NoMemory),
+        };
+        let Some(frame) = frame else { break };
+        let data = frame.map_err(|_| Reason::BodyIncomplete)?.into_data().unwrap_or_default();
+        let length = content.len() + data.len();
+        if length > limit {
+            return Err(Reason::BodyTooLarge);
+        }
+        if length > content.capacity() {
+            let capacity = capacity(content.capacity(), length, declared.unwrap_or(limit));
+            let grown = upload.grow(capacity).await;
+            grown.map_err(|memory::Exhausted| Reason::NoMemory)?;
+            content.reserve_exact(capacity - content.len());
+        }
+        content.extend_from_slice(&data);
+        upload.record(data.len());
+    }
+    Ok(Bytes::from_owner(upload.complete(content)))
+}
+
+// Next capacity of a buffer that is to hold `length` of at most `limit` bytes. It grows with what has arrived, since
+// a declared length costs a caller nothing.
+fn capacity(present: usize, length: usize, limit: usize) -> usize {
+    length.max(present * 2).max(BUFFER_MIN).min(limit.max(length))
+}
+
+// Reads on, so that the connection is not reset before the caller has read the refusal. Nothing is kept.
+async fn discard(mut incoming: Incoming) {
+    let mut discarded = 0;
+    while discarded < DISCARD_MAX
+        && let Some(Ok(frame)) = incoming.frame().await
+    {
+        discarded += frame.into_data().map_or(0, |data| data.len());
+    }
+}
