exposure: a segment that ends endpoints at any time is refused

Cause: an end before the head of a response, or later than 150 ms after it, counted against the whole prompt only, and one response that went on cleared a segment. Ends of endpoints with and without a segment are compared now, over all relays.

--- /dev/null
+++ b/crates/ibishill-decide/src/exposure/told.rs
@@ -0,0 +1,135 @@
+//! What daemons tell each other of prompts and their endpoints: each its own outcomes to all it reports to, and in
+//! the gossip also what it has heard lately, as far as the allowance goes.
+
+use std::collections::VecDeque;
+
+use ibishill_core::{call, time};
+use serde::{Deserialize, Serialize};
+
+use super::{Exposures, Prompt, Record};
+use crate::{endpoint_key::EndpointKey, rate};
+
+/// Time for which an outcome is passed on.
+const NEWS_TTL: time::Millis = time::Millis(3_000);
+
+/// Size of a record in a message, about, in bytes.
+const RECORD_SIZE: usize = 45;
+
+/// Allowance for the records in load reports, over all peers that they go to: 3 KB/s.
+const REPORT_RATE: rate::Rate = rate::Rate { per_second: 3_000.0, burst: 6_000.0 };
+
+/// Maximum number of records in a load report, which is a single datagram.
+const REPORT_MAX: usize = 8;
+
+/// Maximum number of records in a message of the gossip.
+const MESSAGE_MAX: usize = 16;
+
+/// Maximum number of outcomes that wait to be told; the oldest make room.
+const OUTBOX_MAX: usize = 256;
+
+/// Outcome of one attempt; times are ages as of sending.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    request: u32,
+    service: u32,
+    endpoint: EndpointKey,
+    // Since the response or the endpoint ended.
+    age: time::Millis,
+    // From the sending of the request until then.
+    ran: time::Millis,
+    is_ended: bool,
+    segments: Vec<call::SegmentId>,
+}
+
+/// Own outcomes that no report has told yet.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Outbox {
+    waiting: VecDeque<(u32, EndpointKey, bool)>,
+    level: Option<(f64, time::Tick)>,
+}
+
+impl Outbox {
+    pub(super) fn push(&mut self, (request, endpoint): (u32, EndpointKey), is_ended: bool) {
+        let item = (request, endpoint, is_ended);
+        if is_ended {
+            self.waiting.push_front(item);
+        } else {
+            self.waiting.push_back(item);
+        }
+        self.waiting.truncate(OUTBOX_MAX);
+    }
+
+    // Number of records that a report to so many peers may hold now.
+    fn allowance(&mut self, peers: usize, now: time::Tick) -> usize {
+        let cost = (RECORD_SIZE * peers.max(1)) as f64;
+        let (level, at) = self.level.unwrap_or((REPORT_RATE.burst, now));
+        let added = now.since(at).0 as f64 / 1_000.0 * REPORT_RATE.per_second;
+        let level = (level + added).min(REPORT_RATE.burst.max(cost));
+        let count = (level / cost) as usize;
+        let count = count.min(self.waiting.len()).min(REPORT_MAX);
+        self.level = Some((level - count as f64 * cost, now));
+        count
+    }
+}
+
+impl Exposures {
+    /// Own outcomes for a load report that goes to so many peers.
+    pub fn report(&mut self, peers: usize, now: time::Tick) -> Vec<Told> {
+        let count = self.told.allowance(peers, now);
+        let taken: Vec<_> = self.told.waiting.drain(..count).collect();
+        let found = taken.iter().filter_map(|(request, endpoint, is_ended)| {
+            let records = if *is_ended { &self.ended } else { &self.survived };
+            let record = records.get(&(*request, *endpoint))?;
+            Some(tell((*request, *endpoint), record, *is_ended, now))
+        });
+        found.collect()
+    }
+
+    /// Outcomes for the gossip that this daemon has seen or heard of lately.
+    pub fn gossip(&self, now: time::Tick) -> Vec<Told> {
+        let of = |records: &super::Records, is_ended: bool, count: usize| -> Vec<Told> {
+            let is_new = |record: &Record| now.since(record.heard) < NEWS_TTL;
+            let mut found: Vec<_> = records.iter().filter(|(_, record)| is_new(record)).collect();
+            found.sort_by_key(|(_, record)| std::cmp::Reverse(record.heard));
+            found.truncate(count);
+            found.into_iter().map(|(key, record)| tell(*key, record, is_ended, now)).collect()
+        };
+        let mut told = of(&self.ended, true, MESSAGE_MAX * 3 / 4);
+        let left = MESSAGE_MAX - told.len();
+        told.extend(of(&self.survived, false, left));
+        told
+    }
+
+    /// Merges what a peer tells.
+    pub fn merge(&mut self, told: Vec<Told>, now: time::Tick) {
+        for Told { request, service, endpoint, age, ran, is_ended, segments } in told {
+            let until = time::Tick(now.0.saturating_sub(age.0));
+            let sent = time::Tick(until.0.saturating_sub(ran.0));
+            let record =
+                Record { prompt: Prompt { request, service, segments }, sent, until, heard: now };
+            let is_new = self.add((request, endpoint), record, is_ended);
+            self.is_dirty |= is_new;
+            if is_ended && is_new && !self.ends.contains_key(&endpoint) {
+                // Own prompts were there as well.
+                self.record_end(endpoint, until);
+            }
+        }
+    }
+}
+
+fn tell(
+    (request, endpoint): (u32, EndpointKey),
+    record: &Record,
+    is_ended: bool,
+    now: time::Tick,
+) -> Told {
+    Told {
+        request,
+        service: record.prompt.service,
+        endpoint,
+        age: now.since(record.until),
+        ran: record.until.since(record.sent),
+        is_ended,
+        segments: record.prompt.segments.clone(),
+    }
+}
--- a/crates/ibishill-decide/src/quarantine.rs
+++ b/crates/ibishill-decide/src/quarantine.rs
@@ -469,6 +469,28 @@
         open.count() >= *contained
     }
 
+    /// Whether a key is refused, or was until its trial is due.
+    pub fn is_refused(&self, key: call::SuspectKey) -> bool {
+        self.records.get(&key).is_some_and(|record| record.hold.is_some())
+    }
+
+    /// Refuses a key that is blamed for these ends.
+    pub fn refuse(
+        &mut self,
+        key: call::SuspectKey,
+        ends: &[(endpoint_key::EndpointKey, time::Tick)],
+        now: time::Tick,
+    ) {
+        let record = self.record(key, 0, now);
+        for (endpoint, at) in ends {
+            record.add_end(End { endpoint: *endpoint, at: *at });
+        }
+        if record.hold.is_none() {
+            record.set_hold(Some(Hold { since: now, relapses: 0 }), record.epoch + 1, now);
+            self.changes.push(Change { key, is_refused: true, ends: ends.len() });
+        }
+    }
+
     /// Number of segments, and of whole requests, that are refused.
     pub fn refused_count(&self) -> (usize, usize) {
         let held = self.records.iter().filter(|(_, record)| record.hold.is_some());
--- a/crates/ibishill-decide/src/quarantine/evidence.rs
+++ b/crates/ibishill-decide/src/quarantine/evidence.rs
@@ -63,7 +63,10 @@
         let at = |age: time::Millis| time::Tick(now.0.saturating_sub(age.0));
         for found in evidence {
             let Evidence { key, depth, epoch, .. } = found;
-            if let Some(age) = found.survival {
+            // An endpoint may end long after its answer has begun: whether a refused segment is released tells the
+            // state with its number of changes.
+            let is_held = matches!(key, call::SuspectKey::Segment(_)) && self.is_refused(key);
+            if let Some(age) = found.survival.filter(|_| !is_held) {
                 self.clear(key, Survival { began: at(age), is_own: false }, now);
             }
             let survived = self.survivals.last(key).map(|survival| survival.began);
--- /dev/null
+++ b/crates/ibishill-decide/tests/relay/exposure.rs
@@ -0,0 +1,223 @@
+use ibishill_core::{call, id, time};
+use ibishill_decide::{endpoint_key, exposure};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const START: time::Tick = time::Tick(10_000_000);
+const FIRST: u64 = 0xf1;
+const SHARED: u64 = 0xaa;
+const RARE: u64 = 0xcc;
+const POISON: u64 = 0xbad;
+
+/// Endpoints with requests at random, and what each daemon sees of them.
+struct Case {
+    name: &'static str,
+    daemons: usize,
+    /// Poison requests a second, time until they end their endpoint, and which share does.
+    poison: (f64, u64, f64),
+    /// Crashes a second for other reasons.
+    crashes: f64,
+    /// Time of a response.
+    response: u64,
+    /// Expected: the segment is blamed after at most so many ends, or never.
+    expected: Option<usize>,
+}
+
+const BASE: Case = Case {
+    name: "",
+    daemons: 6,
+    poison: (4.0, 50, 1.0),
+    crashes: 0.0,
+    response: 1_500,
+    expected: Some(12),
+};
+
+const CASES: &[Case] = &[
+    Case { name: "before any head", ..BASE },
+    Case { name: "one a second", poison: (1.0, 50, 1.0), ..BASE },
+    Case { name: "amid the response", poison: (4.0, 350, 1.0), ..BASE },
+    Case { name: "after the response", poison: (2.0, 1_500, 1.0), response: 600, ..BASE },
+    Case { name: "one in three", poison: (4.0, 50, 0.33), ..BASE },
+    Case { name: "amid crashes", crashes: 0.5, expected: Some(20), ..BASE },
+    Case { name: "one daemon", daemons: 1, ..BASE },
+    Case { name: "a daemon for each end", daemons: 40, ..BASE },
+    Case { name: "no poison", poison: (0.0, 0, 0.0), crashes: 3.0, expected: None, ..BASE },
+    Case {
+        name: "a segment that is in crashes by chance",
+        poison: (2.5, 0, 0.0),
+        crashes: 3.0,
+        expected: None,
+        ..BASE
+    },
+    Case {
+        name: "all crash again and again",
+        poison: (2.5, 0, 0.0),
+        crashes: 8.0,
+        expected: None,
+        ..BASE
+    },
+];
+
+const ENDPOINTS: usize = 10;
+const STEP: u64 = 10;
+const DURATION: u64 = 20_000;
+/// Requests a second without the poison segment.
+const RATE: f64 = 27.0;
+/// Time until an endpoint is back.
+const DOWNTIME: u64 = 400;
+
+struct Running {
+    daemon: usize,
+    ticket: exposure::Ticket,
+    endpoint: endpoint_key::EndpointKey,
+    until: u64,
+}
+
+fn key(number: usize, incarnation: usize) -> endpoint_key::EndpointKey {
+    let name: id::EndpointId = format!("e{number}-{incarnation}").parse().unwrap();
+    endpoint_key::EndpointKey::new(&name, Some(1))
+}
+
+// Returns the segments that any daemon blames, with the number of ends until then.
+fn run(case: &Case, seed: u64) -> Vec<(u64, usize)> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut daemons = vec![exposure::Exposures::default(); case.daemons];
+    let mut endpoints = [(0_usize, 0_u64, u64::MAX); ENDPOINTS];
+    let (mut running, mut blamed, mut request, mut ends) = (Vec::new(), Vec::new(), 0_u32, 0);
+    for passed in (0..DURATION).step_by(STEP as usize) {
+        let now = START + time::Millis(passed);
+        let step = STEP as f64 / 1_000.0;
+        let (rate, delay, share) = case.poison;
+        let is_attacked = passed > 3_000 && blamed.is_empty();
+        let is_poison = is_attacked && random.random_bool(rate * step);
+        let is_benign = random.random_bool(RATE * step);
+        for (is_sent, is_poison) in [(is_benign, false), (is_poison, true)] {
+            let at = random.random_range(0..ENDPOINTS);
+            let (incarnation, back, end) = endpoints[at];
+            if !is_sent || passed < back {
+                continue;
+            }
+            request += 1;
+            let second = match request % 20 {
+                _ if is_poison => Some(POISON),
+                0 => Some(RARE),
+                n if n % 2 == 0 => Some(SHARED),
+                _ => None,
+            };
+            let own = 0x1_0000 + u64::from(request);
+            let segments = [FIRST].into_iter().chain(second).chain([own]).map(call::SegmentId);
+            let prompt = exposure::Prompt { request, service: 1, segments: segments.collect() };
+            let daemon = random.random_range(0..case.daemons);
+            let endpoint = key(at, incarnation);
+            let ticket = daemons[daemon].begin(prompt, endpoint, false, now);
+            running.push(Running { daemon, ticket, endpoint, until: passed + case.response });
+            if is_poison && random.random_bool(share) {
+                endpoints[at].2 = end.min(passed + delay);
+            }
+        }
+        for found in running.iter().filter(|found| found.until <= passed) {
+            daemons[found.daemon].finish(found.ticket, now);
+        }
+        running.retain(|found| found.until > passed);
+        for (at, (incarnation, back, end)) in endpoints.iter_mut().enumerate() {
+            let is_crash =
+                passed > 3_000 && random.random_bool(case.crashes * step / ENDPOINTS as f64);
+            if passed < *back || !(*end <= passed || is_crash) {
+                continue;
+            }
+            ends += 1;
+            let ended = key(at, *incarnation);
+            // Only the daemons that had requests there notice it.
+            daemons.iter_mut().filter(|daemon| daemon.has_unresolved(ended)).for_each(|daemon| {
+                daemon.record_end(ended, now);
+            });
+            running.retain(|found| found.endpoint != ended);
+            (*incarnation, *back, *end) = (*incarnation + 1, passed + DOWNTIME, u64::MAX);
+        }
+        if passed % 200 == 0 {
+            for daemon in &mut daemons {
+                for due in daemon.due(now) {
+                    let is_alive = endpoints
+                        .iter()
+                        .enumerate()
+                        .any(|(at, found)| passed >= found.1 && key(at, found.0) == due);
+                    if is_alive {
+                        daemon.record_alive(due, now, now);
+                    }
+                }
+            }
+        }
+        if passed % 400 == 0 {
+            // Reports reach a few peers; gossip passes them on.
+            for sender in 0..case.daemons {
+                let report = daemons[sender].report(5, now);
+                let gossip = daemons[sender].gossip(now);
+                for step in 1..6.min(case.daemons) {
+                    daemons[(sender + step) % case.daemons].merge(report.clone(), now);
+                }
+                let peer = random.random_range(0..case.daemons);
+                daemons[peer].merge(gossip, now);
+            }
+        }
+        for daemon in &mut daemons {
+            let known: Vec<u64> = blamed.iter().map(|(segment, _)| *segment).collect();
+            let found = daemon.judge(|segment| known.contains(&segment.0), now);
+            blamed.extend(found.into_iter().map(|blame| (blame.segment.0, ends)));
+        }
+    }
+    blamed
+}
+
+// Guards against poison segments that are never blamed, and against benign ones that are, in attacks and in waves of
+// crashes.
+#[test]
+fn only_the_segment_that_ends_endpoints_is_blamed() {
+    for case in CASES {
+        for seed in 0..20 {
+            let blamed = run(case, seed);
+            let wrong: Vec<_> = blamed.iter().filter(|(segment, _)| *segment != POISON).collect();
+            assert!(wrong.is_empty(), "{} {seed}: {wrong:x?} blamed", case.name);
+            let ends = blamed.first().map(|(_, ends)| *ends);
+            let is_expected = match case.expected {
+                Some(most) => ends.is_some_and(|ends| ends <= most),
+                None => ends.is_none(),
+            };
+            assert!(is_expected, "{} {seed}: blamed after {ends:?} ends", case.name);
+        }
+    }
+}
+
+// Guards against a record that several daemons tell counting several times.
+#[test]
+fn merging_is_idempotent() {
+    let mut first = exposure::Exposures::default();
+    for number in 0..2 {
+        let segments = vec![call::SegmentId(POISON)];
+        let prompt = exposure::Prompt { request: number, service: 1, segments };
+        first.begin(prompt, key(number as usize, 0), false, START);
+        assert_eq!(first.record_end(key(number as usize, 0), START + time::Millis(50)), 1);
+    }
+    let mut second = exposure::Exposures::default();
+    let now = START + time::Millis(1_000);
+    for _ in 0..10 {
+        second.merge(first.gossip(now), now);
+        assert!(second.judge(|_| false, now + time::Millis(1_000)).is_empty());
+    }
+}
+
+// Guards against a trial that counts as harmless because its response has begun, or against one that never counts.
+#[test]
+fn trial_is_harmless_once_its_endpoint_has_gone_on() {
+    let mut exposures = exposure::Exposures::default();
+    let segments = vec![call::SegmentId(POISON)];
+    let prompt = exposure::Prompt { request: 1, service: 1, segments: segments.clone() };
+    let ticket = exposures.begin(prompt, key(0, 0), true, START);
+    let finished = START + time::Millis(1_000);
+    exposures.finish(ticket, finished);
+    assert!(exposures.due(finished + time::Millis(100)).is_empty());
+    assert!(exposures.record_alive(key(0, 0), finished + time::Millis(100), finished).is_empty());
+    let later = finished + exposure::AFTERMATH;
+    assert!(exposures.due(later).contains(&key(0, 0)));
+    let found = exposures.record_alive(key(0, 0), later, later);
+    assert_eq!(found, [exposure::Survival { segments, sent: START }]);
+}
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod contact;
 mod endpoint_limit;
 mod escalation;
+mod exposure;
 mod pace;
 mod peers;
 mod portion;
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, gate, outlier, reach};
+use ibishill_decide::{balance, canary, endpoint_key, exposure, gate, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
@@ -23,6 +23,9 @@
     endpoint: id::EndpointId,
     work: balance::Work,
     is_answering: bool,
+    // Once the prompt is sent.
+    exposure: Option<exposure::Ticket>,
+    is_trial: bool,
 }
 
 impl AttemptGuard {
@@ -33,13 +36,37 @@
         let slow_start = state.slow_start(&received.service, now);
         let rank = state.cold_rank(endpoint);
         state.balancer.begin(endpoint, work, slow_start, rank, now);
-        let is_trial = state.quarantine.record_send(&received.suspects(), now);
+        let is_trial = state.quarantine.record_send(&received.refusable(), now);
         drop(state);
         if is_trial {
             context.evidence_added.notify_one();
         }
         context.record_reading(endpoint, work.prefill);
-        Self { context: context.clone(), endpoint: endpoint.clone(), work, is_answering: false }
+        Self {
+            context: context.clone(),
+            endpoint: endpoint.clone(),
+            work,
+            is_answering: false,
+            exposure: None,
+            is_trial,
+        }
+    }
+
+    // The prompt is about to be sent.
+    fn begin_exposure(&mut self, received: &Received, registration: &fleet::Registration) {
+        if let Some(prompt) = received.prompt() {
+            let key = endpoint_key::EndpointKey::of(registration);
+            let now = self.context.now();
+            let mut state = self.context.state();
+            self.exposure = Some(state.exposures.begin(prompt, key, self.is_trial, now));
+        }
+    }
+
+    // The endpoint has not run the prompt.
+    fn withdraw_exposure(&mut self) {
+        if let Some(ticket) = self.exposure.take() {
+            self.context.state().exposures.withdraw(ticket);
+        }
     }
 
     // The response has started, so the prefill is complete.
@@ -54,7 +81,13 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.mark_answering();
-        self.context.state().balancer.end(&self.endpoint, self.work);
+        let now = self.context.now();
+        let mut state = self.context.state();
+        state.balancer.end(&self.endpoint, self.work);
+        if let Some(ticket) = self.exposure {
+            state.exposures.finish(ticket, now);
+        }
+        drop(state);
         self.context.capacity_freed.notify_waiters();
     }
 }
@@ -228,6 +261,7 @@
         return (Outcome::NotAttempted, "the version was rolled back".into());
     }
     let sent = guard.context.now();
+    guard.begin_exposure(received, registration);
     let (response, connection) =
         match upstream::send(stream, request, upstream::ANSWER_BUFFER).await {
             Ok(answered) => answered,
@@ -236,7 +270,10 @@
                 let detail = error.to_string();
                 return match error {
                     CallError::Unknown(_) => (Outcome::Unknown, detail),
-                    _ => (Outcome::ConnectFailed, detail),
+                    _ => {
+                        guard.withdraw_exposure();
+                        (Outcome::ConnectFailed, detail)
+                    }
                 };
             }
         };
@@ -257,6 +294,7 @@
         return (Outcome::Unknown, detail);
     }
     if reply.not_run {
+        guard.withdraw_exposure();
         // An endpoint that asks for rest says nothing about its load.
         if reply.terms.rest.is_some() {
             return (Outcome::Refused, parts.status.to_string());
@@ -360,6 +398,9 @@
     if is_failure {
         isolation::record_failure(context, &registration.id);
     }
+    if matches!(result, Err(CallError::Connect(_))) {
+        early_end::record_refused(context, registration);
+    }
     if has_changed {
         event::emit_json(
             event::Event::ZoneReach,
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -28,6 +28,9 @@
 /// Timeout of the check before a request is sent again.
 const FIRST_CHECK_TIMEOUT: time::Millis = time::Millis(40);
 
+/// Interval of the checks which endpoints go on.
+const SURVIVAL_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Maximum number of concurrent checks.
 const CHECKS_MAX: u32 = 64;
 
@@ -130,17 +133,18 @@
     outcome: &Outcome,
 ) -> bool {
     let (keys, now) = (received.suspects(), context.now());
-    let is_known = context.state().verdict(&keys, now) != quarantine::Verdict::Allowed;
+    let refusable = received.refusable();
+    let is_known = context.state().verdict(&refusable, now) != quarantine::Verdict::Allowed;
     match outcome {
         Outcome::ConnectFailed | Outcome::NotAttempted => {
-            context.state().quarantine.withdraw_trial(&keys, now);
+            context.state().quarantine.withdraw_trial(&refusable, now);
             false
         }
         Outcome::Response(response) => {
             // An endpoint answers so at the deadline, whether or not the request has begun to run.
             let has_run = received.is_plain() && response.status() != StatusCode::GATEWAY_TIMEOUT;
             if has_run || response.status().is_success() {
-                context.state().quarantine.record_survival(&keys, now, now);
+                context.state().record_going_on(&keys, now, now);
             }
             false
         }
@@ -168,6 +172,74 @@
     }
 }
 
+/// Checks whether an endpoint whose response has broken off refuses connections, and once more later if not:
+/// it has ended then, and this counts against the prompts that were there.
+pub(crate) async fn check_exposures(
+    context: &Shared,
+    received: &Received,
+    endpoint: &id::EndpointId,
+) {
+    let Some(registration) = context.state().balancer.entry(endpoint).cloned() else { return };
+    if received.is_plain() {
+        return;
+    }
+    if refuses(&registration, FIRST_CHECK_TIMEOUT).await {
+        record_refused(context, &registration);
+    } else {
+        check_later(context, Lost::new(received, Vec::new(), context.now()), endpoint);
+    }
+}
+
+/// Records that an endpoint refuses connections: it has ended, and this counts against the prompts that were there.
+pub(crate) fn record_refused(context: &Shared, registration: &fleet::Registration) {
+    let (key, now) = (endpoint_key::EndpointKey::of(registration), context.now());
+    let mut state = context.state();
+    let is_expected = state.balancer.is_out_of_reach(&registration.id)
+        || !state.balancer.is_open(&registration.id, now);
+    if is_expected || !state.exposures.has_unresolved(key) {
+        return;
+    }
+    let prompts = state.exposures.record_end(key, now);
+    if prompts > 0 {
+        context.metrics.record_exposed_ends();
+        event::emit_json(
+            event::Event::EndpointLost,
+            &[event::field("endpoint", &registration.id), event::field("prompts", &prompts)],
+        );
+        context.evidence_added.notify_one();
+    }
+    judge(&mut state, now);
+}
+
+/// Finds out, after endpoints have ended, which others go on after prompts were there.
+pub(crate) async fn check_survivals(context: Shared) {
+    loop {
+        clock::sleep(SURVIVAL_INTERVAL).await;
+        let due = {
+            let (state, now) = (context.state(), context.now());
+            let due = state.exposures.due(now).into_iter();
+            let due = due.filter_map(|key| Some((key, state.balancer.entry_of(key)?.clone())));
+            due.take(CHECKS_MAX as usize).collect::<Vec<_>>()
+        };
+        let checks = due.into_iter().map(async |(key, registration)| {
+            let at = context.now();
+            match upstream::connect(registration.address, CHECK_TIMEOUT).await {
+                Ok(_) => {
+                    let now = context.now();
+                    // The registration of another process may have come meanwhile.
+                    let mut state = context.state();
+                    if state.balancer.entry_of(key).is_some() {
+                        state.record_alive(key, at, now);
+                    }
+                }
+                Err(CallError::Connect(_)) => record_refused(&context, &registration),
+                Err(_) => {}
+            }
+        });
+        futures::future::join_all(checks).await;
+    }
+}
+
 async fn refuses(registration: &fleet::Registration, timeout: time::Millis) -> bool {
     let result = upstream::connect(registration.address, timeout).await;
     matches!(result, Err(CallError::Connect(_)))
@@ -191,6 +263,10 @@
         if context.state().balancer.is_out_of_reach(&registration.id) {
             return;
         }
+        record_refused(context, registration);
+        if self.keys.is_empty() {
+            return;
+        }
         context.metrics.record_early_end();
         let keys: Vec<String> = self.keys.iter().map(ToString::to_string).collect();
         event::emit_json(
@@ -214,7 +290,16 @@
 pub(crate) fn judge(state: &mut State, now: time::Tick) {
     let contacts = &*state.balancer.contacts();
     state.quarantine.void_ends(|key, at| contacts.has_answered_since(key, at), now);
+    let quarantine = &state.quarantine;
+    let is_refused = |segment| quarantine.is_refused(call::SuspectKey::Segment(segment));
+    for blame in state.exposures.judge(is_refused, now) {
+        let key = call::SuspectKey::Segment(blame.segment);
+        state.quarantine.refuse(key, &blame.ends, now);
+    }
     for change in state.quarantine.judge(now) {
+        if let (call::SuspectKey::Segment(segment), false) = (change.key, change.is_refused) {
+            state.exposures.forget(segment);
+        }
         event::emit_json(
             event::Event::QuarantineChanged,
             &[
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -62,7 +62,7 @@
         let mut in_flight = state.balancer.in_flight();
         in_flight.sort_by_key(|work| std::cmp::Reverse(work.running));
         in_flight.truncate(ENTRIES_MAX);
-        let report = wire::Report {
+        let mut report = wire::Report {
             vm: state.settings.vm.clone(),
             versions: state.table_versions(now),
             in_flight,
@@ -76,6 +76,7 @@
         let alive: Vec<_> = state.peers.alive(now).into_iter().skip(1).collect();
         let peers = report_targets::select(state.peers.own(), &alive, &partners, round);
         let peers: Vec<_> = peers.into_iter().map(|peer| peer.address).collect();
+        report.news.exposures = state.exposures.report(peers.len(), now);
         (report, peers)
     };
     let mut encoded: BTreeMap<Format, Vec<u8>> = BTreeMap::new();
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -46,6 +46,7 @@
     received: Counter<u64>,
     catalog_delay: Histogram<f64>,
     early_ends: Counter<u64>,
+    exposed_ends: Counter<u64>,
     hops: Counter<u64>,
 }
 
@@ -95,6 +96,10 @@
                 "relay_early_ends",
                 "Endpoints that ended just after an answer began, as seen by this relay",
             ),
+            exposed_ends: counter(
+                "relay_exposed_ends",
+                "endpoints that ended while prompts of this relay were there",
+            ),
             hops: counter("relay_hops", "Attempts through peers, by outcome"),
             registry,
             _provider: provider,
@@ -168,6 +173,11 @@
         self.early_ends.add(1, &[]);
     }
 
+    /// Counts an endpoint that ended while prompts were there.
+    pub(crate) fn record_exposed_ends(&self) {
+        self.exposed_ends.add(1, &[]);
+    }
+
     fn text(&self, context: &Shared) -> String {
         let mut text = Vec::new();
         let encoder = prometheus::TextEncoder::new();
@@ -195,7 +205,7 @@
     let mut lines = format!(
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
          relay_rollouts_running {}\nrelay_zones_doubted {}\nrelay_segments_refused {}\n\
-         relay_requests_refused {}\n\
+         relay_requests_refused {}\nrelay_segments_suspected {}\n\
          relay_endpoints_limited {}\nrelay_store_restores {}\n\
          relay_endpoints_out_of_reach {}\nrelay_forwarded {}\n\
          relay_unread_bytes {}\n\
@@ -208,6 +218,7 @@
         suspected,
         segments,
         requests,
+        state.exposures.suspect_count(),
         limited,
         state.restores,
         out_of_reach,
--- a/crates/ibishill-relay/src/request.rs
+++ b/crates/ibishill-relay/src/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use ibishill_core::{call, id, route, time};
+use ibishill_decide::exposure;
 use xxhash_rust::xxh3;
 
 use crate::abort;
@@ -104,6 +105,23 @@
         segments.map(call::SuspectKey::Segment).chain([self.whole()]).collect()
     }
 
+    /// What it may be refused for: all segments of its prompt, and the whole.
+    pub(crate) fn refusable(&self) -> Vec<call::SuspectKey> {
+        let segments = self.metadata.segments.iter();
+        let segments = segments.map(|segment| call::SuspectKey::Segment(segment.id));
+        segments.chain([self.whole()]).collect()
+    }
+
+    /// Its prompt, as it is sent to endpoints; none for a plain service.
+    pub(crate) fn prompt(&self) -> Option<exposure::Prompt> {
+        let hash = |text: &str| xxh3::xxh3_64(text.as_bytes()) as u32;
+        (!self.is_plain()).then(|| exposure::Prompt {
+            request: hash(&self.metadata.id),
+            service: hash(self.service.as_str()),
+            segments: self.metadata.segments.iter().map(|segment| segment.id).collect(),
+        })
+    }
+
     /// Hash of its session, or of the request itself outside of one.
     pub(crate) fn session_hash(&self) -> u64 {
         xxh3::xxh3_64(self.metadata.session.as_ref().unwrap_or(&self.metadata.id).as_bytes())
--- a/crates/ibishill-relay/src/retry_budget.rs
+++ b/crates/ibishill-relay/src/retry_budget.rs
@@ -57,7 +57,7 @@
 // Whether the request or a segment of its prompt is suspected of ending endpoints, so that it gets one
 // attempt only.
 fn is_contained(state: &State, received: &Received, now: time::Tick) -> bool {
-    state.verdict(&received.suspects(), now) != quarantine::Verdict::Allowed
+    state.verdict(&received.refusable(), now) != quarantine::Verdict::Allowed
 }
 
 /// Takes a retry from the budget of the request's service; returns whether it was granted. A request
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -62,7 +62,7 @@
     let now = context.now();
     let mut state = context.state();
     let state = &mut *state;
-    if let quarantine::Verdict::Refused(after) = state.verdict(&received.suspects(), now) {
+    if let quarantine::Verdict::Refused(after) = state.verdict(&received.refusable(), now) {
         return Choice::Quarantined(after);
     }
     let session = received.session_hash();
@@ -256,7 +256,7 @@
 
 // Fails if the request or a segment of its prompt is refused, whether or not there is a free slot.
 fn check_quarantine(context: &Shared, received: &Received) -> Result<(), Reason> {
-    let verdict = context.state().verdict(&received.suspects(), context.now());
+    let verdict = context.state().verdict(&received.refusable(), context.now());
     match verdict {
         quarantine::Verdict::Refused(after) => Err(quarantined(context, received, after)),
         quarantine::Verdict::Allowed | quarantine::Verdict::Contained => Ok(()),
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, route, store_version, time};
-use ibishill_decide::{balance, canary, escalation, peers, quarantine, retry, wait_queue};
+use ibishill_decide::{
+    balance, canary, escalation, exposure, peers, quarantine, retry, wait_queue,
+};
 use ibishill_state::{chunk, confirmation, replica, transfer};
 
 use crate::told::Announcement;
@@ -115,6 +117,8 @@
     pub(crate) wait_queue: wait_queue::Queue,
     /// Prompt segments that end endpoints.
     pub(crate) quarantine: quarantine::Quarantine,
+    /// Prompts sent to endpoints, and what became of these.
+    pub(crate) exposures: exposure::Exposures,
     pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
     pub(crate) pressures: BTreeMap<id::ServiceId, escalation::Pressure>,
     /// In-flight requests by workspace.
@@ -160,6 +164,7 @@
             peers: peers::Peers::new(own),
             wait_queue: wait_queue::Queue::default(),
             quarantine: quarantine::Quarantine::default(),
+            exposures: exposure::Exposures::default(),
             allowances: BTreeMap::new(),
             pressures: BTreeMap::new(),
             in_flight: BTreeMap::new(),
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -54,6 +54,7 @@
         }
         self.balancer.merge_cold(news.cold, now);
         self.quarantine.merge(news.evidence, now);
+        self.exposures.merge(news.exposures, now);
         early_end::judge(self, now);
     }
 
@@ -66,6 +67,8 @@
             fragile: self.balancer.gate().slots().told(max.0, now),
             evidence: self.quarantine.evidence(max.1, is_complete, now),
             cold: self.balancer.told_cold(max.0, now),
+            // A report gets its own, as many as its receivers allow.
+            exposures: if is_complete { self.exposures.gossip(now) } else { Vec::new() },
         }
     }
 
@@ -76,6 +79,44 @@
         now: time::Tick,
     ) -> quarantine::Verdict {
         let rank = |key: call::SuspectKey| self.peers.known_rank(&key.to_string());
-        self.quarantine.verdict(keys, rank, now)
+        let verdict = self.quarantine.verdict(keys, rank, now);
+        let is_suspect = |key: &call::SuspectKey| match key {
+            call::SuspectKey::Segment(segment) => self.exposures.is_suspect(*segment),
+            call::SuspectKey::Request(_) | call::SuspectKey::Prompt(_) => false,
+        };
+        if verdict == quarantine::Verdict::Allowed && keys.iter().any(is_suspect) {
+            return quarantine::Verdict::Contained;
+        }
+        verdict
+    }
+
+    /// Records an answer that began at `began` and goes on, which clears its keys but for segments that are
+    /// refused: their endpoints may end later.
+    pub(crate) fn record_going_on(
+        &mut self,
+        keys: &[call::SuspectKey],
+        began: time::Tick,
+        now: time::Tick,
+    ) {
+        let is_open = |key: &&call::SuspectKey| {
+            !matches!(key, call::SuspectKey::Segment(_)) || !self.quarantine.is_refused(**key)
+        };
+        let open: Vec<_> = keys.iter().filter(is_open).copied().collect();
+        self.quarantine.record_survival(&open, began, now);
+    }
+
+    /// Records that an endpoint was still there at `at`, which clears the segments of earlier prompts.
+    pub(crate) fn record_alive(
+        &mut self,
+        endpoint: endpoint_key::EndpointKey,
+        at: time::Tick,
+        now: time::Tick,
+    ) {
+        for survival in self.exposures.record_alive(endpoint, at, now) {
+            let segments = survival.segments.into_iter().map(call::SuspectKey::Segment);
+            let refused: Vec<_> = segments.filter(|key| self.quarantine.is_refused(*key)).collect();
+            self.quarantine.record_survival(&refused, survival.sent, now);
+        }
+        early_end::judge(self, now);
     }
 }
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -119,10 +119,11 @@
             // elsewhere.
             drop(connection);
             drop(guard);
-            if let (End::Cut(_), Some(target)) = (&end, self.destination.target())
-                && self.beginning.is_early(self.context.now())
-            {
-                early_end::check(&self.context, &self.received, &target.endpoint);
+            if let (End::Cut(_), Some(target)) = (&end, self.destination.target()) {
+                if self.beginning.is_early(self.context.now()) {
+                    early_end::check(&self.context, &self.received, &target.endpoint);
+                }
+                early_end::check_exposures(&self.context, &self.received, &target.endpoint).await;
             }
             match end {
                 End::Complete => {
@@ -263,7 +264,7 @@
         if self.beginning.take_survival() && self.destination.target().is_some() {
             let segments = self.received.suspects();
             let (began, now) = (self.beginning.began(), self.context.now());
-            self.context.state().quarantine.record_survival(&segments, began, now);
+            self.context.state().record_going_on(&segments, began, now);
         }
     }
 
--- a/crates/ibishill-relay/src/told.rs
+++ b/crates/ibishill-relay/src/told.rs
@@ -1,7 +1,7 @@
 //! What relays tell each other of themselves and of endpoints, apart from how it is encoded.
 
 use ibishill_core::time;
-use ibishill_decide::{endpoint_key, endpoint_limit, gate, quarantine, slot_share};
+use ibishill_decide::{endpoint_key, endpoint_limit, exposure, gate, quarantine, slot_share};
 use serde::{Deserialize, Serialize};
 
 /// Configuration that a relay has in force.
@@ -24,4 +24,7 @@
     pub(crate) evidence: Vec<quarantine::evidence::Evidence>,
     /// Endpoints that have turned cold, and how long they stay so.
     pub(crate) cold: Vec<(endpoint_key::EndpointKey, time::Millis)>,
+    /// Prompts sent to endpoints, and whether these have ended.
+    #[serde(skip)]
+    pub(crate) exposures: Vec<exposure::Told>,
 }
--- a/crates/ibishill-relay/src/wire/envelope.rs
+++ b/crates/ibishill-relay/src/wire/envelope.rs
@@ -50,6 +50,8 @@
     demand: f32,
     #[prost(bool, tag = "18")]
     hears_starts: bool,
+    #[prost(bytes = "bytes", repeated, tag = "19")]
+    exposures: Vec<Bytes>,
 }
 
 /// State of a roll-out.
@@ -117,6 +119,7 @@
             fragile: list(&news.fragile)?,
             evidence: list(&news.evidence)?,
             cold: list(&news.cold)?,
+            exposures: items(&news.exposures)?,
             ..Self::default()
         })
     }
@@ -176,6 +179,7 @@
             fragile: part("fragile", self.fragile.as_ref(), skipped),
             evidence: part("evidence", self.evidence.as_ref(), skipped),
             cold: part("cold", self.cold.as_ref(), skipped),
+            exposures: readable("exposures", &self.exposures, skipped),
         }
     }
 }
