--- a/crates/ibishill-relay/src/wire/envelope.rs
+++ b/crates/ibishill-relay/src/wire/envelope.rs
@@ -52,6 +52,8 @@
     hears_starts: bool,
     #[prost(bytes = "bytes", optional, tag = "30")]
     speeds: Option<Bytes>,
+    #[prost(bytes = "bytes", repeated, tag = "19")]
+    exposures: Vec<Bytes>,
 }
 
 /// State of a roll-out.
@@ -120,6 +122,7 @@
             fragile: list(&news.fragile)?,
             evidence: list(&news.evidence)?,
             cold: list(&news.cold)?,
+            exposures: items(&news.exposures)?,
             ..Self::default()
         })
     }
@@ -180,6 +183,7 @@
             fragile: part("fragile", self.fragile.as_ref(), skipped),
             evidence: part("evidence", self.evidence.as_ref(), skipped),
             cold: part("cold", self.cold.as_ref(), skipped),
+            exposures: readable("exposures", &self.exposures, skipped),
         }
     }
 }
