decide: promises of capacity for refused callers

Cause: every caller that is refused for want of capacity is told to return after 0.5 s, so callers that 75 relays refuse within a second return within a second. Change: promise::Promises divides the time after a refusal into slots as requests are expected to end in the relay's part of the capacity, by the number of relays that refuse, and promises each once, within a third of the time that the caller has left. It also tells whether a request can start in time behind those that wait.

--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod plan;
 pub mod portion;
 pub mod prefix;
+pub mod promise;
 pub mod quarantine;
 pub mod queue;
 pub mod rate;
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod pace;
 mod peers;
 mod portion;
+mod promise;
 mod quarantine;
 mod reach;
 mod readers;
