relay: fair shares of workspaces over all relays, and promises in refusals

Cause: waiting requests are ordered by their workspace's requests in flight at one relay. A workspace that sends ten times its usual through 75 relays looks ordinary at each; new requests also overtake those that wait, and all refused callers return after 0.5 s. Change: relays tell a sample of their peers (part 24 of the load reports) which slots their workspaces hold and how many requests wait, while a service with several workspaces is full. A workspace at its max-min share leaves the last tenth of the capacity to those that lack slots. Waiting requests go by priority, share, latest start and age; one that can't start in time is refused at once; Retry-After is a promise of capacity, by the number of relays that refuse (part 25).

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -126,6 +126,7 @@
     RequestDone = 2408, Info, "request answered";
     RequestForwarded = 2410, Info, "request sent through a peer";
     CallerStalled = 2411, Warn, "caller disconnected that read nothing, for want of memory";
+    WorkspaceYields = 2420, Info, "workspace beyond its fair share yields";
     CallerGone = 2409, Info, "caller gone before the end";
 }
 
--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod endpoint_key;
 pub mod endpoint_limit;
 pub mod escalation;
+pub mod fair_share;
 pub mod gate;
 pub mod hedge;
 pub mod index;
--- a/crates/ibishill-decide/src/report_targets.rs
+++ b/crates/ibishill-decide/src/report_targets.rs
@@ -25,6 +25,10 @@
 /// Peers that are told at once of what was sent to an endpoint, at most.
 const LISTENERS_MAX: usize = 32;
 
+/// Peers of a report that are told of the use by workspaces as well, on average: at most 1.6 KB/s for each service that
+/// is short of capacity. Shares are a matter of proportions, which a sample shows.
+const USAGE_FANOUT: usize = 12;
+
 /// Prefill cost from which on a request is told of at once, in thousands of tokens at the largest model.
 const START_MIN: f64 = 1.0;
 
@@ -82,6 +86,14 @@
     peers.into_iter().cycle().skip(first).take(count).collect()
 }
 
+/// Whether a peer that gets the report of a round, as one of `count`, is told of the use by workspaces as well.
+///
+/// At random, as a fixed order would miss some peers in step with that of [`select`].
+pub fn hears_usage(peer: &id::VmId, count: usize, round: u64) -> bool {
+    let hash = xxh3::xxh3_64_with_seed(peer.as_str().as_bytes(), round);
+    (hash % count.max(1) as u64) < USAGE_FANOUT as u64
+}
+
 /// Time for which a report of a peer counts, with `near` peers in this daemon's zone and `far` others.
 pub fn ttl(is_near: bool, near: usize, far: usize) -> time::Millis {
     if near + far <= FANOUT {
--- a/crates/ibishill-decide/src/wait_queue.rs
+++ b/crates/ibishill-decide/src/wait_queue.rs
@@ -1,13 +1,17 @@
 //! The relay's wait queue: the order in which requests get free slots, and how long they wait.
 //!
 //! Designed for bursts that fill every endpoint for a second or two. Requests are ordered by
-//! priority, then by how few requests of their workspace are in flight, so that one workspace's
-//! burst does not delay the others, then by waiting time.
+//! priority, then by the rank of their workspace, so that one workspace's burst does not delay the
+//! others, then by the time left to start, then by age. The rank is the number of the workspace's
+//! requests in flight at this daemon or, where several workspaces send requests, that of
+//! [`crate::fair_share`], by which some yield to requests of any priority.
 
 use std::collections::BTreeMap;
 
 use ibishill_core::{id, time};
 
+use crate::fair_share::YIELDING;
+
 /// Share of a service's latency target that a request may spend waiting.
 const WAIT_SHARE: f64 = 0.5;
 
@@ -22,6 +26,8 @@
     pub workspace: Option<id::WorkspaceId>,
     /// The service to be called.
     pub service: id::ServiceId,
+    /// When it must start, or is refused; the same for all where this does not matter for the order.
+    pub until: time::Tick,
     /// When it was queued.
     pub since: time::Tick,
 }
@@ -67,18 +73,49 @@
         self.waiters.values().any(|other| other.service == *service && other.priority < priority)
     }
 
-    /// Tickets in the order of admission; `running` returns a workspace's requests in flight.
-    pub fn order<F>(&self, service: &id::ServiceId, running: F) -> Vec<u64>
+    /// Whether a request for `service` is queued that would be admitted before a new one of this priority and rank;
+    /// `rank` returns that of a workspace. One of the same rank counts if `yields_to_equal`.
+    pub fn has_earlier<F>(
+        &self,
+        service: &id::ServiceId,
+        priority: u8,
+        own: u32,
+        yields_to_equal: bool,
+        rank: F,
+    ) -> bool
+    where
+        F: Fn(Option<&id::WorkspaceId>) -> u32,
+    {
+        let own = (own >= YIELDING, priority, own);
+        self.of_service(service).any(|waiter| {
+            let found = precedence(waiter, &rank);
+            found < own || (yields_to_equal && found == own)
+        })
+    }
+
+    /// Tickets in the order of admission; `rank` returns the rank of a workspace, lower first.
+    pub fn order<F>(&self, service: &id::ServiceId, rank: F) -> Vec<u64>
     where
         F: Fn(Option<&id::WorkspaceId>) -> u32,
     {
-        let queued = self.waiters.values().filter(|waiter| waiter.service == *service);
-        let mut order: Vec<_> = queued.collect();
-        order.sort_by_key(|waiter| {
-            (waiter.priority, running(waiter.workspace.as_ref()), waiter.since, waiter.ticket)
+        let mut order: Vec<_> = self.of_service(service).collect();
+        order.sort_by_cached_key(|waiter| {
+            (precedence(waiter, &rank), waiter.until, waiter.since, waiter.ticket)
         });
         order.into_iter().map(|waiter| waiter.ticket).collect()
     }
+
+    fn of_service(&self, service: &id::ServiceId) -> impl Iterator<Item = &Waiter> {
+        self.waiters.values().filter(move |waiter| waiter.service == *service)
+    }
+}
+
+fn precedence<F>(waiter: &Waiter, rank: &F) -> (bool, u8, u32)
+where
+    F: Fn(Option<&id::WorkspaceId>) -> u32,
+{
+    let rank = rank(waiter.workspace.as_ref());
+    (rank >= YIELDING, waiter.priority, rank)
 }
 
 /// Longest time that a request waits for a free slot before it is refused, given the service's
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod contact;
 mod endpoint_limit;
 mod escalation;
+mod fair_share;
 mod pace;
 mod peers;
 mod portion;
--- a/crates/ibishill-decide/tests/relay/wait_queue.rs
+++ b/crates/ibishill-decide/tests/relay/wait_queue.rs
@@ -1,5 +1,5 @@
 use ibishill_core::{id, time};
-use ibishill_decide::wait_queue;
+use ibishill_decide::{fair_share, wait_queue};
 
 fn waiter(priority: u8, workspace: &str, since: u64) -> wait_queue::Waiter {
     wait_queue::Waiter {
@@ -7,6 +7,7 @@
         priority,
         workspace: Some(workspace.parse().unwrap()),
         service: "pool".parse().unwrap(),
+        until: time::Tick(0),
         since: time::Tick(since),
     }
 }
@@ -33,6 +34,35 @@
     assert_eq!(queue.waiting(&service), 4);
 }
 
+// Where several workspaces send requests, one that yields is behind requests of a lower priority, and those of the
+// same rank go by the time left to start, then by age.
+#[test]
+fn order_is_by_share_then_time_left_then_age() {
+    let mut queue = wait_queue::Queue::default();
+    let mut push = |priority, workspace: &str, until, since| {
+        let until = time::Tick(until);
+        queue.push(wait_queue::Waiter { until, ..waiter(priority, workspace, since) })
+    };
+    let yielding = push(0, "surging", 10, 1);
+    let over = push(1, "over", 20, 1);
+    let late = push(1, "even", 90, 2);
+    let newer = push(1, "other", 50, 4);
+    let older = push(1, "even", 50, 3);
+    let low = push(2, "even", 10, 1);
+    let rank = |workspace: Option<&id::WorkspaceId>| match workspace.map(id::WorkspaceId::as_str) {
+        Some("surging") => fair_share::YIELDING + 40,
+        Some("over") => 5,
+        _ => 0,
+    };
+    let service = "pool".parse().unwrap();
+    assert_eq!(queue.order(&service, rank), [older, newer, late, over, low, yielding]);
+    assert!(!queue.has_earlier(&service, 1, 0, false, rank));
+    assert!(queue.has_earlier(&service, 1, 0, true, rank));
+    assert!(queue.has_earlier(&service, 1, 5, false, rank));
+    assert!(queue.has_earlier(&service, 0, fair_share::YIELDING, false, rank));
+    assert!(!queue.has_earlier(&service, 0, 0, true, rank));
+}
+
 #[test]
 fn wait_is_limited_by_latency_target_and_deadline() {
     struct Case {
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::request::{Destination, Received, Target};
 use crate::state::State;
 use crate::upstream::{self, CallError};
-use crate::{early_end, isolation, retry_budget, rollout, rollout_log};
+use crate::{early_end, fairness, isolation, retry_budget, rollout, rollout_log};
 
 /// Counts an attempt as in flight at its endpoint until dropped.
 pub(crate) struct AttemptGuard {
@@ -23,6 +23,7 @@
     endpoint: id::EndpointId,
     work: balance::Work,
     is_answering: bool,
+    slot: fairness::Slot,
 }
 
 impl AttemptGuard {
@@ -35,11 +36,13 @@
         state.balancer.begin(endpoint, work, slow_start, rank, now);
         let is_trial = state.quarantine.record_send(&received.suspects(), now);
         drop(state);
+        let slot = fairness::Slot::take(context, received, now);
         if is_trial {
             context.evidence_added.notify_one();
         }
         context.record_reading(endpoint, work.prefill);
-        Self { context: context.clone(), endpoint: endpoint.clone(), work, is_answering: false }
+        let (context, endpoint) = (context.clone(), endpoint.clone());
+        Self { context, endpoint, work, is_answering: false, slot }
     }
 
     // The response has started, so the prefill is complete.
@@ -53,6 +56,7 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        self.slot.leave(&self.context, self.is_answering);
         self.mark_answering();
         self.context.state().balancer.end(&self.endpoint, self.work);
         self.context.capacity_freed.notify_waiters();
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -18,7 +18,7 @@
 use crate::context::Shared;
 use crate::local_reply::{self, Reason};
 use crate::request::{Hop, Received};
-use crate::{abort, hop, request_key, retry_budget, selection, stream, unread};
+use crate::{abort, fairness, hop, request_key, retry_budget, selection, stream, unread};
 
 /// Time within which a request body must arrive, if the request's deadline is not earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -249,6 +249,7 @@
     let deadline = clock::Instant::now() + Duration::from_millis(remaining.0);
     let mut has_sent = false;
     let (request, arrived) = (received.metadata.id.clone(), received.arrived);
+    let (service, until) = (received.service.clone(), received.deadline);
     retry_budget::record_request(context, &mut received);
     follow_variant(context, &received);
     let work = attempts(context, received, &mut has_sent);
@@ -270,7 +271,10 @@
             }
             response
         }
-        Err(reason) => local_reply::respond(context, &request, reason),
+        Err(reason) => {
+            let promise = fairness::promise(context, &request, &service, until, reason);
+            local_reply::respond_after(context, &request, reason, promise)
+        }
     }
 }
 
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod datagrams;
 mod early_end;
 mod event_sequence;
+mod fairness;
 mod feed;
 mod gossip;
 mod handler;
--- a/crates/ibishill-relay/src/load_reports.rs
+++ b/crates/ibishill-relay/src/load_reports.rs
@@ -71,18 +71,24 @@
             demand: state.balancer.gate().limits().demands().own(now) as f32,
             hears_starts: true,
             news: state.news(NEWS_MAX, false, now),
+            usage: state.fair_share.tell(now),
+            is_refusing: state.promises.is_refusing(now),
         };
         let partners = state.balancer.gate().partners(&report.vm);
         let alive: Vec<_> = state.peers.alive(now).into_iter().skip(1).collect();
         let peers = report_targets::select(state.peers.own(), &alive, &partners, round);
-        let peers: Vec<_> = peers.into_iter().map(|peer| peer.address).collect();
+        let count = peers.len();
+        let hears_usage = |vm| report_targets::hears_usage(vm, count, round);
+        let peers: Vec<_> =
+            peers.into_iter().map(|peer| (peer.address, hears_usage(&peer.vm))).collect();
         (report, peers)
     };
-    let mut encoded: BTreeMap<Format, Vec<u8>> = BTreeMap::new();
-    for peer in peers {
+    let mut encoded: BTreeMap<(Format, bool), Vec<u8>> = BTreeMap::new();
+    for (peer, hears_usage) in peers {
         let format = context.peer_formats.borrow().of_datagram(peer, now);
-        if let btree_map::Entry::Vacant(entry) = encoded.entry(format) {
-            match encode(&report, format) {
+        let key = (format, hears_usage);
+        if let btree_map::Entry::Vacant(entry) = encoded.entry(key) {
+            match encode(&report, format, hears_usage) {
                 Ok(bytes) => entry.insert(bytes),
                 Err(error) => {
                     peer_log::reject(peer, &error);
@@ -91,13 +97,16 @@
             };
         }
         // A report that can't be sent is superseded by the next one.
-        let _sent = socket.send_to(&encoded[&format], peer).await;
+        let _sent = socket.send_to(&encoded[&key], peer).await;
     }
 }
 
-// Encodes a report with as many of the endpoints as fit into a datagram.
-fn encode(report: &wire::Report, format: Format) -> Result<Vec<u8>, String> {
+// Encodes a report with as many of the endpoints as fit into a datagram, with the use by workspaces or without.
+fn encode(report: &wire::Report, format: Format, hears_usage: bool) -> Result<Vec<u8>, String> {
     let mut fitting = wire::Report { in_flight: Vec::new(), ..report.clone() };
+    if !hears_usage {
+        fitting.usage.clear();
+    }
     let size = wire::encode_report(&fitting, format)?.len() + HEADER_SIZE;
     let count = packet::SIZE_MAX.saturating_sub(size) / ENTRY_SIZE_MAX;
     fitting.in_flight = report.in_flight.iter().take(count).copied().collect();
@@ -131,6 +140,8 @@
     state.peers.record_isolation(&report.vm, report.is_isolated, now);
     let demand = f64::from(report.demand);
     state.balancer.gate().limits().demands().record_peer(&report.vm, demand, now);
+    state.fair_share.record_peer(&report.vm, report.usage, now);
+    state.promises.record_peer(&report.vm, report.is_refusing, now);
     state.merge_news(report.news, now);
 }
 
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -121,7 +121,17 @@
 
 /// Logs, counts and builds a response for `reason`.
 pub(crate) fn respond(context: &Shared, request: &str, reason: Reason) -> Response<Body> {
-    let retry_after = reason.retry_after();
+    respond_after(context, request, reason, None)
+}
+
+/// The same, with the time at which capacity is expected for the caller instead of the default, if it is known.
+pub(crate) fn respond_after(
+    context: &Shared,
+    request: &str,
+    reason: Reason,
+    promise: Option<time::Millis>,
+) -> Response<Body> {
+    let retry_after = reason.retry_after().map(|default| promise.unwrap_or(default));
     let version = context.state().catalog.as_ref().map_or(0, |catalog| catalog.version);
     context.metrics.record_local_reply(reason.as_str());
     event::emit_json(
@@ -131,6 +141,7 @@
             event::field("status", &reason.status().as_u16()),
             event::field("reason", &reason.as_str()),
             event::field("after", &retry_after.unwrap_or_default()),
+            event::field("promised", &promise.is_some()),
             event::field("configuration", &version),
         ],
     );
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -47,6 +47,9 @@
     catalog_delay: Histogram<f64>,
     early_ends: Counter<u64>,
     hops: Counter<u64>,
+    held_back: Counter<u64>,
+    refused_early: Counter<u64>,
+    promised: Histogram<f64>,
 }
 
 impl Metrics {
@@ -95,6 +98,18 @@
                 "relay_early_ends",
                 "Endpoints that ended just after an answer began, as seen by this relay",
             ),
+            held_back: counter(
+                "relay_yields",
+                "Requests that yielded, as their workspace was beyond its fair share",
+            ),
+            refused_early: counter(
+                "relay_refused_early",
+                "Requests refused at once, as they could not start in time",
+            ),
+            promised: histogram(
+                "relay_promised",
+                "Time after which refused callers were told to return, where capacity was expected",
+            ),
             hops: counter("relay_hops", "Attempts through peers, by outcome"),
             registry,
             _provider: provider,
@@ -135,6 +150,21 @@
         self.hops.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that yields to those of other workspaces.
+    pub(crate) fn record_yield(&self) {
+        self.held_back.add(1, &[]);
+    }
+
+    /// Counts a request that is refused at once, as it can't start in time.
+    pub(crate) fn record_refused_early(&self) {
+        self.refused_early.add(1, &[]);
+    }
+
+    /// Records the time after which a refused caller is promised capacity.
+    pub(crate) fn record_promise(&self, after: time::Millis) {
+        self.promised.record(after.0 as f64 / 1_000.0, &[]);
+    }
+
     /// Records the time that a request waited for a free slot.
     pub(crate) fn record_wait(&self, took: time::Millis) {
         self.wait.record(took.0 as f64 / 1_000.0, &[]);
@@ -191,6 +221,7 @@
     let leaving = state.balancer.gate().leaving_count();
     let fragile = state.balancer.gate().slots().fragile_count();
     let suspected = state.balancer.reach().suspect_count();
+    let (short, yielding) = state.fair_share.counts(now);
     let (segments, requests) = state.quarantine.refused_count();
     let mut lines = format!(
         "relay_connections {}\nrelay_peers_alive {}\nrelay_configuration {}\nrelay_waiting {}\n\
@@ -199,7 +230,8 @@
          relay_endpoints_limited {}\nrelay_store_restores {}\n\
          relay_endpoints_out_of_reach {}\nrelay_forwarded {}\n\
          relay_unread_bytes {}\n\
-         relay_endpoints_fragile {}\nrelay_endpoints_leaving {}\n",
+         relay_endpoints_fragile {}\nrelay_endpoints_leaving {}\n\
+         relay_services_short {}\nrelay_workspaces_yielding {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -215,6 +247,8 @@
         context.unread.used(),
         fragile,
         leaving,
+        short,
+        yielding,
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -8,10 +8,10 @@
 use tokio::time as clock;
 use xxhash_rust::xxh3;
 
-use crate::attempt;
 use crate::context::Shared;
 use crate::local_reply::Reason;
 use crate::request::{Received, Target};
+use crate::{attempt, fairness};
 
 /// Interval of checks for a free slot; slots of cold endpoints become free by time alone.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -23,6 +23,7 @@
 struct QueueEntry {
     context: Shared,
     ticket: u64,
+    _wait: fairness::Wait,
 }
 
 impl Drop for QueueEntry {
@@ -182,7 +183,12 @@
     check_quarantine(context, received)?;
     let now = context.now();
     let wait_limit = wait_queue::wait_limit(received.route.latency_target, received.remaining(now));
-    let is_first = !context.state().wait_queue.has_more_urgent(service, priority);
+    let is_contended = fairness::record_request(context, received, now);
+    let is_first = if is_contended {
+        fairness::is_first(context, received, now)
+    } else {
+        !context.state().wait_queue.has_more_urgent(service, priority)
+    };
     if is_first {
         match choose(context, received, tried, model, received.metadata.last_event) {
             Choice::Send(target) => return Ok(Way::Endpoint(target)),
@@ -198,7 +204,8 @@
             Choice::Resting(until) if until > now + wait_limit => {
                 return Err(Reason::EndpointsResting(until.since(now)));
             }
-            Choice::NoEndpoint | Choice::Full | Choice::Resting(_) => {}
+            Choice::Full => fairness::record_full(context, service, now),
+            Choice::NoEndpoint | Choice::Resting(_) => {}
         }
     }
     let waiter = wait_queue::Waiter {
@@ -206,26 +213,38 @@
         priority,
         workspace: received.workspace.as_ref().map(|workspace| workspace.name.clone()),
         service: service.clone(),
+        until: if is_contended { now + wait_limit } else { time::Tick(0) },
         since: now,
     };
     let ticket = context.state().wait_queue.push(waiter);
-    let _queue_entry = QueueEntry { context: context.clone(), ticket };
+    let _wait = fairness::Wait::begin(context, received, now);
+    let _queue_entry = QueueEntry { context: context.clone(), ticket, _wait };
+    if is_contended {
+        let ahead = queue_position(context, received, ticket);
+        fairness::check_wait(context, received, ahead, wait_limit, now)?;
+    }
     log_wait(context, received, wait_limit);
     let mut reason = Reason::NoCapacity;
     while context.now() < now + wait_limit {
-        let woken = clock::timeout(POLL_INTERVAL, context.capacity_freed.notified()).await;
-        drop(woken);
+        let is_freed =
+            clock::timeout(POLL_INTERVAL, context.capacity_freed.notified()).await.is_ok();
         check_quarantine(context, received)?;
-        if queue_position(context, service, ticket) >= QUEUE_HEAD {
+        let is_next = queue_position(context, received, ticket) < QUEUE_HEAD;
+        if !is_next || !fairness::may_try(context, received, is_freed).await {
             continue;
         }
         match choose(context, received, tried, model, received.metadata.last_event) {
             Choice::Send(target) => {
-                context.metrics.record_wait(context.now().since(now));
+                let started = context.now();
+                context.metrics.record_wait(started.since(now));
+                context.state().promises.record_start(service, started);
                 return Ok(Way::Endpoint(target));
             }
             Choice::OutOfReach => return through_peer(received),
-            Choice::Full => reason = Reason::NoCapacity,
+            Choice::Full => {
+                fairness::record_full(context, service, context.now());
+                reason = Reason::NoCapacity;
+            }
             Choice::Resting(until) if until > now + wait_limit => {
                 return Err(Reason::EndpointsResting(until.since(context.now())));
             }
@@ -263,16 +282,23 @@
     }
 }
 
-fn queue_position(context: &Shared, service: &id::ServiceId, ticket: u64) -> usize {
-    let state = context.state();
-    let in_flight = |workspace: Option<&id::WorkspaceId>| {
-        state.in_flight.get(&workspace.cloned()).copied().unwrap_or_default()
+fn queue_position(context: &Shared, received: &Received, ticket: u64) -> usize {
+    let service = &received.service;
+    let order = if fairness::is_contended(context, service) {
+        let state = context.state();
+        state.wait_queue.order(service, |workspace| state.fair_share.rank(service, workspace))
+    } else {
+        let state = context.state();
+        let in_flight = |workspace: Option<&id::WorkspaceId>| {
+            state.in_flight.get(&workspace.cloned()).copied().unwrap_or_default()
+        };
+        state.wait_queue.order(service, in_flight)
     };
-    let order = state.wait_queue.order(service, in_flight);
     order.iter().position(|found| *found == ticket).unwrap_or(0)
 }
 
 fn log_wait(context: &Shared, received: &Received, wait_limit: time::Millis) {
+    let (share, fair) = fairness::share(context, received);
     let (utilization, waiting) = {
         let state = context.state();
         let now = context.now();
@@ -287,6 +313,8 @@
             event::field("taken", &utilization),
             event::field("waiting", &waiting),
             event::field("patience", &wait_limit),
+            event::field("share", &share),
+            event::field("fair", &fair),
         ],
     );
 }
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, route, store_version, time};
-use ibishill_decide::{balance, canary, escalation, peers, quarantine, retry, wait_queue};
+use ibishill_decide::{
+    balance, canary, escalation, fair_share, peers, promise, quarantine, retry, wait_queue,
+};
 use ibishill_state::{chunk, confirmation, replica, transfer};
 
 use crate::told::Announcement;
@@ -113,6 +115,12 @@
     pub(crate) canaries: BTreeMap<id::ServiceId, canary::Canary>,
     pub(crate) peers: peers::Peers,
     pub(crate) wait_queue: wait_queue::Queue,
+    /// Shares of workspaces in the services.
+    pub(crate) fair_share: fair_share::FairShare,
+    /// When refused callers may return.
+    pub(crate) promises: promise::Promises,
+    /// When it was last logged that a workspace yields in a service.
+    pub(crate) yielding: BTreeMap<(id::ServiceId, id::WorkspaceId), time::Tick>,
     /// Prompt segments that end endpoints.
     pub(crate) quarantine: quarantine::Quarantine,
     pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
@@ -159,6 +167,9 @@
             canaries: BTreeMap::new(),
             peers: peers::Peers::new(own),
             wait_queue: wait_queue::Queue::default(),
+            fair_share: fair_share::FairShare::default(),
+            promises: promise::Promises::default(),
+            yielding: BTreeMap::new(),
             quarantine: quarantine::Quarantine::default(),
             allowances: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -394,6 +405,8 @@
         }
         self.peers.expire(now);
         self.balancer.reports().expire(now);
+        self.fair_share.expire(now);
+        self.promises.expire(now);
         self.divide(now);
         early_end::judge(self, now);
     }
--- a/crates/ibishill-relay/src/wire.rs
+++ b/crates/ibishill-relay/src/wire.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use ibishill_core::id;
-use ibishill_decide::{balance, canary, peers};
+use ibishill_decide::{balance, canary, fair_share, peers};
 use ibishill_state::{confirmation, transfer};
 use prost::Message as _;
 
@@ -65,6 +65,10 @@
     /// Whether the sender reads datagrams that tell of single requests.
     pub(crate) hears_starts: bool,
     pub(crate) news: News,
+    /// Use of services that are short of capacity, by workspace.
+    pub(crate) usage: Vec<fair_share::Told>,
+    /// Whether the sender has just refused requests for want of capacity.
+    pub(crate) is_refusing: bool,
 }
 
 /// A decoded message.
--- a/crates/ibishill-relay/src/wire/envelope.rs
+++ b/crates/ibishill-relay/src/wire/envelope.rs
@@ -50,6 +50,10 @@
     demand: f32,
     #[prost(bool, tag = "18")]
     hears_starts: bool,
+    #[prost(bytes = "bytes", optional, tag = "24")]
+    usage: Option<Bytes>,
+    #[prost(bool, tag = "25")]
+    is_refusing: bool,
 }
 
 /// State of a roll-out.
@@ -104,6 +108,8 @@
             is_isolated: report.is_isolated,
             demand: report.demand,
             hears_starts: report.hears_starts,
+            usage: list(&report.usage)?,
+            is_refusing: report.is_refusing,
             ..Self::of_news(&report.news, &report.configuration)?
         })
     }
@@ -154,6 +160,8 @@
             is_isolated: self.is_isolated,
             demand: self.demand,
             hears_starts: self.hears_starts,
+            usage: part("usage", self.usage.as_ref(), skipped),
+            is_refusing: self.is_refusing,
             news: self.news(skipped),
         })
     }
--- a/crates/ibishill-relay/src/wire/layout.rs
+++ b/crates/ibishill-relay/src/wire/layout.rs
@@ -77,8 +77,18 @@
     let mut skipped = Vec::new();
     let news = news(rest, &mut skipped);
     let hears_starts = false;
-    let message =
-        Report { vm, versions, in_flight, configuration, is_isolated, demand, hears_starts, news };
+    let message = Report {
+        vm,
+        versions,
+        in_flight,
+        configuration,
+        is_isolated,
+        demand,
+        hears_starts,
+        news,
+        usage: Vec::new(),
+        is_refusing: false,
+    };
     Decoded { message, format: Format::Layout, skipped }
 }
 
