relay: workspaces that come through different relays are told of as well

Cause: a relay told its peers of the use by workspaces only if it saw two of them itself. Where a surging workspace comes through one relay and another through a second one, neither told anything. Change: a relay tells while a service is full and the configuration has two workspaces.

--- a/crates/ibishill-relay/src/fairness.rs
+++ b/crates/ibishill-relay/src/fairness.rs
@@ -115,10 +115,11 @@
         && !state.wait_queue.has_earlier(service, priority, own, is_full, rank)
 }
 
-/// Records that no endpoint of a service has a free slot, if several workspaces send requests to it.
+/// Records that no endpoint of a service has a free slot, if the configuration has several workspaces: peers are told
+/// of the use then, as the requests of each workspace may come through other relays.
 pub(crate) fn record_full(context: &Shared, service: &id::ServiceId, now: time::Tick) {
     let mut state = context.state();
-    if !state.fair_share.is_contended(service, now) {
+    if state.catalog.as_ref().is_none_or(|catalog| catalog.workspaces.len() < 2) {
         return;
     }
     let utilization = state.balancer.utilization(service, now);
