--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::request::{Destination, Received, Target};
 use crate::state::State;
 use crate::upstream::{self, CallError};
-use crate::{early_end, isolation, retry_budget, rollout, rollout_log};
+use crate::{early_end, fairness, isolation, retry_budget, rollout, rollout_log};
 
 /// Counts an attempt as in flight at its endpoint until dropped.
 pub(crate) struct AttemptGuard {
@@ -26,6 +26,7 @@
     // Once the prompt is sent.
     exposure: Option<exposure::Ticket>,
     is_trial: bool,
+    slot: fairness::Slot,
 }
 
 impl AttemptGuard {
@@ -39,6 +40,7 @@
         state.balancer.begin(endpoint, work, slow_start, rank, now);
         let is_trial = state.quarantine.record_send(&received.refusable(), now);
         drop(state);
+        let slot = fairness::Slot::take(context, received, now);
         if is_trial {
             context.evidence_added.notify_one();
         }
@@ -48,6 +50,7 @@
             endpoint: endpoint.clone(),
             work,
             is_answering: false,
+            slot,
             exposure: None,
             is_trial,
         }
@@ -81,6 +84,7 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        self.slot.leave(&self.context, self.is_answering);
         self.mark_answering();
         let now = self.context.now();
         let mut state = self.context.state();
--- a/crates/ibishill-relay/src/wire.rs
+++ b/crates/ibishill-relay/src/wire.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use ibishill_core::id;
-use ibishill_decide::{balance, canary, peers};
+use ibishill_decide::{balance, canary, fair_share, peers};
 use ibishill_state::{confirmation, transfer};
 use prost::Message as _;
 
@@ -67,6 +67,10 @@
     /// What the sender has measured of endpoints' speeds.
     pub(crate) speeds: Vec<balance::speed::Told>,
     pub(crate) news: News,
+    /// Use of services that are short of capacity, by workspace.
+    pub(crate) usage: Vec<fair_share::Told>,
+    /// Whether the sender has just refused requests for want of capacity.
+    pub(crate) is_refusing: bool,
 }
 
 /// A decoded message.
--- a/crates/ibishill-relay/src/wire/envelope.rs
+++ b/crates/ibishill-relay/src/wire/envelope.rs
@@ -54,6 +54,10 @@
     speeds: Option<Bytes>,
     #[prost(bytes = "bytes", repeated, tag = "19")]
     exposures: Vec<Bytes>,
+    #[prost(bytes = "bytes", optional, tag = "24")]
+    usage: Option<Bytes>,
+    #[prost(bool, tag = "25")]
+    is_refusing: bool,
 }
 
 /// State of a roll-out.
@@ -109,6 +113,8 @@
             demand: report.demand,
             hears_starts: report.hears_starts,
             speeds: list(&report.speeds)?,
+            usage: list(&report.usage)?,
+            is_refusing: report.is_refusing,
             ..Self::of_news(&report.news, &report.configuration)?
         })
     }
@@ -161,6 +167,8 @@
             demand: self.demand,
             hears_starts: self.hears_starts,
             speeds: part("speeds", self.speeds.as_ref(), skipped),
+            usage: part("usage", self.usage.as_ref(), skipped),
+            is_refusing: self.is_refusing,
             news: self.news(skipped),
         })
     }
--- a/crates/ibishill-relay/src/wire/layout.rs
+++ b/crates/ibishill-relay/src/wire/layout.rs
@@ -87,6 +87,8 @@
         hears_starts,
         speeds,
         news,
+        usage: Vec::new(),
+        is_refusing: false,
     };
     Decoded { message, format: Format::Layout, skipped }
 }
