exposure: what was ended together, forgotten or told in error blames no segment

Found in review, each with a test: a batch that began just before all endpoints were ended at once was refused, as its share was taken over time only; a trial that released a segment left its ends to the other segments of the prompt, which were refused one after the other; ends that a peer tells of, of endpoints that answer, were never withdrawn. The share at the moments of the ends counts as well now, released ends are forgotten as a whole and before the next judgement, and ends of endpoints that answer later are withdrawn. All decide tests of exposure pass.

--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -53,6 +53,10 @@
 /// Least share of a segment's requests that end their endpoints.
 const SHARE_MIN: f64 = 0.2;
 
+/// Time after an end from which on an answer of that endpoint shows that it has not ended; earlier ones may have
+/// been on their way.
+const VOID_MARGIN: time::Millis = time::Millis(200);
+
 /// Weight of the prompts that their endpoints survived: they also count in the share of endpoints by chance. With the
 /// full weight, a segment that ends one endpoint in three was not refused in 3 of 8 simulated attacks, with half of it
 /// in 2.
@@ -295,11 +299,26 @@
         self.suspects.len()
     }
 
-    /// Forgets the ends that count against a segment, as a trial has shown it to be harmless.
+    /// Withdraws ends of endpoints that have not ended, as `has_answered` tells of an endpoint and a time.
+    pub fn void_ends<F>(&mut self, has_answered: F)
+    where
+        F: Fn(EndpointKey, time::Tick) -> bool,
+    {
+        let is_void = |endpoint: EndpointKey, at| has_answered(endpoint, at + VOID_MARGIN);
+        let before = self.ended.len();
+        self.ended.retain(|(_, endpoint), record| !is_void(*endpoint, record.until));
+        self.ends.retain(|endpoint, at| !is_void(*endpoint, *at));
+        self.is_dirty |= self.ended.len() < before;
+    }
+
+    /// Forgets the ends that count against a segment, as a trial has shown it to be harmless. They do not count
+    /// against the other segments of its prompts either, which would be blamed one after the other.
     pub fn forget(&mut self, segment: call::SegmentId) {
-        for record in self.ended.values_mut() {
-            record.prompt.segments.retain(|found| *found != segment);
-        }
+        let has_segment = |record: &Record| record.prompt.segments.contains(&segment);
+        let with_segment = self.ended.iter().filter(|(_, record)| has_segment(record));
+        let endpoints: BTreeSet<EndpointKey> =
+            with_segment.map(|((_, endpoint), _)| *endpoint).collect();
+        self.ended.retain(|(_, endpoint), _| !endpoints.contains(endpoint));
         self.suspects.remove(&segment);
     }
 
@@ -417,9 +436,14 @@
         let survived = survived.count() as f64;
         let effect = ends / (ends + survived);
         let share = ends / (ends + others);
-        let chance = self.presence(segment, service, (from, to));
+        if effect < SHARE_MIN || share <= CHANCE_MIN {
+            return None;
+        }
+        let at = open.iter().filter(|(_, process)| process.segments.contains_key(&segment));
+        let at: Vec<_> = at.map(|(endpoint, process)| (**endpoint, process.at)).collect();
+        let chance = self.presence(segment, service, (from, to), &at);
         let is_likelier = share * (1.0 - chance) >= ODDS_MIN * chance * (1.0 - share);
-        if effect < SHARE_MIN || share <= chance || !is_likelier {
+        if share <= chance || !is_likelier {
             return None;
         }
         let rest = if others > 0.0 { others * ((1.0 - share) / (1.0 - chance)).ln() } else { 0.0 };
@@ -428,12 +452,14 @@
         Some(ends * (share / chance).ln() + rest + spared)
     }
 
-    // Share of the time in which endpoints were in use that the segment was there.
+    // Share of the time in which endpoints were in use that the segment was there; or its share of the other
+    // endpoints at the moments of the ends, if that is more: endpoints that are ended together sample one moment.
     fn presence(
         &self,
         segment: call::SegmentId,
         service: u32,
         (from, to): (time::Tick, time::Tick),
+        ends: &[(EndpointKey, time::Tick)],
     ) -> f64 {
         let mut all: BTreeMap<EndpointKey, Vec<(time::Tick, time::Tick, bool)>> = BTreeMap::new();
         let present = to.min(self.judged);
@@ -461,7 +487,21 @@
             let present = spans.iter().filter(|(_, _, has_segment)| *has_segment);
             with += union(present.map(|(begin, end, _)| (*begin, *end)));
         }
-        if total == 0 { 1.0 } else { (with as f64 / total as f64).max(CHANCE_MIN) }
+        if total == 0 {
+            return 1.0;
+        }
+        let (mut there, mut used) = (0_usize, 0_usize);
+        for (own, at) in ends {
+            for spans in all.iter().filter(|(other, _)| *other != own).map(|(_, spans)| spans) {
+                let is_now =
+                    |span: &&(time::Tick, time::Tick, bool)| span.0 <= *at && *at <= span.1;
+                let mut now = spans.iter().filter(is_now).peekable();
+                used += usize::from(now.peek().is_some());
+                there += usize::from(now.any(|(_, _, has_segment)| *has_segment));
+            }
+        }
+        let at_ends = there as f64 / used.max(1) as f64;
+        (with as f64 / total as f64).max(at_ends).max(CHANCE_MIN)
     }
 }
 
--- a/crates/ibishill-decide/tests/relay/exposure.rs
+++ b/crates/ibishill-decide/tests/relay/exposure.rs
@@ -221,3 +221,81 @@
     let found = exposures.record_alive(key(0, 0), later, later);
     assert_eq!(found, [exposure::Survival { segments, sent: START }]);
 }
+
+fn endpoint(number: u32) -> endpoint_key::EndpointKey {
+    key(number as usize, 1)
+}
+
+fn prompt(request: u32, segments: &[u64]) -> exposure::Prompt {
+    let own = 0x1_0000 + u64::from(request);
+    let segments = segments.iter().chain([&own]).map(|segment| call::SegmentId(*segment));
+    exposure::Prompt { request, service: 1, segments: segments.collect() }
+}
+
+fn after(millis: u64) -> time::Tick {
+    START + time::Millis(millis)
+}
+
+// Guards against blame for what had just begun when all endpoints were ended at the same moment.
+#[test]
+fn batch_before_a_common_end_is_not_blamed() {
+    for lead in [50, 150, 300, 600, 1_000] {
+        let mut exposures = exposure::Exposures::default();
+        for request in 0..80 {
+            let sent = after(u64::from(request % 4) * 100);
+            exposures.begin(prompt(request, &[FIRST]), endpoint(request / 4), false, sent);
+        }
+        for request in 80..100 {
+            let batch = prompt(request, &[FIRST, SHARED]);
+            exposures.begin(batch, endpoint(request - 80), false, after(10_000 - lead));
+        }
+        for number in 0..20 {
+            exposures.record_end(endpoint(number), after(10_000 + u64::from(number)));
+        }
+        let blamed = exposures.judge(|_| false, after(10_500));
+        assert!(blamed.is_empty(), "{lead} ms before: {blamed:?}");
+    }
+}
+
+// Guards against the blame of the other segments of a prompt, one after the other, once a trial has released one.
+#[test]
+fn ends_that_are_forgotten_count_against_no_segment() {
+    let mut exposures = exposure::Exposures::default();
+    for request in 0..100 {
+        let sent = u64::from(request) * 60;
+        let ticket =
+            exposures.begin(prompt(request, &[FIRST]), endpoint(request % 10), false, after(sent));
+        exposures.finish(ticket, after(sent + 200));
+        exposures.record_alive(endpoint(request % 10), after(sent + 2_300), after(sent + 2_300));
+    }
+    for number in 0..6_u32 {
+        let sent = 5_000 + u64::from(number) * 250;
+        let segments = [SHARED, RARE, POISON];
+        exposures.begin(
+            prompt(200 + number, &segments),
+            endpoint(100 + number),
+            false,
+            after(sent),
+        );
+        exposures.record_end(endpoint(100 + number), after(sent + 50));
+    }
+    let blamed = exposures.judge(|_| false, after(7_500));
+    let blamed: Vec<_> = blamed.into_iter().map(|blame| blame.segment).collect();
+    assert_eq!(blamed, [call::SegmentId(POISON)]);
+    exposures.forget(call::SegmentId(POISON));
+    exposures.record_end(endpoint(300), after(8_000));
+    assert!(exposures.judge(|_| false, after(8_500)).is_empty());
+}
+
+// Guards against blame by ends that a peer tells of, of endpoints that answer.
+#[test]
+fn void_ends_count_against_no_segment() {
+    let mut exposures = exposure::Exposures::default();
+    for number in 0..8_u32 {
+        let sent = u64::from(number) * 250;
+        exposures.begin(prompt(number, &[FIRST, POISON]), endpoint(number), false, after(sent));
+        exposures.record_end(endpoint(number), after(sent + 50));
+    }
+    exposures.void_ends(|_, _| true);
+    assert!(exposures.judge(|_| false, after(4_000)).is_empty());
+}
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -290,16 +290,22 @@
 pub(crate) fn judge(state: &mut State, now: time::Tick) {
     let contacts = &*state.balancer.contacts();
     state.quarantine.void_ends(|key, at| contacts.has_answered_since(key, at), now);
+    state.exposures.void_ends(|key, at| contacts.has_answered_since(key, at));
+    // What a trial has released is forgotten before the ends are judged again.
+    let mut changes = state.quarantine.judge(now);
+    for change in &changes {
+        if let (call::SuspectKey::Segment(segment), false) = (change.key, change.is_refused) {
+            state.exposures.forget(segment);
+        }
+    }
     let quarantine = &state.quarantine;
     let is_refused = |segment| quarantine.is_refused(call::SuspectKey::Segment(segment));
     for blame in state.exposures.judge(is_refused, now) {
         let key = call::SuspectKey::Segment(blame.segment);
         state.quarantine.refuse(key, &blame.ends, now);
     }
-    for change in state.quarantine.judge(now) {
-        if let (call::SuspectKey::Segment(segment), false) = (change.key, change.is_refused) {
-            state.exposures.forget(segment);
-        }
+    changes.extend(state.quarantine.judge(now));
+    for change in changes {
         event::emit_json(
             event::Event::QuarantineChanged,
             &[
