answer: waiting for memory is no silence of the endpoint, and large answers wait only while memory is short

Found in review, read and not reproduced: an attempt whose answer waited for its turn counted as unresponsive after three times the route's target, and was repeated. Large answers took turns even while the memory was free. A finished stream kept its request's body while its caller read the rest, and a peer's refusal for want of memory counted as an answer.

--- a/crates/ibishill-relay/src/answer.rs
+++ b/crates/ibishill-relay/src/answer.rs
@@ -95,9 +95,9 @@
         self.memory.answers.used() + self.reading.get() * READ_AHEAD
     }
 
-    // Waits until an answer of this length may be read.
+    // Waits until an answer of this length may be read; at once while most of the memory is free.
     async fn turn(&self, length: usize) -> Option<SemaphorePermit<'_>> {
-        if length < TURN_SIZE {
+        if length < TURN_SIZE || self.used() + length <= self.memory.budget.answers / 4 {
             return None;
         }
         let size = u32::try_from(length.min(TURN_MAX) / 1_024).unwrap_or(u32::MAX);
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to run a request at an endpoint.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -190,7 +191,8 @@
     log_sent(received, target, started, remaining);
     let request = build_request(received, target, remaining);
     let hang_timeout = hang_timeout(&received.route);
-    let mut work = std::pin::pin!(send(received, target, &registration, request, guard));
+    let has_head = Cell::new(false);
+    let mut work = std::pin::pin!(send(received, target, &registration, request, guard, &has_head));
     let may_end_early = can_retry && received.route.kind.may_retry();
     let early = if may_end_early {
         let limit = Duration::from_millis(hang_timeout.0.min(remaining.0));
@@ -201,9 +203,11 @@
     } else {
         None
     };
-    // An unresponsive endpoint ends the attempt early only if a retry is granted.
+    // An unresponsive endpoint ends the attempt early only if a retry is granted. One that has answered is not
+    // unresponsive while the answer waits for memory.
     let is_hung = may_end_early
         && early.is_none()
+        && !has_head.get()
         && received.remaining(context.now()).0 > 0
         && retry_budget::acquire(context, received, retry_budget::Retry::Silent);
     let (outcome, detail) = match early {
@@ -249,6 +253,7 @@
     registration: &fleet::Registration,
     request: Request<Bytes>,
     mut guard: AttemptGuard,
+    has_head: &Cell<bool>,
 ) -> (Outcome, String) {
     let stream = match connect(&guard.context, registration).await {
         Ok(stream) => stream,
@@ -321,6 +326,7 @@
     }
     let context = guard.context.clone();
     let buffers = context.answers.clone();
+    has_head.set(true);
     match buffers.read(body, &context.unread).await {
         Ok(bytes) => (Outcome::Response(head.map(|()| bytes)), String::new()),
         Err(error) => {
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -100,7 +100,11 @@
     let is_declined = matches!(
         response.extensions().get(),
         Some(
-            Reason::OutOfReach | Reason::ForwardLimit | Reason::NotReady | Reason::CatalogOutdated
+            Reason::OutOfReach
+                | Reason::ForwardLimit
+                | Reason::NotReady
+                | Reason::CatalogOutdated
+                | Reason::NoMemory
         )
     );
     let result = if is_declined { hop::DECLINED } else { hop::DONE };
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -132,8 +132,10 @@
             match end {
                 End::Complete => {
                     self.log_done();
-                    let Self { context, answer, sender, .. } = self;
+                    let Self { context, answer, sender, received, .. } = self;
                     drop(sender);
+                    // Its body is not needed while the caller reads the rest.
+                    drop(received);
                     return context.unread.drained(&answer).await;
                 }
                 End::CallerLeft => return self.log_caller_left(),
