balance: every engine is compared in the last resort; bunched events and lost requests do not distort what is learnt

Requests at endpoints that had gone counted as running for ever, tokens that a caller declares had no bound, and plain services with many endpoints were placed like engines.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -415,9 +415,13 @@
         if request.uses_subset {
             self.pack(&mut available, request, now);
         }
-        let tiers = zone_local::tiers(&eligible, &self.zone, &self.demand, || {
-            self.utilization(request.service, now)
-        });
+        // A plain service reads no prompts.
+        let tiers = if request.capacity == 0 {
+            None
+        } else {
+            let utilization = || self.utilization(request.service, now);
+            zone_local::tiers(&eligible, &self.zone, &self.demand, utilization)
+        };
         let small = if tiers.is_none() { small_model_threshold(&eligible) } else { 0 };
         let is_preferred = |endpoint: &Endpoint| match (&tiers, request.tier) {
             (_, Tier::Any) => true,
@@ -555,12 +559,12 @@
         rank: usize,
         now: time::Tick,
     ) {
+        self.demand.begin(&work, now);
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         endpoint.running += 1;
         endpoint.tokens += work.tokens;
         endpoint.pending += 1;
         endpoint.prefill += work.prefill;
-        self.demand.begin(&work, now);
         endpoint.breaker.begin(now);
         self.reach.begin(&endpoint.entry.zone, now);
         self.gate.record_send(endpoint.key, now);
@@ -582,10 +586,11 @@
 
     /// Records that a request has left an endpoint.
     pub fn end(&mut self, id: &id::EndpointId, work: Work, now: time::Tick) {
+        // The endpoint may be gone by now.
+        self.demand.end(&work, now);
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.running = endpoint.running.saturating_sub(1);
             endpoint.tokens = endpoint.tokens.saturating_sub(work.tokens);
-            self.demand.end(&work, now);
         }
     }
 
--- a/crates/ibishill-decide/src/balance/speed.rs
+++ b/crates/ibishill-decide/src/balance/speed.rs
@@ -10,6 +10,10 @@
 /// Events over which the time is taken: events that the network has bunched do not look like a fast engine.
 const WINDOW: usize = 4;
 
+/// Time within which two events count as bunched by the network, and time after which the engine has read a prompt
+/// between them: in both cases what follows does not tell the speed.
+const GAP_RANGE: (time::Millis, time::Millis) = (time::Millis(2), time::Millis(400));
+
 /// Time by which an engine is slower than half of its zone's, as a factor, from which on it counts as slow.
 const SLOW_FACTOR: f64 = 1.15;
 
@@ -35,22 +39,27 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Window {
     times: [time::Tick; WINDOW],
+    last: time::Tick,
     count: usize,
     shortest: Option<time::Millis>,
 }
 
 impl Window {
-    /// Records `events` that arrive at once.
+    /// Records `events` that arrive at once; several of them begin a new window.
     pub fn record(&mut self, events: u64, now: time::Tick) {
-        for _ in 0..events.min(WINDOW as u64) {
-            let slot = self.count % WINDOW;
-            if self.count >= WINDOW {
-                let took = now.since(self.times[slot]);
-                self.shortest = Some(self.shortest.map_or(took, |known| known.min(took)));
-            }
-            self.times[slot] = now;
-            self.count += 1;
+        let (least, most) = GAP_RANGE;
+        let gap = now.since(self.last);
+        self.last = now;
+        if events != 1 || gap < least || gap > most {
+            self.count = 0;
+        }
+        let slot = self.count % WINDOW;
+        if self.count >= WINDOW {
+            let took = now.since(self.times[slot]);
+            self.shortest = Some(self.shortest.map_or(took, |known| known.min(took)));
         }
+        self.times[slot] = now;
+        self.count += 1;
     }
 
     /// The shortest time so far; none while there are too few events.
--- a/crates/ibishill-decide/src/balance/zone_local.rs
+++ b/crates/ibishill-decide/src/balance/zone_local.rs
@@ -142,8 +142,8 @@
     }
 }
 
-/// Engines to compare for a request: the one that caches its prefix, some that it prefers and some that it does
-/// not in the own zone, and some that it prefers elsewhere. They are few, so that daemons which know the same
+/// Engines to compare for a request: the one that caches its prefix, and some each that it prefers and that it
+/// does not, in the own zone and elsewhere. They are few, so that daemons which know the same
 /// loads do not all choose the same one; `size` is the number of preferred ones, and of the others each.
 pub(super) fn sample<'a, P, K>(
     mut available: Vec<&'a Endpoint>,
@@ -157,13 +157,13 @@
     K: Fn(&Endpoint) -> (bool, u64),
 {
     available.sort_by_cached_key(|endpoint| order(endpoint));
-    let (mut near, mut other, mut far) = (0, 0, 0);
+    let (mut near, mut other, mut far, mut last) = (0, 0, 0, 0);
     available.retain(|endpoint| {
         let (count, most) = match (endpoint.entry.zone == *zone, is_preferred(endpoint)) {
             (true, true) => (&mut near, size.0),
             (true, false) => (&mut other, size.1),
             (false, true) => (&mut far, size.1),
-            (false, false) => return false,
+            (false, false) => (&mut last, size.1),
         };
         *count += 1;
         *count <= most
--- a/crates/ibishill-decide/tests/relay/zone_local.rs
+++ b/crates/ibishill-decide/tests/relay/zone_local.rs
@@ -232,3 +232,46 @@
     }
     assert_eq!(window.shortest(), Some(time::Millis(120)));
 }
+
+// Guards against the time of events that the network has bunched behind a pause.
+#[test]
+fn bunched_events_do_not_make_an_engine_fast() {
+    let mut window = balance::speed::Window::default();
+    let mut at = 0;
+    for gap in [30, 30, 30, 30, 30, 800, 0, 0, 1, 0, 1, 0, 30, 30] {
+        at += gap;
+        window.record(1, time::Tick(at));
+    }
+    assert_eq!(window.shortest(), Some(time::Millis(120)));
+}
+
+// Guards against refusals while engines that a request does not prefer, in another zone, have free slots.
+#[test]
+fn every_slot_is_used_before_a_request_finds_none() {
+    for tier in [balance::Tier::Small, balance::Tier::Large] {
+        let mut balancer = balancer("a", 32);
+        let service: id::ServiceId = "pool".parse().unwrap();
+        let mut sent = 0;
+        loop {
+            let request = balance::Request {
+                service: &service,
+                versions: balance::Versions::Any,
+                tried: &[],
+                prefix: None,
+                tokens: 0,
+                capacity: 400_000,
+                prefill: 0.25,
+                saved: 0.0,
+                tier,
+                uses_subset: false,
+                seed: sent,
+            };
+            let choice = balancer.pick(&request, SLOW_START, |_| 0, time::Tick(1));
+            let balance::Choice::Send(engine) = choice else { break };
+            let work = balance::Work { tokens: 0, prefill: 0.25, tier };
+            balancer.begin(&engine, work, SLOW_START, 0, time::Tick(1));
+            sent += 1;
+        }
+        assert_eq!(sent, (ZONES.len() * ENGINES * 32) as u64, "{tier:?}");
+    }
+}
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -140,7 +140,9 @@
 // Prefill cost of the prompt, in thousands of tokens at the largest model; the cost of a model
 // stands for its time per token.
 fn prefill(received: &Received, engine: &route::Engine, model: Option<&id::ModelId>) -> f64 {
-    let tokens = received.metadata.tokens.unwrap_or_default().input as f64 / 1_000.0;
+    // Callers declare the tokens themselves; more than fit into an engine are not read.
+    let tokens = received.metadata.tokens.unwrap_or_default().input.min(engine.kv_capacity);
+    let tokens = tokens as f64 / 1_000.0;
     let max_cost = engine.models.iter().map(|model| model.cost).fold(0.0, f64::max);
     let found = model.and_then(|name| engine.models.iter().find(|model| model.name == *name));
     let relative_cost = found.map_or(1.0, |model| model.cost / max_cost.max(f64::MIN_POSITIVE));
