exposure: endpoints that end at the same moment count once against a segment

Ends within 100 ms have one cause and count as one. The decide tests of exposure pass. A private link in the documentation of speed reports is gone; cargo doc failed on it.

--- a/crates/ibishill-decide/src/balance/speed.rs
+++ b/crates/ibishill-decide/src/balance/speed.rs
@@ -26,7 +26,7 @@
 /// Engines that one report tells of, at most.
 const NEWS_MAX: usize = 16;
 
-/// Time of [`WINDOW`] events at an engine, as daemons tell it.
+/// Time of some events at an engine, as daemons tell it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
     /// Low 32 bits of the hash of the endpoint's id.
--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -53,6 +53,10 @@
 /// Least share of a segment's requests that end their endpoints.
 const SHARE_MIN: f64 = 0.2;
 
+/// Time within which ends count as one moment: a version that is stopped, or a zone that is lost, ends many
+/// endpoints at once.
+const MOMENT: time::Millis = time::Millis(100);
+
 /// Time after an end from which on an answer of that endpoint shows that it has not ended; earlier ones may have
 /// been on their way.
 const VOID_MARGIN: time::Millis = time::Millis(200);
@@ -430,7 +434,9 @@
                 && is_inside(process.at)
                 && !process.segments.contains_key(&segment)
         });
-        let (ends, others) = (cases.len() as f64, others.count() as f64);
+        // Endpoints that end at the same moment have one cause.
+        let moments: BTreeSet<u64> = cases.iter().map(|process| process.at.0 / MOMENT.0).collect();
+        let (ends, others) = (moments.len() as f64, others.count() as f64);
         let survived =
             self.survived.values().filter(|record| has_segment(record) && is_inside(record.until));
         let survived = survived.count() as f64;
