--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -469,76 +469,6 @@
         }
     }
 
-    // Keeps only the first endpoint, by hash, whose load is below the mean load of the other
-    // versions' endpoints, if that mean is at least `PACK_MIN_LOAD`.
-    fn pack(&self, available: &mut Vec<&Endpoint>, request: &Request<'_>, now: time::Tick) {
-        let is_other = |endpoint: &&Endpoint| {
-            endpoint.entry.service == *request.service
-                && !request.versions.allows(&endpoint.entry.version)
-                && self.is_in_service(endpoint)
-        };
-        let loads =
-            self.endpoints.values().filter(is_other).map(|endpoint| self.load(endpoint, now));
-        let (sum, count) = loads.fold((0.0, 0.0), |(sum, count), load| (sum + load, count + 1.0));
-        let mean = sum / f64::max(count, 1.0);
-        let is_less = |endpoint: &&&Endpoint| self.load(endpoint, now) < mean;
-        let first = available
-            .iter()
-            .filter(is_less)
-            .min_by_key(|endpoint| endpoint_hash(endpoint))
-            .copied();
-        if let Some(first) = first.filter(|_| mean >= PACK_MIN_LOAD) {
-            available.retain(|endpoint| endpoint.report_key == first.report_key);
-        }
-    }
-
-    // Forecast cost of an engine of a zone whose engines suffice for its demand; the lowest wins.
-    fn cost(
-        &self,
-        endpoint: &Endpoint,
-        request: &Request<'_>,
-        prefix_endpoint: Option<u32>,
-        is_preferred: bool,
-        now: time::Tick,
-    ) -> f64 {
-        let (others, backlog) = self.others_load(endpoint, now);
-        let is_cached = prefix_endpoint == Some(endpoint.report_key);
-        let outlook = forecast::Outlook {
-            backlog: endpoint.prefill + backlog,
-            load: (f64::from(endpoint.running) + others) / f64::from(endpoint.entry.slots.max(1)),
-            prefill: request.prefill - if is_cached { request.saved } else { 0.0 },
-            is_own_zone: endpoint.entry.zone == self.zone,
-            is_preferred,
-            random: request_hash(endpoint, request) as f64 / u64::MAX as f64,
-        };
-        outlook.cost()
-    }
-
-    // Load of an endpoint, adjusted by locality and cache; the lowest wins.
-    fn score(
-        &self,
-        endpoint: &Endpoint,
-        request: &Request<'_>,
-        prefix_endpoint: Option<u32>,
-        now: time::Tick,
-    ) -> f64 {
-        let is_engine = request.capacity > 0;
-        let mut score = if is_engine {
-            self.load_with_prefill(endpoint, now)
-        } else {
-            self.load(endpoint, now)
-        };
-        if let Some((_, tokens)) = request.prefix
-            && prefix_endpoint == Some(endpoint.report_key)
-        {
-            score -= (tokens as f64 / 1_000.0 * PREFIX_BONUS).min(PREFIX_BONUS_MAX);
-        }
-        if endpoint.entry.zone == self.zone {
-            score -= SAME_ZONE_BONUS;
-        }
-        score + JITTER * (request_hash(endpoint, request) as f64 / u64::MAX as f64)
-    }
-
     fn has_capacity(&self, endpoint: &Endpoint, request: &Request<'_>, now: time::Tick) -> bool {
         let is_engine = request.capacity > 0;
         let depth = if is_engine { ENGINE_DEPTH } else { PLAIN_DEPTH };
@@ -627,30 +557,6 @@
         }
     }
 
-    /// Records the shortest time of some events of a stream at an endpoint.
-    pub fn record_speed(&mut self, id: &id::EndpointId, took: time::Millis, now: time::Tick) {
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.speed.record(took, now);
-        }
-    }
-
-    /// What peers are to hear of the endpoints' speeds.
-    pub fn speeds(&self, now: time::Tick) -> Vec<speed::Told> {
-        let known = self.endpoints.values();
-        speed::news(known.map(|endpoint| (endpoint.report_key, endpoint.speed)), now)
-    }
-
-    /// Merges what a peer tells of endpoints' speeds.
-    pub fn merge_speeds(&mut self, told: &[speed::Told]) {
-        if told.is_empty() {
-            return;
-        }
-        for endpoint in self.endpoints.values_mut() {
-            let own = told.iter().find(|told| told.endpoint == endpoint.report_key);
-            own.into_iter().for_each(|told| endpoint.speed.merge(told.millis));
-        }
-    }
-
     /// Records that an endpoint refused a request for lack of capacity: it counts as full.
     pub fn record_refusal(&mut self, id: &id::EndpointId, now: time::Tick) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
--- a/crates/ibishill-decide/src/balance/forecast.rs
+++ b/crates/ibishill-decide/src/balance/forecast.rs
@@ -7,6 +7,12 @@
 //!
 //! The unit is the time in which the largest model reads 1,000 tokens.
 
+use ibishill_core::time;
+
+use super::endpoint::Endpoint;
+use super::placement::request_hash;
+use super::{Balancer, Request};
+
 /// Weight of a request's own prefill: it is waited for by the request, and by those in the same batch.
 const OWN_WEIGHT: f64 = 2.0;
 
@@ -61,3 +67,27 @@
             + JITTER * self.random
     }
 }
+
+impl Balancer {
+    /// Forecast cost of an engine of a zone whose engines suffice for its demand; the lowest wins.
+    pub(super) fn cost(
+        &self,
+        endpoint: &Endpoint,
+        request: &Request<'_>,
+        prefix_endpoint: Option<u32>,
+        is_preferred: bool,
+        now: time::Tick,
+    ) -> f64 {
+        let (others, backlog) = self.others_load(endpoint, now);
+        let is_cached = prefix_endpoint == Some(endpoint.report_key);
+        let outlook = Outlook {
+            backlog: endpoint.prefill + backlog,
+            load: (f64::from(endpoint.running) + others) / f64::from(endpoint.entry.slots.max(1)),
+            prefill: request.prefill - if is_cached { request.saved } else { 0.0 },
+            is_own_zone: endpoint.entry.zone == self.zone,
+            is_preferred,
+            random: request_hash(endpoint, request) as f64 / u64::MAX as f64,
+        };
+        outlook.cost()
+    }
+}
--- a/crates/ibishill-decide/src/balance/speed.rs
+++ b/crates/ibishill-decide/src/balance/speed.rs
@@ -4,9 +4,11 @@
 //! shortest time, in which no prompt was read beside it, tells the speed. A daemon has few streams at each of
 //! many engines, so daemons tell each other what they measure.
 
-use ibishill_core::time;
+use ibishill_core::{id, time};
 use serde::{Deserialize, Serialize};
 
+use super::Balancer;
+
 /// Events over which the time is taken: events that the network has bunched do not look like a fast engine.
 const WINDOW: usize = 4;
 
@@ -120,3 +122,29 @@
     let median = *known.get(known.len().checked_sub(1)? / 2)?;
     Some(f64::from(median) * SLOW_FACTOR)
 }
+
+impl Balancer {
+    /// Records the shortest time of some events of a stream at an endpoint.
+    pub fn record_speed(&mut self, id: &id::EndpointId, took: time::Millis, now: time::Tick) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.speed.record(took, now);
+        }
+    }
+
+    /// What peers are to hear of the endpoints' speeds.
+    pub fn speeds(&self, now: time::Tick) -> Vec<Told> {
+        let known = self.endpoints.values();
+        news(known.map(|endpoint| (endpoint.report_key, endpoint.speed)), now)
+    }
+
+    /// Merges what a peer tells of endpoints' speeds.
+    pub fn merge_speeds(&mut self, told: &[Told]) {
+        if told.is_empty() {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut() {
+            let own = told.iter().find(|told| told.endpoint == endpoint.report_key);
+            own.into_iter().for_each(|told| endpoint.speed.merge(told.millis));
+        }
+    }
+}
