exposure: judged four times less often, and not while no endpoint ends

Each judgement goes through all records; it came every 100 ms for as long as peers told of survivals, and the ends were compared with contacts at every message.

--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -38,7 +38,7 @@
 const DELIBERATION: time::Millis = time::Millis(300);
 
 /// Interval of judgements, which go through all records.
-const JUDGE_INTERVAL: time::Millis = time::Millis(100);
+const JUDGE_INTERVAL: time::Millis = time::Millis(400);
 
 /// Natural logarithm of the likelihood ratio from which on a segment is refused: 10,000 to 1. With 1,000 to 1, a
 /// harmless one was refused in 2 of 8 simulated waves of eight crashes a second.
@@ -326,15 +326,25 @@
         self.suspects.remove(&segment);
     }
 
+    /// Whether something has changed since the last judgement, and that is long enough ago.
+    pub fn is_due(&self, now: time::Tick) -> bool {
+        self.is_dirty && now.since(self.judged) >= JUDGE_INTERVAL
+    }
+
     /// Finds the segments to be refused, beside those that are, and those that may be tried once only.
     pub fn judge<F>(&mut self, is_refused: F, now: time::Tick) -> Vec<Blame>
     where
         F: Fn(call::SegmentId) -> bool,
     {
-        if !self.is_dirty || now.since(self.judged) < JUDGE_INTERVAL {
+        if !self.is_due(now) {
             return Vec::new();
         }
         self.judged = now;
+        // Survivals alone blame nothing.
+        if self.last_end.is_none_or(|at| now.since(at) >= ACTIVE) {
+            self.is_dirty = false;
+            return Vec::new();
+        }
         let is_current = |at: time::Tick| now.since(at) < TTL;
         self.ended.retain(|_, record| is_current(record.until));
         self.survived.retain(|_, record| is_current(record.until));
@@ -348,6 +358,10 @@
             processes.iter().filter(|(_, process)| !has_refused(process)).collect();
         let mut settled = unexplained.clone();
         settled.retain(|_, process| now.since(process.at) >= DELIBERATION);
+        if unexplained.len() < ENDS_MIN.1 {
+            self.suspects.clear();
+            return Vec::new();
+        }
         let blamed = self.most_blamed(settled, REFUSED, ENDS_MIN.0);
         let suspects = self.most_blamed(unexplained, CONTAINED, ENDS_MIN.1);
         self.suspects = suspects.into_iter().map(|blame| blame.segment).collect();
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -290,7 +290,9 @@
 pub(crate) fn judge(state: &mut State, now: time::Tick) {
     let contacts = &*state.balancer.contacts();
     state.quarantine.void_ends(|key, at| contacts.has_answered_since(key, at), now);
-    state.exposures.void_ends(|key, at| contacts.has_answered_since(key, at));
+    if state.exposures.is_due(now) {
+        state.exposures.void_ends(|key, at| contacts.has_answered_since(key, at));
+    }
     // What a trial has released is forgotten before the ends are judged again.
     let mut changes = state.quarantine.judge(now);
     for change in &changes {
