fix(relay): a response without a body is not resumed as a stream

Cause: on a route of kind stream, a response to HEAD or with status 204 was forwarded event by event. Without a length, its end counted as a connection that ended before the first event, and the request ran a second time.

Change: such a response is complete with its head.

--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
@@ -317,7 +317,7 @@
     }
     let is_until_close = is_until_close(&parts.headers);
     let head = Response::from_parts(parts, ());
-    if received.route.kind.is_stream() && head.status().is_success() {
+    if is_streamed(received, head.status()) {
         let destination = Destination::Endpoint(target.clone());
         let guard = Some(guard);
         let start =
@@ -358,6 +358,13 @@
     !status.is_success() && (reply.echoes_request || has_no_id)
 }
 
+/// Whether an answer is forwarded event by event. One that has no body by its method or status has no events that
+/// could be missing, so it is whole with its head.
+pub(crate) fn is_streamed(received: &Received, status: StatusCode) -> bool {
+    let has_body = received.method != Method::HEAD && status != StatusCode::NO_CONTENT;
+    received.route.kind.is_stream() && status.is_success() && has_body
+}
+
 /// Whether an answer has neither a length nor chunks, so that its body ends with the connection.
 pub(crate) fn is_until_close(headers: &HeaderMap) -> bool {
     !headers.contains_key(header::CONTENT_LENGTH)
--- a/crates/ibishill-relay/src/hop.rs
+++ b/crates/ibishill-relay/src/hop.rs
@@ -190,7 +190,7 @@
     let is_until_close = attempt::is_until_close(&parts.headers);
     let reply = head::decode_reply(parts.status, &parts.headers, &received.metadata.id);
     let head = Response::from_parts(parts, ());
-    if received.route.kind.is_stream() && head.status().is_success() {
+    if attempt::is_streamed(received, head.status()) {
         let destination = Destination::Peer(peer.vm.clone());
         let guard = None;
         let start =
