fix(decide): only probes lengthen the time until the next probe

Cause: while a breaker was open, or a zone suspected, each failure doubled the delay, also that of an attempt which had begun before. An endpoint whose process ended with sixteen requests stayed ejected for 4 s rather than 0.5 s.

Change: the delay is doubled by one failure for each probe that has begun; other failures change nothing.

Before: "all else that was in flight: too late" (tests/retry.rs) and "connections begun before it was suspected are no probes" (tests/relay/reach.rs) failed. After: all tests of ibishill-decide pass.

--- a/crates/ibishill-decide/src/outlier.rs
+++ b/crates/ibishill-decide/src/outlier.rs
@@ -43,6 +43,8 @@
 struct Open {
     until: time::Tick,
     delay: time::Millis,
+    /// Whether a probe has begun whose result is not known.
+    is_probed: bool,
 }
 
 impl Breaker {
@@ -56,25 +58,27 @@
     pub fn begin(&mut self, now: time::Tick) {
         if let Some(open) = &mut self.open {
             open.until = open.until.max(now + open.delay);
+            open.is_probed = true;
         }
     }
 
-    /// Records the result of an attempt.
+    /// Records the result of an attempt. While the breaker is open, one failure counts for each probe: attempts that
+    /// began before it opened may fail as well.
     pub fn end(&mut self, attempt: Attempt, now: time::Tick) {
         let failed = f64::from(u8::from(attempt != Attempt::Good));
         self.failure_rate += EWMA_WEIGHT * (failed - self.failure_rate);
         match (attempt, self.open) {
             (Attempt::Good, Some(_)) => *self = Self::default(),
             (Attempt::Good, None) => {}
-            (_, Some(open)) => {
+            (_, Some(open)) if open.is_probed => {
                 let delay = time::Millis(2 * open.delay.0).min(PROBE_DELAY_MAX);
-                let is_probe = open.until >= now;
-                let delay = if is_probe { delay } else { open.delay };
-                self.open = Some(Open { until: now + delay, delay });
+                self.open = Some(Open { until: now + delay, delay, is_probed: false });
             }
+            (_, Some(_)) => {}
             (Attempt::Failed, None) if self.failure_rate < OPEN_FAILURE_RATE => {}
             (Attempt::Failed | Attempt::Unreachable, None) => {
-                self.open = Some(Open { until: now + PROBE_DELAY_MIN, delay: PROBE_DELAY_MIN });
+                let delay = PROBE_DELAY_MIN;
+                self.open = Some(Open { until: now + delay, delay, is_probed: false });
             }
         }
     }
--- a/crates/ibishill-decide/src/reach.rs
+++ b/crates/ibishill-decide/src/reach.rs
@@ -63,6 +63,8 @@
 struct Probe {
     at: time::Tick,
     delay: time::Millis,
+    /// Whether it has begun, and its result is not known.
+    is_begun: bool,
 }
 
 /// Reachability of each zone.
@@ -97,6 +99,7 @@
         let suspected = self.zones.get_mut(zone).and_then(|zone| zone.probe.as_mut());
         if let Some(probe) = suspected {
             probe.at = probe.at.max(now + probe.delay);
+            probe.is_begun = true;
         }
     }
 
@@ -136,7 +139,8 @@
     ) -> bool {
         let state = self.zones.entry(zone.clone()).or_default();
         if let Some(probe) = &mut state.probe {
-            if probe.at <= now + probe.delay {
+            // Connections that began before the zone was suspected time out as well.
+            if std::mem::take(&mut probe.is_begun) {
                 probe.delay = time::Millis(2 * probe.delay.0).min(PROBE_DELAY_MAX);
                 probe.at = now + probe.delay;
             }
@@ -145,7 +149,8 @@
         state.timed_out.insert(endpoint.clone());
         let is_suspected = state.timed_out.len() >= SUSPECT_MIN;
         if is_suspected {
-            state.probe = Some(Probe { at: now + PROBE_DELAY_MIN, delay: PROBE_DELAY_MIN });
+            let delay = PROBE_DELAY_MIN;
+            state.probe = Some(Probe { at: now + delay, delay, is_begun: false });
         }
         is_suspected
     }
--- a/crates/ibishill-decide/tests/relay/reach.rs
+++ b/crates/ibishill-decide/tests/relay/reach.rs
@@ -86,6 +86,30 @@
             ],
             allowed: false,
         },
+        Case {
+            name: "connections begun before it was suspected are no probes",
+            steps: &[
+                Step::TimedOut("e0"),
+                Step::TimedOut("e1"),
+                Step::TimedOut("e2"),
+                Step::TimedOut("e3"),
+                Step::Wait(400),
+            ],
+            allowed: true,
+        },
+        Case {
+            name: "a probe that times out counts once",
+            steps: &[
+                Step::TimedOut("e0"),
+                Step::TimedOut("e1"),
+                Step::Wait(400),
+                Step::Probe,
+                Step::TimedOut("e2"),
+                Step::TimedOut("e3"),
+                Step::Wait(800),
+            ],
+            allowed: true,
+        },
         Case {
             name: "this process lacks descriptors in between",
             steps: &[
--- a/crates/ibishill-decide/tests/retry.rs
+++ b/crates/ibishill-decide/tests/retry.rs
@@ -80,6 +80,48 @@
     assert!(usable(&outliers, &bad, again));
 }
 
+// Guards against an endpoint that stays ejected for the longest time after a single failure of its process, as
+// all that was in flight there has failed with it.
+#[test]
+fn failures_of_attempts_begun_before_the_ejection_are_no_probes() {
+    struct Case {
+        name: &'static str,
+        /// Failures right after the ejection.
+        early: usize,
+        /// Probes that have failed, each with so many more failures.
+        probes: usize,
+        /// Time after the last probe, or the ejection, at which the next one is due.
+        due: u64,
+    }
+    let cases = [
+        Case { name: "the ejection alone", early: 0, probes: 0, due: 500 },
+        Case { name: "all else that was in flight", early: 16, probes: 0, due: 500 },
+        Case { name: "a probe", early: 0, probes: 1, due: 1_000 },
+        Case { name: "a probe and the rest", early: 16, probes: 1, due: 1_000 },
+        Case { name: "two probes and the rest", early: 16, probes: 2, due: 2_000 },
+    ];
+    for Case { name, early, probes, due } in cases {
+        let mut breaker = outlier::Breaker::default();
+        let mut now = NOW;
+        breaker.begin(now);
+        breaker.end(outlier::Attempt::Unreachable, now);
+        let fail = |breaker: &mut outlier::Breaker, now| {
+            (0..early).for_each(|_| breaker.end(outlier::Attempt::Failed, now));
+        };
+        fail(&mut breaker, now);
+        for _ in 0..probes {
+            while !breaker.allows(now) {
+                now = now + time::Millis(1);
+            }
+            breaker.begin(now);
+            breaker.end(outlier::Attempt::Failed, now);
+            fail(&mut breaker, now);
+        }
+        assert!(!breaker.allows(now + time::Millis(due - 1)), "{name}: too soon");
+        assert!(breaker.allows(now + time::Millis(due)), "{name}: too late");
+    }
+}
+
 #[test]
 fn request_without_alternative_sees_at_most_half_of_endpoints_ejected() {
     for count in 1..=9_usize {
