--- a/crates/ibishill/src/args.rs
+++ b/crates/ibishill/src/args.rs
@@ -64,6 +64,10 @@
     pub(crate) reason: Option<String>,
     /// Total time to wait, in milliseconds.
     pub(crate) timeout_ms: Option<u64>,
+    /// Memory of the smallest VM, in megabytes; not checked if absent.
+    pub(crate) memory: Option<f64>,
+    /// File with a relay's settings; not checked if absent.
+    pub(crate) settings: Option<String>,
     /// Directory to write to; the current one if absent.
     pub(crate) out: Option<String>,
 }
@@ -143,6 +147,8 @@
         "stages" => options.stages = Some(parser.value()?.string()?),
         "reason" => options.reason = Some(parser.value()?.string()?),
         "timeout-ms" => options.timeout_ms = Some(parser.value()?.parse()?),
+        "memory-mb" => options.memory = Some(parser.value()?.parse()?),
+        "settings" => options.settings = Some(parser.value()?.string()?),
         "out" => options.out = Some(parser.value()?.string()?),
         name => {
             let detail = format!("option --{name} is not implemented");
--- a/crates/ibishill/src/table.rs
+++ b/crates/ibishill/src/table.rs
@@ -86,6 +86,11 @@
 
 const WORKSPACE: &[Opt] = &[valued("workspace", "NAME", "only this workspace")];
 
+const RESOURCES: &[Opt] = &[
+    valued("memory-mb", "N", "memory of the smallest VM [that of the settings]"),
+    valued("settings", "FILE", "settings of a relay, for its memory and retry budget"),
+];
+
 const OUT: &[Opt] = &[valued("out", "DIR", "directory to write to [.]")];
 
 const IN_OUT: &[&str] = &["out", "in"];
@@ -140,10 +145,11 @@
         args: "FILE [IN-FORCE]",
         choices: &[],
         about: "check a configuration of the users' platform",
-        details: "FILE is the JSON document for the row op/config, IN-FORCE the one that is there now.\n\
-                  Reports errors, entries that never match and limits that contradict each other, all\n\
-                  together, and the differences from IN-FORCE. Exits with 1 if there is an error.",
-        options: &[JSON],
+        details: "FILE is the JSON document with the configuration, IN-FORCE the one that is in force now.\n\
+                  Reports errors, entries that never match, limits that contradict each other and limits\n\
+                  beyond the memory or retry budget of relays, all together, and the differences from\n\
+                  IN-FORCE. Exits with 1 if there is an error.",
+        options: &[RESOURCES, JSON],
     },
     Spec {
         subcommand: Subcommand::Apply,
--- a/crates/ibishill/tests/commands/check_config.rs
+++ b/crates/ibishill/tests/commands/check_config.rs
@@ -29,16 +29,29 @@
     /// Texts that are replaced in [`CONFIG`].
     changes: &'static [(&'static str, &'static str)],
     code: i32,
+    /// Options before the file.
+    options: &'static [&'static str],
     /// Parts of the lines of the output, in their order.
     lines: &'static [&'static str],
 }
 
+const SOUND: Case = Case { name: "", changes: &[], code: 0, options: &[], lines: &[": ok"] };
+
+/// File with the settings of a relay: two retries for one request, and little memory.
+const SETTINGS: &str = concat!(env!("CARGO_TARGET_TMPDIR"), "/check-config-settings.toml");
+
+const SETTINGS_TEXT: &str = "node-name = \"vm0\"\nip = \"127.0.0.1\"\nzone = \"a\"\ninternal-ports = [1, 2]\n\
+     [listen]\nfront = \"127.0.0.1:1\"\nready-addr = \"127.0.0.1:2\"\n[limits]\nmemory-mb = 0.2\n\
+     [bounds]\ngrace-s = 8\ndrain-ms = 2000\nconfig-apply-ms = 2000\nretry-budget-ratio = 0.1\n\
+     budget-slack = 3\nbudget-window-s = 10\n[platform]\naddress = \"127.0.0.1:3\"\n";
+
 const CASES: &[Case] = &[
-    Case { name: "as it is", changes: &[], code: 0, lines: &[": ok"] },
+    Case { name: "as it is", ..SOUND },
     Case {
         name: "no JSON",
         changes: &[("\"version\": 7,", "\"version\": 7")],
         code: 1,
+        options: &[],
         lines: &[":3:2: error: expected `,` or `}`"],
     },
     Case {
@@ -50,6 +63,7 @@
             ("[\"other-key\"]", "[7]"),
         ],
         code: 1,
+        options: &[],
         lines: &[
             ":4:72: error: routes[0].kind: route chat: kind \"streams\" is not known",
             ":7:99: error: routes[1].timeout-ms: invalid value",
@@ -65,6 +79,7 @@
             ("\"service\": \"other\"", "\"service\": \"engine\""),
         ],
         code: 1,
+        options: &[],
         lines: &[
             "error: routes[0].service: service engin is not declared",
             "warning: services[2].name: no route leads to service other",
@@ -74,6 +89,7 @@
         name: "a model of another service",
         changes: &[("[\"small\", \"large\"]", "[\"small\", \"huge\"]")],
         code: 1,
+        options: &[],
         lines: &["error: routes[0].sizes: service engine has no model huge"],
     },
     Case {
@@ -83,6 +99,7 @@
             ("other-key", "first-key"),
         ],
         code: 1,
+        options: &[],
         lines: &[
             "error: services[2].name: service plain is declared twice",
             "error: tenants[1].api-keys: has a key that tenant shop has as well",
@@ -92,12 +109,14 @@
         name: "a key that stands twice",
         changes: &[("\"version\": 7", "\"version\": 7, \"version\": 8")],
         code: 1,
-        lines: &["error: op/config is not valid: duplicate field `version`"],
+        options: &[],
+        lines: &[":1:1: error: duplicate field `version`"],
     },
     Case {
         name: "neither service nor split",
         changes: &[("\"service\": \"engine\", ", "")],
         code: 1,
+        options: &[],
         lines: &[
             "error: routes[0].service: route chat: neither service nor traffic-split is declared",
             "warning: services[0].name: no route leads to service engine",
@@ -113,6 +132,7 @@
             ),
         ],
         code: 0,
+        options: &[],
         lines: &[
             ":4:54: warning: routes[0].prefix: never matches: route book has the same host and prefix",
         ],
@@ -127,6 +147,7 @@
             ("\"prefix\": \"/\"", "\"prefix\": \"book\""),
         ],
         code: 0,
+        options: &[],
         lines: &[
             "warning: routes[0].host: never matches: hosts are compared without their port",
             "warning: routes[1].prefix: paths begin with a slash, so the route never matches",
@@ -136,6 +157,7 @@
         name: "a weight of zero",
         changes: &[("\"weight\": 1", "\"weight\": 0")],
         code: 0,
+        options: &[],
         lines: &[
             "warning: routes[1].traffic-split[1].weight: with weight 0, the service gets no request",
         ],
@@ -144,6 +166,7 @@
         name: "only weights of zero",
         changes: &[("\"weight\": 1", "\"weight\": 0"), ("\"weight\": 9", "\"weight\": 0")],
         code: 1,
+        options: &[],
         lines: &[
             "error: routes[1].traffic-split: all weights are 0, so every request is refused",
             "warning: routes[1].traffic-split[0].weight: with weight 0",
@@ -161,6 +184,7 @@
             ("\"target-latency-ms\": 200,", "\"target-latency-ms\": 200, \"stream-resume\": true,"),
         ],
         code: 0,
+        options: &[],
         lines: &[
             "warning: routes[0].target-latency-ms: 3001 is over timeout-ms, 3000",
             "warning: routes[0].gap-aim-ms: 3002 is over timeout-ms, 3000",
@@ -175,11 +199,46 @@
             ("[\"other-key\"]", "[]"),
         ],
         code: 0,
+        options: &[],
         lines: &[
             "warning: services[1].max-conections: relays do not read this key",
             "warning: tenants[1].api-keys: the tenant has no key, so no request is its own",
         ],
     },
+    Case {
+        name: "keys that no route asks for",
+        changes: &[
+            ("\"service\": \"engine\", ", "\"service\": \"engine\", \"public\": true, "),
+            ("\"target-latency-ms\": 200,", "\"target-latency-ms\": 200, \"public\": true,"),
+        ],
+        lines: &["warning: tenants: all routes are public, so no key is asked for"],
+        ..SOUND
+    },
+    // 100,000 bytes for bodies are five sixteenths of the memory.
+    Case { name: "enough memory", options: &["--memory-mb", "0.33"], ..SOUND },
+    Case {
+        name: "a body beyond the memory",
+        options: &["--memory-mb", "0.3"],
+        code: 1,
+        lines: &[":16:58: error: limits.max-body-bytes: the smallest relay has 93750 bytes"],
+        ..SOUND
+    },
+    Case {
+        name: "what a relay's settings give",
+        changes: &[("\"max-attempts\": 2", "\"max-attempts\": 4")],
+        options: &["--settings", SETTINGS],
+        code: 1,
+        lines: &[
+            "warning: routes[0].max-attempts: 4 need more retries than the budget grants",
+            "error: limits.max-body-bytes: the smallest relay has 62500 bytes",
+        ],
+    },
+    Case {
+        name: "memory beside settings",
+        changes: &[("\"max-attempts\": 2", "\"max-attempts\": 3")],
+        options: &["--settings", SETTINGS, "--memory-mb", "1"],
+        ..SOUND
+    },
 ];
 
 fn write(name: &str, text: &str) -> String {
@@ -206,9 +265,10 @@
 
 #[test]
 fn findings_are_reported_together_with_their_position() {
+    fs::write(SETTINGS, SETTINGS_TEXT).unwrap();
     for (number, case) in CASES.iter().enumerate() {
         let file = write(&format!("case-{number}"), &changed(case.changes));
-        let result = run(&["check-config", &file]);
+        let result = run(&[&["check-config"], case.options, &[&file]].concat());
         assert_lines(case.name, &result, case.lines);
         assert_eq!(result.code, case.code, "{}: {}", case.name, result.stdout);
     }
@@ -258,12 +318,15 @@
     assert_eq!(shown["findings"][0]["path"], "routes[1].traffic-split[1].weight");
     assert_eq!(shown["findings"][0]["severity"], "warning");
     assert_eq!(shown["differences"], serde_json::json!([]));
-    struct Usage(&'static [&'static str], i32);
+    struct Usage<'a>(&'a [&'a str], i32);
     let usages = [
         Usage(&["check-config"], 2),
         Usage(&["check-config", "a", "b", "c"], 2),
         Usage(&["check-config", "--partial", "a"], 2),
         Usage(&["check-config", "does-not-exist.json"], 1),
+        Usage(&["check-config", "--memory-mb", "0", "a"], 2),
+        Usage(&["check-config", "--memory-mb", "much", "a"], 2),
+        Usage(&["check-config", "--settings", "does-not-exist.toml", &file], 1),
     ];
     for Usage(args, code) in usages {
         assert_eq!(run(args).code, code, "{args:?}");
--- a/crates/ibishill/tests/commands/snapshots/completions.fish
+++ b/crates/ibishill/tests/commands/snapshots/completions.fish
@@ -5,6 +5,8 @@
 complete -c ibishill -n '__fish_seen_subcommand_from check' -l partial -d "the document adds to what is declared"
 complete -c ibishill -n '__fish_seen_subcommand_from check' -l json -d "print JSON"
 complete -c ibishill -n __fish_use_subcommand -a check-config -d "check a configuration of the users' platform"
+complete -c ibishill -n '__fish_seen_subcommand_from check-config' -l memory-mb -r -d "memory of the smallest VM [that of the settings]"
+complete -c ibishill -n '__fish_seen_subcommand_from check-config' -l settings -r -d "settings of a relay, for its memory and retry budget"
 complete -c ibishill -n '__fish_seen_subcommand_from check-config' -l json -d "print JSON"
 complete -c ibishill -n __fish_use_subcommand -a apply -d "put declarations in force"
 complete -c ibishill -n '__fish_seen_subcommand_from apply' -l partial -d "the document adds to what is declared"
--- a/crates/ibishill/tests/commands/snapshots/completions.zsh
+++ b/crates/ibishill/tests/commands/snapshots/completions.zsh
@@ -10,7 +10,7 @@
             relay) list="--help" ;;
             explain) list="--help" ;;
             check) list="--partial --json --help" ;;
-            check-config) list="--json --help" ;;
+            check-config) list="--memory-mb --settings --json --help" ;;
             apply) list="--partial --change-id --expect --daemon --token-file --ca --server-name --json --help" ;;
             diff) list="--partial --daemon --token-file --ca --server-name --json --help" ;;
             rollout) list="start pause resume advance halt --from --to --stages --reason --change-id --expect --daemon --token-file --ca --server-name --json --help" ;;
