fix(relay): a request head must arrive within header-timeout-ms

Cause: the limit was decoded and not used. The HTTP library's timer runs from the end of the request before, so a caller that stopped amid a head occupied its connection for idle-timeout-ms.

Change: head_timer.rs notes the first bytes that arrive while the connection has no request, and the connection is closed if its request has not begun after header-timeout-ms. A limit of 0 stays without effect. Bodies, responses and idle connections are not concerned.

--- a/crates/ibishill-relay/src/connections.rs
+++ b/crates/ibishill-relay/src/connections.rs
@@ -70,6 +70,11 @@
         self.requests.fetch_add(1, Ordering::Relaxed);
         Active { _request: Arc::new(Request(self.clone())) }
     }
+
+    /// Whether it has no request.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.requests.load(Ordering::Relaxed) == 0
+    }
 }
 
 impl Connection {
@@ -113,8 +118,7 @@
         let inactive = open.iter().filter_map(|(number, entry)| {
             let activity = &entry.activity;
             let since = *activity.since.lock().unwrap_or_else(PoisonError::into_inner);
-            let is_inactive = activity.requests.load(Ordering::Relaxed) == 0;
-            is_inactive.then(|| (*number, context.at(since)))
+            activity.is_idle().then(|| (*number, context.at(since)))
         });
         let found = memory::inactive(inactive, context.now());
         let Some(found) = found.and_then(|number| open.remove(&number)) else { return false };
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod gossip;
 mod handler;
 mod head_limit;
+mod head_timer;
 mod hop;
 mod isolation;
 mod load_reports;
--- a/crates/ibishill-relay/src/serve.rs
+++ b/crates/ibishill-relay/src/serve.rs
@@ -15,7 +15,7 @@
 use tokio::time as clock;
 
 use crate::context::Shared;
-use crate::{body, connections, handler};
+use crate::{body, connections, handler, head_timer};
 
 /// Limits that apply before a configuration is loaded.
 const DEFAULT_LIMITS: route::Limits = route::Limits {
@@ -66,10 +66,18 @@
     }
     let limits = context.state().catalog.as_ref().map_or(DEFAULT_LIMITS, |catalog| catalog.limits);
     let abort = connection.abort.clone();
+    // A limit of 0 would refuse each head that comes in two packets.
+    let head_timeout = match limits.header_timeout {
+        time::Millis(0) => limits.idle_timeout.to_std(),
+        timeout => timeout.to_std(),
+    };
+    let timer = head_timer::HeadTimer::new(&connection.activity);
+    let stream = head_timer::Timed::new(stream, timer.clone());
     let service = {
-        let (context, abort) = (context.clone(), abort.clone());
+        let (context, abort, timer) = (context.clone(), abort.clone(), timer.clone());
         let activity = connection.activity.clone();
         service::service_fn(move |request| {
+            timer.complete();
             let (context, abort, active) = (context.clone(), abort.clone(), activity.begin());
             async move {
                 // Boxed, so that a connection without a request, or with a stream, has no memory for attempts: 9 KB.
@@ -81,8 +89,7 @@
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        // The timer for a request head starts when the connection becomes idle, so the limit
-        // is the idle timeout.
+        // Its timer starts when the connection becomes idle, so the limit is the idle timeout.
         .header_read_timeout(limits.idle_timeout.to_std())
         .max_buf_size(limits.header_bytes.max(HEAD_BUFFER_MIN));
     let serving = builder.serve_connection(TokioIo::new(stream), service);
@@ -91,12 +98,14 @@
         // A disconnect is logged when the request's future is dropped.
         _ended = serving.as_mut() => return,
         () = abort.requested() => return,
+        () = timer.expired(head_timeout) => return,
         () = context.shutdown.notified() => {}
     }
     serving.as_mut().graceful_shutdown();
     tokio::select! {
         _ended = serving => {}
         () = abort.requested() => {}
+        () = timer.expired(head_timeout) => {}
     }
 }
 
