memory: responses that begin together take turns, and connections count while responses are unread

unread::memory_for_callers_that_read_nothing_is_limited exceeded its bound of 65,536 KiB. Sampled from smaps and the relay's metrics on beside load 30 (68,844 KiB, case of whole responses):

- First peak, 67,744 KiB: 26 MB program and 2 MB libraries, 39,160 KiB heap. relay_answer_bytes was 16.7 MB (its limit), relay_unread_bytes 0, 450 connections.
The rest of the heap is about 50 KB for each request whose response is read.
Cause: a response waited for its turn only if what was buffered exceeded the limit, and nothing is buffered when responses begin at the same moment: 118 of 300 KB (35.4 MB) began at once, where 4 MB are meant to.
Declared lengths now count, and turns have a quarter of the memory for responses.
- Second peak, with the first change alone, 68,384 KiB: relay_unread_bytes 24.7 MB, no connection to an endpoint left, 450 connections of callers, of which those whose response the kernel had accepted counted as nothing.
Each connection of a caller and each request of a peer now takes 24 KB from the limit of unread responses, at most three quarters of it; responses that are read or unread no longer count it themselves.
- Streams through a peer, 438 callers on a less busy machine: 65,652 KiB at the peer, 84 KB for each stream against 71 KB without a peer.
The future that handles a peer's request lived as long as its stream; it is boxed, as for callers, and ends with the head of the response.

unread::room counted responses that are read twice: they reduced the limit (unread_beside) and counted towards it. Test of the decision, before: 8 MB where 16 MB are left beside bodies of 16 MB and responses of 8 MB. Bodies alone reduce the limit there now.

--- a/crates/ibishill-decide/src/memory.rs
+++ b/crates/ibishill-decide/src/memory.rs
@@ -28,6 +28,15 @@
 /// Bytes that count as progress of an upload. Callers that send single bytes to look alive make none.
 const PROGRESS_SIZE: usize = 4 * 1_024;
 
+/// What a request and its endpoint's connection occupy beside while its answer is read, in bytes.
+const READING_SIZE: usize = 24 * 1_024;
+
+/// What a caller's connection and its request occupy, in bytes, also after the kernel has accepted the whole answer.
+const CALLER_SIZE: usize = 24 * 1_024;
+
+/// Length from which on an answer may have to wait for its turn to be read, in bytes.
+const TURN_SIZE: usize = 64 * 1_024;
+
 /// Limits of a relay, derived from what its settings give it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Budget {
@@ -69,6 +78,44 @@
     pub fn unread_beside(&self, others: usize) -> usize {
         self.unread.min(self.total.saturating_sub(others).max(self.total / 8))
     }
+
+    /// What callers may have yet to read and answers that are being read may occupy together, in bytes, while bodies
+    /// occupy `bodies` bytes.
+    pub fn unread_and_reading(&self, bodies: usize) -> usize {
+        self.unread_beside(bodies)
+    }
+}
+
+/// What is left of a limit in bytes beside the connections of this many callers: at least a quarter, so that running
+/// requests can be answered.
+pub fn beside_callers(limit: usize, callers: usize) -> usize {
+    limit.saturating_sub(callers * CALLER_SIZE).max(limit / 4)
+}
+
+/// Answers that are being read from endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// Number of answers.
+    pub count: usize,
+    /// Memory of their buffers, in bytes.
+    pub buffered: usize,
+    /// Declared lengths of the large ones that are no longer waiting for their turn, in bytes.
+    pub declared: usize,
+}
+
+impl Reading {
+    /// All that they occupy, in bytes, with their requests and the endpoints' connections.
+    pub const fn size(&self) -> usize {
+        self.buffered + self.count * READING_SIZE
+    }
+
+    /// Whether an answer of this declared length is read without waiting for its turn. Answers that begin at the same
+    /// moment have nothing buffered yet, so their declared lengths count.
+    pub const fn is_free(&self, budget: &Budget, length: usize) -> bool {
+        let content = if self.buffered > self.declared { self.buffered } else { self.declared };
+        let size = content + self.count * READING_SIZE;
+        length < TURN_SIZE || size.saturating_add(length) <= budget.answers / 4
+    }
 }
 
 /// Memory in use, in bytes.
--- a/crates/ibishill-decide/tests/relay/memory.rs
+++ b/crates/ibishill-decide/tests/relay/memory.rs
@@ -105,6 +105,53 @@
     }
 }
 
+// Guards against answers that begin at the same moment and are all read at once: nothing of them is buffered yet.
+#[test]
+fn large_answers_that_begin_together_are_read_within_their_share() {
+    let budget = memory::Budget::of(None, None);
+    let length = 300_000;
+    let mut reading = memory::Reading { count: 0, buffered: 0, declared: 0 };
+    for _ in 0..450 {
+        reading.count += 1;
+        if reading.is_free(&budget, length) {
+            reading.declared += length;
+        }
+    }
+    let declared = reading.declared;
+    assert!((length..=budget.answers / 4).contains(&declared), "{declared} bytes");
+    assert!(reading.is_free(&budget, 60_000), "an ordinary answer waits");
+}
+
+// Guards against answers that are held up while there is memory for them.
+#[test]
+fn answers_that_are_read_count_once() {
+    // 64 MB: 32 for data, 20 of it for unread answers.
+    let budget = memory::Budget::of(Some(64 * MB), None);
+    // Name, bytes of bodies and of answers that are being read, and what is left for unread ones.
+    let cases = [
+        ("nothing else", 0, 0, 20 * MB),
+        ("answers are read", 0, 8 * MB, 12 * MB),
+        ("bodies beside", 16 * MB, 0, 16 * MB),
+        ("bodies and answers", 16 * MB, 8 * MB, 8 * MB),
+        ("all that bodies may take", 20 * MB, 8 * MB, 4 * MB),
+    ];
+    for (name, bodies, buffered, expected) in cases {
+        let reading = memory::Reading { count: 0, buffered, declared: buffered };
+        let left = budget.unread_and_reading(bodies) - reading.size();
+        assert_eq!(left, expected, "{name}");
+    }
+}
+
+// Guards against unread answers that fill the memory beside hundreds of connections, and against none being left.
+#[test]
+fn connections_of_callers_take_from_what_may_be_unread() {
+    let limit = 24 * 1_024 * 1_024;
+    let cases = [(0, limit), (450, limit - 450 * 24 * 1_024), (800, limit / 4), (5_000, limit / 4)];
+    for (callers, expected) in cases {
+        assert_eq!(memory::beside_callers(limit, callers), expected, "{callers} callers");
+    }
+}
+
 // Guards against callers that send single bytes to look alive.
 #[test]
 fn single_bytes_are_no_progress() {
--- a/crates/ibishill-relay/src/answer.rs
+++ b/crates/ibishill-relay/src/answer.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use ibishill_decide::memory as decision;
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time as clock;
 
@@ -16,12 +17,6 @@
 /// Smallest buffer of an answer whose length is not known, in bytes.
 const BUFFER_MIN: usize = 4 * 1_024;
 
-/// What a request and the buffers of its connections hold beside while its answer is read, in bytes.
-const READ_AHEAD: usize = 32 * 1_024;
-
-/// Length from which on an answer waits for its turn to be read, in bytes.
-const TURN_SIZE: usize = 64 * 1_024;
-
 /// Largest part of the turns that one answer takes, in bytes.
 const TURN_MAX: usize = 256 * 1_024;
 
@@ -36,7 +31,9 @@
 pub(crate) struct Buffers {
     memory: Rc<memory::Memory>,
     /// Whole answers that are being read, or wait for their turn.
-    reading: Rc<Cell<usize>>,
+    count: Rc<Cell<usize>>,
+    /// Declared lengths of the large ones that do not wait for their turn, in bytes.
+    declared: Rc<Cell<usize>>,
     /// Permits for large answers, one for each KiB: many that begin at the same time are read one after the other.
     turns: Rc<Semaphore>,
 }
@@ -47,12 +44,22 @@
     size: usize,
 }
 
-/// Counts a whole answer that is being read until dropped.
-struct Reading(Rc<Cell<usize>>);
+/// Adds an amount to a sum until dropped.
+struct Added {
+    sum: Rc<Cell<usize>>,
+    amount: usize,
+}
+
+impl Added {
+    fn to(sum: &Rc<Cell<usize>>, amount: usize) -> Self {
+        sum.set(sum.get() + amount);
+        Self { sum: sum.clone(), amount }
+    }
+}
 
-impl Drop for Reading {
+impl Drop for Added {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.sum.set(self.sum.get() - self.amount);
     }
 }
 
@@ -81,8 +88,9 @@
 impl Buffers {
     /// Buffers within the relay's memory.
     pub(crate) fn new(memory: &Rc<memory::Memory>) -> Self {
-        let turns = Rc::new(Semaphore::new(memory.budget.answers / 8 * 3 / 1_024));
-        Self { memory: memory.clone(), reading: Rc::default(), turns }
+        let turns = Rc::new(Semaphore::new(memory.budget.answers / 4 / 1_024));
+        let (count, declared) = (Rc::default(), Rc::default());
+        Self { memory: memory.clone(), count, declared, turns }
     }
 
     /// Begins an answer, of which nothing has been read.
@@ -90,14 +98,14 @@
         Share { memory: self.memory.clone(), size: 0 }
     }
 
-    // All that answers occupy that are being read, with the buffers of their connections.
-    fn used(&self) -> usize {
-        self.memory.answers.used() + self.reading.get() * READ_AHEAD
+    fn reading(&self) -> decision::Reading {
+        let (count, declared) = (self.count.get(), self.declared.get());
+        decision::Reading { count, buffered: self.memory.answers.used(), declared }
     }
 
     // Waits until an answer of this length may be read; at once while most of the memory is free.
     async fn turn(&self, length: usize) -> Option<SemaphorePermit<'_>> {
-        if length < TURN_SIZE || self.used() + length <= self.memory.budget.answers / 4 {
+        if self.reading().is_free(&self.memory.budget, length) {
             return None;
         }
         let size = u32::try_from(length.min(TURN_MAX) / 1_024).unwrap_or(u32::MAX);
@@ -116,15 +124,16 @@
         unread: &unread::Unread,
     ) -> Result<Bytes, CallError> {
         let declared = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
-        self.reading.set(self.reading.get() + 1);
-        let _reading = Reading(self.reading.clone());
+        let _counted = Added::to(&self.count, 1);
         let mut turn = self.turn(declared.unwrap_or_default()).await;
+        // Nothing of it is buffered yet, but those that begin next must know of it.
+        let _declared = Added::to(&self.declared, declared.unwrap_or_default());
         let turn_end = clock::Instant::now() + TURN_TIME;
         let mut share = self.share();
         let mut content = Vec::new();
         loop {
             // What is being read will have to wait for callers, so it counts there already.
-            unread.room(|| self.used()).await;
+            unread.room(|| self.reading()).await;
             let frame = match clock::timeout_at(turn_end, body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) => {
--- a/crates/ibishill-relay/src/connections.rs
+++ b/crates/ibishill-relay/src/connections.rs
@@ -95,6 +95,7 @@
         let entry = Entry { activity: activity.clone(), abort: abort.clone() };
         connections.open.borrow_mut().insert(number, entry);
         context.state().connections += 1;
+        context.memory.callers.set(context.memory.callers.get() + 1);
         Some(Self { context: context.clone(), number, abort, activity })
     }
 }
@@ -103,6 +104,7 @@
     fn drop(&mut self) {
         self.context.connections.open.borrow_mut().remove(&self.number);
         self.context.state().connections -= 1;
+        self.context.memory.callers.set(self.context.memory.callers.get() - 1);
     }
 }
 
--- a/crates/ibishill-relay/src/control.rs
+++ b/crates/ibishill-relay/src/control.rs
@@ -77,6 +77,7 @@
         let count = context.forwarded.get();
         (count < FORWARDED_MAX).then(|| {
             context.forwarded.set(count + 1);
+            context.memory.callers.set(context.memory.callers.get() + 1);
             Self(context.clone())
         })
     }
@@ -85,6 +86,7 @@
 impl Drop for ForwardGuard {
     fn drop(&mut self) {
         self.0.forwarded.set(self.0.forwarded.get() - 1);
+        self.0.memory.callers.set(self.0.memory.callers.get() - 1);
     }
 }
 
@@ -119,7 +121,9 @@
         let is_full = guard.is_none();
         *connection.forward.borrow_mut() = guard;
         let abort = connection.abort.clone();
-        return Ok(handler::handle_forwarded(context, request, abort, hop, is_full).await);
+        // Boxed, so that a stream has no memory for attempts once it has begun.
+        let handling = Box::pin(handler::handle_forwarded(context, request, abort, hop, is_full));
+        return Ok(handling.await);
     }
     let is_for_chunks = request.uri().path() == chunks::PATH;
     let Ok(body) = Limited::new(request.into_body(), MESSAGE_MAX).collect().await else {
--- a/crates/ibishill-relay/src/memory.rs
+++ b/crates/ibishill-relay/src/memory.rs
@@ -58,6 +58,8 @@
     pub(crate) answers: Counter,
     /// Answers that callers have yet to read.
     pub(crate) unread: Counter,
+    /// Connections of callers, and requests of peers.
+    pub(crate) callers: Cell<usize>,
     uploads: RefCell<BTreeMap<u64, Entry>>,
     next: Cell<u64>,
     origin: Instant,
@@ -110,6 +112,7 @@
             answers: Counter::new(&total),
             unread: Counter::new(&total),
             total,
+            callers: Cell::new(0),
             uploads: RefCell::default(),
             next: Cell::new(0),
             origin: Instant::now(),
@@ -129,7 +132,14 @@
 
     /// What callers may have yet to read, in bytes.
     pub(crate) fn unread_limit(&self) -> usize {
-        self.budget.unread_beside(self.bodies.used() + self.answers.used())
+        let limit = self.budget.unread_beside(self.bodies.used() + self.answers.used());
+        memory::beside_callers(limit, self.callers.get())
+    }
+
+    /// The same with answers that are being read, in bytes.
+    pub(crate) fn unread_and_reading(&self) -> usize {
+        let limit = self.budget.unread_and_reading(self.bodies.used());
+        memory::beside_callers(limit, self.callers.get())
     }
 
     /// Gives up stalled uploads while the budget is exceeded.
--- a/crates/ibishill-relay/src/unread.rs
+++ b/crates/ibishill-relay/src/unread.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use ibishill_core::event;
+use ibishill_decide::memory as decision;
 use tokio::sync::Notify;
 use tokio::time as clock;
 
@@ -30,10 +31,6 @@
 /// What the buffers of a connection to an endpoint hold beside, in bytes, once nothing is read from it.
 const READ_AHEAD: usize = 48 * 1_024;
 
-/// What a caller's connection and its request occupy beside, in bytes. 450 of them without it took 13 MB that nothing
-/// counted.
-const CALLER_SIZE: usize = 24 * 1_024;
-
 /// Time without reading after which a caller may be disconnected.
 const STALL_MIN: Duration = Duration::from_secs(1);
 
@@ -57,6 +54,18 @@
     abort: abort::Abort,
 }
 
+impl Stalled {
+    // Closes its caller's connection, which releases the returned number of bytes; `used` bytes are unread in all.
+    fn disconnect(&self, used: usize) -> usize {
+        event::emit_json(
+            event::Event::CallerStalled,
+            &[event::field("request", &self.request), event::field("used", &used)],
+        );
+        self.abort.request();
+        self.size + self.part.held.load(Ordering::Relaxed)
+    }
+}
+
 /// Part of one answer; clones share it.
 #[derive(Clone, Default)]
 struct Part {
@@ -145,10 +154,10 @@
         let mut stall = None;
         loop {
             let has_read = answer.part.held.load(Ordering::Relaxed) <= STREAM_MAX;
-            if self.make_room(0) && has_read {
+            if self.make_room() && has_read {
                 return stall.is_some();
             }
-            stall.get_or_insert_with(|| StallGuard::begin(self, answer, READ_AHEAD + CALLER_SIZE));
+            stall.get_or_insert_with(|| StallGuard::begin(self, answer, READ_AHEAD));
             if has_read {
                 clock::sleep(RETRY_INTERVAL).await;
             } else {
@@ -157,13 +166,19 @@
         }
     }
 
-    /// Waits until the memory is not exhausted; `others` is what counts beside, in bytes.
-    pub(crate) async fn room<F>(&self, others: F)
+    /// Waits until the memory is not exhausted for more of the answers that are being read.
+    pub(crate) async fn room<F>(&self, reading: F)
     where
-        F: Fn() -> usize,
+        F: Fn() -> decision::Reading,
     {
-        // While no caller has anything to read, nothing else would make room.
-        while !self.make_room(if self.used() > 0 { others() } else { 0 }) {
+        loop {
+            let reading = reading();
+            let limit = self.memory.unread_and_reading();
+            // While no caller has anything to read, nothing else would make room.
+            let others = if self.used() > 0 { reading.size() } else { 0 };
+            if self.make_room_within(limit, others) {
+                return;
+            }
             clock::sleep(RETRY_INTERVAL).await;
         }
     }
@@ -179,29 +194,28 @@
 
     /// Waits until the caller has read all of the answer, or has left.
     pub(crate) async fn drained(&self, answer: &Answer) {
-        let _stall = StallGuard::begin(self, answer, CALLER_SIZE);
+        let _stall = StallGuard::begin(self, answer, 0);
         while answer.part.held.load(Ordering::Relaxed) > 0 {
-            self.make_room(0);
+            self.make_room();
             answer.part.freed.notified().await;
         }
     }
 
-    // Whether the memory is not exhausted; disconnects callers that read nothing until it is not.
-    fn make_room(&self, others: usize) -> bool {
+    fn make_room(&self) -> bool {
+        self.make_room_within(self.memory.unread_limit(), 0)
+    }
+
+    // Whether the memory is not exhausted; disconnects callers that read nothing until it is not. `others` count
+    // towards the limit.
+    fn make_room_within(&self, limit: usize, others: usize) -> bool {
         self.memory.relieve();
-        let limit = self.memory.unread_limit();
         let mut used = self.used() + others;
         let mut stalled = self.stalled.borrow_mut();
         while used > limit {
             let oldest = stalled.first_entry();
             let oldest = oldest.filter(|found| found.get().since.elapsed() >= STALL_MIN);
             let Some(oldest) = oldest.map(|found| found.remove()) else { break };
-            event::emit_json(
-                event::Event::CallerStalled,
-                &[event::field("request", &oldest.request), event::field("used", &used)],
-            );
-            oldest.abort.request();
-            used = used.saturating_sub(oldest.size + oldest.part.held.load(Ordering::Relaxed));
+            used = used.saturating_sub(oldest.disconnect(used));
         }
         self.used() + others <= limit
     }
