memory: callers that read nothing are disconnected when a body needs their memory

Bodies and unread responses share one budget, but a body for which there was no memory gave up stalled uploads only. Callers that read nothing were disconnected for other responses, never for bodies, which got 503 instead. If bodies are within their limit and all data is not, the caller that has read nothing for the longest time (at least 1 s) is now disconnected. Stalled uploads go first, since their requests have not begun.

--- a/crates/ibishill-decide/src/memory.rs
+++ b/crates/ibishill-decide/src/memory.rs
@@ -197,6 +197,28 @@
     stalled(others, now).map_or(Growth::Refuse, Growth::Evict)
 }
 
+/// The caller that is disconnected so that an upload may grow: of those that have read nothing of their answers, whose
+/// numbers and times are given, the one for the longest time. None if the limit of bodies is what stops the upload.
+///
+/// An upload that has stalled is given up before, since its request has not begun.
+pub fn unread_to_release<I>(
+    budget: &Budget,
+    usage: Usage,
+    claim: Claim,
+    readers: I,
+    now: time::Tick,
+) -> Option<u64>
+where
+    I: Iterator<Item = (u64, time::Tick)>,
+{
+    let growth = claim.size.saturating_sub(claim.held);
+    let exceeds_total = usage.total.saturating_add(growth) > budget.total;
+    // Without the others' memory the body would be refused as well.
+    let alone = Usage { total: usage.bodies, ..usage };
+    let fits_alone = grow(budget, alone, claim, std::iter::empty(), now) == Growth::Fits;
+    if exceeds_total && fits_alone { inactive(readers, now) } else { None }
+}
+
 /// The upload that is given up first: of those that have stalled, the one that did first.
 pub fn stalled<I>(uploads: I, now: time::Tick) -> Option<u64>
 where
@@ -206,8 +228,8 @@
     stalled.min_by_key(|(_, upload)| upload.progress).map(|(number, _)| number)
 }
 
-/// The connection that is closed when another one would exceed the limit: of those without a request, whose numbers
-/// and last activity are given, the one that has been inactive for the longest time.
+/// The one that is closed first: of connections without a request, or callers that read nothing, whose numbers and last
+/// activity are given, the one that has been inactive for the longest time.
 pub fn inactive<I>(connections: I, now: time::Tick) -> Option<u64>
 where
     I: Iterator<Item = (u64, time::Tick)>,
--- a/crates/ibishill-decide/tests/relay/memory.rs
+++ b/crates/ibishill-decide/tests/relay/memory.rs
@@ -152,6 +152,28 @@
     }
 }
 
+// Guards against bodies that are refused while callers that read nothing occupy the memory.
+#[test]
+fn callers_that_read_nothing_are_disconnected_for_bodies() {
+    // 64 MB: 32 for data, 20 of it for bodies.
+    let budget = memory::Budget::of(Some(64 * MB), None);
+    let stalled = &[(1, 900), (2, 500), (3, 1_900)][..];
+    let cases = [
+        ("the longest first", 12 * MB, 20 * MB, stalled, Some(2)),
+        ("all have read a moment ago", 12 * MB, 20 * MB, &[(3, 1_900)][..], None),
+        ("nothing unread", 12 * MB, 20 * MB, &[][..], None),
+        ("there is memory", 4 * MB, 20 * MB, stalled, None),
+        ("bodies are at their limit", 20 * MB, 12 * MB, stalled, None),
+    ];
+    for (name, bodies, unread, readers, expected) in cases {
+        let usage = memory::Usage { total: bodies + unread, bodies };
+        let claim = memory::Claim { number: 9, held: 0, size: MB };
+        let readers = readers.iter().map(|(number, at)| (*number, time::Tick(*at)));
+        let found = memory::unread_to_release(&budget, usage, claim, readers, time::Tick(2_000));
+        assert_eq!(found, expected, "{name}");
+    }
+}
+
 // Guards against callers that send single bytes to look alive.
 #[test]
 fn single_bytes_are_no_progress() {
--- a/crates/ibishill-relay/src/memory.rs
+++ b/crates/ibishill-relay/src/memory.rs
@@ -15,6 +15,8 @@
 use tokio::sync::Notify;
 use tokio::time as clock;
 
+use crate::unread;
+
 /// Interval of attempts to get memory that uploads which were given up are about to release.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -124,9 +126,14 @@
         self.total.load(Ordering::Relaxed)
     }
 
-    // Time since the start, which differs from that of other decisions.
-    fn now(&self) -> time::Tick {
-        let passed = self.origin.elapsed().as_millis();
+    /// Time since the start, which differs from that of other decisions.
+    pub(crate) fn now(&self) -> time::Tick {
+        self.at(Instant::now())
+    }
+
+    /// The same for another moment.
+    pub(crate) fn at(&self, moment: Instant) -> time::Tick {
+        let passed = moment.saturating_duration_since(self.origin).as_millis();
         time::Tick(u64::try_from(passed).unwrap_or(u64::MAX))
     }
 
@@ -197,22 +204,27 @@
     /// # Errors
     ///
     /// Fails if there is no memory for it.
-    pub(crate) async fn grow(&mut self, size: usize) -> Result<(), Exhausted> {
-        while !self.try_grow(size)? {
+    pub(crate) async fn grow(
+        &mut self,
+        size: usize,
+        unread: &unread::Unread,
+    ) -> Result<(), Exhausted> {
+        while !self.try_grow(size, unread)? {
             clock::sleep(RETRY_INTERVAL).await;
         }
         Ok(())
     }
 
     // Whether it has grown; if not, it may once others have released their memory.
-    fn try_grow(&mut self, size: usize) -> Result<bool, Exhausted> {
+    fn try_grow(&mut self, size: usize, unread: &unread::Unread) -> Result<bool, Exhausted> {
         let memory = &self.memory;
         let claim = memory::Claim { number: self.number, held: self.size, size };
-        let mut released = 0;
+        let (mut uploads_released, mut unread_released) = (0, 0);
         loop {
+            let released = uploads_released + unread_released;
             let usage = memory::Usage {
                 total: memory.used().saturating_sub(released),
-                bodies: memory.bodies.used().saturating_sub(released),
+                bodies: memory.bodies.used().saturating_sub(uploads_released),
             };
             let growth = {
                 let uploads = memory.uploads.borrow();
@@ -223,9 +235,15 @@
                 memory::Growth::Fits if released > 0 => return Ok(false),
                 memory::Growth::Fits => break,
                 memory::Growth::Evict(number) => {
-                    released += memory.evict(number).ok_or(Exhausted)?;
+                    uploads_released += memory.evict(number).ok_or(Exhausted)?;
+                }
+                memory::Growth::Refuse => {
+                    // Several uploads may wait for what the same callers release.
+                    if unread_released == unread.disconnected() {
+                        unread.release_for(usage, claim).ok_or(Exhausted)?;
+                    }
+                    unread_released = unread.disconnected();
                 }
-                memory::Growth::Refuse => return Err(Exhausted),
             }
         }
         memory.bodies.add(size - self.size);
--- a/crates/ibishill-relay/src/unread.rs
+++ b/crates/ibishill-relay/src/unread.rs
@@ -42,6 +42,8 @@
     memory: Rc<memory::Memory>,
     /// Answers whose callers read nothing, the oldest first.
     stalled: RefCell<BTreeMap<u64, Stalled>>,
+    /// What disconnected callers are about to release, in bytes.
+    disconnected: RefCell<BTreeMap<u64, usize>>,
     next: Cell<u64>,
 }
 
@@ -125,6 +127,7 @@
 impl Drop for StallGuard<'_> {
     fn drop(&mut self) {
         self.unread.stalled.borrow_mut().remove(&self.number);
+        self.unread.disconnected.borrow_mut().remove(&self.number);
         self.unread.memory.unread.sub(self.size);
     }
 }
@@ -139,8 +142,12 @@
 impl Unread {
     /// Nothing unread, within the relay's memory.
     pub(crate) fn new(memory: &Rc<memory::Memory>) -> Self {
-        let (stalled, next) = (RefCell::default(), Cell::default());
-        Self { memory: memory.clone(), stalled, next }
+        Self {
+            memory: memory.clone(),
+            stalled: RefCell::default(),
+            disconnected: RefCell::default(),
+            next: Cell::default(),
+        }
     }
 
     /// Memory in use, in bytes.
@@ -183,6 +190,22 @@
         }
     }
 
+    /// Disconnects a caller that reads nothing, so that an upload may grow; none if there is none to disconnect.
+    pub(crate) fn release_for(&self, usage: decision::Usage, claim: decision::Claim) -> Option<()> {
+        let mut stalled = self.stalled.borrow_mut();
+        let readers = stalled.iter().map(|(number, found)| (*number, self.memory.at(found.since)));
+        let (budget, now) = (&self.memory.budget, self.memory.now());
+        let number = decision::unread_to_release(budget, usage, claim, readers, now)?;
+        let size = stalled.remove(&number)?.disconnect(self.used());
+        self.disconnected.borrow_mut().insert(number, size);
+        Some(())
+    }
+
+    /// What disconnected callers are about to release, in bytes.
+    pub(crate) fn disconnected(&self) -> usize {
+        self.disconnected.borrow().values().sum()
+    }
+
     /// Counts bytes that wait for the caller until they are written.
     pub(crate) fn add(&self, answer: &Answer, bytes: Bytes) -> Bytes {
         let size = bytes.len() + CHUNK_OVERHEAD;
@@ -214,8 +237,10 @@
         while used > limit {
             let oldest = stalled.first_entry();
             let oldest = oldest.filter(|found| found.get().since.elapsed() >= STALL_MIN);
-            let Some(oldest) = oldest.map(|found| found.remove()) else { break };
-            used = used.saturating_sub(oldest.disconnect(used));
+            let Some((number, oldest)) = oldest.map(|found| found.remove_entry()) else { break };
+            let size = oldest.disconnect(used);
+            self.disconnected.borrow_mut().insert(number, size);
+            used = used.saturating_sub(size);
         }
         self.used() + others <= limit
     }
--- a/crates/ibishill-relay/src/upload.rs
+++ b/crates/ibishill-relay/src/upload.rs
@@ -73,7 +73,7 @@
         }
         if length > content.capacity() {
             let capacity = capacity(content.capacity(), length, declared.unwrap_or(limit));
-            let grown = upload.grow(capacity).await;
+            let grown = upload.grow(capacity, &context.unread).await;
             grown.map_err(|memory::Exhausted| Reason::NoMemory)?;
             content.reserve_exact(capacity - content.len());
         }
