--- a/crates/ibishill-decide/src/memory.rs
+++ b/crates/ibishill-decide/src/memory.rs
@@ -28,6 +28,15 @@
 /// Bytes that count as progress of an upload. Callers that send single bytes to look alive make none.
 const PROGRESS_SIZE: usize = 4 * 1_024;
 
+/// What a request and its endpoint's connection occupy beside while its answer is read, in bytes.
+const READING_SIZE: usize = 24 * 1_024;
+
+/// What a caller's connection and its request occupy, in bytes, also after the kernel has accepted the whole answer.
+const CALLER_SIZE: usize = 24 * 1_024;
+
+/// Length from which on an answer may have to wait for its turn to be read, in bytes.
+const TURN_SIZE: usize = 64 * 1_024;
+
 /// Limits of a relay, derived from what its settings give it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Budget {
@@ -69,6 +78,44 @@
     pub fn unread_beside(&self, others: usize) -> usize {
         self.unread.min(self.total.saturating_sub(others).max(self.total / 8))
     }
+
+    /// What callers may have yet to read and answers that are being read may occupy together, in bytes, while bodies
+    /// occupy `bodies` bytes.
+    pub fn unread_and_reading(&self, bodies: usize) -> usize {
+        self.unread_beside(bodies)
+    }
+}
+
+/// What is left of a limit in bytes beside the connections of this many callers: at least a quarter, so that running
+/// requests can be answered.
+pub fn beside_callers(limit: usize, callers: usize) -> usize {
+    limit.saturating_sub(callers * CALLER_SIZE).max(limit / 4)
+}
+
+/// Answers that are being read from endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// Number of answers.
+    pub count: usize,
+    /// Memory of their buffers, in bytes.
+    pub buffered: usize,
+    /// Declared lengths of the large ones that are no longer waiting for their turn, in bytes.
+    pub declared: usize,
+}
+
+impl Reading {
+    /// All that they occupy, in bytes, with their requests and the endpoints' connections.
+    pub const fn size(&self) -> usize {
+        self.buffered + self.count * READING_SIZE
+    }
+
+    /// Whether an answer of this declared length is read without waiting for its turn. Answers that begin at the same
+    /// moment have nothing buffered yet, so their declared lengths count.
+    pub const fn is_free(&self, budget: &Budget, length: usize) -> bool {
+        let content = if self.buffered > self.declared { self.buffered } else { self.declared };
+        let size = content + self.count * READING_SIZE;
+        length < TURN_SIZE || size.saturating_add(length) <= budget.answers / 4
+    }
 }
 
 /// Memory in use, in bytes.
@@ -150,6 +197,28 @@
     stalled(others, now).map_or(Growth::Refuse, Growth::Evict)
 }
 
+/// The caller that is disconnected so that an upload may grow: of those that have read nothing of their answers, whose
+/// numbers and times are given, the one for the longest time. None if the limit of bodies is what stops the upload.
+///
+/// An upload that has stalled is given up before, since its request has not begun.
+pub fn unread_to_release<I>(
+    budget: &Budget,
+    usage: Usage,
+    claim: Claim,
+    readers: I,
+    now: time::Tick,
+) -> Option<u64>
+where
+    I: Iterator<Item = (u64, time::Tick)>,
+{
+    let growth = claim.size.saturating_sub(claim.held);
+    let exceeds_total = usage.total.saturating_add(growth) > budget.total;
+    // Without the others' memory the body would be refused as well.
+    let alone = Usage { total: usage.bodies, ..usage };
+    let fits_alone = grow(budget, alone, claim, std::iter::empty(), now) == Growth::Fits;
+    if exceeds_total && fits_alone { inactive(readers, now) } else { None }
+}
+
 /// The upload that is given up first: of those that have stalled, the one that did first.
 pub fn stalled<I>(uploads: I, now: time::Tick) -> Option<u64>
 where
@@ -159,8 +228,8 @@
     stalled.min_by_key(|(_, upload)| upload.progress).map(|(number, _)| number)
 }
 
-/// The connection that is closed when another one would exceed the limit: of those without a request, whose numbers
-/// and last activity are given, the one that has been inactive for the longest time.
+/// The one that is closed first: of connections without a request, or callers that read nothing, whose numbers and last
+/// activity are given, the one that has been inactive for the longest time.
 pub fn inactive<I>(connections: I, now: time::Tick) -> Option<u64>
 where
     I: Iterator<Item = (u64, time::Tick)>,
--- a/crates/ibishill-relay/src/unread.rs
+++ b/crates/ibishill-relay/src/unread.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use ibishill_core::event;
+use ibishill_decide::memory as decision;
 use tokio::sync::Notify;
 use tokio::time as clock;
 
@@ -30,10 +31,6 @@
 /// What the buffers of a connection to an endpoint hold beside, in bytes, once nothing is read from it.
 const READ_AHEAD: usize = 48 * 1_024;
 
-/// What a caller's connection and its request occupy beside, in bytes. 450 of them without it took 13 MB that nothing
-/// counted.
-const CALLER_SIZE: usize = 24 * 1_024;
-
 /// Time without reading after which a caller may be disconnected.
 const STALL_MIN: Duration = Duration::from_secs(1);
 
@@ -45,6 +42,8 @@
     memory: Rc<memory::Memory>,
     /// Answers whose callers read nothing, the oldest first.
     stalled: RefCell<BTreeMap<u64, Stalled>>,
+    /// What disconnected callers are about to release, in bytes.
+    disconnected: RefCell<BTreeMap<u64, usize>>,
     next: Cell<u64>,
 }
 
@@ -57,6 +56,18 @@
     abort: abort::Abort,
 }
 
+impl Stalled {
+    // Closes its caller's connection, which releases the returned number of bytes; `used` bytes are unread in all.
+    fn disconnect(&self, used: usize) -> usize {
+        event::emit_json(
+            event::Event::CallerStalled,
+            &[event::field("request", &self.request), event::field("used", &used)],
+        );
+        self.abort.request();
+        self.size + self.part.held.load(Ordering::Relaxed)
+    }
+}
+
 /// Part of one answer; clones share it.
 #[derive(Clone, Default)]
 struct Part {
@@ -116,6 +127,7 @@
 impl Drop for StallGuard<'_> {
     fn drop(&mut self) {
         self.unread.stalled.borrow_mut().remove(&self.number);
+        self.unread.disconnected.borrow_mut().remove(&self.number);
         self.unread.memory.unread.sub(self.size);
     }
 }
@@ -130,8 +142,12 @@
 impl Unread {
     /// Nothing unread, within the relay's memory.
     pub(crate) fn new(memory: &Rc<memory::Memory>) -> Self {
-        let (stalled, next) = (RefCell::default(), Cell::default());
-        Self { memory: memory.clone(), stalled, next }
+        Self {
+            memory: memory.clone(),
+            stalled: RefCell::default(),
+            disconnected: RefCell::default(),
+            next: Cell::default(),
+        }
     }
 
     /// Memory in use, in bytes.
@@ -145,10 +161,10 @@
         let mut stall = None;
         loop {
             let has_read = answer.part.held.load(Ordering::Relaxed) <= STREAM_MAX;
-            if self.make_room(0) && has_read {
+            if self.make_room() && has_read {
                 return stall.is_some();
             }
-            stall.get_or_insert_with(|| StallGuard::begin(self, answer, READ_AHEAD + CALLER_SIZE));
+            stall.get_or_insert_with(|| StallGuard::begin(self, answer, READ_AHEAD));
             if has_read {
                 clock::sleep(RETRY_INTERVAL).await;
             } else {
@@ -157,17 +173,39 @@
         }
     }
 
-    /// Waits until the memory is not exhausted; `others` is what counts beside, in bytes.
-    pub(crate) async fn room<F>(&self, others: F)
+    /// Waits until the memory is not exhausted for more of the answers that are being read.
+    pub(crate) async fn room<F>(&self, reading: F)
     where
-        F: Fn() -> usize,
+        F: Fn() -> decision::Reading,
     {
-        // While no caller has anything to read, nothing else would make room.
-        while !self.make_room(if self.used() > 0 { others() } else { 0 }) {
+        loop {
+            let reading = reading();
+            let limit = self.memory.unread_and_reading();
+            // While no caller has anything to read, nothing else would make room.
+            let others = if self.used() > 0 { reading.size() } else { 0 };
+            if self.make_room_within(limit, others) {
+                return;
+            }
             clock::sleep(RETRY_INTERVAL).await;
         }
     }
 
+    /// Disconnects a caller that reads nothing, so that an upload may grow; none if there is none to disconnect.
+    pub(crate) fn release_for(&self, usage: decision::Usage, claim: decision::Claim) -> Option<()> {
+        let mut stalled = self.stalled.borrow_mut();
+        let readers = stalled.iter().map(|(number, found)| (*number, self.memory.at(found.since)));
+        let (budget, now) = (&self.memory.budget, self.memory.now());
+        let number = decision::unread_to_release(budget, usage, claim, readers, now)?;
+        let size = stalled.remove(&number)?.disconnect(self.used());
+        self.disconnected.borrow_mut().insert(number, size);
+        Some(())
+    }
+
+    /// What disconnected callers are about to release, in bytes.
+    pub(crate) fn disconnected(&self) -> usize {
+        self.disconnected.borrow().values().sum()
+    }
+
     /// Counts bytes that wait for the caller until they are written.
     pub(crate) fn add(&self, answer: &Answer, bytes: Bytes) -> Bytes {
         let size = bytes.len() + CHUNK_OVERHEAD;
@@ -179,29 +217,30 @@
 
     /// Waits until the caller has read all of the answer, or has left.
     pub(crate) async fn drained(&self, answer: &Answer) {
-        let _stall = StallGuard::begin(self, answer, CALLER_SIZE);
+        let _stall = StallGuard::begin(self, answer, 0);
         while answer.part.held.load(Ordering::Relaxed) > 0 {
-            self.make_room(0);
+            self.make_room();
             answer.part.freed.notified().await;
         }
     }
 
-    // Whether the memory is not exhausted; disconnects callers that read nothing until it is not.
-    fn make_room(&self, others: usize) -> bool {
+    fn make_room(&self) -> bool {
+        self.make_room_within(self.memory.unread_limit(), 0)
+    }
+
+    // Whether the memory is not exhausted; disconnects callers that read nothing until it is not. `others` count
+    // towards the limit.
+    fn make_room_within(&self, limit: usize, others: usize) -> bool {
         self.memory.relieve();
-        let limit = self.memory.unread_limit();
         let mut used = self.used() + others;
         let mut stalled = self.stalled.borrow_mut();
         while used > limit {
             let oldest = stalled.first_entry();
             let oldest = oldest.filter(|found| found.get().since.elapsed() >= STALL_MIN);
-            let Some(oldest) = oldest.map(|found| found.remove()) else { break };
-            event::emit_json(
-                event::Event::CallerStalled,
-                &[event::field("request", &oldest.request), event::field("used", &used)],
-            );
-            oldest.abort.request();
-            used = used.saturating_sub(oldest.size + oldest.part.held.load(Ordering::Relaxed));
+            let Some((number, oldest)) = oldest.map(|found| found.remove_entry()) else { break };
+            let size = oldest.disconnect(used);
+            self.disconnected.borrow_mut().insert(number, size);
+            used = used.saturating_sub(size);
         }
         self.used() + others <= limit
     }
