bench: crowd, what shares, promises, speeds and exposures cost at full size

Cause: the bytes that these parts send together, the processor time of their decisions and the error of what relays know were worked out for each part alone, not measured at 910 relays and 4,800 engines.

Up to 12 relays choose by a balancer of all engines and are measured; the others try engines of their zone at random. Balancer::load_at is new: what is measured is what the balancer believes, not a copy of its rule.

--- a/crates/ibishill-bench/src/experiment.rs
+++ b/crates/ibishill-bench/src/experiment.rs
@@ -4,6 +4,7 @@
 
 pub mod cascade;
 pub mod cold;
+pub mod crowd;
 pub mod decide;
 pub mod knowledge;
 pub mod latency;
@@ -77,5 +78,10 @@
         purpose: "waits at engines by what relays know of each other, at four sizes",
         run: knowledge::run,
     },
+    Experiment {
+        name: "crowd",
+        purpose: "bytes, processor time and errors of what relays tell each other, at four sizes",
+        run: crowd::run,
+    },
     Experiment { name: "decide", purpose: "processor time of one decision", run: decide::run },
 ];
--- a/crates/ibishill-decide/src/balance/access.rs
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -24,6 +24,11 @@
         &mut self.gate
     }
 
+    /// Requests per slot at an endpoint, as far as is known here; none if the endpoint is unknown.
+    pub fn load_at(&self, id: &id::EndpointId, now: time::Tick) -> Option<f64> {
+        self.endpoints.get(id).map(|endpoint| self.load(endpoint, now))
+    }
+
     /// Takes a zone out of service: its endpoints get no new requests.
     pub fn take_zone_out(&mut self, zone: id::ZoneId) {
         self.zones_out.insert(zone, ());
