exposure: evidence is indexed, and compared by spans after the arrival and by version and zone

Cause: each judgement scanned 2,048 records for each of 24 segments, and has_unresolved, record_end, due and record_alive all prompts. A survived segment counted as present for 2 s after each response, so one that ends one version only was at 0.4 of the endpoints by chance. A segment that is mostly in a version or zone that is stopped was blamed for it.

Change: prompts without an outcome are indexed by endpoint, records by endpoint and time. Presence is compared for 250 ms, 1 s and the whole time after an arrival, with a penalty, within groups of endpoints of one version and zone. Expected ends count against nothing. The endpoints checked the longest ago are due first. Records older than 12 s are not passed on.

Tests that failed before: ends_that_are_no_crashes_count_against_no_segment ("a version with prompts of its own is stopped 0: [aa, ...]", also batches and endpoints that leave), endpoints_that_were_checked_come_last ("checked again before others"). records_stop_being_passed_on passed before, so that records circulate is not reproduced.

--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -8,38 +8,46 @@
 //! many more of them, and hardly any of the endpoints that had it are known to have gone on, is it blamed. What is in
 //! all requests is in all endpoints, so nothing counts against it.
 
+mod compare;
+mod records;
 mod told;
+mod unresolved;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use ibishill_core::{call, time};
 
 use crate::endpoint_key::EndpointKey;
+use records::{Record, Records};
 pub use told::Told;
+pub use unresolved::Ticket;
 
 /// Time after a response within which the end of its endpoint counts against it. An engine that runs a prompt for some
 /// time before it crashes may get it with all events but the end sent already, as a stream that is resumed, and
 /// responds at once: with 1 s, half of the prompts that end engines 1.5 s after their arrival seemed harmless.
 pub const AFTERMATH: time::Millis = time::Millis(2_000);
 
-/// Time for which the outcome of a response may stay unknown.
-const KEPT: time::Millis = time::Millis(8_000);
-
 /// Time after an end of an endpoint in which it is checked which others go on.
 const ACTIVE: time::Millis = time::Millis(10_000);
 
 /// Time after which an end counts no longer.
 const TTL: time::Millis = time::Millis::from_secs(600);
 
-/// Time before the first and after the last end with a segment in which other ends are compared.
-const WINDOW: time::Millis = time::Millis(2_000);
-
 /// Age from which on an end counts for a refusal: until then peers may tell of another segment that explains it.
 const DELIBERATION: time::Millis = time::Millis(300);
 
 /// Interval of judgements, which go through all records.
 const JUDGE_INTERVAL: time::Millis = time::Millis(200);
 
+/// The same in a long wave of ends, of which a few more hardly change the evidence.
+const WAVE_INTERVAL: time::Millis = time::Millis(400);
+
+/// Number of ends from which on a wave is long.
+const WAVE_MIN: usize = 16;
+
+/// Maximum number of ends that are compared, the latest ones.
+const ENDS_MAX: usize = 64;
+
 /// Natural logarithm of the likelihood ratio from which on a segment is refused: 10,000 to 1. With 1,000 to 1, a
 /// harmless one was refused in 2 of 8 simulated waves of eight crashes a second.
 const REFUSED: f64 = 9.2;
@@ -50,42 +58,16 @@
 /// Ends of distinct endpoints that a refusal takes, and that one attempt only takes.
 const ENDS_MIN: (usize, usize) = (3, 2);
 
-/// Least share of a segment's requests that end their endpoints.
-const SHARE_MIN: f64 = 0.2;
-
-/// Time within which ends count as one moment: a version that is stopped, or a zone that is lost, ends many
-/// endpoints at once.
-const MOMENT: time::Millis = time::Millis(100);
-
 /// Time after an end from which on an answer of that endpoint shows that it has not ended; earlier ones may have
 /// been on their way.
 const VOID_MARGIN: time::Millis = time::Millis(200);
 
-/// Weight of the prompts that their endpoints survived: they also count in the share of endpoints by chance. With the
-/// full weight, a segment that ends one endpoint in three was not refused in 3 of 8 simulated attacks, with half of it
-/// in 2.
-const SPARED_WEIGHT: f64 = 0.1;
-
-/// Least factor between the odds that a segment was in an endpoint that ended and that it is in one by chance. The
-/// latter are an estimate, and its error would weigh more with each end of a long wave of crashes.
-const ODDS_MIN: f64 = 3.0;
-
-/// Least share of the endpoints that a segment counts as being in by chance.
-const CHANCE_MIN: f64 = 0.05;
-
-/// Maximum number of records of ended endpoints, and of those that went on.
-const RECORDS_MAX: usize = 1_024;
-
 /// Maximum number of segments that are judged at once, those with the most ends.
 const CANDIDATES_MAX: usize = 24;
 
 /// Maximum number of segments of a request that count, the last ones.
 const SEGMENTS_MAX: usize = 8;
 
-/// Identifies a request sent to an endpoint until its outcome is known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Ticket(u64);
-
 /// A prompt that is sent to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Prompt {
@@ -97,28 +79,6 @@
     pub segments: Vec<call::SegmentId>,
 }
 
-#[derive(Debug, Clone)]
-struct Open {
-    prompt: Prompt,
-    endpoint: EndpointKey,
-    sent: time::Tick,
-    finished: Option<time::Tick>,
-    // Whether its outcome is wanted although no endpoint has ended lately.
-    is_trial: bool,
-}
-
-#[derive(Debug, Clone)]
-struct Record {
-    prompt: Prompt,
-    sent: time::Tick,
-    // End of the endpoint, or of the response.
-    until: time::Tick,
-    heard: time::Tick,
-}
-
-// By request and endpoint, so that a record that several daemons tell counts once.
-type Records = BTreeMap<(u32, EndpointKey), Record>;
-
 /// A segment that is to be refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Blame {
@@ -140,9 +100,10 @@
 /// Requests sent to endpoints, and what became of these.
 #[derive(Debug, Clone, Default)]
 pub struct Exposures {
-    open: BTreeMap<Ticket, Open>,
-    finished: VecDeque<Open>,
-    next: u64,
+    unresolved: unresolved::Unresolved,
+    places: BTreeMap<EndpointKey, Place>,
+    // Those that have left, in that order.
+    displaced: VecDeque<(time::Tick, EndpointKey)>,
     ended: Records,
     survived: Records,
     // Endpoints that have ended, and when.
@@ -154,14 +115,14 @@
     told: told::Outbox,
 }
 
-// What is known of an endpoint that has ended.
-#[derive(Debug, Default)]
-struct Process {
-    at: time::Tick,
-    service: u32,
-    // With the position of the deepest one that is the same.
-    segments: BTreeMap<call::SegmentId, usize>,
-    requests: BTreeSet<u32>,
+// What is known of an endpoint, whether it runs or has ended.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    group: u32,
+    started: time::Tick,
+    left: Option<time::Tick>,
+    // Its end was to be expected, so that it counts against nothing.
+    is_expected: bool,
 }
 
 impl Exposures {
@@ -175,56 +136,83 @@
     ) -> Ticket {
         let excess = prompt.segments.len().saturating_sub(SEGMENTS_MAX);
         prompt.segments.drain(..excess);
-        let ticket = Ticket(self.next);
-        self.next += 1;
-        let open = Open { prompt, endpoint, sent: now, finished: None, is_trial };
-        self.open.insert(ticket, open);
-        ticket
+        self.unresolved.begin(prompt, endpoint, is_trial, now)
     }
 
     /// Records that a prompt was not sent after all, or not run.
     pub fn withdraw(&mut self, ticket: Ticket) {
-        self.open.remove(&ticket);
+        self.unresolved.remove(ticket);
     }
 
     /// Records that a response has ended, or was lost.
     pub fn finish(&mut self, ticket: Ticket, now: time::Tick) {
-        let Some(open) = self.open.remove(&ticket) else { return };
-        self.finished.push_back(Open { finished: Some(now), ..open });
-        let is_old = |open: &Open| open.finished.is_some_and(|at| now.since(at) >= KEPT);
-        while self.finished.front().is_some_and(is_old) {
-            self.finished.pop_front();
+        self.unresolved.finish(ticket, now);
+    }
+
+    /// Records that an endpoint is there, and its group: those that are compared with each other, as they are of one
+    /// version and zone.
+    pub fn place(&mut self, endpoint: EndpointKey, group: u32, now: time::Tick) {
+        let place = Place { group, started: now, left: None, is_expected: false };
+        let place = self.places.entry(endpoint).or_insert(place);
+        (place.group, place.left) = (group, None);
+    }
+
+    /// Records that an endpoint is gone, or was replaced.
+    pub fn displace(&mut self, endpoint: EndpointKey, now: time::Tick) {
+        if let Some(place) = self.places.get_mut(&endpoint) {
+            place.left = Some(now);
+        }
+        self.displaced.push_back((now, endpoint));
+        while let Some((_, oldest)) = self.displaced.pop_front_if(|(at, _)| now.since(*at) >= TTL) {
+            if self.places.get(&oldest).is_some_and(|place| place.left.is_some()) {
+                self.places.remove(&oldest);
+            }
+        }
+    }
+
+    /// Records whether an endpoint is to end, as it leaves, or its version or zone is taken out of service: its end
+    /// counts against nothing that is or was there, whoever tells of it.
+    pub fn expect_end(&mut self, endpoint: EndpointKey, is_expected: bool) {
+        let Some(place) = self.places.get_mut(&endpoint) else { return };
+        let was_expected = std::mem::replace(&mut place.is_expected, is_expected);
+        if is_expected && !was_expected && self.ends.remove(&endpoint).is_some() {
+            self.is_dirty |= self.ended.retain(|(ended, _), _| *ended != endpoint);
         }
     }
 
+    fn is_expected(&self, endpoint: EndpointKey) -> bool {
+        self.places.get(&endpoint).is_some_and(|place| place.is_expected)
+    }
+
+    // Those whose group is unknown are compared with each other.
+    fn group(&self, endpoint: EndpointKey) -> u32 {
+        self.places.get(&endpoint).map_or(0, |place| place.group)
+    }
+
+    fn start(&self, endpoint: EndpointKey) -> Option<time::Tick> {
+        self.places.get(&endpoint).map(|place| place.started)
+    }
+
     /// Whether prompts were at an endpoint lately whose outcome is unknown.
     pub fn has_unresolved(&self, endpoint: EndpointKey) -> bool {
-        let mut all = self.open.values().chain(&self.finished);
-        all.any(|open| open.endpoint == endpoint)
+        self.unresolved.is_any_at(endpoint)
     }
 
     /// Records that an endpoint has ended at `now`; returns the number of prompts that it counts against.
     pub fn record_end(&mut self, endpoint: EndpointKey, now: time::Tick) -> usize {
+        if self.is_expected(endpoint) {
+            self.unresolved.take_all(endpoint);
+            return 0;
+        }
         let at = *self.ends.entry(endpoint).or_insert(now);
         self.last_end = self.last_end.max(Some(now));
-        let is_there = |open: &Open| open.endpoint == endpoint;
-        let lost: Vec<Ticket> =
-            self.open.iter().filter(|(_, open)| is_there(open)).map(|(key, _)| *key).collect();
-        let mut lost: Vec<Open> =
-            lost.iter().filter_map(|ticket| self.open.remove(ticket)).collect();
-        self.finished.retain(|open| {
-            let is_lost = is_there(open);
-            if is_lost {
-                lost.push(open.clone());
-            }
-            !is_lost
-        });
+        let lost = self.unresolved.take_all(endpoint);
         let mut count = 0;
         for open in lost {
             let finished = open.finished.unwrap_or(now);
             if finished + AFTERMATH + DELIBERATION >= now {
                 let until = at.max(open.sent);
-                self.add_own(open, until, true, now);
+                self.add_own(open, endpoint, until, true, now);
                 count += 1;
             }
         }
@@ -232,15 +220,16 @@
         count
     }
 
-    /// Endpoints of which it is to be found out whether they go on: prompts were there, and endpoints have ended
-    /// lately.
-    pub fn due(&self, now: time::Tick) -> BTreeSet<EndpointKey> {
+    /// Endpoints of which it is to be found out whether they go on, the most urgent first: prompts were there, and
+    /// endpoints have ended lately.
+    pub fn due(&self, now: time::Tick) -> Vec<EndpointKey> {
         let is_active = self.last_end.is_some_and(|at| now.since(at) < ACTIVE);
-        let is_due = |open: &&Open| {
-            (is_active || open.is_trial)
-                && open.finished.is_some_and(|at| now.since(at) >= AFTERMATH)
-        };
-        self.finished.iter().filter(is_due).map(|open| open.endpoint).collect()
+        self.unresolved.due(!is_active, now)
+    }
+
+    /// Records that an endpoint is checked.
+    pub fn record_check(&mut self, endpoint: EndpointKey, now: time::Tick) {
+        self.unresolved.record_check(endpoint, now);
     }
 
     /// Records that an endpoint was still there at `at`; returns what this shows of prompts.
@@ -250,47 +239,33 @@
         at: time::Tick,
         now: time::Tick,
     ) -> Vec<Survival> {
-        let mut survived = Vec::new();
-        self.finished.retain(|open| {
-            let is_past = open.finished.is_some_and(|finished| finished + AFTERMATH <= at);
-            let is_survival = open.endpoint == endpoint && is_past;
-            if is_survival {
-                survived.push(open.clone());
-            }
-            !is_survival
-        });
+        let survived = self.unresolved.take_past(endpoint, at);
         let mut found = Vec::with_capacity(survived.len());
         for open in survived {
             let segments = open.prompt.segments.clone();
             found.push(Survival { segments, sent: open.sent });
             let until = open.finished.unwrap_or(at);
-            self.add_own(open, until, false, now);
+            self.add_own(open, endpoint, until, false, now);
         }
-        self.is_dirty |= !found.is_empty();
+        // Survivals alone blame nothing, but may clear a segment.
+        self.is_dirty |= !found.is_empty() && !self.suspects.is_empty();
         found
     }
 
-    fn add_own(&mut self, open: Open, until: time::Tick, is_ended: bool, now: time::Tick) {
-        let key = (open.prompt.request, open.endpoint);
+    fn add_own(
+        &mut self,
+        open: unresolved::Open,
+        endpoint: EndpointKey,
+        until: time::Tick,
+        is_ended: bool,
+        now: time::Tick,
+    ) {
+        let key = (endpoint, open.prompt.request);
         let record = Record { prompt: open.prompt, sent: open.sent, until, heard: now };
-        if self.add(key, record, is_ended) {
-            self.told.push(key, is_ended);
-        }
-    }
-
-    fn add(&mut self, key: (u32, EndpointKey), record: Record, is_ended: bool) -> bool {
         let records = if is_ended { &mut self.ended } else { &mut self.survived };
-        if records.contains_key(&key) {
-            return false;
-        }
-        if records.len() >= RECORDS_MAX {
-            let oldest = records.iter().min_by_key(|(_, record)| record.until);
-            if let Some(oldest) = oldest.map(|(key, _)| *key) {
-                records.remove(&oldest);
-            }
+        if records.add(key, record) {
+            self.told.push(key, is_ended);
         }
-        records.insert(key, record);
-        true
     }
 
     /// Whether requests with a segment get one attempt only.
@@ -309,10 +284,14 @@
         F: Fn(EndpointKey, time::Tick) -> bool,
     {
         let is_void = |endpoint: EndpointKey, at| has_answered(endpoint, at + VOID_MARGIN);
-        let before = self.ended.len();
-        self.ended.retain(|(_, endpoint), record| !is_void(*endpoint, record.until));
-        self.ends.retain(|endpoint, at| !is_void(*endpoint, *at));
-        self.is_dirty |= self.ended.len() < before;
+        // The records of an end are no earlier than it.
+        let void = self.ends.extract_if(.., |endpoint, at| is_void(*endpoint, *at));
+        let void: BTreeSet<EndpointKey> = void.map(|(endpoint, _)| endpoint).collect();
+        if !void.is_empty() {
+            self.is_dirty |= self.ended.retain(|(endpoint, _), record| {
+                !void.contains(endpoint) || !is_void(*endpoint, record.until)
+            });
+        }
     }
 
     /// Forgets the ends that count against a segment, as a trial has shown it to be harmless. They do not count
@@ -321,14 +300,16 @@
         let has_segment = |record: &Record| record.prompt.segments.contains(&segment);
         let with_segment = self.ended.iter().filter(|(_, record)| has_segment(record));
         let endpoints: BTreeSet<EndpointKey> =
-            with_segment.map(|((_, endpoint), _)| *endpoint).collect();
-        self.ended.retain(|(_, endpoint), _| !endpoints.contains(endpoint));
+            with_segment.map(|((endpoint, _), _)| *endpoint).collect();
+        self.ended.retain(|(endpoint, _), _| !endpoints.contains(endpoint));
         self.suspects.remove(&segment);
     }
 
     /// Whether something has changed since the last judgement, and that is long enough ago.
     pub fn is_due(&self, now: time::Tick) -> bool {
-        self.is_dirty && now.since(self.judged) >= JUDGE_INTERVAL
+        let is_wave = self.ends.len() >= WAVE_MIN;
+        let interval = if is_wave { WAVE_INTERVAL } else { JUDGE_INTERVAL };
+        self.is_dirty && now.since(self.judged) >= interval
     }
 
     /// Finds the segments to be refused, beside those that are, and those that may be tried once only.
@@ -345,178 +326,32 @@
             self.is_dirty = false;
             return Vec::new();
         }
-        let is_current = |at: time::Tick| now.since(at) < TTL;
-        self.ended.retain(|_, record| is_current(record.until));
-        self.survived.retain(|_, record| is_current(record.until));
-        self.ends.retain(|_, at| is_current(*at));
-        let processes = self.processes();
+        let from = time::Tick(now.0.saturating_sub(TTL.0));
+        self.ended.expire(from);
+        self.survived.expire(from);
+        self.ends.retain(|_, at| *at >= from);
+        let mut comparison = compare::Comparison::new(self, is_refused);
+        let ends: Vec<_> = comparison.processes.iter().map(|process| process.at).collect();
+        let is_settled = |at: &time::Tick| now.since(*at) >= DELIBERATION;
         // Ends that do not count yet are judged again later.
-        self.is_dirty = processes.values().any(|process| now.since(process.at) < DELIBERATION);
-        let has_refused =
-            |process: &Process| process.segments.keys().any(|segment| is_refused(*segment));
-        let unexplained: BTreeMap<_, _> =
-            processes.iter().filter(|(_, process)| !has_refused(process)).collect();
-        let mut settled = unexplained.clone();
-        settled.retain(|_, process| now.since(process.at) >= DELIBERATION);
-        if unexplained.len() < ENDS_MIN.1 {
+        self.is_dirty = !ends.iter().all(is_settled);
+        if !comparison.is_any_suspect() {
             self.suspects.clear();
             return Vec::new();
         }
-        let blamed = self.most_blamed(settled, REFUSED, ENDS_MIN.0);
-        let suspects = self.most_blamed(unexplained, CONTAINED, ENDS_MIN.1);
-        self.suspects = suspects.into_iter().map(|blame| blame.segment).collect();
-        blamed
-    }
-
-    fn processes(&self) -> BTreeMap<EndpointKey, Process> {
-        let mut processes: BTreeMap<EndpointKey, Process> = BTreeMap::new();
-        for ((_, endpoint), record) in &self.ended {
-            let process = processes.entry(*endpoint).or_default();
-            let known = self.ends.get(endpoint).copied();
-            process.at = known.unwrap_or_else(|| process.at.max(record.until));
-            process.service = record.prompt.service;
-            process.requests.insert(record.prompt.request);
-            for (depth, segment) in record.prompt.segments.iter().enumerate() {
-                let deepest = process.segments.entry(*segment).or_default();
-                *deepest = depth.max(*deepest);
-            }
-        }
-        processes
-    }
-
-    // The segments that explain the ends, the likeliest first; an end that one explains does not count against the
-    // next one.
-    fn most_blamed(
-        &self,
-        mut open: BTreeMap<&EndpointKey, &Process>,
-        threshold: f64,
-        ends_min: usize,
-    ) -> Vec<Blame> {
-        let mut blamed = Vec::new();
-        loop {
-            let mut counts: BTreeMap<call::SegmentId, (usize, usize)> = BTreeMap::new();
-            for process in open.values() {
-                for (segment, depth) in &process.segments {
-                    let (count, deepest) = counts.entry(*segment).or_default();
-                    *count += 1;
-                    *deepest = (*deepest).max(*depth);
-                }
-            }
-            let mut candidates: Vec<_> =
-                counts.into_iter().filter(|(_, (count, _))| *count >= ends_min).collect();
-            candidates.sort_by_key(|(_, (count, depth))| std::cmp::Reverse((*count, *depth)));
-            candidates.truncate(CANDIDATES_MAX);
-            let scored = candidates.into_iter().filter_map(|(segment, (_, depth))| {
-                let score = self.score(segment, &open).filter(|score| *score >= threshold)?;
-                Some((score, depth, segment))
-            });
-            let order = |a: &(f64, usize, _), b: &(f64, usize, _)| {
-                // The fewest requests have the deepest segment.
-                a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
-            };
-            let Some((_, _, segment)) = scored.max_by(order) else { return blamed };
-            let ends = open.iter().filter(|(_, process)| process.segments.contains_key(&segment));
-            let ends = ends.map(|(endpoint, process)| (**endpoint, process.at)).collect();
-            blamed.push(Blame { segment, ends });
-            open.retain(|_, process| !process.segments.contains_key(&segment));
-        }
-    }
-
-    // Logarithm of the likelihood ratio: that the segment ends endpoints, against that it is in those that have ended
-    // by chance.
-    fn score(
-        &self,
-        segment: call::SegmentId,
-        open: &BTreeMap<&EndpointKey, &Process>,
-    ) -> Option<f64> {
-        let cases = open.values().filter(|process| process.segments.contains_key(&segment));
-        let cases: Vec<&&Process> = cases.collect();
-        let service = cases.first()?.service;
-        let from = cases.iter().map(|process| process.at).min()?;
-        let from = time::Tick(from.0.saturating_sub(WINDOW.0));
-        let to = cases.iter().map(|process| process.at).max()? + WINDOW;
-        let has_segment = |record: &Record| record.prompt.segments.contains(&segment);
-        let is_inside = |at: time::Tick| at >= from && at <= to;
-        // A single request that ends endpoints is judged as a whole.
-        let requests = self.ended.iter().filter(|(_, record)| has_segment(record));
-        let requests: BTreeSet<u32> = requests.map(|((request, _), _)| *request).collect();
-        if requests.len() < ENDS_MIN.1 {
-            return None;
+        comparison.add_visits(self, now);
+        let suspects = comparison.most_blamed(vec![true; ends.len()], CONTAINED, ENDS_MIN.1);
+        self.suspects = suspects.into_iter().map(|(segment, _)| segment).collect();
+        if self.suspects.is_empty() {
+            return Vec::new();
         }
-        let others = open.values().filter(|process| {
-            process.service == service
-                && is_inside(process.at)
-                && !process.segments.contains_key(&segment)
+        let settled = ends.iter().map(is_settled).collect();
+        let blamed = comparison.most_blamed(settled, REFUSED, ENDS_MIN.0);
+        let processes = &comparison.processes;
+        let blamed = blamed.into_iter().map(|(segment, ends)| {
+            let ends = ends.into_iter().map(|number| &processes[number]);
+            Blame { segment, ends: ends.map(|process| (process.endpoint, process.at)).collect() }
         });
-        // Endpoints that end at the same moment have one cause.
-        let moments: BTreeSet<u64> = cases.iter().map(|process| process.at.0 / MOMENT.0).collect();
-        let (ends, others) = (moments.len() as f64, others.count() as f64);
-        let survived =
-            self.survived.values().filter(|record| has_segment(record) && is_inside(record.until));
-        let survived = survived.count() as f64;
-        let effect = ends / (ends + survived);
-        let share = ends / (ends + others);
-        if effect < SHARE_MIN || share <= CHANCE_MIN {
-            return None;
-        }
-        let chance = self.presence(segment, service, (from, to));
-        let is_likelier = share * (1.0 - chance) >= ODDS_MIN * chance * (1.0 - share);
-        if share <= chance || !is_likelier {
-            return None;
-        }
-        let rest = if others > 0.0 { others * ((1.0 - share) / (1.0 - chance)).ln() } else { 0.0 };
-        let spared =
-            if survived > 0.0 { SPARED_WEIGHT * survived * (1.0 - effect).ln() } else { 0.0 };
-        Some(ends * (share / chance).ln() + rest + spared)
-    }
-
-    // Share of the time in which endpoints were in use that the segment was there.
-    fn presence(
-        &self,
-        segment: call::SegmentId,
-        service: u32,
-        (from, to): (time::Tick, time::Tick),
-    ) -> f64 {
-        let mut all: BTreeMap<EndpointKey, Vec<(time::Tick, time::Tick, bool)>> = BTreeMap::new();
-        let present = to.min(self.judged);
-        // A segment that is new seems rarer than it is unless those without an outcome count.
-        for open in self.open.values().chain(&self.finished) {
-            let begin = open.sent.max(from);
-            if open.prompt.service == service && begin < present {
-                let has_segment = open.prompt.segments.contains(&segment);
-                all.entry(open.endpoint).or_default().push((begin, present, has_segment));
-            }
-        }
-        let ended = self.ended.iter().map(|found| (found, time::Millis(0)));
-        let survived = self.survived.iter().map(|found| (found, AFTERMATH));
-        for (((_, endpoint), record), aftermath) in ended.chain(survived) {
-            let (begin, end) = (record.sent.max(from), (record.until + aftermath).min(to));
-            if record.prompt.service == service && begin < end {
-                let has_segment = record.prompt.segments.contains(&segment);
-                all.entry(*endpoint).or_default().push((begin, end, has_segment));
-            }
-        }
-        let (mut with, mut total) = (0, 0);
-        for spans in all.values_mut() {
-            spans.sort_unstable();
-            total += union(spans.iter().map(|(begin, end, _)| (*begin, *end)));
-            let present = spans.iter().filter(|(_, _, has_segment)| *has_segment);
-            with += union(present.map(|(begin, end, _)| (*begin, *end)));
-        }
-        if total == 0 { 1.0 } else { (with as f64 / total as f64).max(CHANCE_MIN) }
-    }
-}
-
-// Time that spans cover, ordered by their begin.
-fn union<I>(spans: I) -> u64
-where
-    I: Iterator<Item = (time::Tick, time::Tick)>,
-{
-    let mut covered = time::Tick(0);
-    let mut total = 0;
-    for (begin, end) in spans {
-        total += end.since(begin.max(covered)).0;
-        covered = covered.max(end);
+        blamed.collect()
     }
-    total
 }
--- a/crates/ibishill-decide/src/exposure/told.rs
+++ b/crates/ibishill-decide/src/exposure/told.rs
@@ -6,12 +6,17 @@
 use ibishill_core::{call, time};
 use serde::{Deserialize, Serialize};
 
-use super::{Exposures, Prompt, Record};
+use super::records::{Key, Record, Records};
+use super::{Exposures, Prompt, SEGMENTS_MAX};
 use crate::{endpoint_key::EndpointKey, rate};
 
 /// Time for which an outcome is passed on.
 const NEWS_TTL: time::Millis = time::Millis(3_000);
 
+/// Age from which on an outcome is passed on no longer. A daemon that has evicted it would add it anew, and pass it on
+/// again.
+const AGE_MAX: time::Millis = time::Millis(12_000);
+
 /// Size of a record with two segments in a message, about, in bytes; each further one takes ten.
 const RECORD_SIZE: usize = 45;
 
@@ -45,13 +50,13 @@
 /// Own outcomes that no report has told yet.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Outbox {
-    waiting: VecDeque<(u32, EndpointKey, bool)>,
+    waiting: VecDeque<(Key, bool)>,
     level: Option<(f64, time::Tick)>,
 }
 
 impl Outbox {
-    pub(super) fn push(&mut self, (request, endpoint): (u32, EndpointKey), is_ended: bool) {
-        let item = (request, endpoint, is_ended);
+    pub(super) fn push(&mut self, key: Key, is_ended: bool) {
+        let item = (key, is_ended);
         if is_ended {
             self.waiting.push_front(item);
         } else {
@@ -78,22 +83,22 @@
     pub fn report(&mut self, peers: usize, now: time::Tick) -> Vec<Told> {
         let count = self.told.allowance(peers, now);
         let taken: Vec<_> = self.told.waiting.drain(..count).collect();
-        let found = taken.iter().filter_map(|(request, endpoint, is_ended)| {
+        let found = taken.iter().filter_map(|(key, is_ended)| {
             let records = if *is_ended { &self.ended } else { &self.survived };
-            let record = records.get(&(*request, *endpoint))?;
-            Some(tell((*request, *endpoint), record, *is_ended, now))
+            let record = records.get(key)?;
+            Some(tell(*key, record, *is_ended, now))
         });
         found.collect()
     }
 
     /// Outcomes for the gossip that this daemon has seen or heard of lately.
     pub fn gossip(&self, now: time::Tick) -> Vec<Told> {
-        let of = |records: &super::Records, is_ended: bool, count: usize| -> Vec<Told> {
-            let is_new = |record: &Record| now.since(record.heard) < NEWS_TTL;
-            let mut found: Vec<_> = records.iter().filter(|(_, record)| is_new(record)).collect();
-            found.sort_by_key(|(_, record)| std::cmp::Reverse(record.heard));
-            found.truncate(count);
-            found.into_iter().map(|(key, record)| tell(*key, record, is_ended, now)).collect()
+        let of = |records: &Records, is_ended: bool, count: usize| -> Vec<Told> {
+            let from = time::Tick(now.0.saturating_sub(NEWS_TTL.0));
+            let recent = records.heard_since(from);
+            // Ages grow with each daemon that passes a record on, so it stops being told.
+            let recent = recent.filter(|(_, record)| now.since(record.until) < AGE_MAX);
+            recent.take(count).map(|(key, record)| tell(*key, record, is_ended, now)).collect()
         };
         let mut told = of(&self.ended, true, MESSAGE_MAX * 3 / 4);
         let left = MESSAGE_MAX - told.len();
@@ -104,26 +109,31 @@
     /// Merges what a peer tells.
     pub fn merge(&mut self, told: Vec<Told>, now: time::Tick) {
         for Told { request, service, endpoint, age, ran, is_ended, segments } in told {
+            if is_ended && self.is_expected(endpoint) {
+                continue;
+            }
             let until = time::Tick(now.0.saturating_sub(age.0));
             let sent = time::Tick(until.0.saturating_sub(ran.0));
-            let record =
-                Record { prompt: Prompt { request, service, segments }, sent, until, heard: now };
-            let is_new = self.add((request, endpoint), record, is_ended);
-            self.is_dirty |= is_new;
-            if is_ended && is_new && !self.ends.contains_key(&endpoint) {
+            let excess = segments.len().saturating_sub(SEGMENTS_MAX);
+            let segments = segments.into_iter().skip(excess).collect();
+            let prompt = Prompt { request, service, segments };
+            let record = Record { prompt, sent, until, heard: now };
+            let records = if is_ended { &mut self.ended } else { &mut self.survived };
+            if !records.add((endpoint, request), record) || !is_ended {
+                continue;
+            }
+            self.is_dirty = true;
+            match self.ends.get_mut(&endpoint) {
+                // Some daemons find out later than others.
+                Some(at) => *at = until.min(*at),
                 // Own prompts were there as well.
-                self.record_end(endpoint, until);
+                None => _ = self.record_end(endpoint, until),
             }
         }
     }
 }
 
-fn tell(
-    (request, endpoint): (u32, EndpointKey),
-    record: &Record,
-    is_ended: bool,
-    now: time::Tick,
-) -> Told {
+fn tell((endpoint, request): Key, record: &Record, is_ended: bool, now: time::Tick) -> Told {
     Told {
         request,
         service: record.prompt.service,
--- a/crates/ibishill-decide/tests/relay/exposure.rs
+++ b/crates/ibishill-decide/tests/relay/exposure.rs
@@ -19,6 +19,10 @@
     crashes: f64,
     /// Time of a response.
     response: u64,
+    /// Whether the poison requests end endpoints of one version only, every other one.
+    is_one_version: bool,
+    /// Whether requests without an answer are sent again, to another endpoint.
+    is_retried: bool,
     /// Expected: the segment is blamed after at most so many ends, or never.
     expected: Option<usize>,
 }
@@ -29,6 +33,8 @@
     poison: (4.0, 50, 1.0),
     crashes: 0.0,
     response: 1_500,
+    is_one_version: false,
+    is_retried: false,
     expected: Some(12),
 };
 
@@ -41,6 +47,22 @@
     Case { name: "amid crashes", crashes: 0.5, expected: Some(20), ..BASE },
     Case { name: "one daemon", daemons: 1, ..BASE },
     Case { name: "a daemon for each end", daemons: 40, ..BASE },
+    Case { name: "one version only", is_one_version: true, expected: Some(9), ..BASE },
+    Case {
+        name: "a rare segment that is sent again after crashes",
+        poison: (0.5, 0, 0.0),
+        crashes: 5.0,
+        is_retried: true,
+        expected: None,
+        ..BASE
+    },
+    Case {
+        name: "eight crashes a second",
+        poison: (2.5, 0, 0.0),
+        crashes: 8.0,
+        expected: None,
+        ..BASE
+    },
     Case { name: "no poison", poison: (0.0, 0, 0.0), crashes: 3.0, expected: None, ..BASE },
     Case {
         name: "a segment that is in crashes by chance",
@@ -71,6 +93,7 @@
     ticket: exposure::Ticket,
     endpoint: endpoint_key::EndpointKey,
     until: u64,
+    prompt: exposure::Prompt,
 }
 
 fn key(number: usize, incarnation: usize) -> endpoint_key::EndpointKey {
@@ -83,7 +106,12 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut daemons = vec![exposure::Exposures::default(); case.daemons];
     let mut endpoints = [(0_usize, 0_u64, u64::MAX); ENDPOINTS];
-    let (mut running, mut blamed, mut request, mut ends) = (Vec::new(), Vec::new(), 0_u32, 0);
+    let mut running: Vec<Running> = Vec::new();
+    let (mut blamed, mut request, mut ends) = (Vec::new(), 0_u32, 0);
+    let mut lost: Vec<exposure::Prompt> = Vec::new();
+    for daemon in &mut daemons {
+        (0..ENDPOINTS).for_each(|at| daemon.place(key(at, 0), (at % 2) as u32, START));
+    }
     for passed in (0..DURATION).step_by(STEP as usize) {
         let now = START + time::Millis(passed);
         let step = STEP as f64 / 1_000.0;
@@ -91,7 +119,11 @@
         let is_attacked = passed > 3_000 && blamed.is_empty();
         let is_poison = is_attacked && random.random_bool(rate * step);
         let is_benign = random.random_bool(RATE * step);
-        for (is_sent, is_poison) in [(is_benign, false), (is_poison, true)] {
+        let again = std::mem::take(&mut lost).into_iter().map(Some);
+        let fresh = [(is_benign, false), (is_poison, true)].map(|sent| (sent, None));
+        for ((is_sent, is_poison), again) in
+            fresh.into_iter().chain(again.map(|prompt| ((true, false), prompt)))
+        {
             let at = random.random_range(0..ENDPOINTS);
             let (incarnation, back, end) = endpoints[at];
             if !is_sent || passed < back {
@@ -107,11 +139,14 @@
             let own = 0x1_0000 + u64::from(request);
             let segments = [FIRST].into_iter().chain(second).chain([own]).map(call::SegmentId);
             let prompt = exposure::Prompt { request, service: 1, segments: segments.collect() };
+            let prompt = again.unwrap_or(prompt);
             let daemon = random.random_range(0..case.daemons);
             let endpoint = key(at, incarnation);
-            let ticket = daemons[daemon].begin(prompt, endpoint, false, now);
-            running.push(Running { daemon, ticket, endpoint, until: passed + case.response });
-            if is_poison && random.random_bool(share) {
+            let ticket = daemons[daemon].begin(prompt.clone(), endpoint, false, now);
+            let until = passed + case.response;
+            running.push(Running { daemon, ticket, endpoint, until, prompt });
+            let is_affected = !case.is_one_version || at % 2 == 1;
+            if is_poison && is_affected && random.random_bool(share) {
                 endpoints[at].2 = end.min(passed + delay);
             }
         }
@@ -131,7 +166,16 @@
             daemons.iter_mut().filter(|daemon| daemon.has_unresolved(ended)).for_each(|daemon| {
                 daemon.record_end(ended, now);
             });
-            running.retain(|found| found.endpoint != ended);
+            let taken = running.extract_if(.., |found| found.endpoint == ended);
+            let taken: Vec<_> = taken.map(|found| found.prompt).collect();
+            if case.is_retried {
+                lost.extend(taken);
+            }
+            for daemon in &mut daemons {
+                daemon.displace(ended, now);
+                let back = now + time::Millis(DOWNTIME);
+                daemon.place(key(at, *incarnation + 1), (at % 2) as u32, back);
+            }
             (*incarnation, *back, *end) = (*incarnation + 1, passed + DOWNTIME, u64::MAX);
         }
         if passed % 200 == 0 {
@@ -299,3 +343,52 @@
     exposures.void_ends(|_, _| true);
     assert!(exposures.judge(|_| false, after(4_000)).is_empty());
 }
+
+// Guards against survival checks that starve while many endpoints do not answer.
+#[test]
+fn endpoints_that_were_checked_come_last() {
+    let mut exposures = exposure::Exposures::default();
+    for request in 0..70 {
+        let ticket = exposures.begin(prompt(request, &[FIRST]), endpoint(request), false, START);
+        exposures.finish(ticket, after(100));
+    }
+    exposures.begin(prompt(70, &[FIRST]), endpoint(70), false, START);
+    exposures.record_end(endpoint(70), after(100));
+    let checked: Vec<_> = exposures.due(after(2_200)).into_iter().take(64).collect();
+    assert_eq!(checked.len(), 64);
+    for key in &checked {
+        exposures.record_check(*key, after(2_200));
+    }
+    let next = exposures.due(after(2_400));
+    assert_eq!(next.len(), 70);
+    assert!(next[..6].iter().all(|key| !checked.contains(key)), "checked again before others");
+}
+
+// Guards against records that daemons pass on to each other for ever, as each has evicted what the others tell.
+#[test]
+fn records_stop_being_passed_on() {
+    const DAEMONS: usize = 12;
+    let mut daemons = vec![exposure::Exposures::default(); DAEMONS];
+    for request in 0..3_600 {
+        let daemon = &mut daemons[request as usize % DAEMONS];
+        let sent = after(u64::from(request / 3));
+        daemon.begin(prompt(request, &[FIRST]), endpoint(request), false, sent);
+        daemon.record_end(endpoint(request), sent);
+    }
+    let mut last = 0;
+    for passed in (1_300..40_000).step_by(100) {
+        let now = after(passed);
+        let told: Vec<_> = daemons.iter().map(|daemon| daemon.gossip(now)).collect();
+        if told.iter().any(|told| !told.is_empty()) {
+            last = passed;
+        }
+        // A message takes some time, by which what it tells seems newer.
+        let later = now + time::Millis(50);
+        for (number, daemon) in daemons.iter_mut().enumerate() {
+            for told in told.iter().enumerate().filter(|(sender, _)| *sender != number) {
+                daemon.merge(told.1.clone(), later);
+            }
+        }
+    }
+    assert!(last < 20_000, "still passed on after {last} ms");
+}
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -6,6 +6,8 @@
 mod endpoint_limit;
 mod escalation;
 mod exposure;
+mod exposure_cost;
+mod exposure_ends;
 mod fair_share;
 mod memory;
 mod pace;
