relay: ends of endpoints that are taken out of service count against no segment

Cause: an endpoint that leaves, or whose version or zone is withdrawn, ended like one that crashes. Change: State::expect_ends marks them as rows, statements and peers tell of it; endpoints are grouped by version and zone; survival checks record whom they checked; an endpoint is found by its key without a scan of all endpoints.

--- a/crates/ibishill-decide/src/balance/access.rs
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use ibishill_core::{fleet, id, time};
+use ibishill_core::{id, time};
 
 use super::{Balancer, Endpoint};
 use crate::{contact, endpoint_key, gate, outlier};
@@ -91,17 +91,17 @@
         if reaching.is_empty() { self.senders(service) } else { reaching }
     }
 
-    /// Registration of the incarnation with a key.
-    pub fn entry_of(&self, key: endpoint_key::EndpointKey) -> Option<&fleet::Registration> {
-        self.endpoints.values().find(|endpoint| endpoint.key == key).map(|found| &found.entry)
-    }
-
     /// Whether a request may be sent to an endpoint now, by what it says of itself; it may have been chosen a moment
     /// ago.
     pub fn is_open(&self, id: &id::EndpointId, now: time::Tick) -> bool {
         self.endpoints.get(id).is_some_and(|endpoint| self.gate.is_open(endpoint.key, now))
     }
 
+    /// Whether an endpoint is in service, by its registration, the operator's orders and what it says of itself.
+    pub fn is_serving(&self, id: &id::EndpointId) -> bool {
+        self.endpoints.get(id).is_some_and(|endpoint| self.is_in_service(endpoint))
+    }
+
     /// Whether all endpoints of a service that are in service otherwise have said that they leave.
     pub fn is_service_leaving(&self, service: &id::ServiceId) -> bool {
         let ready =
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -194,6 +194,9 @@
 pub(crate) fn record_refused(context: &Shared, registration: &fleet::Registration) {
     let (key, now) = (endpoint_key::EndpointKey::of(registration), context.now());
     let mut state = context.state();
+    if state.is_end_expected(registration) {
+        state.exposures.expect_end(key, true);
+    }
     let is_expected = state.balancer.is_out_of_reach(&registration.id)
         || !state.balancer.is_open(&registration.id, now);
     if is_expected || !state.exposures.has_unresolved(key) {
@@ -216,10 +219,14 @@
     loop {
         clock::sleep(SURVIVAL_INTERVAL).await;
         let due = {
-            let (state, now) = (context.state(), context.now());
+            let (mut state, now) = (context.state(), context.now());
             let due = state.exposures.due(now).into_iter();
-            let due = due.filter_map(|key| Some((key, state.balancer.entry_of(key)?.clone())));
-            due.take(CHECKS_MAX as usize).collect::<Vec<_>>()
+            let due = due.filter_map(|key| Some((key, state.entry_of(key)?.clone())));
+            let due: Vec<_> = due.take(CHECKS_MAX as usize).collect();
+            for (key, _) in &due {
+                state.exposures.record_check(*key, now);
+            }
+            due
         };
         let checks = due.into_iter().map(async |(key, registration)| {
             let at = context.now();
@@ -228,7 +235,7 @@
                     let now = context.now();
                     // The registration of another process may have come meanwhile.
                     let mut state = context.state();
-                    if state.balancer.entry_of(key).is_some() {
+                    if state.entry_of(key).is_some() {
                         state.record_alive(key, at, now);
                     }
                 }
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -153,7 +153,7 @@
 async fn run_probe(context: Shared, key: endpoint_key::EndpointKey) {
     let (registration, path, hold) = {
         let mut state = context.state();
-        let (found, now) = (state.balancer.entry_of(key).cloned(), context.now());
+        let (found, now) = (state.entry_of(key).cloned(), context.now());
         let Some(registration) = found.filter(|found| state.balancer.is_open(&found.id, now))
         else {
             return;
@@ -196,7 +196,7 @@
 async fn run_check(context: Shared, key: endpoint_key::EndpointKey) {
     let (registration, path, hold) = {
         let mut state = context.state();
-        let Some(registration) = state.balancer.entry_of(key).cloned() else { return };
+        let Some(registration) = state.entry_of(key).cloned() else { return };
         let catalog = state.catalog.as_ref();
         let service = catalog.and_then(|catalog| catalog.services.get(&registration.service));
         let path = service.map_or_else(String::new, |service| match service.engine {
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -1,5 +1,6 @@
 //! State of one relay, updated from store rows, peers and responses.
 
+mod expected_ends;
 mod news;
 mod rollouts;
 mod rows;
@@ -12,8 +13,8 @@
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, route, store_version, time};
 use ibishill_decide::{
-    balance, canary, escalation, exposure, fair_share, peers, promise, quarantine, retry,
-    wait_queue,
+    balance, canary, endpoint_key, escalation, exposure, fair_share, peers, promise, quarantine,
+    retry, wait_queue,
 };
 use ibishill_state::{chunk, confirmation, replica, transfer};
 
@@ -126,6 +127,8 @@
     pub(crate) quarantine: quarantine::Quarantine,
     /// Prompts sent to endpoints, and what became of these.
     pub(crate) exposures: exposure::Exposures,
+    // Registered endpoints by key.
+    endpoint_ids: BTreeMap<endpoint_key::EndpointKey, id::EndpointId>,
     pub(crate) allowances: BTreeMap<id::ServiceId, retry::Allowance>,
     pub(crate) pressures: BTreeMap<id::ServiceId, escalation::Pressure>,
     /// In-flight requests by workspace.
@@ -175,6 +178,7 @@
             yielding: BTreeMap::new(),
             quarantine: quarantine::Quarantine::default(),
             exposures: exposure::Exposures::default(),
+            endpoint_ids: BTreeMap::new(),
             allowances: BTreeMap::new(),
             pressures: BTreeMap::new(),
             in_flight: BTreeMap::new(),
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -17,6 +17,9 @@
     ) -> bool {
         let endpoint = endpoint_key::EndpointKey::of(registration);
         let is_changed = self.balancer.gate().record(endpoint, statement, now);
+        if statement.terms.is_leaving {
+            self.exposures.expect_end(endpoint, true);
+        }
         if is_changed {
             self.divide(now);
             let terms::Terms { limit, max_rejections, is_leaving, .. } = statement.terms;
@@ -47,6 +50,9 @@
     /// Merges what a peer tells of endpoints: limits, and segments of prompts that end them.
     pub(crate) fn merge_news(&mut self, news: News, now: time::Tick) {
         let gate = self.balancer.gate();
+        for (endpoint, _) in &news.leaving {
+            self.exposures.expect_end(*endpoint, true);
+        }
         gate.merge_leaving(news.leaving, now);
         let is_limited = gate.limits().merge(news.limits, now);
         if gate.slots().merge(news.fragile, now) || is_limited {
--- a/crates/ibishill-relay/src/state/rollouts.rs
+++ b/crates/ibishill-relay/src/state/rollouts.rs
@@ -60,6 +60,7 @@
         if canary.merge_stored(status.progress) {
             let state = format!("{:?}", status.progress);
             rollout_log::log(event::Event::RolloutHeard, canary, &state, "store", now);
+            self.expect_ends();
         }
     }
 
--- a/crates/ibishill-relay/src/state/rows.rs
+++ b/crates/ibishill-relay/src/state/rows.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, store_version, time};
+use ibishill_decide::endpoint_key;
 use ibishill_state::replica;
 
 use super::{LAPSE_GRACE, Merged, State, Table};
@@ -173,6 +174,7 @@
                     ],
                 );
                 self.balancer.take_zone_out(zone);
+                self.expect_ends();
             }
             fleet::Row::Registration(mut registration) => {
                 if is_initial {
@@ -196,7 +198,13 @@
                         event::field("row", &version),
                     ],
                 );
+                self.place(&registration, now);
+                let (id, key) =
+                    (registration.id.clone(), endpoint_key::EndpointKey::of(&registration));
                 self.balancer.register(registration, now);
+                let entry = self.balancer.entry(&id);
+                let is_expected = entry.is_some_and(|entry| self.is_end_expected(entry));
+                self.exposures.expect_end(key, is_expected);
             }
         }
     }
@@ -224,6 +232,7 @@
                     );
                     let duration = self.max_cold_start();
                     self.balancer.put_zone_back(&zone, duration, now);
+                    self.expect_ends();
                 }
             }
         }
@@ -250,6 +259,9 @@
         if let Some(registration) = self.balancer.entry(id) {
             self.restored.record_gone(registration, now);
         }
+        if let Some(key) = self.balancer.entry(id).map(endpoint_key::EndpointKey::of) {
+            self.displace(key, now);
+        }
         self.balancer.remove(id);
     }
 }
