forecast: time to the first event at an engine, learnt from first events

Cause: engines are compared by a cost that is no time and whose error is not known, so nothing can be refused by it. Change: forecast::Forecasts fits step, prefill and waiting requests for each service and model by weighted least squares that decay, an engine by a factor that decays to 1, and the deviation of the logarithm of measured to forecast. An event takes constant time (a system of three equations).

--- a/crates/ibishill-decide/src/lib.rs
+++ b/crates/ibishill-decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod escalation;
 pub mod exposure;
 pub mod fair_share;
+pub mod forecast;
 pub mod gate;
 pub mod hedge;
 pub mod index;
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod escalation;
 mod exposure;
 mod fair_share;
+mod forecast;
 mod memory;
 mod pace;
 mod peers;
