balance: tiers of engines are kept for half a second, or until the engines change

Change: they are kept by a fingerprint of the engines that may run a request, for 500 ms at most; an engine that joins, leaves or is taken out with its zone changes the fingerprint at once. Demand and speeds count at the next computation. A test compares choices by kept and by new tiers.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -14,6 +14,7 @@
 pub mod speed;
 mod zone_local;
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 
 use ibishill_core::{fleet, id, time};
@@ -203,6 +204,7 @@
     zones_out: BTreeMap<id::ZoneId, ()>,
     reach: reach::Reach,
     demand: zone_local::Demand,
+    tiers: RefCell<zone_local::Cache>,
 }
 
 impl Balancer {
@@ -218,6 +220,7 @@
             zones_out: BTreeMap::new(),
             reach: reach::Reach::default(),
             demand: zone_local::Demand::default(),
+            tiers: RefCell::default(),
         }
     }
 
@@ -420,7 +423,8 @@
             None
         } else {
             let utilization = || self.utilization(request.service, now);
-            zone_local::tiers(&eligible, &self.zone, &self.demand, utilization)
+            let compute = || zone_local::tiers(&eligible, &self.zone, &self.demand, utilization);
+            self.tiers.borrow_mut().get(&eligible, compute, now)
         };
         let small = if tiers.is_none() { small_model_threshold(&eligible) } else { 0 };
         let is_preferred = |endpoint: &Endpoint| match (&tiers, request.tier) {
--- a/crates/ibishill-decide/src/balance/zone_local.rs
+++ b/crates/ibishill-decide/src/balance/zone_local.rs
@@ -6,6 +6,7 @@
 //! fills: a long prompt delays the next event of all streams of its batch, and two in a row are felt as a pause.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use ibishill_core::{id, time};
 
@@ -39,6 +40,12 @@
 /// Time in which what was measured loses half of its weight.
 const HALF_LIFE: time::Millis = time::Millis::from_secs(15);
 
+/// Time for which tiers are kept while the engines stay the same; as often as peers report, by which utilization changes.
+const KEEP: time::Millis = time::Millis(500);
+
+/// Sets of engines whose tiers are kept at most: a roll-out has two for its service.
+const KEPT_MAX: usize = 8;
+
 /// What one tier's requests of this daemon take.
 #[derive(Debug, Clone, Copy, Default)]
 struct Used {
@@ -142,6 +149,53 @@
     }
 }
 
+// Tiers of a set of engines, and when they were computed.
+#[derive(Debug, Clone)]
+struct Kept {
+    engines: u64,
+    at: time::Tick,
+    tiers: Arc<Tiers>,
+}
+
+/// Tiers of the last choices: computing them takes longer than the rest of a choice among thousands of engines.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Cache(Vec<Kept>);
+
+impl Cache {
+    /// Tiers of these engines, computed if none are kept for just these.
+    pub(super) fn get<F>(
+        &mut self,
+        eligible: &[&Endpoint],
+        compute: F,
+        now: time::Tick,
+    ) -> Option<Arc<Tiers>>
+    where
+        F: FnOnce() -> Option<Tiers>,
+    {
+        let engines = fingerprint(eligible);
+        self.0.retain(|kept| now.since(kept.at) < KEEP);
+        if let Some(kept) = self.0.iter().find(|kept| kept.engines == engines) {
+            return Some(kept.tiers.clone());
+        }
+        let tiers = Arc::new(compute()?);
+        if self.0.len() >= KEPT_MAX {
+            self.0.remove(0);
+        }
+        self.0.push(Kept { engines, at: now, tiers: tiers.clone() });
+        Some(tiers)
+    }
+}
+
+// Differs if an engine joins or leaves the set, or has other slots.
+fn fingerprint(engines: &[&Endpoint]) -> u64 {
+    let one = |endpoint: &&Endpoint| {
+        let word = u64::from(endpoint.report_key) << 32 | u64::from(endpoint.entry.slots);
+        let mixed = word.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        mixed ^ (mixed >> 29)
+    };
+    engines.iter().map(one).fold(engines.len() as u64, u64::wrapping_add)
+}
+
 /// Engines to compare for a request: the one that caches its prefix, and some each that it prefers and that it
 /// does not, in the own zone and elsewhere. They are few, so that daemons which know the same
 /// loads do not all choose the same one; `size` is the number of preferred ones, and of the others each.
@@ -171,6 +225,13 @@
     available
 }
 
+/// Whether the engines of the own zone suffice for its demand; `eligible` are all engines that may run a request.
+pub(super) fn suffices(eligible: &[&Endpoint], zone: &id::ZoneId) -> bool {
+    let own = eligible.iter().filter(|endpoint| endpoint.entry.zone == *zone);
+    own.clone().count() >= ENGINES_MIN
+        && own.into_iter().all(|endpoint| endpoint.entry.slots >= SLOTS_MIN)
+}
+
 /// Tiers of the engines of each zone, if they suffice for its demand; `eligible` are all engines that may run a
 /// request.
 pub(super) fn tiers<U>(
@@ -182,9 +243,7 @@
 where
     U: FnOnce() -> f64,
 {
-    let is_large = |endpoint: &&Endpoint| endpoint.entry.slots >= SLOTS_MIN;
-    let own = eligible.iter().filter(|endpoint| endpoint.entry.zone == *zone);
-    if own.clone().count() < ENGINES_MIN || !own.copied().all(|endpoint| is_large(&endpoint)) {
+    if !suffices(eligible, zone) {
         return None;
     }
     let mut zones: Vec<&Endpoint> = eligible.to_vec();
--- a/crates/ibishill-decide/tests/relay/zone_local.rs
+++ b/crates/ibishill-decide/tests/relay/zone_local.rs
@@ -245,6 +245,75 @@
     assert_eq!(window.shortest(), Some(time::Millis(120)));
 }
 
+fn request(service: &id::ServiceId, tier: balance::Tier, seed: u64) -> balance::Request<'_> {
+    balance::Request {
+        service,
+        versions: balance::Versions::Any,
+        tried: &[],
+        prefix: None,
+        tokens: 0,
+        capacity: 400_000,
+        prefill: 0.25,
+        saved: 0.0,
+        tier,
+        uses_subset: false,
+        seed,
+    }
+}
+
+struct TierCase {
+    name: &'static str,
+    change: fn(&mut balance::Balancer),
+    /// When the choices are made after the change, in milliseconds.
+    after: u64,
+}
+
+// Guards against engines chosen by tiers of a set that has changed, or by those of a demand that is over.
+#[test]
+fn kept_tiers_give_the_same_choices_as_new_ones() {
+    let cases: [TierCase; 4] = [
+        TierCase { name: "nothing", change: |_| {}, after: 100 },
+        TierCase {
+            name: "an engine is gone",
+            change: |balancer| balancer.remove(&"a-3".parse().unwrap()),
+            after: 0,
+        },
+        TierCase {
+            name: "a zone is out",
+            change: |balancer| balancer.take_zone_out("b".parse().unwrap()),
+            after: 0,
+        },
+        TierCase {
+            name: "other demand",
+            change: |balancer| {
+                for number in 0..60 {
+                    let work =
+                        balance::Work { tokens: 0, prefill: 4.0, tier: balance::Tier::Small };
+                    let engine = format!("a-{}", number % 15).parse().unwrap();
+                    balancer.begin(&engine, work, SLOW_START, 0, time::Tick(1_000));
+                }
+            },
+            after: 500,
+        },
+    ];
+    let service: id::ServiceId = "pool".parse().unwrap();
+    for case in cases {
+        let mut kept = balancer("a", 32);
+        let mut fresh = kept.clone();
+        let warm = request(&service, balance::Tier::Small, 0);
+        kept.pick(&warm, SLOW_START, |_| 0, time::Tick(1_000));
+        (case.change)(&mut kept);
+        (case.change)(&mut fresh);
+        let now = time::Tick(1_000 + case.after);
+        for seed in 0..200 {
+            let tier = if seed % 2 == 0 { balance::Tier::Small } else { balance::Tier::Large };
+            let request = request(&service, tier, seed);
+            let found = kept.pick(&request, SLOW_START, |_| 0, now);
+            assert_eq!(found, fresh.pick(&request, SLOW_START, |_| 0, now), "{}", case.name);
+        }
+    }
+}
+
 // Guards against refusals while engines that a request does not prefer, in another zone, have free slots.
 #[test]
 fn every_slot_is_used_before_a_request_finds_none() {
@@ -253,19 +322,7 @@
         let service: id::ServiceId = "pool".parse().unwrap();
         let mut sent = 0;
         loop {
-            let request = balance::Request {
-                service: &service,
-                versions: balance::Versions::Any,
-                tried: &[],
-                prefix: None,
-                tokens: 0,
-                capacity: 400_000,
-                prefill: 0.25,
-                saved: 0.0,
-                tier,
-                uses_subset: false,
-                seed: sent,
-            };
+            let request = request(&service, tier, sent);
             let choice = balancer.pick(&request, SLOW_START, |_| 0, time::Tick(1));
             let balance::Choice::Send(engine) = choice else { break };
             let work = balance::Work { tokens: 0, prefill: 0.25, tier };
