relay: forecast of an attempt in its log line, and a histogram of its error

Cause: neither operators nor decisions knew when a request was expected to begin, nor how far that was from the truth. Change: the balancer makes a forecast for each attempt of a stream route whose service is placed by zone_local, from prompts of this relay and of peers, waiting requests, the age of what is known and the fourth figure of the load header (for 1 s). The first event is learnt from; an attempt that ends without one counts as longer than it waited. E2401 has forecast and uncertainty, relay_forecast_error the error by sign. Other services have neither field nor metric. balance::Request has a new field, model.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -24,8 +24,8 @@
 use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
 use placement::{nearest, prefix_endpoint, request_hash, small_model_threshold};
 
-use crate::endpoint_key;
 use crate::{contact, gate, outlier, rate, reach, report_targets};
+use crate::{endpoint_key, forecast as forecasts};
 
 /// Bonus for a cached prefix, in load for each 1,000 shared tokens.
 const PREFIX_BONUS: f64 = 0.03;
@@ -125,6 +125,8 @@
     pub tried: &'a [id::EndpointId],
     /// Hash of the prompt's shared prefix and its length in tokens; `None` if it has none.
     pub prefix: Option<(u64, u64)>,
+    /// Model that it runs on; `None` if its caller has chosen it.
+    pub model: Option<&'a id::ModelId>,
     /// KV-cache tokens that it occupies at an engine.
     pub tokens: u64,
     /// KV-cache capacity of an engine, in tokens; 0 for a plain service.
@@ -205,6 +207,7 @@
     reach: reach::Reach,
     demand: zone_local::Demand,
     tiers: RefCell<zone_local::Cache>,
+    forecasts: forecasts::Forecasts,
 }
 
 impl Balancer {
@@ -221,6 +224,7 @@
             reach: reach::Reach::default(),
             demand: zone_local::Demand::default(),
             tiers: RefCell::default(),
+            forecasts: forecasts::Forecasts::default(),
         }
     }
 
@@ -292,6 +296,7 @@
                     pending: 0,
                     prefill: 0.0,
                     observed: None,
+                    work: None,
                     breaker: outlier::Breaker::default(),
                     was_unreachable: false,
                     cold_until,
@@ -303,6 +308,7 @@
                 if let Some(earlier) = self.endpoints.insert(entry.id, endpoint) {
                     self.contacts.remove(earlier.key);
                     self.gate.remove(earlier.key);
+                    self.forecasts.remove(earlier.report_key);
                 }
                 self.contacts.register(key, part);
             }
@@ -314,6 +320,7 @@
         if let Some(endpoint) = self.endpoints.remove(id) {
             self.contacts.remove(endpoint.key);
             self.gate.remove(endpoint.key);
+            self.forecasts.remove(endpoint.report_key);
         }
     }
 
@@ -424,7 +431,7 @@
         } else {
             let utilization = || self.utilization(request.service, now);
             let compute = || zone_local::tiers(&eligible, &self.zone, &self.demand, utilization);
-            self.tiers.borrow_mut().get(&eligible, compute, now)
+            self.tiers.borrow_mut().get(request.service, &eligible, compute, now)
         };
         let small = if tiers.is_none() { small_model_threshold(&eligible) } else { 0 };
         let is_preferred = |endpoint: &Endpoint| match (&tiers, request.tier) {
--- a/crates/ibishill-decide/src/balance/endpoint.rs
+++ b/crates/ibishill-decide/src/balance/endpoint.rs
@@ -32,6 +32,8 @@
     pub(super) pending: u32,
     pub(super) prefill: f64,
     pub(super) observed: Option<Observed>,
+    // Time that work takes there, as a multiple of the usual one, and when the engine said so.
+    pub(super) work: Option<(f64, time::Tick)>,
     pub(super) breaker: outlier::Breaker,
     // The last connection failed; the endpoint may have restarted since.
     pub(super) was_unreachable: bool,
@@ -54,6 +56,17 @@
     }
 }
 
+/// Time for which it counts what an engine says of the time that work takes there: it changes many times a second.
+const WORK_TTL: time::Millis = time::Millis(1_000);
+
+impl Endpoint {
+    // Time that work takes there, as a multiple of the usual one.
+    pub(super) fn work_factor(&self, now: time::Tick) -> f64 {
+        let told = self.work.filter(|(_, at)| now.since(*at) <= WORK_TTL);
+        told.map_or(1.0, |(factor, _)| factor)
+    }
+}
+
 pub(super) fn endpoint_hash(endpoint: &Endpoint) -> u64 {
     xxh3::xxh3_64(endpoint.entry.id.as_str().as_bytes())
 }
--- a/crates/ibishill-decide/src/balance/forecast.rs
+++ b/crates/ibishill-decide/src/balance/forecast.rs
@@ -7,7 +7,9 @@
 //!
 //! The unit is the time in which the largest model reads 1,000 tokens.
 
-use ibishill_core::time;
+use ibishill_core::{id, time};
+
+use crate::forecast;
 
 use super::endpoint::Endpoint;
 use super::placement::request_hash;
@@ -69,6 +71,58 @@
 }
 
 impl Balancer {
+    /// Forecast for a request at an endpoint; none unless its service is placed by its zones' engines.
+    pub fn forecast(
+        &self,
+        id: &id::EndpointId,
+        request: &Request<'_>,
+        now: time::Tick,
+    ) -> Option<forecast::Made> {
+        if request.capacity == 0 || !self.tiers.borrow().has(request.service, now) {
+            return None;
+        }
+        let endpoint = self.endpoints.get(id)?;
+        let class = forecast::Class::of(request.service, request.model);
+        Some(self.make(endpoint, request, class, now))
+    }
+
+    fn make(
+        &self,
+        endpoint: &Endpoint,
+        request: &Request<'_>,
+        class: forecast::Class,
+        now: time::Tick,
+    ) -> forecast::Made {
+        let load = forecast::Load {
+            backlog: endpoint.prefill + self.reports.total(endpoint.report_key, now).1,
+            prefill: request.prefill,
+            waiting: endpoint.observed_load(now).1,
+            age: self.age(endpoint, now),
+            work: endpoint.work_factor(now),
+        };
+        let forecast = self.forecasts.forecast(endpoint.report_key, class, &load, now);
+        forecast::Made { endpoint: endpoint.report_key, class, load, forecast }
+    }
+
+    // Age of what is known of others' requests at an endpoint.
+    fn age(&self, endpoint: &Endpoint, now: time::Tick) -> time::Millis {
+        let observed = endpoint.observed.map(|observed| observed.at);
+        let heard = observed.max(self.reports.heard(endpoint.report_key));
+        now.since(heard.unwrap_or_default())
+    }
+
+    /// What has been learnt of the time to the first event.
+    pub const fn forecasts(&mut self) -> &mut forecast::Forecasts {
+        &mut self.forecasts
+    }
+
+    /// Records what an engine says of the time that work takes there, as a multiple of the usual one.
+    pub fn record_work(&mut self, id: &id::EndpointId, factor: f64, now: time::Tick) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.work = Some((factor, now));
+        }
+    }
+
     /// Forecast cost of an engine of a zone whose engines suffice for its demand; the lowest wins.
     pub(super) fn cost(
         &self,
--- a/crates/ibishill-decide/src/balance/reports.rs
+++ b/crates/ibishill-decide/src/balance/reports.rs
@@ -113,6 +113,11 @@
         });
     }
 
+    /// When a peer last told of an endpoint; none if none has.
+    pub fn heard(&self, endpoint: u32) -> Option<time::Tick> {
+        self.endpoints.get(&endpoint)?.iter().map(|told| told.at).max()
+    }
+
     /// Requests that peers have in flight at an endpoint, and their outstanding prefill cost in
     /// thousands of tokens at the largest model.
     pub fn total(&self, endpoint: u32, now: time::Tick) -> (f64, f64) {
--- a/crates/ibishill-decide/src/balance/zone_local.rs
+++ b/crates/ibishill-decide/src/balance/zone_local.rs
@@ -152,6 +152,7 @@
 // Tiers of a set of engines, and when they were computed.
 #[derive(Debug, Clone)]
 struct Kept {
+    service: id::ServiceId,
     engines: u64,
     at: time::Tick,
     tiers: Arc<Tiers>,
@@ -162,9 +163,16 @@
 pub(super) struct Cache(Vec<Kept>);
 
 impl Cache {
+    /// Whether a service was placed by tiers within the time for which they are kept.
+    pub(super) fn has(&self, service: &id::ServiceId, now: time::Tick) -> bool {
+        let is_of = |kept: &Kept| kept.service == *service && now.since(kept.at) < KEEP;
+        self.0.iter().any(is_of)
+    }
+
     /// Tiers of these engines, computed if none are kept for just these.
     pub(super) fn get<F>(
         &mut self,
+        service: &id::ServiceId,
         eligible: &[&Endpoint],
         compute: F,
         now: time::Tick,
@@ -181,7 +189,7 @@
         if self.0.len() >= KEPT_MAX {
             self.0.remove(0);
         }
-        self.0.push(Kept { engines, at: now, tiers: tiers.clone() });
+        self.0.push(Kept { service: service.clone(), engines, at: now, tiers: tiers.clone() });
         Some(tiers)
     }
 }
--- a/crates/ibishill-decide/src/forecast.rs
+++ b/crates/ibishill-decide/src/forecast.rs
@@ -76,7 +76,7 @@
     pub backlog: f64,
     /// Prefill of the request itself, without what is cached there.
     pub prefill: f64,
-    /// Requests that wait there and whose prompts are not in the backlog.
+    /// Requests of other daemons that wait there, as the engine tells.
     pub waiting: f64,
     /// Age of what others have told.
     pub age: time::Millis,
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -35,6 +35,7 @@
         versions: balance::Versions::Any,
         tried,
         prefix: None,
+        model: None,
         tokens: 0,
         capacity: 100_000,
         prefill: 0.0,
--- a/crates/ibishill-decide/tests/relay/reach.rs
+++ b/crates/ibishill-decide/tests/relay/reach.rs
@@ -203,6 +203,7 @@
             versions: balance::Versions::Any,
             tried: &[],
             prefix: None,
+            model: None,
             tokens: 0,
             capacity: 0,
             prefill: 0.0,
--- a/crates/ibishill-decide/tests/relay/zone_local.rs
+++ b/crates/ibishill-decide/tests/relay/zone_local.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use ibishill_core::{fleet, id, time};
-use ibishill_decide::balance;
+use ibishill_decide::{balance, outlier};
 
 const SLOW_START: balance::SlowStart =
     balance::SlowStart { duration: time::Millis(3_000), rate: 10.0, is_stale: false };
@@ -145,6 +145,7 @@
                 versions: balance::Versions::Any,
                 tried: &[],
                 prefix: None,
+                model: None,
                 tokens: 0,
                 capacity: 400_000,
                 prefill,
@@ -251,6 +252,7 @@
         versions: balance::Versions::Any,
         tried: &[],
         prefix: None,
+        model: None,
         tokens: 0,
         capacity: 400_000,
         prefill: 0.25,
@@ -314,6 +316,80 @@
     }
 }
 
+struct OutlookCase {
+    name: &'static str,
+    slots: u32,
+    change: fn(&mut balance::Balancer, &id::EndpointId),
+    /// Backlog, waiting requests, age and work time of the forecast, 200 ms later; none if there is no forecast.
+    expected: Option<(f64, f64, u64, f64)>,
+}
+
+// Guards against a forecast of engines that are not chosen by it, against information that counts as new when it is
+// old, and against a work time that is used for longer than it lasts.
+#[test]
+fn forecast_is_made_from_what_is_known_of_the_engine() {
+    const NOW: time::Tick = time::Tick(10_000);
+    let peer = |balancer: &mut balance::Balancer, id: &id::EndpointId| {
+        let mut work = balancer.in_flight_at(id).unwrap();
+        (work.running, work.reading) = (3, 20);
+        let ttl = time::Millis(4_000);
+        balancer.reports().update(&"peer".parse().unwrap(), work, ttl, NOW);
+    };
+    let cases = [
+        OutlookCase {
+            name: "nothing known",
+            slots: 32,
+            change: |_, _| {},
+            expected: Some((0.0, 0.0, 10_200, 1.0)),
+        },
+        OutlookCase { name: "small engines", slots: 16, change: |_, _| {}, expected: None },
+        OutlookCase {
+            name: "a peer's prompts",
+            slots: 32,
+            change: peer,
+            expected: Some((5.0, 0.0, 200, 1.0)),
+        },
+        OutlookCase {
+            name: "own prompts",
+            slots: 32,
+            change: |balancer, id| {
+                let work = balance::Work { tokens: 0, prefill: 3.0, tier: balance::Tier::Large };
+                balancer.begin(id, work, SLOW_START, 0, NOW);
+            },
+            expected: Some((3.0, 0.0, 10_200, 1.0)),
+        },
+        OutlookCase {
+            name: "a response",
+            slots: 32,
+            change: |balancer, id| {
+                let load = Some(balance::Load { running: 20, waiting: 6 });
+                balancer.record_attempt(id, outlier::Attempt::Good, load, SLOW_START, NOW);
+                balancer.record_work(id, 1.4, NOW);
+            },
+            expected: Some((0.0, 6.0 * 13.0 / 15.0, 200, 1.4)),
+        },
+        OutlookCase {
+            name: "work time of a second before",
+            slots: 32,
+            change: |balancer, id| balancer.record_work(id, 1.4, time::Tick(9_100)),
+            expected: Some((0.0, 0.0, 10_200, 1.0)),
+        },
+    ];
+    let service: id::ServiceId = "pool".parse().unwrap();
+    let id: id::EndpointId = "a-3".parse().unwrap();
+    for case in cases {
+        let mut balancer = balancer("a", case.slots);
+        (case.change)(&mut balancer, &id);
+        let now = NOW + time::Millis(200);
+        let request = request(&service, balance::Tier::Large, 1);
+        balancer.pick(&request, SLOW_START, |_| 0, now);
+        let load = balancer.forecast(&id, &request, now).map(|made| made.load);
+        let found = load.map(|load| (load.backlog, load.waiting, load.age.0, load.work));
+        assert_eq!(found, case.expected, "{}", case.name);
+        assert!(load.is_none_or(|load| load.prefill == request.prefill), "{}", case.name);
+    }
+}
+
 // Guards against refusals while engines that a request does not prefer, in another zone, have free slots.
 #[test]
 fn every_slot_is_used_before_a_request_finds_none() {
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, endpoint_key, exposure, gate, outlier, reach};
+use ibishill_decide::{balance, canary, endpoint_key, exposure, forecast, gate, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
@@ -28,6 +28,9 @@
     exposure: Option<exposure::Ticket>,
     is_trial: bool,
     slot: fairness::Slot,
+    since: time::Tick,
+    // Until the first event.
+    forecast: Option<forecast::Made>,
 }
 
 impl AttemptGuard {
@@ -54,6 +57,18 @@
             slot,
             exposure: None,
             is_trial,
+            since: now,
+            forecast: target.forecast,
+        }
+    }
+
+    /// Records that the first event has arrived.
+    pub(crate) fn record_first_event(&mut self) {
+        if let Some(made) = self.forecast.take() {
+            let now = self.context.now();
+            let took = now.since(self.since);
+            let error = self.context.state().balancer.forecasts().record_start(&made, took, now);
+            self.context.metrics.record_forecast_error(error);
         }
     }
 
@@ -86,10 +101,16 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.slot.leave(&self.context, self.is_answering);
+        let was_answering = self.is_answering;
         self.mark_answering();
         let now = self.context.now();
         let mut state = self.context.state();
         state.balancer.end(&self.endpoint, self.work, now);
+        // An answer that has begun and is dropped before its first event tells nothing.
+        if let Some(made) = self.forecast.filter(|_| !was_answering) {
+            let waited = now.since(self.since);
+            state.balancer.forecasts().record_unstarted(&made, waited, now);
+        }
         if let Some(ticket) = self.exposure {
             state.exposures.finish(ticket, now);
         }
@@ -456,8 +477,13 @@
         Outcome::Stream(start) => start.reply.load,
         _ => None,
     };
+    let work = load.and_then(|load| load.work);
     let load = load.map(|load| balance::Load { running: load.running, waiting: load.waiting });
     let mut state = context.state();
+    if let Some(percent) = work {
+        let factor = f64::from(percent) / 100.0;
+        state.balancer.record_work(&target.endpoint, factor, now);
+    }
     let slow_start = state.slow_start(&received.service, now);
     let took = now.since(started);
     context.metrics.record_attempt(outcome.name(), received.route.kind.is_stream(), took);
@@ -537,21 +563,27 @@
 
 fn log_sent(received: &Received, target: &Target, now: time::Tick, remaining: time::Millis) {
     let model = target.model.as_ref().map_or("-", id::ModelId::as_str);
-    event::emit_json(
-        event::Event::RequestSent,
-        &[
-            event::field("request", &received.metadata.id),
-            event::field("route", &received.route.name),
-            event::field("endpoint", &target.endpoint),
-            event::field("version", &target.version),
-            event::field("model", &model),
-            event::field("waited", &now.since(received.arrived)),
-            event::field("left", &remaining),
-            event::field("session", &received.metadata.session.as_deref().unwrap_or("-")),
-            event::field("segments", &early_end::segment_list(&received.metadata)),
-            event::field("key", &received.key),
-        ],
-    );
+    let waited = now.since(received.arrived);
+    let session = received.metadata.session.as_deref().unwrap_or("-");
+    let segments = early_end::segment_list(&received.metadata);
+    let forecast = target.forecast.map(|made| made.forecast);
+    let mut fields = vec![
+        event::field("request", &received.metadata.id),
+        event::field("route", &received.route.name),
+        event::field("endpoint", &target.endpoint),
+        event::field("version", &target.version),
+        event::field("model", &model),
+        event::field("waited", &waited),
+        event::field("left", &remaining),
+        event::field("session", &session),
+        event::field("segments", &segments),
+        event::field("key", &received.key),
+    ];
+    if let Some(forecast) = &forecast {
+        fields.push(event::field("forecast", &forecast.expected));
+        fields.push(event::field("uncertainty", &forecast.uncertainty));
+    }
+    event::emit_json(event::Event::RequestSent, &fields);
 }
 
 fn log_ended(
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -11,7 +11,7 @@
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use ibishill_core::{event, fleet, time};
-use ibishill_decide::canary;
+use ibishill_decide::{canary, forecast};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -51,6 +51,7 @@
     held_back: Counter<u64>,
     refused_early: Counter<u64>,
     promised: Histogram<f64>,
+    forecast_error: Histogram<f64>,
 }
 
 impl Metrics {
@@ -115,6 +116,10 @@
                 "relay_promised",
                 "Time after which refused callers were told to return, where capacity was expected",
             ),
+            forecast_error: histogram(
+                "relay_forecast_error",
+                "Time by which a first event was later or earlier than forecast, by sign",
+            ),
             hops: counter("relay_hops", "Attempts through peers, by outcome"),
             registry,
             _provider: provider,
@@ -170,6 +175,15 @@
         self.promised.record(after.0 as f64 / 1_000.0, &[]);
     }
 
+    /// Records the error of a forecast of the time to a first event.
+    pub(crate) fn record_forecast_error(&self, error: forecast::Error) {
+        let (sign, by) = match error {
+            forecast::Error::Late(by) => ("late", by),
+            forecast::Error::Early(by) => ("early", by),
+        };
+        self.forecast_error.record(by.0 as f64 / 1_000.0, &[KeyValue::new("sign", sign)]);
+    }
+
     /// Records the time that a request waited for a free slot.
     pub(crate) fn record_wait(&self, took: time::Millis) {
         self.wait.record(took.0 as f64 / 1_000.0, &[]);
--- a/crates/ibishill-relay/src/request.rs
+++ b/crates/ibishill-relay/src/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use ibishill_core::{call, id, route, time};
-use ibishill_decide::{balance, exposure};
+use ibishill_decide::{balance, exposure, forecast};
 use xxhash_rust::xxh3;
 
 use crate::abort;
@@ -154,6 +154,8 @@
     pub(crate) last_event: Option<u64>,
     /// Prefill cost of the prompt, in thousands of tokens at the largest model.
     pub(crate) prefill: f64,
+    /// Forecast of the time to its first event; none where engines are not chosen by it.
+    pub(crate) forecast: Option<forecast::Made>,
 }
 
 /// Where an attempt went.
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -83,6 +83,7 @@
         versions: balance::Versions::Any,
         tried,
         prefix: prefix.map(|segment| (segment.0, prefix_tokens)),
+        model,
         tokens: received.kv_tokens(),
         capacity,
         prefill,
@@ -119,6 +120,13 @@
             choice
         }
     };
+    // Only a stream tells when its first event comes.
+    let forecast = match &choice {
+        balance::Choice::Send(endpoint) if received.route.kind.is_stream() => {
+            state.balancer.forecast(endpoint, &request, now)
+        }
+        _ => None,
+    };
     match choice {
         balance::Choice::Full => Choice::Full,
         balance::Choice::NoEndpoint => Choice::NoEndpoint,
@@ -132,6 +140,7 @@
                 model: model.cloned(),
                 last_event,
                 prefill,
+                forecast,
             }),
         },
     }
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time as clock;
 
-use crate::attempt::{self, Outcome, StreamStart};
+use crate::attempt::{self, AttemptGuard, Outcome, StreamStart};
 use crate::body::{self, Body, Incomplete};
 use crate::context::Shared;
 use crate::request::{Destination, Received};
@@ -115,10 +115,11 @@
         loop {
             let StreamStart { head, body, is_until_close, connection, guard, destination, .. } =
                 start;
+            let mut guard = guard;
             self.sequence.begin_answer(is_continued, continuation::is_declared(&head));
             self.destination = destination;
             self.beginning = early_end::Beginning::at(self.context.now());
-            let end = self.forward_events(body, is_until_close).await;
+            let end = self.forward_events(body, is_until_close, guard.as_mut()).await;
             // Closes the connection, so that the endpoint stops before the stream is resumed
             // elsewhere.
             drop(connection);
@@ -170,7 +171,12 @@
         }
     }
 
-    async fn forward_events(&mut self, mut body: Incoming, is_until_close: bool) -> End {
+    async fn forward_events(
+        &mut self,
+        mut body: Incoming,
+        is_until_close: bool,
+        mut guard: Option<&mut AttemptGuard>,
+    ) -> End {
         let idle_timeout = self.received.route.latency_target.0 * IDLE_TIMEOUT_PERCENT / 100;
         let is_direct = self.destination.target().is_some();
         let patience = if is_direct { 1 } else { u64::from(hop::PATIENCE) };
@@ -240,6 +246,9 @@
             self.record_pause(accepted.numbered);
             self.record_speed(&mut window, accepted.numbered);
             self.events += accepted.numbered;
+            if let Some(guard) = guard.as_mut().filter(|_| accepted.numbered > 0) {
+                guard.record_first_event();
+            }
             (0..accepted.numbered).for_each(|_| self.beginning.record_event());
             self.measure(&mut pace);
             if !self.beginning.is_early(self.context.now()) {
