relay: a second run that would not begin in time is not started

Cause: a larger model after a weak answer, a second attempt and a resumed stream were started whatever the time left: one request began at its third engine with 5 s left after 17 s at two others. Change: the weak answer is delivered if the larger model is expected to begin after the deadline at every engine; an attempt that is silent goes on at its engine if another one would begin too late; a broken stream is not resumed then. Result: escalation tests pass; the wiring compiles and is not shown with relay processes.

--- a/crates/ibishill-decide/src/escalation.rs
+++ b/crates/ibishill-decide/src/escalation.rs
@@ -92,6 +92,14 @@
     VALUE_MIN + size / (1.0 + f64::from(priority))
 }
 
+/// Whether a larger model's answer begins while its caller waits: `expected` is the least time to its first event, if it
+/// is known, and `left` the time until the deadline.
+///
+/// The answer that is there is certain, so the expected time counts, and not the earliest one.
+pub fn begins_in_time(expected: Option<time::Millis>, left: time::Millis) -> bool {
+    expected.is_none_or(|expected| expected <= left)
+}
+
 /// Confidence below which a larger model runs: where the expected loss by a wrong answer exceeds
 /// the cost of the larger model at this `pressure`, 0 to 1.
 pub fn threshold(larger: &route::Model, priority: u8, tokens: call::Tokens, pressure: f64) -> f64 {
--- a/crates/ibishill-decide/tests/relay/escalation.rs
+++ b/crates/ibishill-decide/tests/relay/escalation.rs
@@ -9,6 +9,20 @@
     call::Tokens { input: 12_000, max_output: 1_000, expected_output: 390 };
 const TAG: call::Tokens = call::Tokens { input: 2_400, max_output: 90, expected_output: 25 };
 
+// Guards against a weak answer that is dropped for one that begins after its caller has left.
+#[test]
+fn a_larger_model_runs_only_if_it_begins_in_time() {
+    for (expected, left, is_in_time) in [
+        (None, 0, true),
+        (Some(4_000), 20_000, true),
+        (Some(5_000), 5_000, true),
+        (Some(5_001), 5_000, false),
+    ] {
+        let found = escalation::begins_in_time(expected.map(time::Millis), time::Millis(left));
+        assert_eq!(found, is_in_time, "{expected:?} of {left}");
+    }
+}
+
 #[test]
 fn more_valuable_answer_has_higher_threshold() {
     let report = escalation::threshold(&large(), 0, REPORT, 0.0);
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::request::{Destination, Received, Target};
 use crate::state::State;
 use crate::upstream::{self, CallError};
-use crate::{early_end, fairness, isolation, retry_budget, rollout, rollout_log};
+use crate::{early_end, fairness, isolation, retry_budget, rollout, rollout_log, selection};
 
 /// Counts an attempt as in flight at its endpoint until dropped.
 pub(crate) struct AttemptGuard {
@@ -230,6 +230,7 @@
         && early.is_none()
         && !has_head.get()
         && received.remaining(context.now()).0 > 0
+        && !selection::is_next_too_late(context, received, target)
         && retry_budget::acquire(context, received, retry_budget::Retry::Silent);
     let (outcome, detail) = match early {
         Some(found) => found,
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -422,6 +422,7 @@
                 if index < largest
                     && sends < received.route.max_attempts
                     && needs_larger_model(context, &received, &start.reply, &models[largest])
+                    && begins_in_time(context, &received, &models[largest].name)
                     && retry_budget::acquire(context, &received, retry_budget::Retry::Weak)
                 {
                     log_dropped(&received, &start.reply);
@@ -453,6 +454,18 @@
     reply.confidence.is_some_and(|confidence| confidence < threshold)
 }
 
+// Whether the larger model's answer would begin before the deadline; logs if not, and the answer that is there is
+// delivered then.
+fn begins_in_time(context: &Shared, received: &Received, larger: &id::ModelId) -> bool {
+    let least = selection::least_expected(context, received, larger);
+    let left = received.remaining(context.now());
+    let is_in_time = escalation::begins_in_time(least.map(|least| least.expected), left);
+    if let Some(least) = least.filter(|_| !is_in_time) {
+        selection::log_too_late(context, received, "larger", least);
+    }
+    is_in_time
+}
+
 fn conclude(
     context: &Shared,
     received: &Received,
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -11,6 +11,7 @@
 use crate::context::Shared;
 use crate::local_reply::Reason;
 use crate::request::{Received, Target};
+use crate::state::State;
 use crate::{attempt, fairness};
 
 /// Interval of checks for a free slot; slots of cold endpoints become free by time alone.
@@ -141,6 +142,41 @@
     }
 }
 
+/// Least time to the first event that is expected of a model's answer at any engine; none if it is not known well enough.
+pub(crate) fn least_expected(
+    context: &Shared,
+    received: &Received,
+    model: &id::ModelId,
+) -> Option<forecast::Forecast> {
+    let now = context.now();
+    let state = context.state();
+    let slow_start = state.slow_start(&received.service, now);
+    let engine = engine(&state, received)?;
+    let request = build_request(received, Some(engine), &[], Some(model));
+    let rank = |endpoint: &id::EndpointId| state.peers.known_rank(endpoint.as_str());
+    state.balancer.least_expected(&request, (slow_start, rank), now)
+}
+
+/// Whether another run of a request, instead of the one at `target`, is known to begin after the deadline; logs it then.
+pub(crate) fn is_next_too_late(context: &Shared, received: &Received, target: &Target) -> bool {
+    // Elsewhere, the choice would be made for nothing.
+    if target.forecast.is_none() {
+        return false;
+    }
+    let tried = std::slice::from_ref(&target.endpoint);
+    match choose(context, received, tried, target.model.as_ref(), target.last_event) {
+        Choice::TooLate(least) => {
+            log_too_late(context, received, "next", least);
+            true
+        }
+        _ => false,
+    }
+}
+
+fn engine<'a>(state: &'a State, received: &Received) -> Option<&'a route::Engine> {
+    state.catalog.as_ref()?.services.get(&received.service)?.engine.as_ref()
+}
+
 fn build_request<'a>(
     received: &'a Received,
     engine: Option<&route::Engine>,
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -390,6 +390,11 @@
                     let grant = hop::Grant::one(&self.received, self.sends);
                     hop::run(&self.context, &self.received, self.sequence.last(), grant).await
                 }
+                selection::Choice::TooLate(least) => {
+                    selection::log_too_late(&self.context, &self.received, "resumed", least);
+                    self.log_broken(&why);
+                    return None;
+                }
                 _ => {
                     self.log_broken(&why);
                     return None;
