balance: a cached prefix against the wait for it, in milliseconds, by age and memory

Cause: a prefix at its home counted as cached in full, however long ago it was used and however full the engine was, and all engines counted as equally fast. Change: costs are in milliseconds by the time in which each engine reads; the saved part counts less the longer ago this daemon sent the prefix there (half in 30 s; 10 s if only others may have), and less from half of the engine's memory in use on. A prefix counts where it was sent lately, too. The attempt's guard and the counts of endpoints are in files of their own. Each endpoint is scored once for a choice.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -11,6 +11,7 @@
 mod endpoint;
 mod forecast;
 mod placement;
+mod prefix_use;
 pub mod reports;
 pub mod speed;
 mod zone_local;
@@ -210,6 +211,7 @@
     demand: zone_local::Demand,
     tiers: RefCell<zone_local::Cache>,
     forecasts: forecasts::Forecasts,
+    prefixes: prefix_use::Uses,
 }
 
 impl Balancer {
@@ -227,6 +229,7 @@
             demand: zone_local::Demand::default(),
             tiers: RefCell::default(),
             forecasts: forecasts::Forecasts::default(),
+            prefixes: prefix_use::Uses::default(),
         }
     }
 
@@ -355,26 +358,6 @@
             && !self.zones_out.contains_key(&endpoint.entry.zone)
     }
 
-    /// Counts the endpoints by state.
-    pub fn counts(&self, now: time::Tick) -> Counts {
-        let mut counts = Counts::default();
-        for endpoint in self.endpoints.values() {
-            let is_healthy =
-                endpoint.breaker.allows(now) && self.reach.allows(&endpoint.entry.zone, now);
-            let count = if !self.is_in_service(endpoint) {
-                &mut counts.out
-            } else if !is_healthy {
-                &mut counts.ejected
-            } else if self.is_cold(&endpoint.entry.id, now) {
-                &mut counts.cold
-            } else {
-                &mut counts.ready
-            };
-            *count += 1;
-        }
-        counts
-    }
-
     /// Selects an endpoint; `rank` is this daemon's rank among the senders to a cold one.
     pub fn pick<R>(
         &self,
@@ -474,9 +457,10 @@
             sample.sort_by_key(|endpoint| order(endpoint));
             sample = nearest(sample, &self.zone, size);
         }
-        let best = sample.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)));
+        let scored = sample.into_iter().map(|endpoint| (score(endpoint), endpoint));
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
-            Some(endpoint) => Choice::Send(endpoint.entry.id.clone()),
+            Some((_, endpoint)) => Choice::Send(endpoint.entry.id.clone()),
             None if is_partial || !self.senders(request.service).is_empty() => Choice::OutOfReach,
             None => resting.map_or(Choice::Full, Choice::Resting),
         }
--- a/crates/ibishill-decide/src/balance/access.rs
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -5,7 +5,7 @@
 
 use ibishill_core::{fleet, id, time};
 
-use super::{Balancer, Endpoint};
+use super::{Balancer, Counts, Endpoint};
 use crate::{contact, endpoint_key, gate, outlier};
 
 impl Balancer {
@@ -68,6 +68,26 @@
         self.contacts.is_cut() && endpoints.all(|endpoint| self.contacts.is_out(endpoint.key))
     }
 
+    /// Counts the endpoints by state.
+    pub fn counts(&self, now: time::Tick) -> Counts {
+        let mut counts = Counts::default();
+        for endpoint in self.endpoints.values() {
+            let is_healthy =
+                endpoint.breaker.allows(now) && self.reach.allows(&endpoint.entry.zone, now);
+            let count = if !self.is_in_service(endpoint) {
+                &mut counts.out
+            } else if !is_healthy {
+                &mut counts.ejected
+            } else if self.is_cold(&endpoint.entry.id, now) {
+                &mut counts.cold
+            } else {
+                &mut counts.ready
+            };
+            *count += 1;
+        }
+        counts
+    }
+
     // Daemons that a service's endpoints are divided between, if this one may send to none of them.
     pub(super) fn senders(&self, service: &id::ServiceId) -> BTreeSet<id::VmId> {
         let mut senders = BTreeSet::new();
--- a/crates/ibishill-decide/src/balance/forecast.rs
+++ b/crates/ibishill-decide/src/balance/forecast.rs
@@ -5,7 +5,8 @@
 //! they have yet to read, and a cached prefix counts as the time that it saves, against a longer wait or
 //! another zone.
 //!
-//! The unit is the time in which the largest model reads 1,000 tokens.
+//! Costs are in milliseconds. The constants are in the time in which the largest model reads 1,000 tokens, as it is
+//! learnt from first events, for the engine or for its service and model.
 
 use ibishill_core::{id, time};
 
@@ -53,6 +54,9 @@
     pub(super) is_preferred: bool,
     /// Random number from 0 to 1 of the request at this engine.
     pub(super) random: f64,
+    /// Time in which this engine reads 1,000 tokens, and in which others of its service do, in milliseconds.
+    pub(super) read: f64,
+    pub(super) usual: f64,
 }
 
 impl Outlook {
@@ -60,13 +64,13 @@
     pub(super) fn cost(&self) -> f64 {
         let when = |is: bool, cost: f64| if is { cost } else { 0.0 };
         let crowd = ((self.load - CROWDED) / (1.0 - CROWDED)).max(0.0);
-        self.backlog
-            + (OWN_WEIGHT + DELAY_WEIGHT * self.load) * self.prefill
-            + RUNNING * self.load
+        let wait = self.backlog + (OWN_WEIGHT + DELAY_WEIGHT * self.load) * self.prefill;
+        let other = RUNNING * self.load
             + FULL * crowd
             + when(!self.is_own_zone, OTHER_ZONE)
             + when(!self.is_preferred, OTHER_MODEL)
-            + JITTER * self.random
+            + JITTER * self.random;
+        wait * self.read + other * self.usual
     }
 }
 
@@ -95,7 +99,7 @@
     ) -> forecast::Made {
         let load = forecast::Load {
             backlog: endpoint.prefill + self.reports.total(endpoint.report_key, now).1,
-            prefill: request.prefill,
+            prefill: self.prefill_left(endpoint, request, false, now),
             waiting: endpoint.waiting(now),
             age: self.age(endpoint, now),
             work: endpoint.work_factor(now),
@@ -104,6 +108,29 @@
         forecast::Made { endpoint: endpoint.report_key, class, load, forecast }
     }
 
+    // Prefill of a request at an engine, without what is likely to be cached there.
+    fn prefill_left(
+        &self,
+        endpoint: &Endpoint,
+        request: &Request<'_>,
+        is_home: bool,
+        now: time::Tick,
+    ) -> f64 {
+        let Some((prefix, _)) = request.prefix else { return request.prefill };
+        let own = endpoint.tokens as f64 / request.capacity.max(1) as f64;
+        let used = own.max(self.load(endpoint, now));
+        let cached = self.prefixes.cached(prefix, endpoint.report_key, is_home, used, now);
+        (request.prefill - request.saved * cached).max(0.0)
+    }
+
+    /// Records that a request with this prefix is sent to an endpoint.
+    pub fn record_prefix(&mut self, id: &id::EndpointId, prefix: u64, now: time::Tick) {
+        let Some(endpoint) = self.endpoints.get(id) else { return };
+        if self.tiers.borrow().has(&endpoint.entry.service, now) {
+            self.prefixes.record(prefix, endpoint.report_key, now);
+        }
+    }
+
     // Age of what is known of others' requests at an endpoint.
     fn age(&self, endpoint: &Endpoint, now: time::Tick) -> time::Millis {
         let observed = endpoint.observed.map(|observed| observed.at);
@@ -133,14 +160,18 @@
         now: time::Tick,
     ) -> f64 {
         let (others, backlog) = self.others_load(endpoint, now);
-        let is_cached = prefix_endpoint == Some(endpoint.report_key);
+        let is_home = prefix_endpoint == Some(endpoint.report_key);
+        let class = forecast::Class::of(request.service, request.model);
         let outlook = Outlook {
             backlog: endpoint.prefill + backlog,
             load: (f64::from(endpoint.running) + others) / f64::from(endpoint.entry.slots.max(1)),
-            prefill: request.prefill - if is_cached { request.saved } else { 0.0 },
+            prefill: self.prefill_left(endpoint, request, is_home, now),
             is_own_zone: endpoint.entry.zone == self.zone,
             is_preferred,
             random: request_hash(endpoint, request) as f64 / u64::MAX as f64,
+            read: self.forecasts.read_ms(endpoint.report_key, class, now)
+                * endpoint.work_factor(now),
+            usual: self.forecasts.usual_read_ms(class),
         };
         outlook.cost()
     }
--- a/crates/ibishill-decide/tests/relay/zone_local.rs
+++ b/crates/ibishill-decide/tests/relay/zone_local.rs
@@ -408,3 +408,104 @@
         assert_eq!(sent, (ZONES.len() * ENGINES * 32) as u64, "{tier:?}");
     }
 }
+
+struct PrefixCase {
+    name: &'static str,
+    /// Prompts that wait at the home of the prefix, in thousands of tokens.
+    backlog: f64,
+    /// Tokens of its memory that are in use, of 400,000.
+    used: u64,
+    /// When this daemon last sent the prefix there; never if none.
+    age: Option<u64>,
+    /// Time that work takes there, as a multiple of the usual one.
+    work: f64,
+    goes_home: bool,
+}
+
+// Guards against a wait for a cached prefix that takes longer than reading it, and for one that has been evicted.
+#[test]
+fn request_goes_to_its_prefix_if_that_saves_more_than_the_wait() {
+    const NOW: time::Tick = time::Tick(300_000);
+    let usual = PrefixCase {
+        name: "nothing waits",
+        backlog: 0.0,
+        used: 0,
+        age: None,
+        work: 1.0,
+        goes_home: true,
+    };
+    let cases = [
+        PrefixCase { ..usual },
+        PrefixCase { name: "a short wait", backlog: 6.0, ..usual },
+        PrefixCase { name: "a long wait", backlog: 30.0, goes_home: false, ..usual },
+        PrefixCase { name: "just used", backlog: 14.0, age: Some(500), ..usual },
+        PrefixCase { name: "used by others", backlog: 14.0, goes_home: false, ..usual },
+        PrefixCase {
+            name: "memory nearly full",
+            backlog: 6.0,
+            used: 350_000,
+            goes_home: false,
+            ..usual
+        },
+        PrefixCase { name: "memory half full", backlog: 6.0, used: 200_000, ..usual },
+        PrefixCase {
+            name: "work takes longer there",
+            backlog: 6.0,
+            work: 2.0,
+            goes_home: false,
+            ..usual
+        },
+    ];
+    let service: id::ServiceId = "pool".parse().unwrap();
+    let request = balance::Request {
+        prefix: Some((77, 8_000)),
+        prefill: 9.0,
+        saved: 8.0,
+        tier: balance::Tier::Any,
+        ..request(&service, balance::Tier::Any, 3)
+    };
+    let pick = |balancer: &balance::Balancer| {
+        let choice = balancer.pick(&request, SLOW_START, |_| 0, NOW);
+        let balance::Choice::Send(id) = choice else { panic!("{choice:?}") };
+        id
+    };
+    for case in cases {
+        let mut balancer = balancer("a", 32);
+        let home = pick(&balancer);
+        if let Some(age) = case.age {
+            let at = time::Tick(NOW.0 - age);
+            balancer.pick(&request, SLOW_START, |_| 0, at);
+            balancer.record_prefix(&home, 77, at);
+        }
+        let work =
+            balance::Work { tokens: case.used, prefill: case.backlog, tier: balance::Tier::Any };
+        balancer.begin(&home, work, SLOW_START, 0, NOW);
+        balancer.record_work(&home, case.work, NOW);
+        assert_eq!(pick(&balancer) == home, case.goes_home, "{}", case.name);
+    }
+}
+
+// Guards against a wait at an engine to which this daemon sent the prefix long ago, and for one it never sent there.
+#[test]
+fn prefix_is_sought_where_it_was_sent_lately() {
+    let service: id::ServiceId = "pool".parse().unwrap();
+    let request = balance::Request {
+        prefix: Some((77, 8_000)),
+        prefill: 9.0,
+        saved: 8.0,
+        ..request(&service, balance::Tier::Any, 3)
+    };
+    let mut balancer = balancer("a", 32);
+    let now = time::Tick(300_000);
+    balancer.pick(&request, SLOW_START, |_| 0, now);
+    let id: id::EndpointId = "a-5".parse().unwrap();
+    let prefill = |balancer: &balance::Balancer, now| {
+        balancer.pick(&request, SLOW_START, |_| 0, now);
+        balancer.forecast(&id, &request, now).unwrap().load.prefill
+    };
+    assert_eq!(prefill(&balancer, now), 9.0);
+    balancer.record_prefix(&id, 77, now);
+    assert_eq!(prefill(&balancer, now), 1.0);
+    assert_eq!(prefill(&balancer, now + time::Millis(30_000)), 5.0);
+    assert!(prefill(&balancer, now + time::Millis(300_000)) > 8.9);
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -1,5 +1,7 @@
 //! A single attempt to run a request at an endpoint.
 
+mod guard;
+
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -8,116 +10,17 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, endpoint_key, exposure, forecast, gate, outlier, reach};
+use ibishill_decide::{balance, canary, gate, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
+pub(crate) use guard::AttemptGuard;
+
 use crate::context::Shared;
 use crate::request::{Destination, Received, Target};
 use crate::state::State;
 use crate::upstream::{self, CallError};
-use crate::{early_end, fairness, isolation, retry_budget, rollout, rollout_log, selection};
-
-/// Counts an attempt as in flight at its endpoint until dropped.
-pub(crate) struct AttemptGuard {
-    context: Shared,
-    endpoint: id::EndpointId,
-    work: balance::Work,
-    is_answering: bool,
-    // Once the prompt is sent.
-    exposure: Option<exposure::Ticket>,
-    is_trial: bool,
-    slot: fairness::Slot,
-    since: time::Tick,
-    // Until the first event.
-    forecast: Option<forecast::Made>,
-}
-
-impl AttemptGuard {
-    fn begin(context: &Shared, received: &Received, target: &Target) -> Self {
-        let (now, endpoint) = (context.now(), &target.endpoint);
-        let (tokens, tier) = (received.kv_tokens(), received.tier(target.model.as_ref()));
-        let work = balance::Work { tokens, prefill: target.prefill, tier };
-        let mut state = context.state();
-        let slow_start = state.slow_start(&received.service, now);
-        let rank = state.cold_rank(endpoint);
-        state.balancer.begin(endpoint, work, slow_start, rank, now);
-        let is_trial = state.quarantine.record_send(&received.refusable(), now);
-        drop(state);
-        let slot = fairness::Slot::take(context, received, now);
-        if is_trial {
-            context.evidence_added.notify_one();
-        }
-        context.record_reading(endpoint, work.prefill);
-        Self {
-            context: context.clone(),
-            endpoint: endpoint.clone(),
-            work,
-            is_answering: false,
-            slot,
-            exposure: None,
-            is_trial,
-            since: now,
-            forecast: target.forecast,
-        }
-    }
-
-    /// Records that the first event has arrived.
-    pub(crate) fn record_first_event(&mut self) {
-        if let Some(made) = self.forecast.take() {
-            let now = self.context.now();
-            let took = now.since(self.since);
-            let error = self.context.state().balancer.forecasts().record_start(&made, took, now);
-            self.context.metrics.record_forecast_error(error);
-        }
-    }
-
-    // The prompt is about to be sent.
-    fn begin_exposure(&mut self, received: &Received, registration: &fleet::Registration) {
-        if let Some(prompt) = received.prompt() {
-            let key = endpoint_key::EndpointKey::of(registration);
-            let now = self.context.now();
-            let mut state = self.context.state();
-            self.exposure = Some(state.exposures.begin(prompt, key, self.is_trial, now));
-        }
-    }
-
-    // The endpoint has not run the prompt.
-    fn withdraw_exposure(&mut self) {
-        if let Some(ticket) = self.exposure.take() {
-            self.context.state().exposures.withdraw(ticket);
-        }
-    }
-
-    // The response has started, so the prefill is complete.
-    fn mark_answering(&mut self) {
-        if !std::mem::replace(&mut self.is_answering, true) {
-            self.context.state().balancer.record_response_start(&self.endpoint, self.work);
-            self.context.record_reading(&self.endpoint, self.work.prefill);
-        }
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        self.slot.leave(&self.context, self.is_answering);
-        let was_answering = self.is_answering;
-        self.mark_answering();
-        let now = self.context.now();
-        let mut state = self.context.state();
-        state.balancer.end(&self.endpoint, self.work, now);
-        // An answer that has begun and is dropped before its first event tells nothing.
-        if let Some(made) = self.forecast.filter(|_| !was_answering) {
-            let waited = now.since(self.since);
-            state.balancer.forecasts().record_unstarted(&made, waited, now);
-        }
-        if let Some(ticket) = self.exposure {
-            state.exposures.finish(ticket, now);
-        }
-        drop(state);
-        self.context.capacity_freed.notify_waiters();
-    }
-}
+use crate::{early_end, isolation, retry_budget, rollout, rollout_log, selection};
 
 /// A streamed response whose head has arrived.
 pub(crate) struct StreamStart {
