--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -6,25 +6,29 @@
 //! in-flight work exactly, and that of others from responses and from peers' reports.
 
 mod access;
+mod admission;
 mod cold;
 mod endpoint;
 mod forecast;
 mod placement;
+mod prefix_use;
 pub mod reports;
 pub mod speed;
 mod zone_local;
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 
 use ibishill_core::{fleet, id, time};
 
+pub use admission::Start;
 use cold::admits;
 pub use cold::{COLD_SENDERS, SlowStart, cold_rate};
 use endpoint::{Endpoint, Observed, endpoint_hash, report_key};
 use placement::{nearest, prefix_endpoint, request_hash, small_model_threshold};
 
-use crate::endpoint_key;
 use crate::{contact, gate, outlier, rate, reach, report_targets};
+use crate::{endpoint_key, forecast as forecasts};
 
 /// Bonus for a cached prefix, in load for each 1,000 shared tokens.
 const PREFIX_BONUS: f64 = 0.03;
@@ -124,6 +128,8 @@
     pub tried: &'a [id::EndpointId],
     /// Hash of the prompt's shared prefix and its length in tokens; `None` if it has none.
     pub prefix: Option<(u64, u64)>,
+    /// Model that it runs on; `None` if its caller has chosen it.
+    pub model: Option<&'a id::ModelId>,
     /// KV-cache tokens that it occupies at an engine.
     pub tokens: u64,
     /// KV-cache capacity of an engine, in tokens; 0 for a plain service.
@@ -203,6 +209,9 @@
     zones_out: BTreeMap<id::ZoneId, ()>,
     reach: reach::Reach,
     demand: zone_local::Demand,
+    tiers: RefCell<zone_local::Cache>,
+    forecasts: forecasts::Forecasts,
+    prefixes: prefix_use::Uses,
 }
 
 impl Balancer {
@@ -218,6 +227,9 @@
             zones_out: BTreeMap::new(),
             reach: reach::Reach::default(),
             demand: zone_local::Demand::default(),
+            tiers: RefCell::default(),
+            forecasts: forecasts::Forecasts::default(),
+            prefixes: prefix_use::Uses::default(),
         }
     }
 
@@ -289,6 +301,7 @@
                     pending: 0,
                     prefill: 0.0,
                     observed: None,
+                    work: None,
                     breaker: outlier::Breaker::default(),
                     was_unreachable: false,
                     cold_until,
@@ -300,6 +313,7 @@
                 if let Some(earlier) = self.endpoints.insert(entry.id, endpoint) {
                     self.contacts.remove(earlier.key);
                     self.gate.remove(earlier.key);
+                    self.forecasts.remove(earlier.report_key);
                 }
                 self.contacts.register(key, part);
             }
@@ -311,6 +325,7 @@
         if let Some(endpoint) = self.endpoints.remove(id) {
             self.contacts.remove(endpoint.key);
             self.gate.remove(endpoint.key);
+            self.forecasts.remove(endpoint.report_key);
         }
     }
 
@@ -343,26 +358,6 @@
             && !self.zones_out.contains_key(&endpoint.entry.zone)
     }
 
-    /// Counts the endpoints by state.
-    pub fn counts(&self, now: time::Tick) -> Counts {
-        let mut counts = Counts::default();
-        for endpoint in self.endpoints.values() {
-            let is_healthy =
-                endpoint.breaker.allows(now) && self.reach.allows(&endpoint.entry.zone, now);
-            let count = if !self.is_in_service(endpoint) {
-                &mut counts.out
-            } else if !is_healthy {
-                &mut counts.ejected
-            } else if self.is_cold(&endpoint.entry.id, now) {
-                &mut counts.cold
-            } else {
-                &mut counts.ready
-            };
-            *count += 1;
-        }
-        counts
-    }
-
     /// Selects an endpoint; `rank` is this daemon's rank among the senders to a cold one.
     pub fn pick<R>(
         &self,
@@ -420,7 +415,8 @@
             None
         } else {
             let utilization = || self.utilization(request.service, now);
-            zone_local::tiers(&eligible, &self.zone, &self.demand, utilization)
+            let compute = || zone_local::tiers(&eligible, &self.zone, &self.demand, utilization);
+            self.tiers.borrow_mut().get(request.service, &eligible, compute, now)
         };
         let small = if tiers.is_none() { small_model_threshold(&eligible) } else { 0 };
         let is_preferred = |endpoint: &Endpoint| match (&tiers, request.tier) {
@@ -461,9 +457,10 @@
             sample.sort_by_key(|endpoint| order(endpoint));
             sample = nearest(sample, &self.zone, size);
         }
-        let best = sample.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)));
+        let scored = sample.into_iter().map(|endpoint| (score(endpoint), endpoint));
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         match best {
-            Some(endpoint) => Choice::Send(endpoint.entry.id.clone()),
+            Some((_, endpoint)) => Choice::Send(endpoint.entry.id.clone()),
             None if is_partial || !self.senders(request.service).is_empty() => Choice::OutOfReach,
             None => resting.map_or(Choice::Full, Choice::Resting),
         }
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod exposure_cost;
 mod exposure_ends;
 mod fair_share;
+mod forecast;
 mod memory;
 mod pace;
 mod peers;
@@ -21,6 +22,7 @@
 mod retry;
 mod routing;
 mod slot_share;
+mod surge;
 mod wait_queue;
 mod zone_local;
 
--- a/crates/ibishill-decide/tests/relay/zone_local.rs
+++ b/crates/ibishill-decide/tests/relay/zone_local.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use ibishill_core::{fleet, id, time};
-use ibishill_decide::balance;
+use ibishill_decide::{balance, outlier};
 
 const SLOW_START: balance::SlowStart =
     balance::SlowStart { duration: time::Millis(3_000), rate: 10.0, is_stale: false };
@@ -145,6 +145,7 @@
                 versions: balance::Versions::Any,
                 tried: &[],
                 prefix: None,
+                model: None,
                 tokens: 0,
                 capacity: 400_000,
                 prefill,
@@ -245,6 +246,150 @@
     assert_eq!(window.shortest(), Some(time::Millis(120)));
 }
 
+fn request(service: &id::ServiceId, tier: balance::Tier, seed: u64) -> balance::Request<'_> {
+    balance::Request {
+        service,
+        versions: balance::Versions::Any,
+        tried: &[],
+        prefix: None,
+        model: None,
+        tokens: 0,
+        capacity: 400_000,
+        prefill: 0.25,
+        saved: 0.0,
+        tier,
+        uses_subset: false,
+        seed,
+    }
+}
+
+struct TierCase {
+    name: &'static str,
+    change: fn(&mut balance::Balancer),
+    /// When the choices are made after the change, in milliseconds.
+    after: u64,
+}
+
+// Guards against engines chosen by tiers of a set that has changed, or by those of a demand that is over.
+#[test]
+fn kept_tiers_give_the_same_choices_as_new_ones() {
+    let cases: [TierCase; 4] = [
+        TierCase { name: "nothing", change: |_| {}, after: 100 },
+        TierCase {
+            name: "an engine is gone",
+            change: |balancer| balancer.remove(&"a-3".parse().unwrap()),
+            after: 0,
+        },
+        TierCase {
+            name: "a zone is out",
+            change: |balancer| balancer.take_zone_out("b".parse().unwrap()),
+            after: 0,
+        },
+        TierCase {
+            name: "other demand",
+            change: |balancer| {
+                for number in 0..60 {
+                    let work =
+                        balance::Work { tokens: 0, prefill: 4.0, tier: balance::Tier::Small };
+                    let engine = format!("a-{}", number % 15).parse().unwrap();
+                    balancer.begin(&engine, work, SLOW_START, 0, time::Tick(1_000));
+                }
+            },
+            after: 500,
+        },
+    ];
+    let service: id::ServiceId = "pool".parse().unwrap();
+    for case in cases {
+        let mut kept = balancer("a", 32);
+        let mut fresh = kept.clone();
+        let warm = request(&service, balance::Tier::Small, 0);
+        kept.pick(&warm, SLOW_START, |_| 0, time::Tick(1_000));
+        (case.change)(&mut kept);
+        (case.change)(&mut fresh);
+        let now = time::Tick(1_000 + case.after);
+        for seed in 0..200 {
+            let tier = if seed % 2 == 0 { balance::Tier::Small } else { balance::Tier::Large };
+            let request = request(&service, tier, seed);
+            let found = kept.pick(&request, SLOW_START, |_| 0, now);
+            assert_eq!(found, fresh.pick(&request, SLOW_START, |_| 0, now), "{}", case.name);
+        }
+    }
+}
+
+struct OutlookCase {
+    name: &'static str,
+    slots: u32,
+    change: fn(&mut balance::Balancer, &id::EndpointId),
+    /// Backlog, waiting requests, age and work time of the forecast, 200 ms later; none if there is no forecast.
+    expected: Option<(f64, f64, u64, f64)>,
+}
+
+// Guards against a forecast of engines that are not chosen by it, against information that counts as new when it is
+// old, and against a work time that is used for longer than it lasts.
+#[test]
+fn forecast_is_made_from_what_is_known_of_the_engine() {
+    const NOW: time::Tick = time::Tick(10_000);
+    let peer = |balancer: &mut balance::Balancer, id: &id::EndpointId| {
+        let mut work = balancer.in_flight_at(id).unwrap();
+        (work.running, work.reading) = (3, 20);
+        let ttl = time::Millis(4_000);
+        balancer.reports().update(&"peer".parse().unwrap(), work, ttl, NOW);
+    };
+    let cases = [
+        OutlookCase {
+            name: "nothing known",
+            slots: 32,
+            change: |_, _| {},
+            expected: Some((0.0, 0.0, 10_200, 1.0)),
+        },
+        OutlookCase { name: "small engines", slots: 16, change: |_, _| {}, expected: None },
+        OutlookCase {
+            name: "a peer's prompts",
+            slots: 32,
+            change: peer,
+            expected: Some((5.0, 0.0, 200, 1.0)),
+        },
+        OutlookCase {
+            name: "own prompts",
+            slots: 32,
+            change: |balancer, id| {
+                let work = balance::Work { tokens: 0, prefill: 3.0, tier: balance::Tier::Large };
+                balancer.begin(id, work, SLOW_START, 0, NOW);
+            },
+            expected: Some((3.0, 0.0, 10_200, 1.0)),
+        },
+        OutlookCase {
+            name: "a response",
+            slots: 32,
+            change: |balancer, id| {
+                let load = Some(balance::Load { running: 20, waiting: 6 });
+                balancer.record_attempt(id, outlier::Attempt::Good, load, SLOW_START, NOW);
+                balancer.record_work(id, 1.4, NOW);
+            },
+            expected: Some((0.0, 6.0, 200, 1.4)),
+        },
+        OutlookCase {
+            name: "work time of a second before",
+            slots: 32,
+            change: |balancer, id| balancer.record_work(id, 1.4, time::Tick(9_100)),
+            expected: Some((0.0, 0.0, 10_200, 1.0)),
+        },
+    ];
+    let service: id::ServiceId = "pool".parse().unwrap();
+    let id: id::EndpointId = "a-3".parse().unwrap();
+    for case in cases {
+        let mut balancer = balancer("a", case.slots);
+        (case.change)(&mut balancer, &id);
+        let now = NOW + time::Millis(200);
+        let request = request(&service, balance::Tier::Large, 1);
+        balancer.pick(&request, SLOW_START, |_| 0, now);
+        let load = balancer.forecast(&id, &request, now).map(|made| made.load);
+        let found = load.map(|load| (load.backlog, load.waiting, load.age.0, load.work));
+        assert_eq!(found, case.expected, "{}", case.name);
+        assert!(load.is_none_or(|load| load.prefill == request.prefill), "{}", case.name);
+    }
+}
+
 // Guards against refusals while engines that a request does not prefer, in another zone, have free slots.
 #[test]
 fn every_slot_is_used_before_a_request_finds_none() {
@@ -253,19 +398,7 @@
         let service: id::ServiceId = "pool".parse().unwrap();
         let mut sent = 0;
         loop {
-            let request = balance::Request {
-                service: &service,
-                versions: balance::Versions::Any,
-                tried: &[],
-                prefix: None,
-                tokens: 0,
-                capacity: 400_000,
-                prefill: 0.25,
-                saved: 0.0,
-                tier,
-                uses_subset: false,
-                seed: sent,
-            };
+            let request = request(&service, tier, sent);
             let choice = balancer.pick(&request, SLOW_START, |_| 0, time::Tick(1));
             let balance::Choice::Send(engine) = choice else { break };
             let work = balance::Work { tokens: 0, prefill: 0.25, tier };
@@ -275,3 +408,104 @@
         assert_eq!(sent, (ZONES.len() * ENGINES * 32) as u64, "{tier:?}");
     }
 }
+
+struct PrefixCase {
+    name: &'static str,
+    /// Prompts that wait at the home of the prefix, in thousands of tokens.
+    backlog: f64,
+    /// Tokens of its memory that are in use, of 400,000.
+    used: u64,
+    /// When this daemon last sent the prefix there; never if none.
+    age: Option<u64>,
+    /// Time that work takes there, as a multiple of the usual one.
+    work: f64,
+    goes_home: bool,
+}
+
+// Guards against a wait for a cached prefix that takes longer than reading it, and for one that has been evicted.
+#[test]
+fn request_goes_to_its_prefix_if_that_saves_more_than_the_wait() {
+    const NOW: time::Tick = time::Tick(300_000);
+    let usual = PrefixCase {
+        name: "nothing waits",
+        backlog: 0.0,
+        used: 0,
+        age: None,
+        work: 1.0,
+        goes_home: true,
+    };
+    let cases = [
+        PrefixCase { ..usual },
+        PrefixCase { name: "a short wait", backlog: 6.0, ..usual },
+        PrefixCase { name: "a long wait", backlog: 30.0, goes_home: false, ..usual },
+        PrefixCase { name: "just used", backlog: 14.0, age: Some(500), ..usual },
+        PrefixCase { name: "used by others", backlog: 14.0, goes_home: false, ..usual },
+        PrefixCase {
+            name: "memory nearly full",
+            backlog: 6.0,
+            used: 350_000,
+            goes_home: false,
+            ..usual
+        },
+        PrefixCase { name: "memory half full", backlog: 6.0, used: 200_000, ..usual },
+        PrefixCase {
+            name: "work takes longer there",
+            backlog: 6.0,
+            work: 2.0,
+            goes_home: false,
+            ..usual
+        },
+    ];
+    let service: id::ServiceId = "pool".parse().unwrap();
+    let request = balance::Request {
+        prefix: Some((77, 8_000)),
+        prefill: 9.0,
+        saved: 8.0,
+        tier: balance::Tier::Any,
+        ..request(&service, balance::Tier::Any, 3)
+    };
+    let pick = |balancer: &balance::Balancer| {
+        let choice = balancer.pick(&request, SLOW_START, |_| 0, NOW);
+        let balance::Choice::Send(id) = choice else { panic!("{choice:?}") };
+        id
+    };
+    for case in cases {
+        let mut balancer = balancer("a", 32);
+        let home = pick(&balancer);
+        if let Some(age) = case.age {
+            let at = time::Tick(NOW.0 - age);
+            balancer.pick(&request, SLOW_START, |_| 0, at);
+            balancer.record_prefix(&home, 77, at);
+        }
+        let work =
+            balance::Work { tokens: case.used, prefill: case.backlog, tier: balance::Tier::Any };
+        balancer.begin(&home, work, SLOW_START, 0, NOW);
+        balancer.record_work(&home, case.work, NOW);
+        assert_eq!(pick(&balancer) == home, case.goes_home, "{}", case.name);
+    }
+}
+
+// Guards against a wait at an engine to which this daemon sent the prefix long ago, and for one it never sent there.
+#[test]
+fn prefix_is_sought_where_it_was_sent_lately() {
+    let service: id::ServiceId = "pool".parse().unwrap();
+    let request = balance::Request {
+        prefix: Some((77, 8_000)),
+        prefill: 9.0,
+        saved: 8.0,
+        ..request(&service, balance::Tier::Any, 3)
+    };
+    let mut balancer = balancer("a", 32);
+    let now = time::Tick(300_000);
+    balancer.pick(&request, SLOW_START, |_| 0, now);
+    let id: id::EndpointId = "a-5".parse().unwrap();
+    let prefill = |balancer: &balance::Balancer, now| {
+        balancer.pick(&request, SLOW_START, |_| 0, now);
+        balancer.forecast(&id, &request, now).unwrap().load.prefill
+    };
+    assert_eq!(prefill(&balancer, now), 9.0);
+    balancer.record_prefix(&id, 77, now);
+    assert_eq!(prefill(&balancer, now), 1.0);
+    assert_eq!(prefill(&balancer, now + time::Millis(30_000)), 5.0);
+    assert!(prefill(&balancer, now + time::Millis(300_000)) > 8.9);
+}
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -1,5 +1,7 @@
 //! A single attempt to run a request at an endpoint.
 
+mod guard;
+
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -8,95 +10,17 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, endpoint_key, exposure, gate, outlier, reach};
+use ibishill_decide::{balance, canary, gate, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
+pub(crate) use guard::AttemptGuard;
+
 use crate::context::Shared;
 use crate::request::{Destination, Received, Target};
 use crate::state::State;
 use crate::upstream::{self, CallError};
-use crate::{early_end, fairness, isolation, retry_budget, rollout, rollout_log};
-
-/// Counts an attempt as in flight at its endpoint until dropped.
-pub(crate) struct AttemptGuard {
-    context: Shared,
-    endpoint: id::EndpointId,
-    work: balance::Work,
-    is_answering: bool,
-    // Once the prompt is sent.
-    exposure: Option<exposure::Ticket>,
-    is_trial: bool,
-    slot: fairness::Slot,
-}
-
-impl AttemptGuard {
-    fn begin(context: &Shared, received: &Received, target: &Target) -> Self {
-        let (now, endpoint) = (context.now(), &target.endpoint);
-        let (tokens, tier) = (received.kv_tokens(), received.tier(target.model.as_ref()));
-        let work = balance::Work { tokens, prefill: target.prefill, tier };
-        let mut state = context.state();
-        let slow_start = state.slow_start(&received.service, now);
-        let rank = state.cold_rank(endpoint);
-        state.balancer.begin(endpoint, work, slow_start, rank, now);
-        let is_trial = state.quarantine.record_send(&received.refusable(), now);
-        drop(state);
-        let slot = fairness::Slot::take(context, received, now);
-        if is_trial {
-            context.evidence_added.notify_one();
-        }
-        context.record_reading(endpoint, work.prefill);
-        Self {
-            context: context.clone(),
-            endpoint: endpoint.clone(),
-            work,
-            is_answering: false,
-            slot,
-            exposure: None,
-            is_trial,
-        }
-    }
-
-    // The prompt is about to be sent.
-    fn begin_exposure(&mut self, received: &Received, registration: &fleet::Registration) {
-        if let Some(prompt) = received.prompt() {
-            let key = endpoint_key::EndpointKey::of(registration);
-            let now = self.context.now();
-            let mut state = self.context.state();
-            self.exposure = Some(state.exposures.begin(prompt, key, self.is_trial, now));
-        }
-    }
-
-    // The endpoint has not run the prompt.
-    fn withdraw_exposure(&mut self) {
-        if let Some(ticket) = self.exposure.take() {
-            self.context.state().exposures.withdraw(ticket);
-        }
-    }
-
-    // The response has started, so the prefill is complete.
-    fn mark_answering(&mut self) {
-        if !std::mem::replace(&mut self.is_answering, true) {
-            self.context.state().balancer.record_response_start(&self.endpoint, self.work);
-            self.context.record_reading(&self.endpoint, self.work.prefill);
-        }
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        self.slot.leave(&self.context, self.is_answering);
-        self.mark_answering();
-        let now = self.context.now();
-        let mut state = self.context.state();
-        state.balancer.end(&self.endpoint, self.work, now);
-        if let Some(ticket) = self.exposure {
-            state.exposures.finish(ticket, now);
-        }
-        drop(state);
-        self.context.capacity_freed.notify_waiters();
-    }
-}
+use crate::{early_end, isolation, retry_budget, rollout, rollout_log, selection};
 
 /// A streamed response whose head has arrived.
 pub(crate) struct StreamStart {
@@ -209,6 +133,7 @@
         && early.is_none()
         && !has_head.get()
         && received.remaining(context.now()).0 > 0
+        && !selection::is_next_too_late(context, received, target)
         && retry_budget::acquire(context, received, retry_budget::Retry::Silent);
     let (outcome, detail) = match early {
         Some(found) => found,
@@ -463,8 +388,13 @@
         Outcome::Stream(start) => start.reply.load,
         _ => None,
     };
+    let work = load.and_then(|load| load.work);
     let load = load.map(|load| balance::Load { running: load.running, waiting: load.waiting });
     let mut state = context.state();
+    if let Some(percent) = work {
+        let factor = f64::from(percent) / 100.0;
+        state.balancer.record_work(&target.endpoint, factor, now);
+    }
     let slow_start = state.slow_start(&received.service, now);
     let took = now.since(started);
     context.metrics.record_attempt(outcome.name(), received.route.kind.is_stream(), took);
@@ -544,21 +474,27 @@
 
 fn log_sent(received: &Received, target: &Target, now: time::Tick, remaining: time::Millis) {
     let model = target.model.as_ref().map_or("-", id::ModelId::as_str);
-    event::emit_json(
-        event::Event::RequestSent,
-        &[
-            event::field("request", &received.metadata.id),
-            event::field("route", &received.route.name),
-            event::field("endpoint", &target.endpoint),
-            event::field("version", &target.version),
-            event::field("model", &model),
-            event::field("waited", &now.since(received.arrived)),
-            event::field("left", &remaining),
-            event::field("session", &received.metadata.session.as_deref().unwrap_or("-")),
-            event::field("segments", &early_end::segment_list(&received.metadata)),
-            event::field("key", &received.key),
-        ],
-    );
+    let waited = now.since(received.arrived);
+    let session = received.metadata.session.as_deref().unwrap_or("-");
+    let segments = early_end::segment_list(&received.metadata);
+    let forecast = target.forecast.map(|made| made.forecast);
+    let mut fields = vec![
+        event::field("request", &received.metadata.id),
+        event::field("route", &received.route.name),
+        event::field("endpoint", &target.endpoint),
+        event::field("version", &target.version),
+        event::field("model", &model),
+        event::field("waited", &waited),
+        event::field("left", &remaining),
+        event::field("session", &session),
+        event::field("segments", &segments),
+        event::field("key", &received.key),
+    ];
+    if let Some(forecast) = &forecast {
+        fields.push(event::field("forecast", &forecast.expected));
+        fields.push(event::field("uncertainty", &forecast.uncertainty));
+    }
+    event::emit_json(event::Event::RequestSent, &fields);
 }
 
 fn log_ended(
