balance: what is learnt of one engine's first events does not move long prompts

Change: the cost is in prefill time again, times what the engine itself says of its work now; a prefix counts as used at its home within 2 s. The forecast keeps its factor of each engine for admission and repeats.

--- a/crates/ibishill-bench/src/experiment/crowd/play.rs
+++ b/crates/ibishill-bench/src/experiment/crowd/play.rs
@@ -237,6 +237,7 @@
                 versions: balance::Versions::Any,
                 tried: &tried,
                 prefix: Some((self.rng.random_range(0..200), 800)),
+                model: None,
                 tokens: work.tokens,
                 capacity: 200_000,
                 prefill: work.prefill,
--- a/crates/ibishill-decide/src/balance/forecast.rs
+++ b/crates/ibishill-decide/src/balance/forecast.rs
@@ -5,8 +5,8 @@
 //! they have yet to read, and a cached prefix counts as the time that it saves, against a longer wait or
 //! another zone.
 //!
-//! Costs are in milliseconds. The constants are in the time in which the largest model reads 1,000 tokens, as it is
-//! learnt from first events, for the engine or for its service and model.
+//! The unit is the time in which the largest model reads 1,000 tokens. What is learnt of a single engine's first events
+//! does not count here: daemons that know the same fast engines would have them read several long prompts at a time.
 
 use ibishill_core::{id, time};
 
@@ -54,9 +54,8 @@
     pub(super) is_preferred: bool,
     /// Random number from 0 to 1 of the request at this engine.
     pub(super) random: f64,
-    /// Time in which this engine reads 1,000 tokens, and in which others of its service do, in milliseconds.
-    pub(super) read: f64,
-    pub(super) usual: f64,
+    /// Time that work takes there now, as a multiple of the usual one.
+    pub(super) work: f64,
 }
 
 impl Outlook {
@@ -70,7 +69,7 @@
             + when(!self.is_own_zone, OTHER_ZONE)
             + when(!self.is_preferred, OTHER_MODEL)
             + JITTER * self.random;
-        wait * self.read + other * self.usual
+        wait * self.work + other
     }
 }
 
@@ -161,7 +160,6 @@
     ) -> f64 {
         let (others, backlog) = self.others_load(endpoint, now);
         let is_home = prefix_endpoint == Some(endpoint.report_key);
-        let class = forecast::Class::of(request.service, request.model);
         let outlook = Outlook {
             backlog: endpoint.prefill + backlog,
             load: (f64::from(endpoint.running) + others) / f64::from(endpoint.entry.slots.max(1)),
@@ -169,9 +167,7 @@
             is_own_zone: endpoint.entry.zone == self.zone,
             is_preferred,
             random: request_hash(endpoint, request) as f64 / u64::MAX as f64,
-            read: self.forecasts.read_ms(endpoint.report_key, class, now)
-                * endpoint.work_factor(now),
-            usual: self.forecasts.usual_read_ms(class),
+            work: endpoint.work_factor(now),
         };
         outlook.cost()
     }
--- a/crates/ibishill-decide/src/balance/prefix_use.rs
+++ b/crates/ibishill-decide/src/balance/prefix_use.rs
@@ -13,8 +13,8 @@
 /// Time in which half of the prefixes that nobody sends again are evicted.
 const HALF_LIFE: time::Millis = time::Millis::from_secs(30);
 
-/// Age of the last use of a prefix at its home where this daemon has not sent it: others send it there as well.
-const HOME_AGE: time::Millis = time::Millis::from_secs(10);
+/// Age of the last use of a prefix at its home where this daemon has not sent it: all others send it there as well.
+const HOME_AGE: time::Millis = time::Millis::from_secs(2);
 
 /// Use of an engine's memory from which on cached prefixes are evicted for running requests.
 const FULL_MIN: f64 = 0.5;
--- a/crates/ibishill-decide/src/forecast.rs
+++ b/crates/ibishill-decide/src/forecast.rs
@@ -56,9 +56,6 @@
 /// Range of what an engine says of the time that work takes there.
 const WORK_RANGE: (f64, f64) = (0.2, 5.0);
 
-/// Least time to read a prompt, as a share of that before anything is measured: with 0, no engine would differ.
-const READ_MIN: f64 = 0.1;
-
 /// Longest time that is learnt from.
 const TIME_MAX: time::Millis = time::Millis::from_secs(60);
 
@@ -319,19 +316,6 @@
         fit.is_some_and(|fit| fit.evidence * decay(EVIDENCE_HALF_LIFE, fit.at, now) >= EVIDENCE_MIN)
     }
 
-    /// Time in which an engine reads 1,000 tokens of the largest model, in milliseconds, as far as is known of it.
-    pub fn read_ms(&self, endpoint: u32, class: Class, now: time::Tick) -> f64 {
-        let factor = self.engines.get(&endpoint).map_or(1.0, |pace| pace.factor(now));
-        self.usual_read_ms(class) * factor
-    }
-
-    /// The same for an engine of which nothing is known.
-    pub fn usual_read_ms(&self, class: Class) -> f64 {
-        let [_, prior, _] = PRIOR;
-        let learnt = self.classes.get(&class).map_or(prior, |fit| fit.weights[1]);
-        learnt.max(prior * READ_MIN)
-    }
-
     /// Forgets an engine.
     pub fn remove(&mut self, endpoint: u32) {
         self.engines.remove(&endpoint);
