relay: a refusal after an attempt that may have run is not passed on as a promise

Callers got 503 (or 408, 421, 429), which says that the request has not run, though an earlier attempt had been lost and may have run: the last endpoint's or peer's answer was forwarded.

--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
 use ibishill_adapter::head;
 use ibishill_core::{event, id, route, time};
@@ -346,6 +346,15 @@
                     }
                     Outcome::Response(response) => {
                         sends += grant.attempts;
+                        if may_have_run && promises_not_run(response.status()) {
+                            return conclude(
+                                context,
+                                &received,
+                                last,
+                                true,
+                                Reason::OutcomeUnknown,
+                            );
+                        }
                         may_have_run = true;
                         if response.status().is_server_error()
                             && grant.can_retry
@@ -403,6 +412,9 @@
             }
             Outcome::Response(response) => {
                 sends += 1;
+                if may_have_run && promises_not_run(response.status()) {
+                    return conclude(context, &received, last, true, Reason::OutcomeUnknown);
+                }
                 may_have_run = true;
                 let may_retry =
                     response.status().is_server_error() && received.route.kind.may_retry();
@@ -436,6 +448,17 @@
     }
 }
 
+// Whether callers take a status for a promise that the request has not run: it is none once another attempt may have.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn needs_larger_model(
     context: &Shared,
     received: &Received,
