forecast: cold, unreached and idle engines are no reason to refuse, and only prompts that were sent are learnt from

A request was refused although idle engines were cold and would take it a moment later, or were out of this relay's reach and not of its peers'; a residue of rounding made an idle engine count as busy. An attempt whose connection failed was learnt from as a long wait, and engines that are gone were entered again.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -508,6 +508,10 @@
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.pending = endpoint.pending.saturating_sub(1);
             endpoint.prefill = (endpoint.prefill - work.prefill).max(0.0);
+            if endpoint.pending == 0 {
+                // What rounding leaves would make an idle engine look busy.
+                endpoint.prefill = 0.0;
+            }
         }
     }
 
--- a/crates/ibishill-decide/src/balance/admission.rs
+++ b/crates/ibishill-decide/src/balance/admission.rs
@@ -21,6 +21,8 @@
     Other(id::EndpointId),
     /// At none; the least time that is expected at any.
     TooLate(forecast::Forecast),
+    /// At none that this daemon reaches; peers may reach others.
+    OutOfReach,
 }
 
 impl Balancer {
@@ -46,10 +48,6 @@
         let mut least = chosen.forecast;
         let is_candidate = |endpoint: &&Endpoint| self.is_candidate(endpoint, request, now);
         for endpoint in self.endpoints.values().filter(is_candidate) {
-            // One that turns requests down as it is cold can't begin this one.
-            if !admits(endpoint, cold, &rank, now) {
-                continue;
-            }
             let made = self.make(endpoint, request, chosen.class, now);
             if made.forecast.expected < least.expected {
                 least = made.forecast;
@@ -60,6 +58,7 @@
             may_begin = true;
             // A prompt that is moved to where it is read just as its caller leaves takes the time of others.
             let is_open = made.forecast.expected <= within
+                && admits(endpoint, cold, &rank, now)
                 && self.gate.admits(endpoint.key, endpoint.running, now)
                 && self.has_capacity(endpoint, request, now);
             let is_earlier =
@@ -71,34 +70,40 @@
         match other {
             Some((_, endpoint)) => Start::Other(endpoint.entry.id.clone()),
             None if may_begin => Start::Chosen,
+            None if self.has_unreached(request) => Start::OutOfReach,
             None => Start::TooLate(least),
         }
     }
 
     /// Least time to the first event that is expected of a request at any engine; none without evidence, or where
     /// engines are not chosen by the forecast.
-    pub fn least_expected<R>(
+    pub fn least_expected(
         &self,
         request: &Request<'_>,
-        (cold, rank): (SlowStart, R),
         now: time::Tick,
-    ) -> Option<forecast::Forecast>
-    where
-        R: Fn(&id::EndpointId) -> usize,
-    {
+    ) -> Option<forecast::Forecast> {
         let class = forecast::Class::of(request.service, request.model);
         let is_placed = request.capacity > 0 && self.tiers.borrow().has(request.service, now);
         if !is_placed || !self.forecasts.has_evidence(class, now) {
             return None;
         }
-        let is_candidate = |found: &&Endpoint| {
-            self.is_candidate(found, request, now) && admits(found, cold, &rank, now)
-        };
+        let is_candidate = |found: &&Endpoint| self.is_candidate(found, request, now);
         let candidates = self.endpoints.values().filter(is_candidate);
         let forecasts = candidates.map(|found| self.make(found, request, class, now).forecast);
         forecasts.min_by_key(|forecast| forecast.expected)
     }
 
+    // Whether an endpoint that might take a request is out of this daemon's reach.
+    fn has_unreached(&self, request: &Request<'_>) -> bool {
+        self.endpoints.values().any(|endpoint| {
+            endpoint.entry.service == *request.service
+                && request.versions.allows(&endpoint.entry.version)
+                && self.is_in_service(endpoint)
+                && self.contacts.is_out(endpoint.key)
+                && !request.tried.contains(&endpoint.entry.id)
+        })
+    }
+
     // Whether a request may be sent to an endpoint as soon as it has room.
     fn is_candidate(&self, endpoint: &Endpoint, request: &Request<'_>, now: time::Tick) -> bool {
         endpoint.entry.service == *request.service
--- a/crates/ibishill-relay/src/attempt/guard.rs
+++ b/crates/ibishill-relay/src/attempt/guard.rs
@@ -59,8 +59,11 @@
         if let Some(made) = self.forecast.take() {
             let now = self.context.now();
             let took = now.since(self.since);
-            let error = self.context.state().balancer.forecasts().record_start(&made, took, now);
-            self.context.metrics.record_forecast_error(error);
+            let mut state = self.context.state();
+            if state.balancer.entry(&self.endpoint).is_some() {
+                let error = state.balancer.forecasts().record_start(&made, took, now);
+                self.context.metrics.record_forecast_error(error);
+            }
         }
     }
 
@@ -102,8 +105,11 @@
         let now = self.context.now();
         let mut state = self.context.state();
         state.balancer.end(&self.endpoint, self.work, now);
-        // An answer that has begun and is dropped before its first event tells nothing.
-        if let Some(made) = self.forecast.filter(|_| !was_answering) {
+        // A prompt that was not sent tells nothing, nor does an answer that has begun and is dropped before its first event.
+        let is_waiting = self.exposure.is_some()
+            && !was_answering
+            && state.balancer.entry(&self.endpoint).is_some();
+        if let Some(made) = self.forecast.filter(|_| is_waiting) {
             let waited = now.since(self.since);
             state.balancer.forecasts().record_unstarted(&made, waited, now);
         }
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -115,6 +115,7 @@
         let (within, rule) = (received.remaining(now), (slow_start, rank));
         match balancer.check_start(chosen, &request, rule, within, now) {
             balance::Start::TooLate(least) => return Choice::TooLate(least),
+            balance::Start::OutOfReach => return Choice::OutOfReach,
             // A roll-out decides which versions a session may go to.
             balance::Start::Other(other) if !state.canaries.contains_key(&received.service) => {
                 forecast = balancer.forecast(&other, &request, now);
@@ -150,11 +151,9 @@
 ) -> Option<forecast::Forecast> {
     let now = context.now();
     let state = context.state();
-    let slow_start = state.slow_start(&received.service, now);
     let engine = engine(&state, received)?;
     let request = build_request(received, Some(engine), &[], Some(model));
-    let rank = |endpoint: &id::EndpointId| state.peers.known_rank(endpoint.as_str());
-    state.balancer.least_expected(&request, (slow_start, rank), now)
+    state.balancer.least_expected(&request, now)
 }
 
 /// Whether another run of a request, instead of the one at `target`, is known to begin after the deadline; logs it then.
