answer: many answers that are being read do not keep each other waiting

Found in review: answers that wait for memory count towards the limit that they wait for, so that with many connections a few hundred of them could all wait until their deadlines. They count for half of the limit at most. A declared length no longer overflows the sum.

--- a/crates/ibishill-relay/src/answer.rs
+++ b/crates/ibishill-relay/src/answer.rs
@@ -125,9 +125,11 @@
     ) -> Result<Bytes, CallError> {
         let declared = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
         let _counted = Added::to(&self.count, 1);
-        let mut turn = self.turn(declared.unwrap_or_default()).await;
+        // An endpoint may declare any length.
+        let length = declared.unwrap_or_default().min(self.memory.budget.answers);
+        let mut turn = self.turn(length).await;
         // Nothing of it is buffered yet, but those that begin next must know of it.
-        let _declared = Added::to(&self.declared, declared.unwrap_or_default());
+        let _declared = Added::to(&self.declared, length);
         let turn_end = clock::Instant::now() + TURN_TIME;
         let mut share = self.share();
         let mut content = Vec::new();
--- a/crates/ibishill-relay/src/unread.rs
+++ b/crates/ibishill-relay/src/unread.rs
@@ -181,8 +181,9 @@
         loop {
             let reading = reading();
             let limit = self.memory.unread_and_reading();
-            // While no caller has anything to read, nothing else would make room.
-            let others = if self.used() > 0 { reading.size() } else { 0 };
+            // While no caller has anything to read, nothing else would make room. Answers that wait here count as well,
+            // and many of them must not keep each other waiting.
+            let others = if self.used() > 0 { reading.size().min(limit / 2) } else { 0 };
             if self.make_room_within(limit, others) {
                 return;
             }
