exposure: expected ends follow every change of a roll-out, and ends told late are passed on

Found in review, not reproduced with processes. Endpoints of a version that was ordered again still counted as about to end, so that what ended them was never refused; a roll-back by a relay's own verdict, by a peer or by a conflicting row marked none. A report of an old end hid newer ones from the gossip, and a later end of the same endpoint stayed although the endpoint had answered.

--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -200,17 +200,22 @@
 
     /// Records that an endpoint has ended at `now`; returns the number of prompts that it counts against.
     pub fn record_end(&mut self, endpoint: EndpointKey, now: time::Tick) -> usize {
+        self.record_end_at(endpoint, now, now)
+    }
+
+    // Records an end at `end` that becomes known at `now`.
+    fn record_end_at(&mut self, endpoint: EndpointKey, end: time::Tick, now: time::Tick) -> usize {
         if self.is_expected(endpoint) {
             self.unresolved.take_all(endpoint);
             return 0;
         }
-        let at = *self.ends.entry(endpoint).or_insert(now);
-        self.last_end = self.last_end.max(Some(now));
+        let at = *self.ends.entry(endpoint).or_insert(end);
+        self.last_end = self.last_end.max(Some(end));
         let lost = self.unresolved.take_all(endpoint);
         let mut count = 0;
         for open in lost {
-            let finished = open.finished.unwrap_or(now);
-            if finished + AFTERMATH + DELIBERATION >= now {
+            let finished = open.finished.unwrap_or(end);
+            if finished + AFTERMATH + DELIBERATION >= end {
                 let until = at.max(open.sent);
                 self.add_own(open, endpoint, until, true, now);
                 count += 1;
@@ -292,6 +297,11 @@
                 !void.contains(endpoint) || !is_void(*endpoint, record.until)
             });
         }
+        // Another daemon may have told of a later end, which an answer may yet show to be none.
+        for ((endpoint, _), record) in self.ended.iter().filter(|(key, _)| void.contains(&key.0)) {
+            let at = self.ends.entry(*endpoint).or_insert(record.until);
+            *at = record.until.min(*at);
+        }
     }
 
     /// Forgets the ends that count against a segment, as a trial has shown it to be harmless. They do not count
--- a/crates/ibishill-decide/src/exposure/told.rs
+++ b/crates/ibishill-decide/src/exposure/told.rs
@@ -127,7 +127,7 @@
                 // Some daemons find out later than others.
                 Some(at) => *at = until.min(*at),
                 // Own prompts were there as well.
-                None => _ = self.record_end(endpoint, until),
+                None => _ = self.record_end_at(endpoint, until, now),
             }
         }
     }
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -194,9 +194,8 @@
 pub(crate) fn record_refused(context: &Shared, registration: &fleet::Registration) {
     let (key, now) = (endpoint_key::EndpointKey::of(registration), context.now());
     let mut state = context.state();
-    if state.is_end_expected(registration) {
-        state.exposures.expect_end(key, true);
-    }
+    let is_end_expected = state.is_end_expected(registration);
+    state.exposures.expect_end(key, is_end_expected);
     let is_expected = state.balancer.is_out_of_reach(&registration.id)
         || !state.balancer.is_open(&registration.id, now);
     if is_expected || !state.exposures.has_unresolved(key) {
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -336,14 +336,19 @@
     for snapshot in message.canaries {
         snapshots.insert(snapshot.service.clone(), snapshot);
     }
+    let mut is_progress = false;
     for (service, snapshot) in snapshots {
         let Some(canary) = state.canaries.get_mut(&service) else { continue };
         if canary.merge(snapshot, &own, now) {
             let progress = format!("{:?}", canary.progress());
             let source = format!("{} {}", message.address, message.build);
             rollout_log::log(event::Event::RolloutHeard, canary, &progress, &source, now);
+            is_progress = true;
         }
     }
+    if is_progress {
+        state.expect_ends();
+    }
     drop(state);
     finish_merge(context, merged);
 }
--- a/crates/ibishill-relay/src/rollout.rs
+++ b/crates/ibishill-relay/src/rollout.rs
@@ -121,8 +121,9 @@
         return;
     }
     canary.merge_progress(verdict);
-    let (state, event) = (format!("{verdict:?}"), event::Event::RolloutChanged);
-    rollout_log::log(event, canary, &state, "own", now);
+    let (progress, event) = (format!("{verdict:?}"), event::Event::RolloutChanged);
+    rollout_log::log(event, canary, &progress, "own", now);
+    state.expect_ends();
 }
 
 fn rollouts(context: &Shared) -> Vec<Rollout> {
@@ -174,9 +175,14 @@
     if to != rollout.to || !canary.is_about(found.version, stored) {
         return retry;
     }
-    if canary.merge_stored(stored) {
-        let state = format!("{stored:?}");
-        rollout_log::log(event::Event::RolloutHeard, canary, &state, "store", now);
+    let is_changed = canary.merge_stored(stored);
+    if is_changed {
+        let progress = format!("{stored:?}");
+        rollout_log::log(event::Event::RolloutHeard, canary, &progress, "store", now);
     }
-    if canary.progress() == stored { Outcome::Done } else { retry }
+    let is_done = canary.progress() == stored;
+    if is_changed {
+        state.expect_ends();
+    }
+    if is_done { Outcome::Done } else { retry }
 }
--- a/crates/ibishill-relay/src/state/expected_ends.rs
+++ b/crates/ibishill-relay/src/state/expected_ends.rs
@@ -51,7 +51,7 @@
     }
 
     /// Finds out anew which ends are to be expected, after a change of zones or versions.
-    pub(super) fn expect_ends(&mut self) {
+    pub(crate) fn expect_ends(&mut self) {
         let ends = self
             .balancer
             .entries()
--- a/crates/ibishill-relay/src/state/rollouts.rs
+++ b/crates/ibishill-relay/src/state/rollouts.rs
@@ -38,6 +38,7 @@
         }
         rollout_log::log(event::Event::RolloutChanged, &canary, "ordered", "store", now);
         self.canaries.insert(service.clone(), canary);
+        self.expect_ends();
         let stored = self.replica(Table::Statuses).table.row(&row::status_key(&service)).cloned();
         if let Some(stored) = stored {
             self.apply_record(Table::Statuses, &stored, is_initial, now);
