--- a/crates/ibishill/tests/commands/check_config.rs
+++ b/crates/ibishill/tests/commands/check_config.rs
@@ -38,12 +38,8 @@
 const SOUND: Case = Case { name: "", changes: &[], code: 0, options: &[], lines: &[": ok"] };
 
 /// File with the settings of a relay: two retries for one request, and little memory.
-const SETTINGS: &str = concat!(env!("CARGO_TARGET_TMPDIR"), "/check-config-settings.toml");
-
-const SETTINGS_TEXT: &str = "node-name = \"vm0\"\nip = \"127.0.0.1\"\nzone = \"a\"\ninternal-ports = [1, 2]\n\
-     [listen]\nfront = \"127.0.0.1:1\"\nready-addr = \"127.0.0.1:2\"\n[limits]\nmemory-mb = 0.2\n\
-     [bounds]\ngrace-s = 8\ndrain-ms = 2000\nconfig-apply-ms = 2000\nretry-budget-ratio = 0.1\n\
-     budget-slack = 3\nbudget-window-s = 10\n[platform]\naddress = \"127.0.0.1:3\"\n";
+const SETTINGS: &str =
+    concat!(env!("CARGO_MANIFEST_DIR"), "/tests/commands/check-config-settings.toml");
 
 const CASES: &[Case] = &[
     Case { name: "as it is", ..SOUND },
@@ -265,7 +261,6 @@
 
 #[test]
 fn findings_are_reported_together_with_their_position() {
-    fs::write(SETTINGS, SETTINGS_TEXT).unwrap();
     for (number, case) in CASES.iter().enumerate() {
         let file = write(&format!("case-{number}"), &changed(case.changes));
         let result = run(&[&["check-config"], case.options, &[&file]].concat());
