--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -24,7 +24,7 @@
 
 /// Time after a response within which the end of its endpoint counts against it. An engine that runs a prompt for some
 /// time before it crashes may get it with all events but the end sent already, as a stream that is resumed, and
-/// responds at once: with 1 s, half of the prompts that end engines 1.5 s after their arrival seemed harmless.
+/// responds at once, up to 1.5 s before its end.
 pub const AFTERMATH: time::Millis = time::Millis(2_000);
 
 /// Time after an end of an endpoint in which it is checked which others go on.
@@ -48,8 +48,8 @@
 /// Maximum number of ends that are compared, the latest ones.
 const ENDS_MAX: usize = 64;
 
-/// Natural logarithm of the likelihood ratio from which on a segment is refused: 10,000 to 1. With 1,000 to 1, a
-/// harmless one was refused in 2 of 8 simulated waves of eight crashes a second.
+/// Natural logarithm of the likelihood ratio from which on a segment is refused: 10,000 to 1. A wave of crashes puts
+/// many segments to the test at once, so 1,000 to 1 refuses harmless ones.
 const REFUSED: f64 = 9.2;
 
 /// The same from which on requests with it get one attempt only: 20 to 1.
--- a/crates/ibishill-decide/src/exposure/compare.rs
+++ b/crates/ibishill-decide/src/exposure/compare.rs
@@ -31,9 +31,8 @@
 /// endpoints at once.
 const MOMENT: time::Millis = time::Millis(100);
 
-/// Weight of the prompts that their endpoints survived: they also count in the share of endpoints by chance. With the
-/// full weight, a segment that ends one endpoint in three was not refused in 3 of 8 simulated attacks, with half of it
-/// in 2.
+/// Weight of the prompts that their endpoints survived: they also count in the share of endpoints by chance. A larger
+/// weight clears segments that end one endpoint in three.
 const SPARED_WEIGHT: f64 = 0.1;
 
 /// Least factor between the odds that a segment was in an endpoint that ended and that it is in one by chance. The
--- a/crates/ibishill-decide/tests/relay/exposure_ends.rs
+++ b/crates/ibishill-decide/tests/relay/exposure_ends.rs
@@ -65,8 +65,8 @@
     until: u64,
 }
 
-// Segments that are blamed, or whose requests get one attempt only, while and after the second group ends; by a daemon
-// that sends the prompts, and by one that is told.
+// Segments that are blamed while and after the second group ends; by a daemon that sends the prompts, and by one that
+// is told.
 fn run(case: &Case, seed: u64) -> Vec<u64> {
     const CALM: u64 = 6_000;
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -1,4 +1,5 @@
-//! Detects endpoints that end just after they have begun an answer, or before any, as opposed to a connection that was cut, and has the request's keys judged by it.
+//! Detects endpoints that end while requests are there or just after, as opposed to connections that are cut, and has
+//! the requests' keys judged by it.
 
 use std::time::Duration;
 
