--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -68,6 +68,16 @@
 /// Maximum number of segments of a request that count, the last ones.
 const SEGMENTS_MAX: usize = 8;
 
+/// Number of daemons up to which ends are compared. Each daemon knows all prompts that were at an endpoint which has
+/// ended, but of the endpoints that go on only its own part of them, and what its peers find room to tell: with many
+/// daemons, a segment of most prompts seems to be at the endpoints that end and hardly elsewhere.
+const DAEMONS_MAX: usize = 16;
+
+/// Whether ends are compared where so many daemons send prompts.
+pub const fn is_compared(daemons: usize) -> bool {
+    daemons <= DAEMONS_MAX
+}
+
 /// A prompt that is sent to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Prompt {
--- a/crates/ibishill-relay/src/attempt/guard.rs
+++ b/crates/ibishill-relay/src/attempt/guard.rs
@@ -13,7 +13,8 @@
     pub(super) endpoint: id::EndpointId,
     work: balance::Work,
     is_answering: bool,
-    // Once the prompt is sent.
+    // Whether the prompt is sent.
+    is_sent: bool,
     exposure: Option<exposure::Ticket>,
     is_trial: bool,
     slot: fairness::Slot,
@@ -47,6 +48,7 @@
             work,
             is_answering: false,
             slot,
+            is_sent: false,
             exposure: None,
             is_trial,
             since: now,
@@ -73,16 +75,19 @@
         received: &Received,
         registration: &fleet::Registration,
     ) {
-        if let Some(prompt) = received.prompt() {
+        self.is_sent = true;
+        let now = self.context.now();
+        let mut state = self.context.state();
+        let is_compared = exposure::is_compared(state.peers.alive_count(now));
+        if let Some(prompt) = received.prompt().filter(|_| is_compared || self.is_trial) {
             let key = endpoint_key::EndpointKey::of(registration);
-            let now = self.context.now();
-            let mut state = self.context.state();
             self.exposure = Some(state.exposures.begin(prompt, key, self.is_trial, now));
         }
     }
 
     // The endpoint has not run the prompt.
     pub(super) fn withdraw_exposure(&mut self) {
+        self.is_sent = false;
         if let Some(ticket) = self.exposure.take() {
             self.context.state().exposures.withdraw(ticket);
         }
@@ -106,9 +111,8 @@
         let mut state = self.context.state();
         state.balancer.end(&self.endpoint, self.work, now);
         // A prompt that was not sent tells nothing, nor does an answer that has begun and is dropped before its first event.
-        let is_waiting = self.exposure.is_some()
-            && !was_answering
-            && state.balancer.entry(&self.endpoint).is_some();
+        let is_waiting =
+            self.is_sent && !was_answering && state.balancer.entry(&self.endpoint).is_some();
         if let Some(made) = self.forecast.filter(|_| is_waiting) {
             let waited = now.since(self.since);
             state.balancer.forecasts().record_unstarted(&made, waited, now);
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 use ibishill_core::{call, event, fleet, id, time};
-use ibishill_decide::{endpoint_key, quarantine};
+use ibishill_decide::{endpoint_key, exposure, quarantine};
 use tokio::time as clock;
 
 use crate::attempt::Outcome;
@@ -309,7 +309,12 @@
     }
     let quarantine = &state.quarantine;
     let is_refused = |segment| quarantine.is_refused(call::SuspectKey::Segment(segment));
-    for blame in state.exposures.judge(is_refused, now) {
+    let blamed = if exposure::is_compared(state.peers.alive_count(now)) {
+        state.exposures.judge(is_refused, now)
+    } else {
+        Vec::new()
+    };
+    for blame in blamed {
         let key = call::SuspectKey::Segment(blame.segment);
         state.quarantine.refuse(key, &blame.ends, now);
     }
