--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -1,7 +1,6 @@
 //! Scripts of the review: each starts relays, stand-ins and callers, and judges what callers and endpoints saw.
 
 mod again;
-mod gone;
 mod http;
 mod record;
 mod relay;
@@ -44,7 +43,6 @@
         let setting = Setting { folder: &folder, record, has_trouble };
         match case.as_str() {
             "again" => again::run(&setting),
-            "gone" => gone::run(&setting),
             "silence" => silence::run(&setting),
             "weak" => weak::run(&setting),
             _ => Err(io::Error::other("no such case")),
