--- a/review/lib-2/again.rs
+++ b/review/lib-2/again.rs
@@ -71,7 +71,7 @@
     let seen = Arc::new(Mutex::new(Seen::default()));
     let first = start(setting, &seen, "v1")?;
     register(&first, &store, "v1", "ready");
-    let place = Place { folder: setting.folder, store: store.address };
+    let place = Place { folder: setting.folder, store: store.address, memory: 260 };
     let relays = Relay::start_all(&place, 2)?;
     let is_done = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLERS)
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -1,6 +1,7 @@
 //! Scripts of the review: each starts relays, stand-ins and callers, and judges what callers and endpoints saw.
 
 mod again;
+mod crowd;
 mod http;
 mod record;
 mod relay;
@@ -42,6 +43,7 @@
         record.line(&format!("case {case}, trouble {}", u8::from(has_trouble)));
         let setting = Setting { folder: &folder, record, has_trouble };
         match case.as_str() {
+            "crowd" => crowd::run(&setting),
             "again" => again::run(&setting),
             "silence" => silence::run(&setting),
             "weak" => weak::run(&setting),
--- a/review/lib-2/relay.rs
+++ b/review/lib-2/relay.rs
@@ -30,7 +30,7 @@
 [limits]
 cpu-share = 0.25
 cores = 1
-memory-mb = 260
+memory-mb = {memory}
 max-fds = 4100
 link-mbps = 1000.0
 disk-mb = 0
@@ -80,6 +80,8 @@
 pub struct Place<'a> {
     pub folder: &'a Path,
     pub store: SocketAddr,
+    /// Memory of a machine, in megabytes.
+    pub memory: u32,
 }
 
 fn free(ip: IpAddr) -> io::Result<SocketAddr> {
@@ -115,10 +117,11 @@
         let seeds: Vec<String> =
             controls.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
-            "node-name = \"{name}\"\nip = \"{own}\"\nzone = \"{zone}\"\ninternal-ports = [{}, {}]\nseeds = [{}]\n{COMMON}[listen]\nfront = \"{front}\"\nready-addr = \"{ready}\"\ncontrol = \"{control}\"\n{TABLES}[platform]\naddress = \"{}\"\nform = \"table\"\nwrites-per-s = 400\nreads-per-s = 2000\ntx-ms = 3.0\n",
+            "node-name = \"{name}\"\nip = \"{own}\"\nzone = \"{zone}\"\ninternal-ports = [{}, {}]\nseeds = [{}]\n{COMMON}[listen]\nfront = \"{front}\"\nready-addr = \"{ready}\"\ncontrol = \"{control}\"\n{}[platform]\naddress = \"{}\"\nform = \"table\"\nwrites-per-s = 400\nreads-per-s = 2000\ntx-ms = 3.0\n",
             control.port() + 1,
             control.port().saturating_add(15),
             seeds.join(", "),
+            TABLES.replace("{memory}", &place.memory.to_string()),
             place.store,
         );
         let settings = place.folder.join(format!("{name}.toml"));
@@ -165,6 +168,14 @@
         if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
     }
 
+    /// Memory of the process that no file backs, in bytes.
+    pub fn memory(&self) -> io::Result<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kilobytes = line.and_then(|text| text.trim().split(' ').next()?.parse::<u64>().ok());
+        kilobytes.map(|found| found * 1024).ok_or_else(|| io::Error::other("no RssAnon"))
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/review/lib-2/runner.rs
+++ b/review/lib-2/runner.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use std::{io, thread};
 
@@ -25,7 +24,6 @@
 pub struct Runner {
     pub id: String,
     pub address: SocketAddr,
-    has_crashed: Arc<AtomicBool>,
 }
 
 impl Runner {
@@ -35,21 +33,10 @@
         F: Fn(&mut Call) -> io::Result<()> + Send + Sync + 'static,
     {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
-        let has_crashed = Arc::<AtomicBool>::default();
-        let runner = Self {
-            id: id.to_owned(),
-            address: listener.local_addr()?,
-            has_crashed: has_crashed.clone(),
-        };
+        let runner = Self { id: id.to_owned(), address: listener.local_addr()? };
         let (own, serve, record) = (id.to_owned(), Arc::new(serve), record.clone());
         thread::spawn(move || {
-            // The listener is closed with the crash, so that later connections are refused.
-            while !has_crashed.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
-                    thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
+            for stream in listener.incoming().flatten() {
                 let (own, serve, record) = (own.clone(), serve.clone(), record.clone());
                 thread::spawn(move || {
                     if let Err(error) = answer(stream, &own, serve.as_ref()) {
@@ -61,11 +48,6 @@
         Ok(runner)
     }
 
-    /// Stops listening. What runs is broken off by the case.
-    pub fn crash(&self) {
-        self.has_crashed.store(true, Ordering::SeqCst);
-    }
-
     /// Writes the entry of a runner that is ready.
     pub fn register(&self, store: &Store, service: &str, zone: &str, slots: u32) {
         self.write_entry(store, service, zone, ("v1", "ready"), slots);
@@ -80,7 +62,7 @@
         (version, state): (&str, &str),
         slots: u32,
     ) {
-        let Self { id, address, .. } = self;
+        let Self { id, address } = self;
         let text = format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{slots},"state":"{state}","cold-remaining-ms":0,"stage":"both","call-seq":0,"born":1796000000000}}"#
         );
@@ -92,7 +74,6 @@
 where
     F: Fn(&mut Call) -> io::Result<()>,
 {
-    stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     let mut reader = Reader::new(&stream)?;
     let Some(head) = reader.head()? else { return Ok(()) };
--- a/review/lib-2/silence.rs
+++ b/review/lib-2/silence.rs
@@ -43,7 +43,7 @@
         runner.register(&store, "assistente", zone, 64);
         runners.push(runner);
     }
-    let place = Place { folder: setting.folder, store: store.address };
+    let place = Place { folder: setting.folder, store: store.address, memory: 260 };
     let mut relays = Relay::start_all(&place, 2)?;
     // Nothing was disrupted for `contact-ms`.
     thread::sleep(Duration::from_millis(4_000));
--- a/review/lib-2/weak.rs
+++ b/review/lib-2/weak.rs
@@ -33,7 +33,7 @@
         let serve = move |call: &mut Call| serve(call, &record, &runs, confidence);
         Runner::start(name, &setting.record, serve)?.register(&store, "assistente", zone, 64);
     }
-    let place = Place { folder: setting.folder, store: store.address };
+    let place = Place { folder: setting.folder, store: store.address, memory: 260 };
     let relays = Relay::start_all(&place, 2)?;
     thread::sleep(Duration::from_millis(1_000));
     for index in 0..CALLERS {
