--- a/review/lib-2/again.rs
+++ b/review/lib-2/again.rs
@@ -22,7 +22,7 @@
 const DURATION: Duration = Duration::from_secs(16);
 
 /// From the roll-back to the next order.
-const NEXT_ORDER: Duration = Duration::from_millis(1_500);
+const NEXT_ORDER: Duration = Duration::from_millis(500);
 
 /// From the roll-back to when the runners of the version drain.
 const DRAIN: Duration = Duration::from_secs(8);
