exposure: a remembered prompt is kept without the room of its other segments

Callers saw their connections end with the process: 60 callers with finished prompts of 3,900 segments, one after the other, took a relay to 207 MB on a VM of 110 MB. Of each prompt the last eight segments are remembered for 8 s after its answer. They were left in the vector that all segments had been decoded to, 31 KB each, since draining a vector keeps its capacity. Splitting the last ones off gives them a vector of their own size.

Their number has no limit yet.

--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -145,7 +145,8 @@
         now: time::Tick,
     ) -> Ticket {
         let excess = prompt.segments.len().saturating_sub(SEGMENTS_MAX);
-        prompt.segments.drain(..excess);
+        // A long prompt is not kept with the room of all its segments.
+        prompt.segments = prompt.segments.split_off(excess);
         self.unresolved.begin(prompt, endpoint, is_trial, now)
     }
 
