exposure: as many answered prompts are remembered as the VM's memory allows

A prompt is remembered for 8 s after its answer, as its endpoint may still end because of it. Their number grew with the rate of requests: 1,100 prompts a second are 8,800, some 250 bytes each, and a faster client had more of a process that is killed beyond its memory. Now the earliest one is forgotten when a 32nd of the memory is used up, at 256 bytes each: 10,742 prompts at 88 MB, 16,384 at most. On the smallest VM that is 1,342 prompts a second at one relay, where two years from now 910 relays get 14,000 together. What runs is kept in any case.

relay_prompts_forgotten counts them, E2413 logs the count at most once a second. The test fails without the limit: 20,000 are kept for 16,384.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -129,6 +129,7 @@
     RequestForwarded = 2410, Info, "request sent through a peer";
     CallerStalled = 2411, Warn, "caller disconnected that read nothing, for want of memory";
     ConnectionsLimited = 2412, Warn, "callers' connections refused or closed, as many are open as may be";
+    PromptsForgotten = 2413, Warn, "prompts forgotten early, for want of memory";
     WorkspaceYields = 2420, Info, "workspace beyond its fair share yields";
     CallerGone = 2409, Info, "caller gone before the end";
 }
--- a/crates/ibishill-decide/src/exposure.rs
+++ b/crates/ibishill-decide/src/exposure.rs
@@ -20,7 +20,7 @@
 use crate::endpoint_key::EndpointKey;
 use records::{Record, Records};
 pub use told::Told;
-pub use unresolved::Ticket;
+pub use unresolved::{ANSWERED_MAX, Ticket};
 
 /// Time after a response within which the end of its endpoint counts against it. An engine that runs a prompt for some
 /// time before it crashes may get it with all events but the end sent already, as a stream that is resumed, and
@@ -155,9 +155,20 @@
         self.unresolved.remove(ticket);
     }
 
-    /// Records that a response has ended, or was lost.
-    pub fn finish(&mut self, ticket: Ticket, now: time::Tick) {
-        self.unresolved.finish(ticket, now);
+    /// Limits the prompts that are remembered after their responses have ended.
+    pub fn limit_answered(&mut self, count: usize) {
+        self.unresolved.answered_max = count;
+    }
+
+    /// Records that a response has ended, or was lost. Returns whether the earliest one was forgotten for it while it
+    /// still counted, as many are remembered as may be.
+    pub fn finish(&mut self, ticket: Ticket, now: time::Tick) -> bool {
+        self.unresolved.finish(ticket, now)
+    }
+
+    /// Number of prompts at endpoints whose outcome is unknown.
+    pub fn unresolved_count(&self) -> usize {
+        self.unresolved.len()
     }
 
     /// Records that an endpoint is there, and its group: those that are compared with each other, as they are of one
--- a/crates/ibishill-decide/src/exposure/unresolved.rs
+++ b/crates/ibishill-decide/src/exposure/unresolved.rs
@@ -11,6 +11,9 @@
 /// Time for which the outcome of a response may stay unknown.
 const KEPT: time::Millis = time::Millis(8_000);
 
+/// Number of ended responses that are remembered, unless the memory of the VM allows fewer.
+pub const ANSWERED_MAX: usize = 16_384;
+
 /// Identifies a request sent to an endpoint until its outcome is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket {
@@ -26,7 +29,7 @@
 }
 
 /// All of them.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct Unresolved {
     endpoints: BTreeMap<EndpointKey, BTreeMap<u64, Open>>,
     // Responses that have ended, in that order; some may have been resolved since.
@@ -36,6 +39,21 @@
     // When endpoints with such prompts were last checked.
     checked: BTreeMap<EndpointKey, time::Tick>,
     next: u64,
+    /// Number of ended responses that are remembered.
+    pub(super) answered_max: usize,
+}
+
+impl Default for Unresolved {
+    fn default() -> Self {
+        Self {
+            endpoints: BTreeMap::new(),
+            finished: VecDeque::new(),
+            trials: BTreeSet::new(),
+            checked: BTreeMap::new(),
+            next: 0,
+            answered_max: ANSWERED_MAX,
+        }
+    }
 }
 
 impl Unresolved {
@@ -66,19 +84,24 @@
         }
     }
 
-    pub(super) fn finish(&mut self, ticket: Ticket, now: time::Tick) {
+    /// Records that a response has ended; returns whether an earlier one is forgotten for it before its time.
+    pub(super) fn finish(&mut self, ticket: Ticket, now: time::Tick) -> bool {
         if let Some(open) = self.get_mut(ticket) {
             open.finished = Some(now);
             self.finished.push_back((now, ticket));
         }
+        let mut is_forgotten = false;
         while let Some((at, oldest)) = self.finished.front().copied() {
-            let is_old = now.since(at) >= KEPT;
-            if !is_old && self.has(oldest) {
+            let is_wanted = now.since(at) < KEPT && self.has(oldest);
+            let is_excess = self.finished.len() > self.answered_max;
+            if is_wanted && !is_excess {
                 break;
             }
+            is_forgotten |= is_wanted;
             self.finished.pop_front();
             self.remove(oldest);
         }
+        is_forgotten
     }
 
     fn get_mut(&mut self, ticket: Ticket) -> Option<&mut Open> {
@@ -94,6 +117,10 @@
         self.endpoints.contains_key(&endpoint)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.endpoints.values().map(BTreeMap::len).sum()
+    }
+
     /// Takes all prompts that are or were at an endpoint.
     pub(super) fn take_all(&mut self, endpoint: EndpointKey) -> Vec<Open> {
         self.checked.remove(&endpoint);
--- a/crates/ibishill-decide/src/memory.rs
+++ b/crates/ibishill-decide/src/memory.rs
@@ -6,6 +6,8 @@
 
 use ibishill_core::time;
 
+use crate::exposure;
+
 /// Memory for answers that are being read, in bytes, unless the settings give the relay less.
 const ANSWERS_MAX: usize = 16 * 1_024 * 1_024;
 
@@ -28,6 +30,9 @@
 /// Bytes that count as progress of an upload. Callers that send single bytes to look alive make none.
 const PROGRESS_SIZE: usize = 4 * 1_024;
 
+/// What a prompt occupies that is remembered after its answer, in bytes.
+const ANSWERED_SIZE: usize = 256;
+
 /// What a request and its endpoint's connection occupy beside while its answer is read, in bytes.
 const READING_SIZE: usize = 24 * 1_024;
 
@@ -50,6 +55,8 @@
     pub unread: usize,
     /// Open connections of callers.
     pub connections: usize,
+    /// Prompts that are remembered after their answers.
+    pub answered: usize,
 }
 
 impl Budget {
@@ -71,6 +78,7 @@
             answers: ANSWERS_MAX.min(total / 4),
             unread: UNREAD_MAX.min(total / 8 * 5),
             connections: by_memory.min(by_descriptors).max(1),
+            answered: memory.map_or(usize::MAX, answered).min(exposure::ANSWERED_MAX),
         }
     }
 
@@ -86,6 +94,11 @@
     }
 }
 
+// A 32nd of the memory.
+const fn answered(memory: usize) -> usize {
+    memory / 32 / ANSWERED_SIZE
+}
+
 /// What is left of a limit in bytes beside the connections of this many callers: at least a quarter, so that running
 /// requests can be answered.
 pub fn beside_callers(limit: usize, callers: usize) -> usize {
--- a/crates/ibishill-decide/tests/relay/exposure.rs
+++ b/crates/ibishill-decide/tests/relay/exposure.rs
@@ -392,3 +392,51 @@
     }
     assert!(last < 20_000, "still passed on after {last} ms");
 }
+
+// Guards against a client that sends very many prompts one after the other: what is remembered of them grew with
+// their rate.
+#[test]
+fn answered_prompts_are_forgotten_beyond_their_number() {
+    struct Case {
+        name: &'static str,
+        limit: Option<usize>,
+        /// Prompts that run to the end, as many as are remembered at most.
+        running: usize,
+        answered: usize,
+        expected: usize,
+    }
+    let default = exposure::ANSWERED_MAX;
+    let cases = [
+        Case { name: "default", limit: None, running: 0, answered: 20_000, expected: default },
+        Case { name: "small VM", limit: Some(100), running: 0, answered: 1_000, expected: 100 },
+        Case {
+            name: "those that run",
+            limit: Some(100),
+            running: 50,
+            answered: 1_000,
+            expected: 150,
+        },
+        Case { name: "below the limit", limit: Some(100), running: 5, answered: 60, expected: 65 },
+    ];
+    for case in cases {
+        let mut exposures = exposure::Exposures::default();
+        if let Some(limit) = case.limit {
+            exposures.limit_answered(limit);
+        }
+        let begin = |exposures: &mut exposure::Exposures, number: usize| {
+            let segments = (0..10).map(call::SegmentId).collect();
+            let prompt = exposure::Prompt { request: number as u32, service: 1, segments };
+            exposures.begin(prompt, key(0, 0), false, START)
+        };
+        for number in 0..case.running {
+            begin(&mut exposures, number);
+        }
+        let mut forgotten = 0;
+        for number in 0..case.answered {
+            let ticket = begin(&mut exposures, case.running + number);
+            forgotten += usize::from(exposures.finish(ticket, START));
+        }
+        assert_eq!(exposures.unresolved_count(), case.expected, "{}", case.name);
+        assert_eq!(forgotten, case.running + case.answered - case.expected, "{}", case.name);
+    }
+}
--- a/crates/ibishill-relay/src/attempt/guard.rs
+++ b/crates/ibishill-relay/src/attempt/guard.rs
@@ -117,10 +117,11 @@
             let waited = now.since(self.since);
             state.balancer.forecasts().record_unstarted(&made, waited, now);
         }
-        if let Some(ticket) = self.exposure {
-            state.exposures.finish(ticket, now);
-        }
+        let is_forgotten = self.exposure.is_some_and(|ticket| state.exposures.finish(ticket, now));
         drop(state);
+        if is_forgotten {
+            self.context.forgotten.record(now);
+        }
         self.context.capacity_freed.notify_waiters();
     }
 }
--- a/crates/ibishill-relay/src/context.rs
+++ b/crates/ibishill-relay/src/context.rs
@@ -8,7 +8,7 @@
 use ibishill_decide::{memory as budget, report_targets};
 use tokio::sync::Notify;
 
-use crate::{answer, connections, memory, metrics, peer_formats, state, unread};
+use crate::{answer, connections, forgotten, memory, metrics, peer_formats, state, unread};
 
 /// Offset of the clock at start, in milliseconds, so that times before the start are representable.
 const ORIGIN_MS: u64 = 10_000_000;
@@ -25,6 +25,8 @@
     pub(crate) answers: answer::Buffers,
     /// Memory of answers that callers have yet to read.
     pub(crate) unread: unread::Unread,
+    /// Prompts that were forgotten early.
+    pub(crate) forgotten: forgotten::Forgotten,
     /// Encodings that peers read.
     pub(crate) peer_formats: RefCell<peer_formats::PeerFormats>,
     origin: Instant,
@@ -63,9 +65,10 @@
 pub(crate) type Shared = Rc<Context>;
 
 impl Context {
-    pub(crate) fn new(state: state::State, metrics: metrics::Metrics, start: u64) -> Shared {
+    pub(crate) fn new(mut state: state::State, metrics: metrics::Metrics, start: u64) -> Shared {
         let (bytes, descriptors) = (state.settings.memory, state.settings.descriptors);
         let memory = memory::Memory::new(budget::Budget::of(bytes, descriptors));
+        state.exposures.limit_answered(memory.budget.answered);
         Rc::new(Self {
             state: RefCell::new(state),
             metrics,
@@ -73,6 +76,7 @@
             unread: unread::Unread::new(&memory),
             memory,
             connections: connections::Connections::default(),
+            forgotten: forgotten::Forgotten::default(),
             peer_formats: RefCell::default(),
             origin: Instant::now(),
             start,
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod event_sequence;
 mod fairness;
 mod feed;
+mod forgotten;
 mod gossip;
 mod handler;
 mod head_limit;
