relay: heads count as memory of their requests

Bodies and answers were counted, heads were not: the text stays in the connection's buffer and is copied to be sent, a prompt's segments occupy four times their text, ids were copied several times, all of it until the request ends, waits or runs as it may.

A request now asks for memory when its head has arrived, before anything waits: three times the text, 256 bytes a header, 16 a segment, in the same share as its body, until the request ends. So the same rules hold: what has stalled is given up first, otherwise the request is refused with 503, none of it having been sent. Heads that take up to 8 KB, as ordinary ones do, are counted and never refused. Ids are shared instead of copied.

--- a/crates/ibishill-core/src/call.rs
+++ b/crates/ibishill-core/src/call.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::num;
 use std::str;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -109,7 +110,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Metadata {
     /// Request id; a caller's retry has a new one.
-    pub id: String,
+    pub id: Arc<str>,
     /// Time that the caller is willing to wait; absent if it sets none.
     pub deadline: Option<time::Millis>,
     /// API key of the caller's workspace.
--- a/crates/ibishill-decide/src/memory.rs
+++ b/crates/ibishill-decide/src/memory.rs
@@ -39,6 +39,18 @@
 /// What a caller's connection and its request occupy, in bytes, also after the kernel has accepted the whole answer.
 const CALLER_SIZE: usize = 24 * 1_024;
 
+/// Size up to which a head is taken in any case, in bytes: its connection's share of the memory covers it.
+const SMALL_HEAD: usize = 8 * 1_024;
+
+/// Copies of a head's text: as it was received, as it is sent, and the ids and keys that are decoded.
+const HEAD_COPIES: usize = 3;
+
+/// What a header occupies beside its text where it was received and where it is sent, in bytes.
+const HEADER_SIZE: usize = 256;
+
+/// What a decoded segment of a prompt occupies, in bytes.
+const SEGMENT_SIZE: usize = 16;
+
 /// Length from which on an answer may have to wait for its turn to be read, in bytes.
 const TURN_SIZE: usize = 64 * 1_024;
 
@@ -47,7 +59,7 @@
 pub struct Budget {
     /// All data of callers and endpoints, in bytes.
     pub total: usize,
-    /// Bodies of callers, in bytes.
+    /// Requests of callers, their heads and bodies, in bytes.
     pub bodies: usize,
     /// Answers that are being read from endpoints, in bytes.
     pub answers: usize,
@@ -136,14 +148,37 @@
 pub struct Usage {
     /// All data of callers and endpoints.
     pub total: usize,
-    /// Bodies of callers, those of running requests included.
+    /// Requests of callers, those that run included.
     pub bodies: usize,
 }
 
-/// A body that is being received.
+/// The head of a request, as far as it occupies memory until the request ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// Length of its text, in bytes.
+    pub text: usize,
+    /// Number of its headers.
+    pub headers: usize,
+    /// Number of its prompt's segments.
+    pub segments: usize,
+}
+
+impl Head {
+    /// All that it occupies, in bytes.
+    pub const fn size(&self) -> usize {
+        self.text * HEAD_COPIES + self.headers * HEADER_SIZE + self.segments * SEGMENT_SIZE
+    }
+
+    /// Whether it is taken however much memory others occupy.
+    pub const fn is_small(&self) -> bool {
+        self.size() <= SMALL_HEAD
+    }
+}
+
+/// A request that is being received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Upload {
-    /// Memory that it occupies, in bytes.
+    /// Memory that its head and body occupy, in bytes.
     pub size: usize,
     /// Bytes that have arrived since it last made progress.
     fresh: usize,
--- a/crates/ibishill-decide/tests/relay/memory.rs
+++ b/crates/ibishill-decide/tests/relay/memory.rs
@@ -174,6 +174,30 @@
     }
 }
 
+// Guards against heads that occupy several times their length without being counted, and against ordinary requests that
+// are refused for their heads.
+#[test]
+fn heads_count_with_what_is_decoded_of_them() {
+    struct Case {
+        name: &'static str,
+        head: memory::Head,
+        size: usize,
+        is_small: bool,
+    }
+    let head = |text, headers, segments| memory::Head { text, headers, segments };
+    let cases = [
+        Case { name: "ordinary", head: head(500, 12, 4), size: 4_636, is_small: true },
+        Case { name: "segments", head: head(15_900, 9, 3_900), size: 112_404, is_small: false },
+        Case { name: "session", head: head(15_900, 9, 0), size: 50_004, is_small: false },
+        Case { name: "many headers", head: head(14_000, 98, 0), size: 67_088, is_small: false },
+        Case { name: "a few long ones", head: head(2_000, 10, 20), size: 8_880, is_small: false },
+    ];
+    for case in cases {
+        let found = (case.head.size(), case.head.is_small());
+        assert_eq!(found, (case.size, case.is_small), "{}", case.name);
+    }
+}
+
 // Guards against callers that send single bytes to look alive.
 #[test]
 fn single_bytes_are_no_progress() {
--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -1,6 +1,7 @@
 //! Detects endpoints that end while requests are there or just after, as opposed to connections that are cut, and has
 //! the requests' keys judged by it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -254,7 +255,7 @@
 
 /// A request whose answer has not arrived, or has broken off.
 struct Lost {
-    request: String,
+    request: Arc<str>,
     keys: Vec<call::SuspectKey>,
     at: time::Tick,
 }
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -2,6 +2,7 @@
 //! returns the response.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,7 +60,7 @@
 /// Logs on drop that the caller disconnected, unless `is_done` is set.
 struct CallerGuard {
     context: Shared,
-    request: String,
+    request: Arc<str>,
     arrived: time::Tick,
     is_done: bool,
 }
@@ -147,12 +148,13 @@
     request: Request<Incoming>,
     metadata: ibishill_core::call::Metadata,
     arrived: time::Tick,
-) -> Result<Received, (String, Reason)> {
+) -> Result<Received, (Arc<str>, Reason)> {
     let (mut parts, incoming) = request.into_parts();
     // Only between relays.
     parts.headers.remove(hop::HOP);
 
     let fail = |reason| (metadata.id.clone(), reason);
+    let upload = upload::begin(context, &parts, &metadata).await.map_err(fail)?;
     let catalog = catalog(context, arrived).await.ok_or_else(|| fail(Reason::NotReady))?;
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
@@ -177,8 +179,9 @@
     let limit = BODY_TIMEOUT.min(deadline.since(context.now()).to_std());
     // Reading on would ask a caller for its body that waits for permission to send it.
     let may_discard = !parts.headers.contains_key(header::EXPECT);
-    let body = upload::read(context, incoming, catalog.limits.body_bytes, limit, may_discard);
-    let body = body.await.map_err(fail)?;
+    let size_max = catalog.limits.body_bytes;
+    let arriving = upload::read(context, upload, incoming, size_max, limit, may_discard);
+    let (body, memory) = arriving.await.map_err(fail)?;
     let uri = parts
         .uri
         .path_and_query()
@@ -205,6 +208,7 @@
         is_counted: false,
         hop: None,
         abort: abort::Abort::default(),
+        _memory: memory,
     })
 }
 
--- a/crates/ibishill-relay/src/local_reply.rs
+++ b/crates/ibishill-relay/src/local_reply.rs
@@ -26,7 +26,7 @@
     Unauthorized,
     /// The request body exceeds the limit.
     BodyTooLarge,
-    /// The memory for request bodies is used up.
+    /// The memory for requests is used up.
     NoMemory,
     /// The request body did not arrive in full or in time.
     BodyIncomplete,
@@ -108,7 +108,7 @@
             Self::Unauthorized => "key missing or unknown",
             Self::BodyTooLarge => "body too large",
             Self::BodyIncomplete => "body not received",
-            Self::NoMemory => "no memory for the body",
+            Self::NoMemory => "no memory for the request",
             Self::NoService => "no service by weight",
             Self::NoEndpoint => "no endpoint in service",
             Self::EndpointsResting(_) => "all endpoints ask for rest",
--- a/crates/ibishill-relay/src/memory.rs
+++ b/crates/ibishill-relay/src/memory.rs
@@ -54,7 +54,7 @@
 pub(crate) struct Memory {
     pub(crate) budget: memory::Budget,
     total: Arc<AtomicUsize>,
-    /// Bodies of callers.
+    /// Requests of callers: heads and bodies.
     pub(crate) bodies: Counter,
     /// Answers that are being read from endpoints.
     pub(crate) answers: Counter,
@@ -73,15 +73,29 @@
     evicted: Rc<Notify>,
 }
 
-/// A body that is being received; its memory is released when dropped.
+/// A request that is being received; its memory is released when dropped.
 pub(crate) struct Upload {
     memory: Rc<Memory>,
     number: u64,
-    /// Memory that it occupies, in bytes.
+    /// Memory that its head occupies, in bytes.
+    head: usize,
+    /// The same with its body.
     size: usize,
     evicted: Rc<Notify>,
 }
 
+/// Memory of the head of a request that has arrived whole, released when dropped.
+pub(crate) struct Head {
+    size: usize,
+    bodies: Counter,
+}
+
+impl Drop for Head {
+    fn drop(&mut self) {
+        self.bodies.sub(self.size);
+    }
+}
+
 /// Memory of a body that has arrived whole, released when dropped.
 pub(crate) struct Body {
     bytes: Vec<u8>,
@@ -175,13 +189,13 @@
         Some(entry.upload.size)
     }
 
-    /// Begins to receive a body.
+    /// Begins to receive a request.
     pub(crate) fn begin_upload(self: &Rc<Self>) -> Upload {
         let number = self.next.replace(self.next.get() + 1);
         let evicted = Rc::<Notify>::default();
         let upload = memory::Upload::begin(self.now());
         self.uploads.borrow_mut().insert(number, Entry { upload, evicted: evicted.clone() });
-        Upload { memory: self.clone(), number, size: 0, evicted }
+        Upload { memory: self.clone(), number, head: 0, size: 0, evicted }
     }
 }
 
@@ -199,16 +213,40 @@
         }
     }
 
-    /// Grows to `size` bytes, and waits for the memory of others that are given up for it.
+    /// Counts the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no memory for it.
+    pub(crate) async fn add_head(
+        &mut self,
+        head: memory::Head,
+        unread: &unread::Unread,
+    ) -> Result<(), Exhausted> {
+        let size = head.size();
+        if head.is_small() {
+            self.resize(size);
+        } else {
+            self.grow(size, unread).await?;
+        }
+        self.head = size;
+        Ok(())
+    }
+
+    /// Has the buffer of the body grow to `capacity` bytes, and waits for the memory of others that are given up for it.
     ///
     /// # Errors
     ///
     /// Fails if there is no memory for it.
-    pub(crate) async fn grow(
+    pub(crate) async fn grow_body(
         &mut self,
-        size: usize,
+        capacity: usize,
         unread: &unread::Unread,
     ) -> Result<(), Exhausted> {
+        self.grow(self.head + capacity, unread).await
+    }
+
+    async fn grow(&mut self, size: usize, unread: &unread::Unread) -> Result<(), Exhausted> {
         while !self.try_grow(size, unread)? {
             clock::sleep(RETRY_INTERVAL).await;
         }
@@ -246,18 +284,29 @@
                 }
             }
         }
-        memory.bodies.add(size - self.size);
+        self.resize(size);
+        Ok(true)
+    }
+
+    fn resize(&mut self, size: usize) {
+        self.memory.bodies.add(size);
+        self.memory.bodies.sub(self.size);
         self.size = size;
-        if let Some(entry) = memory.uploads.borrow_mut().get_mut(&self.number) {
+        if let Some(entry) = self.memory.uploads.borrow_mut().get_mut(&self.number) {
             entry.upload.size = size;
         }
-        Ok(true)
     }
 
-    /// Ends the upload, since the body has arrived whole; its memory is released with the returned bytes.
-    pub(crate) fn complete(mut self, bytes: Vec<u8>) -> Body {
-        let size = std::mem::take(&mut self.size);
-        Body { bytes, size, bodies: self.memory.bodies.clone() }
+    /// Ends the upload, since the request has arrived whole; its memory is released with what is returned.
+    pub(crate) fn complete(mut self, bytes: Vec<u8>) -> (Body, Head) {
+        let (head, body) = (self.head, bytes.capacity());
+        self.resize(head + body);
+        self.size = 0;
+        let bodies = &self.memory.bodies;
+        (
+            Body { bytes, size: body, bodies: bodies.clone() },
+            Head { size: head, bodies: bodies.clone() },
+        )
     }
 }
 
--- a/crates/ibishill-relay/src/request.rs
+++ b/crates/ibishill-relay/src/request.rs
@@ -8,7 +8,7 @@
 use ibishill_decide::{balance, exposure, forecast};
 use xxhash_rust::xxh3;
 
-use crate::abort;
+use crate::{abort, memory};
 
 /// A request received from a caller, with its resolved route and service.
 pub(crate) struct Received {
@@ -32,6 +32,8 @@
     pub(crate) hop: Option<Hop>,
     /// Connection that it came on.
     pub(crate) abort: abort::Abort,
+    /// Counts its head until it is dropped.
+    pub(crate) _memory: memory::Head,
 }
 
 /// What a relay says of a request that it passes on to a peer.
@@ -124,7 +126,7 @@
 
     /// Hash of its session, or of the request itself outside of one.
     pub(crate) fn session_hash(&self) -> u64 {
-        xxh3::xxh3_64(self.metadata.session.as_ref().unwrap_or(&self.metadata.id).as_bytes())
+        xxh3::xxh3_64(self.metadata.session.as_deref().unwrap_or(&self.metadata.id).as_bytes())
     }
 
     /// Engines that a model prefers, of those that the route leaves to choose from.
--- a/crates/ibishill-relay/src/unread.rs
+++ b/crates/ibishill-relay/src/unread.rs
@@ -48,7 +48,7 @@
 }
 
 struct Stalled {
-    request: String,
+    request: Arc<str>,
     since: Instant,
     part: Part,
     /// Memory that is counted beside, in bytes.
@@ -77,7 +77,7 @@
 
 /// Answer whose caller may stop to read.
 pub(crate) struct Answer {
-    request: String,
+    request: Arc<str>,
     abort: abort::Abort,
     part: Part,
 }
@@ -134,8 +134,8 @@
 
 impl Answer {
     /// Begins an answer to a request, whose connection can be closed by `abort`.
-    pub(crate) fn begin(request: &str, abort: &abort::Abort) -> Self {
-        Self { request: request.to_owned(), abort: abort.clone(), part: Part::default() }
+    pub(crate) fn begin(request: &Arc<str>, abort: &abort::Abort) -> Self {
+        Self { request: request.clone(), abort: abort.clone(), part: Part::default() }
     }
 }
 
--- a/crates/ibishill-relay/src/upload.rs
+++ b/crates/ibishill-relay/src/upload.rs
@@ -1,13 +1,17 @@
-//! Receives the body of a request within the relay's memory.
+//! Receives requests within the relay's memory.
 //!
+//! A head counts until its request ends: what is decoded of it may have several times its length.
 //! Chunks are copied to one buffer whose capacity is counted: a list of them costs some hundred bytes for a chunk of
 //! one byte, and each keeps the whole buffer that it was cut from.
 
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::request;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use ibishill_core::call;
+use ibishill_decide::memory as decision;
 use tokio::time as clock;
 
 use crate::context::Shared;
@@ -24,7 +28,31 @@
 /// Time for which a refused body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Reads a body of at most `limit` bytes within `timeout`; what follows after a refusal is discarded, if
+/// A request that has arrived whole: its body, and the memory of its head.
+pub(crate) type Arrived = (Bytes, memory::Head);
+
+/// Begins to receive a request whose head has arrived.
+///
+/// # Errors
+///
+/// Fails if there is no memory for its head.
+pub(crate) async fn begin(
+    context: &Shared,
+    parts: &request::Parts,
+    metadata: &call::Metadata,
+) -> Result<memory::Upload, Reason> {
+    let headers = parts.headers.iter();
+    let text = headers.map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>()
+        + parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let head =
+        decision::Head { text, headers: parts.headers.len(), segments: metadata.segments.len() };
+    let mut upload = context.memory.begin_upload();
+    let added = upload.add_head(head, &context.unread).await;
+    added.map_err(|memory::Exhausted| Reason::NoMemory)?;
+    Ok(upload)
+}
+
+/// Reads the body of `upload`, of at most `limit` bytes, within `timeout`; what follows after a refusal is discarded, if
 /// `may_discard`.
 ///
 /// # Errors
@@ -32,15 +60,14 @@
 /// Fails if the body is too large, is not received in time, or if there is no memory for it.
 pub(crate) async fn read(
     context: &Shared,
+    upload: memory::Upload,
     mut incoming: Incoming,
     limit: usize,
     timeout: Duration,
     may_discard: bool,
-) -> Result<Bytes, Reason> {
-    if incoming.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let result = match clock::timeout(timeout, receive(context, &mut incoming, limit)).await {
+) -> Result<Arrived, Reason> {
+    let receiving = receive(context, upload, &mut incoming, limit);
+    let result = match clock::timeout(timeout, receiving).await {
         Ok(result) => result,
         Err(_) => Err(Reason::BodyIncomplete),
     };
@@ -52,13 +79,17 @@
     result
 }
 
-async fn receive(context: &Shared, incoming: &mut Incoming, limit: usize) -> Result<Bytes, Reason> {
+async fn receive(
+    context: &Shared,
+    mut upload: memory::Upload,
+    incoming: &mut Incoming,
+    limit: usize,
+) -> Result<Arrived, Reason> {
     let hint = incoming.size_hint();
     if hint.lower() > limit as u64 {
         return Err(Reason::BodyTooLarge);
     }
     let declared = hint.exact().and_then(|length| usize::try_from(length).ok());
-    let mut upload = context.memory.begin_upload();
     let mut content = Vec::new();
     loop {
         let frame = tokio::select! {
@@ -73,14 +104,15 @@
         }
         if length > content.capacity() {
             let capacity = capacity(content.capacity(), length, declared.unwrap_or(limit));
-            let grown = upload.grow(capacity, &context.unread).await;
+            let grown = upload.grow_body(capacity, &context.unread).await;
             grown.map_err(|memory::Exhausted| Reason::NoMemory)?;
             content.reserve_exact(capacity - content.len());
         }
         content.extend_from_slice(&data);
         upload.record(data.len());
     }
-    Ok(Bytes::from_owner(upload.complete(content)))
+    let (body, head) = upload.complete(content);
+    Ok((Bytes::from_owner(body), head))
 }
 
 // Next capacity of a buffer that is to hold `length` of at most `limit` bytes. It grows with what has arrived, since
