memory: a head counts with the copies that its answer has

Endpoints repeat a request's id in their answers. With ids of 15.6 KB, a relay holds two copies more for a request that is answered: as read from the endpoint and as written to the caller. Now five copies of a head's text count, and heads that take up to 16 KB in that sense are never refused, so that ordinary ones stay below.

--- a/crates/ibishill-decide/src/memory.rs
+++ b/crates/ibishill-decide/src/memory.rs
@@ -40,10 +40,11 @@
 const CALLER_SIZE: usize = 24 * 1_024;
 
 /// Size up to which a head is taken in any case, in bytes: its connection's share of the memory covers it.
-const SMALL_HEAD: usize = 8 * 1_024;
+const SMALL_HEAD: usize = 16 * 1_024;
 
-/// Copies of a head's text: as it was received, as it is sent, and the ids and keys that are decoded.
-const HEAD_COPIES: usize = 3;
+/// Copies of a head's text: as it was received, as it is sent, the ids and keys that are decoded, and the ids that the
+/// answer repeats, from the endpoint and to the caller.
+const HEAD_COPIES: usize = 5;
 
 /// What a header occupies beside its text where it was received and where it is sent, in bytes.
 const HEADER_SIZE: usize = 256;
