log: of a long value only the beginning is logged

Callers choose ids of requests, up to the limit of a head. Each request has several log lines with its id, and 1,024 lines wait in memory until they are written: 16 MB with ids of 15.6 KB, which nothing counted, and a line of a prompt's keys could have 66 KB. A value now ends after 1,024 bytes with three dots, printed without a copy as before, so that the queue has some MB at most and honest callers' lines are not displaced.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -1,6 +1,6 @@
 //! Numbered log events; docs/EVENTS.md is their catalogue.
 
-use std::fmt;
+use std::fmt::{self, Write};
 
 use serde::ser::{Serialize, SerializeMap, Serializer};
 
@@ -141,14 +141,15 @@
     }
 }
 
-/// Logs an event as `E<number> <text>` followed by its fields as `key="value"`.
+/// Logs an event as `E<number> <text>` followed by its fields as `key="value"`; of a long value
+/// only the beginning.
 pub fn emit(event: Event, fields: &[Field<'_>]) {
     if log::log_enabled!(event.level()) {
         log::log!(event.level(), "{}", TextLine { event, fields });
     }
 }
 
-/// Logs an event as one JSON object with sorted keys.
+/// Logs an event as one JSON object with sorted keys; of a long value only the beginning.
 pub fn emit_json(event: Event, fields: &[Field<'_>]) {
     if !log::log_enabled!(event.level()) {
         return;
@@ -193,12 +194,47 @@
 
 struct DisplayValue<'a>(&'a dyn fmt::Display);
 
+/// Maximum length of a value in the log, in bytes; callers choose ids, and lines wait in memory until they are written.
+const VALUE_MAX: usize = 1_024;
+
+/// Appended to a value of which the end is left out.
+const ELLIPSIS: &str = "...";
+
+// A value of which only the beginning is printed, without a copy.
+struct Shortened<'a>(&'a dyn fmt::Display);
+
+impl fmt::Display for Shortened<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut beginning = Beginning { output: f, left: Some(VALUE_MAX) };
+        write!(beginning, "{}", self.0)
+    }
+}
+
+struct Beginning<'a, 'b> {
+    output: &'a mut fmt::Formatter<'b>,
+    // Bytes that may still be written; none once the rest is left out.
+    left: Option<usize>,
+}
+
+impl fmt::Write for Beginning<'_, '_> {
+    fn write_str(&mut self, part: &str) -> fmt::Result {
+        let Some(left) = self.left else { return Ok(()) };
+        let end = part.floor_char_boundary(left);
+        self.left = (end == part.len()).then_some(left - end);
+        self.output.write_str(&part[..end])?;
+        if self.left.is_none() {
+            self.output.write_str(ELLIPSIS)?;
+        }
+        Ok(())
+    }
+}
+
 impl Serialize for DisplayValue<'_> {
     fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
     where
         S: Serializer,
     {
-        serializer.collect_str(self.0)
+        serializer.collect_str(&Shortened(self.0))
     }
 }
 
@@ -211,7 +247,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "E{} {}", self.event.number(), self.event.text())?;
         for field in self.fields {
-            let value = field.value.to_string();
+            let value = Shortened(field.value).to_string();
             write!(f, " {}={value:?}", field.key)?;
         }
         Ok(())
