early_end: the keys of a prompt are not held while its endpoint is checked

A prompt of 3,900 segments has 94 KB of keys, twice, and both lists stayed for the 0.3 s in which it is found out whether an endpoint that lost the request refuses connections. Each is now made where it is used. Found by reading; not measured.

--- a/crates/ibishill-relay/src/early_end.rs
+++ b/crates/ibishill-relay/src/early_end.rs
@@ -134,19 +134,20 @@
     target: &Target,
     outcome: &Outcome,
 ) -> bool {
-    let (keys, now) = (received.suspects(), context.now());
-    let refusable = received.refusable();
-    let is_known = context.state().verdict(&refusable, now) != quarantine::Verdict::Allowed;
+    let now = context.now();
+    // The keys of a long prompt are not held while its endpoint is checked.
+    let is_known =
+        context.state().verdict(&received.refusable(), now) != quarantine::Verdict::Allowed;
     match outcome {
         Outcome::ConnectFailed | Outcome::NotAttempted => {
-            context.state().quarantine.withdraw_trial(&refusable, now);
+            context.state().quarantine.withdraw_trial(&received.refusable(), now);
             false
         }
         Outcome::Response(response) => {
             // An endpoint answers so at the deadline, whether or not the request has begun to run.
             let has_run = received.is_plain() && response.status() != StatusCode::GATEWAY_TIMEOUT;
             if has_run || response.status().is_success() {
-                context.state().record_going_on(&keys, now, now);
+                context.state().record_going_on(&received.suspects(), now, now);
             }
             false
         }
