daemon: bodies of callers occupy a part of the daemon's memory at most

300 callers with bodies of 1 MB that stop short of their end took `ibishill serve` and `ibishill try` to 488 MB, in chunks to 1.4 GB, with 40 MB announced and sent to 1.1 GB. Each body was read to a buffer of its own, up to its limit, before anything looked at the others.

A body now asks for memory as its buffer grows, by the rule of the relay: ibishill_decide::memory decides from sizes and times which upload is given up or that the body is refused as not run; the daemon counts. limits.memory is new, 512 MiB unless it is set, of which bodies get 160 MiB with the copies that a running request has. A declared length over limits.body is refused before anything is read.

--- a/crates/ibishill-config/src/settings.rs
+++ b/crates/ibishill-config/src/settings.rs
@@ -150,6 +150,8 @@
     pub sending: time::Millis,
     /// Maximum size of an answer that is buffered in memory before it is forwarded, in bytes.
     pub answer: u64,
+    /// Memory of the VM for the daemon, in bytes; bodies of callers occupy five sixteenths of it at most.
+    pub memory: u64,
 }
 
 impl Default for Limits {
@@ -163,6 +165,7 @@
             longest: time::Millis::from_secs(600),
             sending: time::Millis::from_secs(20),
             answer: 16 * 1024 * 1024,
+            memory: 512 * 1024 * 1024,
         }
     }
 }
--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -62,6 +62,7 @@
     ViewChanged = 1204, Info, "zone view changed";
     RequestRefused = 1301, Info, "request refused";
     RequestUnknown = 1302, Warn, "request ended with unknown outcome";
+    BodiesRefused = 1304, Warn, "bodies refused, for want of memory";
     RingFull = 1303, Warn, "ring full";
     CallerLeft = 1310, Info, "caller left before the end";
     EndpointFailed = 1401, Warn, "endpoint failed";
--- a/crates/ibishill-daemon/src/context.rs
+++ b/crates/ibishill-daemon/src/context.rs
@@ -12,7 +12,7 @@
 use ibishill_state::{lease::membership, log};
 
 use crate::{
-    claims, config_sync, heartbeat, lease_clock, ledger, metrics, ratings, rollouts, router,
+    claims, config_sync, heartbeat, lease_clock, ledger, memory, metrics, ratings, rollouts, router,
 };
 
 /// Zone views in force, replaced as a whole; clones share them.
@@ -205,6 +205,8 @@
     pub session_keys: SessionKeysCell,
     /// Credentials in force.
     pub security: security::Cell,
+    /// Memory for bodies of callers.
+    pub(crate) memory: Arc<memory::Memory>,
     /// Metrics of the daemon.
     pub metrics: metrics::Metrics,
 }
--- a/crates/ibishill-daemon/src/http/auth.rs
+++ b/crates/ibishill-daemon/src/http/auth.rs
@@ -27,6 +27,8 @@
     pub(crate) key: Option<id::IdempotencyKey>,
     /// Priority in the wait queues; the default one if the caller sent none.
     pub(crate) priority: priority::Priority,
+    /// Declared length of the body, in bytes; absent if it comes in chunks.
+    pub(crate) declared: Option<u64>,
     /// Time from arrival to the deadline.
     deadline: time::Millis,
     /// Time at which the headers were read.
@@ -150,12 +152,18 @@
         pinned,
         key,
         priority: priority.unwrap_or_default(),
+        declared: declared_length(request),
         deadline: deadline.unwrap_or(limits.deadline).min(limits.longest),
         arrived,
         workspace: workspace.clone(),
     })
 }
 
+// The HTTP library has checked it.
+fn declared_length(request: &Request<'_>) -> Option<u64> {
+    request.headers().get_one("content-length")?.trim().parse().ok()
+}
+
 #[rocket::async_trait]
 impl<'r> FromRequest<'r> for Caller {
     type Error = ();
--- a/crates/ibishill-daemon/src/http/health.rs
+++ b/crates/ibishill-daemon/src/http/health.rs
@@ -24,5 +24,7 @@
 /// All metrics in the Prometheus text format.
 #[get("/metrics")]
 pub(crate) fn metrics(context: &State<Shared>) -> String {
-    context.metrics.encode()
+    let (bytes, refused) = context.memory.counts();
+    let metrics = context.metrics.encode();
+    format!("{metrics}ibishill_body_bytes {bytes}\nibishill_bodies_refused {refused}\n")
 }
--- a/crates/ibishill-daemon/src/lib.rs
+++ b/crates/ibishill-daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod lease_clock;
 pub mod ledger;
 pub mod membership;
+mod memory;
 pub mod metrics;
 pub mod operators;
 pub mod orders;
--- a/crates/ibishill-daemon/src/start.rs
+++ b/crates/ibishill-daemon/src/start.rs
@@ -20,8 +20,8 @@
 use crate::error::{self, StartError};
 use crate::ledger::replication;
 use crate::{
-    claims, config_sync, context, heartbeat, http, lease_clock, ledger, membership, metrics,
-    operators, orders, ratings, reports, rollouts, router, run,
+    claims, config_sync, context, heartbeat, http, lease_clock, ledger, membership, memory,
+    metrics, operators, orders, ratings, reports, rollouts, router, run,
 };
 
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
@@ -133,6 +133,7 @@
         rollouts: counters.clone(),
         session_keys: context::SessionKeysCell::new(&settings.security),
         security: security::Cell::new(settings.security.clone()),
+        memory: memory::Memory::new(settings.limits.memory),
         metrics,
     });
     reports::spawn(Arc::clone(&context)).context(error::ThreadSnafu)?;
--- a/crates/ibishill-daemon/tests/http_callers/bad_input.rs
+++ b/crates/ibishill-daemon/tests/http_callers/bad_input.rs
@@ -15,6 +15,7 @@
     longest: time::Millis(10_000),
     sending: time::Millis(300),
     answer: 65_536,
+    memory: 512 * 1024 * 1024,
 };
 
 struct Case {
--- a/crates/ibishill-decide/src/memory.rs
+++ b/crates/ibishill-decide/src/memory.rs
@@ -55,6 +55,9 @@
 /// What the buffers of a connection hold beside a body that is longer than [`LONG_BODY`] while it arrives, in bytes.
 const ARRIVING_SIZE: usize = 32 * 1_024;
 
+/// Smallest buffer of a body whose length is not declared, in bytes.
+const BUFFER_MIN: usize = 4 * 1_024;
+
 /// Length up to which a body fits into the buffer that its head came in, in bytes.
 const LONG_BODY: usize = 4 * 1_024;
 
@@ -185,6 +188,12 @@
     }
 }
 
+/// Next capacity of a buffer that is to hold `length` of at most `limit` bytes. It grows with what has arrived, since a
+/// declared length costs a caller nothing.
+pub fn next_capacity(present: usize, length: usize, limit: usize) -> usize {
+    length.max(present * 2).max(BUFFER_MIN).min(limit.max(length))
+}
+
 /// What a body occupies while it arrives, in bytes, if its buffer has this capacity.
 pub const fn arriving(capacity: usize) -> usize {
     if capacity > LONG_BODY { capacity + ARRIVING_SIZE } else { capacity }
--- a/crates/ibishill-relay/src/upload.rs
+++ b/crates/ibishill-relay/src/upload.rs
@@ -18,9 +18,6 @@
 use crate::local_reply::Reason;
 use crate::memory;
 
-/// Smallest buffer of a body whose length is not declared, in bytes.
-const BUFFER_MIN: usize = 4 * 1_024;
-
 /// What is read of a body after its request was refused, in bytes: about what the kernel has buffered, so that most
 /// callers see the refusal and not a reset.
 const DISCARD_MAX: usize = 512 * 1_024;
@@ -103,7 +100,8 @@
             return Err(Reason::BodyTooLarge);
         }
         if length > content.capacity() {
-            let capacity = capacity(content.capacity(), length, declared.unwrap_or(limit));
+            let capacity =
+                decision::next_capacity(content.capacity(), length, declared.unwrap_or(limit));
             let grown = upload.grow_body(capacity, &context.unread).await;
             grown.map_err(|memory::Exhausted| Reason::NoMemory)?;
             content.reserve_exact(capacity - content.len());
@@ -115,12 +113,6 @@
     Ok((Bytes::from_owner(body), head))
 }
 
-// Next capacity of a buffer that is to hold `length` of at most `limit` bytes. It grows with what has arrived, since
-// a declared length costs a caller nothing.
-fn capacity(present: usize, length: usize, limit: usize) -> usize {
-    length.max(present * 2).max(BUFFER_MIN).min(limit.max(length))
-}
-
 /// Reads the body of a refused request for a while, so that the connection is not reset before the caller has read the
 /// refusal. Nothing is kept, and nothing read if many others are discarded at the moment.
 pub(crate) fn discard(context: &Shared, incoming: Incoming) {
--- a/crates/ibishill/tests/processes/deployment.rs
+++ b/crates/ibishill/tests/processes/deployment.rs
@@ -59,6 +59,11 @@
 
     /// Spawns a daemon without waiting until it is ready.
     pub(crate) fn daemon(&self, vm: &str, zone: &str) -> Daemon {
+        self.daemon_with(vm, zone, "")
+    }
+
+    /// The same with further lines of its settings.
+    pub(crate) fn daemon_with(&self, vm: &str, zone: &str, more: &str) -> Daemon {
         let (callers, operators, peers) = (free_address(), free_address(), free_address());
         let identity = self.authority.sign(&vm.parse().unwrap(), &zone.parse().unwrap()).unwrap();
         let path = |name: &str| self.dir.join(format!("{vm}-{name}"));
@@ -69,7 +74,7 @@
             "vm: {vm}\nzone: {zone}\ncallers: {callers}\noperators: {operators}\npeers: {peers}\n\
              platform: http://{}\nsecurity:\n  insecure: true\n  authority: {}\n  \
              certificate: {}\n  private-key: {}\nperiods:\n  poll: 200\n  renew: 200\n  \
-             lease: 2000\n  drain: 300\n",
+             lease: 2000\n  drain: 300\n{more}",
             self.platform,
             path("authority.pem").display(),
             path("certificate.pem").display(),
