daemon: a chat request is passed on without a copy of each of its fields

300 callers with whole chat requests of 1 MB, in fields of 8 bytes, took a daemon to 2.4 GB, and to 130 to 155 MB of 96 with the limit of bodies. All fields were parsed to a map, with some 120 bytes for each, and the map was copied for each engine.

Only model and stream_options are replaced, so the text is kept and these two are cut out of it by their places. Memory is that of the body and of one copy for the engine. Fields that a caller repeats are now all passed on, as the engine would get them without a router; a list in place of an object is refused explicitly, as the parser of single fields takes one.

--- a/crates/ibishill-daemon/src/http/chat.rs
+++ b/crates/ibishill-daemon/src/http/chat.rs
@@ -1,6 +1,5 @@
 //! Chat completions, streamed and buffered.
 
-use bytes::Bytes;
 use ibishill_core::{id, outcome, repeat};
 use rocket::data::Data;
 use rocket::{State, post};
@@ -19,8 +18,10 @@
 ) -> Result<reply::Reply, reply::Refused> {
     let refuse = |refusal| caller.refuse(context, refusal);
     let mut active = active::Request::begin(context, &caller).map_err(refuse)?;
-    let request = parse_request(context, &caller, data).await;
-    let (body, bytes, mut request) = request.map_err(|refusal| active.refuse(refusal, 0))?;
+    let bytes = body::read(context, &caller, data).await;
+    let bytes = bytes.map_err(|refusal| active.refuse(refusal, 0))?;
+    let body = chat_request::Body::parse(&bytes).map_err(|refusal| active.refuse(refusal, 0))?;
+    let mut request = entry_request(&caller, &body).map_err(|refusal| active.refuse(refusal, 0))?;
     if let Err(reason) = active.claim(&request, &bytes).await {
         return active.reject(reason);
     }
@@ -58,16 +59,13 @@
     reply::Reply::Buffered(metadata, reply::Body::new(buffered.body, active))
 }
 
-async fn parse_request(
-    context: &Shared,
+fn entry_request(
     caller: &auth::Caller,
-    data: Data<'_>,
-) -> Result<(chat_request::Body, Bytes, entry::Request), outcome::Refusal> {
-    let bytes = body::read(context, caller, data).await?;
-    let body = chat_request::Body::parse(&bytes)?;
+    body: &chat_request::Body<'_>,
+) -> Result<entry::Request, outcome::Refusal> {
     let selector = chat_request::parse_selector(&body.known.model)?;
     let options = body.known.stream_options.as_ref();
-    let request = entry::Request {
+    Ok(entry::Request {
         request: caller.request.clone(),
         workspace: caller.workspace.clone(),
         selector,
@@ -83,6 +81,5 @@
         priority: caller.priority,
         stream: body.known.stream,
         show_usage: options.is_some_and(|options| options.include_usage),
-    };
-    Ok((body, bytes, request))
+    })
 }
--- a/crates/ibishill-daemon/tests/http_chat_request.rs
+++ b/crates/ibishill-daemon/tests/http_chat_request.rs
@@ -51,6 +51,41 @@
     run.unwrap();
 }
 
+// Guards against fields that are lost or changed where the router sets its own.
+#[test]
+fn only_the_model_and_the_options_are_replaced() {
+    // What the caller sends, and what the engine gets; nothing if the body is refused.
+    let cases = [
+        (r#" {"messages":[], "model": "auto"} "#, Some(r#" {"messages":[], "model": "a@v1"} "#)),
+        (
+            "{\"model\":\"auto\",\"stream\":true,\"messages\":[]\n}\n",
+            Some(
+                "{\"model\":\"a@v1\",\"stream\":true,\"messages\":[]\n,\"stream_options\":{\"include_usage\":true}}\n",
+            ),
+        ),
+        (
+            r#"{"stream_options":null,"stream":true,"messages":[],"model":"auto"}"#,
+            Some(
+                r#"{"stream_options":{"include_usage":true},"stream":true,"messages":[],"model":"a@v1"}"#,
+            ),
+        ),
+        (
+            r#"{"stream_options":{"x":1},"messages":[],"model":"auto","x":1,"x":2}"#,
+            Some(r#"{"stream_options":{"x":1},"messages":[],"model":"a@v1","x":1,"x":2}"#),
+        ),
+        (r#"["auto",true,null,[]]"#, None),
+        (r#"{"model":"auto","messages":[],"model":"auto"}"#, None),
+        (r#"{"model":"auto","messages":[]} {}"#, None),
+        ("", None),
+    ];
+    let target = id::Target::Version("a@v1".parse().unwrap());
+    for (text, expected) in cases {
+        let parsed = chat_request::Body::parse(text.as_bytes()).ok();
+        let sent = parsed.map(|body| body.for_engine(&target));
+        assert_eq!(sent.as_deref(), expected.map(str::as_bytes), "{text}");
+    }
+}
+
 #[test]
 fn any_model_name_is_parsed_or_refused() {
     let run = runner().run(&"\\PC{0,40}|[a-z]{1,4}@[a-z0-9.]{1,4}|[a-z@]{0,9}", |name| {
