daemon tests: heads without an end take a daemon over its memory

The HTTP server reads a head to a buffer of up to 417 KB before the daemon knows of the request, and Rocket 0.5 has no setting for it.

--- a/crates/ibishill/tests/daemon_memory/bodies.rs
+++ b/crates/ibishill/tests/daemon_memory/bodies.rs
@@ -41,6 +41,8 @@
     Declared(usize),
     /// Chunks of this size, this many, without an end.
     Chunks { size: usize, count: usize },
+    /// A head of this length without its end.
+    Head(usize),
     /// A whole body of this length with fields of this many bytes.
     Fields { length: usize, size: usize },
 }
@@ -68,12 +70,18 @@
   assistant@v1: {prompt-price: 1, output-price: 1, quality: 0.95}
 ";
 
+const HEADS: &[Case] = &[Case { name: "heads without end", sends: Sends::Head(400_000) }];
+
 async fn send(stream: &mut TcpStream, sends: Sends) -> std::io::Result<()> {
     let framing = match sends {
         Sends::Declared(length) | Sends::Fields { length, .. } => {
             format!("content-length: {length}")
         }
         Sends::Chunks { .. } => "transfer-encoding: chunked".to_owned(),
+        Sends::Head(length) => {
+            let head = format!("GET /livez HTTP/1.1\r\nx: {}", "a".repeat(length));
+            return stream.write_all(head.as_bytes()).await;
+        }
     };
     let head = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: localhost\r\nauthorization: Bearer {}\r\n\
@@ -97,6 +105,7 @@
             }
             Ok(())
         }
+        Sends::Head(_) => Ok(()),
         Sends::Fields { length, size } => stream.write_all(&fields(length, size)).await,
     }
 }
@@ -199,6 +208,12 @@
     run(BODIES, "bodies").await;
 }
 
+// Guards against heads that occupy the memory before anything is known of their requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_of_a_daemon_for_heads_is_limited() {
+    run(HEADS, "heads").await;
+}
+
 // Regression: a chat request of many small fields occupied many times its length once it was parsed.
 #[tokio::test(flavor = "multi_thread")]
 async fn memory_of_a_daemon_for_parsed_bodies_is_limited() {
