rollout: the next order keeps what is known of earlier versions

Cause: a relay knew one roll-out of a service. The next order replaced it, and its verdict with it; "old" was every version but the newest. A version that a completed roll-out had replaced became an old one again as well, and one without a verdict got requests without proof.

Now a roll-out takes over how those before it ended, up to 16 versions. A version that was rolled back gets nothing until it is ordered again; the one that was completed is the old one; a superseded one counts if there is no other. Relays tell each other in field 13 of a roll-out, so that one that starts after the next order knows as well. Without an earlier roll-out nothing differs.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -91,16 +91,22 @@
     Any,
     /// Only this version.
     Only(&'a id::VersionId),
-    /// All versions but this one.
-    Except(&'a id::VersionId),
+    /// All versions but the one that is rolled out and others that count as no old ones.
+    Except {
+        /// The version that is rolled out.
+        to: &'a id::VersionId,
+        /// The others.
+        others: &'a [id::VersionId],
+    },
 }
 
 impl Versions<'_> {
-    fn allows(&self, version: &id::VersionId) -> bool {
+    /// Whether a version passes.
+    pub fn allows(&self, version: &id::VersionId) -> bool {
         match self {
             Self::Any => true,
             Self::Only(only) => *only == version,
-            Self::Except(except) => *except != version,
+            Self::Except { to, others } => *to != version && !others.contains(version),
         }
     }
 }
@@ -341,9 +347,14 @@
 
     /// Whether a version has an endpoint in service.
     pub fn has_version(&self, service: &id::ServiceId, version: &id::VersionId) -> bool {
+        self.serves(service, Versions::Only(version))
+    }
+
+    /// Whether any of these versions has an endpoint in service.
+    pub fn serves(&self, service: &id::ServiceId, versions: Versions<'_>) -> bool {
         self.endpoints.values().any(|endpoint| {
             endpoint.entry.service == *service
-                && endpoint.entry.version == *version
+                && versions.allows(&endpoint.entry.version)
                 && self.is_in_service(endpoint)
         })
     }
--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -10,6 +10,7 @@
 //! from a tenth of the requests, of all sizes and amid unrelated faults. A bad version may be
 //! slow, or fail on a single route, only late or only under load.
 
+mod earlier;
 mod exchange;
 mod recent_sessions;
 mod tally;
@@ -19,6 +20,7 @@
 use ibishill_core::{fleet, id, store_version, time};
 use xxhash_rust::xxh3;
 
+pub use earlier::{End, Told};
 pub use exchange::Snapshot;
 pub use recent_sessions::RecentSessions;
 pub use tally::{Answers, Comparison, Routes, Source, Tally};
@@ -152,6 +154,8 @@
     is_informed: bool,
     // Whether this daemon has sent a request to the new version.
     has_sent: bool,
+    // Roll-outs of the service before this one.
+    earlier: earlier::Earlier,
 }
 
 impl Canary {
@@ -174,6 +178,7 @@
             is_unproven: false,
             is_informed: true,
             has_sent: false,
+            earlier: earlier::Earlier::default(),
         }
     }
 
@@ -232,11 +237,6 @@
         *version == self.order.to && !std::mem::replace(&mut self.has_sent, true)
     }
 
-    /// Whether a version may get a request now.
-    pub fn allows(&self, version: &id::VersionId) -> bool {
-        self.progress != fleet::Progress::RolledBack || *version != self.order.to
-    }
-
     /// The order that started the roll-out.
     pub const fn order(&self) -> &fleet::Rollout {
         &self.order
@@ -325,6 +325,10 @@
         outcome: Outcome,
         now: time::Tick,
     ) {
+        // Its requests may outlast the order of the next version, and it is no old one.
+        if self.earlier.is_withdrawn(version) {
+            return;
+        }
         let is_compared = self.age(now) >= SYNC_PERIOD;
         let answers = self.answers((own, start), route, version, now);
         answers.all += u64::from(outcome != Outcome::Lost);
@@ -345,7 +349,7 @@
         pace: time::Millis,
         now: time::Tick,
     ) {
-        if self.age(now) >= SYNC_PERIOD {
+        if self.age(now) >= SYNC_PERIOD && !self.earlier.is_withdrawn(version) {
             self.answers(daemon, route, version, now).paces.record(pace);
         }
     }
--- /dev/null
+++ b/crates/ibishill-decide/src/canary/earlier.rs
@@ -0,0 +1,225 @@
+//! Versions that earlier roll-outs of a service have left behind. The next order makes no old versions of them: one that
+//! was rolled back goes on serving until its endpoints drain, and one that was replaced by a completed roll-out until
+//! they are gone.
+//!
+//! Designed for orders that follow each other within seconds.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use ibishill_core::{fleet, id, store_version};
+use serde::{Deserialize, Serialize};
+
+use super::{Canary, Snapshot, Variant};
+use crate::balance;
+
+/// Maximum number of versions that are remembered for a service; those of the earliest orders are forgotten first.
+const VERSIONS_MAX: usize = 16;
+
+/// How an earlier roll-out ended; of two reports on the same order the greater one counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum End {
+    /// The next order came before a verdict.
+    Superseded,
+    /// It was rolled back for want of proof that the version is sound.
+    Unproven,
+    /// It was completed.
+    Completed,
+    /// It was rolled back for evidence of faults.
+    RolledBack,
+}
+
+impl End {
+    const fn of(progress: fleet::Progress, is_unproven: bool) -> Self {
+        match progress {
+            fleet::Progress::Running => Self::Superseded,
+            fleet::Progress::Completed => Self::Completed,
+            fleet::Progress::RolledBack if is_unproven => Self::Unproven,
+            fleet::Progress::RolledBack => Self::RolledBack,
+        }
+    }
+
+    const fn is_withdrawn(self) -> bool {
+        matches!(self, Self::Unproven | Self::RolledBack)
+    }
+}
+
+/// An earlier roll-out as daemons tell each other of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The version that it moved the service to.
+    pub to: id::VersionId,
+    /// Version of the order's row, or of that of a status of it.
+    pub row: store_version::StoreVersion,
+    /// How it ended.
+    pub end: End,
+}
+
+impl fmt::Display for Told {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{:?}", self.to, self.end)
+    }
+}
+
+/// Earlier roll-outs of a service, by the version that they moved it to.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Earlier {
+    ends: BTreeMap<id::VersionId, (store_version::StoreVersion, End)>,
+    // Versions that are no old ones, and those of them that were rolled back.
+    left: Vec<id::VersionId>,
+    withdrawn: Vec<id::VersionId>,
+    // The version of the last roll-out that was completed.
+    base: Option<id::VersionId>,
+}
+
+impl Earlier {
+    /// Records how a roll-out ended, unless a later or graver end of that version is known; returns whether it was new.
+    pub(super) fn record(&mut self, told: Told) -> bool {
+        let found = (told.row, told.end);
+        if self.ends.get(&told.to).is_some_and(|known| *known >= found) {
+            return false;
+        }
+        self.ends.insert(told.to, found);
+        while self.ends.len() > VERSIONS_MAX {
+            let first = self.ends.iter().min_by_key(|(_, found)| **found);
+            let Some(first) = first.map(|(version, _)| version.clone()) else { break };
+            self.ends.remove(&first);
+        }
+        self.sort_out();
+        true
+    }
+
+    /// Forgets a version, as it is rolled out again.
+    pub(super) fn forget(&mut self, version: &id::VersionId) {
+        self.ends.remove(version);
+        self.sort_out();
+    }
+
+    fn sort_out(&mut self) {
+        let versions = |is_included: fn(End) -> bool| {
+            let included = self.ends.iter().filter(|(_, (_, end))| is_included(*end));
+            included.map(|(version, _)| version.clone()).collect()
+        };
+        self.left = versions(|end| end != End::Completed);
+        self.withdrawn = versions(End::is_withdrawn);
+        let completed = self.ends.iter().filter(|(_, (_, end))| *end == End::Completed);
+        let last = completed.max_by_key(|(_, (row, _))| *row);
+        self.base = last.map(|(version, _)| version.clone());
+    }
+
+    pub(super) fn is_withdrawn(&self, version: &id::VersionId) -> bool {
+        self.withdrawn.contains(version)
+    }
+
+    pub(super) fn told(&self) -> Vec<Told> {
+        let told = |(to, (row, end)): (&id::VersionId, &(store_version::StoreVersion, End))| Told {
+            to: to.clone(),
+            row: *row,
+            end: *end,
+        };
+        self.ends.iter().map(told).collect()
+    }
+}
+
+impl Canary {
+    /// Takes over what is known of the roll-outs before this one, of which `last` was the last.
+    pub fn succeed(&mut self, last: &Self) {
+        self.earlier = last.earlier.clone();
+        self.earlier.record(Told {
+            to: last.order.to.clone(),
+            row: last.version.unwrap_or_default(),
+            end: End::of(last.progress, last.is_unproven),
+        });
+        self.earlier.forget(&self.order.to);
+    }
+
+    /// Records what the store says of an earlier roll-out; returns whether it was new.
+    pub fn record_earlier(
+        &mut self,
+        status: &fleet::Status,
+        row: store_version::StoreVersion,
+    ) -> bool {
+        // A status that says `running` tells nothing of the end.
+        let is_end = status.progress != fleet::Progress::Running;
+        let is_before = self.version.is_some_and(|order| row < order);
+        let end = End::of(status.progress, false);
+        is_end && is_before && self.record_told(Told { to: status.to.clone(), row, end })
+    }
+
+    /// Merges what a peer knows of earlier roll-outs; returns whether any of it was new.
+    pub fn merge_earlier(&mut self, snapshot: &Snapshot) -> bool {
+        let mut is_new = false;
+        for told in &snapshot.earlier {
+            is_new |= self.record_told(told.clone());
+        }
+        // The peer may not have heard of this order yet.
+        if let Some((row, _)) = snapshot.order.zip(self.version).filter(|(told, own)| told < own) {
+            let end = End::of(snapshot.progress, snapshot.is_unproven);
+            is_new |= self.record_told(Told { to: snapshot.to.clone(), row, end });
+        }
+        is_new
+    }
+
+    // The version that is rolled out now is judged anew.
+    fn record_told(&mut self, told: Told) -> bool {
+        told.to != self.order.to && self.earlier.record(told)
+    }
+
+    /// Whether a version may get a request now: it was rolled back neither by this roll-out nor by an earlier one.
+    pub fn allows(&self, version: &id::VersionId) -> bool {
+        if *version == self.order.to {
+            self.progress != fleet::Progress::RolledBack
+        } else {
+            !self.earlier.is_withdrawn(version)
+        }
+    }
+
+    /// Whether any version was rolled back, by this roll-out or an earlier one.
+    pub fn has_withdrawn(&self) -> bool {
+        self.progress == fleet::Progress::RolledBack || !self.earlier.withdrawn.is_empty()
+    }
+
+    /// Whether a version's endpoints may end at any time, as a roll-out was rolled back or another version has replaced
+    /// it; `has_version` tells whether a version has endpoints in service.
+    pub fn is_end_expected<F>(&self, version: &id::VersionId, has_version: F) -> bool
+    where
+        F: Fn(&id::VersionId) -> bool,
+    {
+        if !self.allows(version) {
+            return true;
+        }
+        let is_done = self.progress == fleet::Progress::Completed;
+        let replacing = if is_done { Some(&self.order.to) } else { self.earlier.base.as_ref() };
+        *version != self.order.to
+            && replacing.is_some_and(|replacing| version != replacing && has_version(replacing))
+    }
+
+    /// Versions that requests of a variant go to; `serves` tells whether any of the given versions has an endpoint in
+    /// service. Old are those that the last completed roll-out has left or, without one of these, all that were neither
+    /// rolled back nor superseded before a verdict; the latter count if there is no other.
+    pub fn versions<F>(&self, variant: Variant, serves: F) -> balance::Versions<'_>
+    where
+        F: Fn(balance::Versions<'_>) -> bool,
+    {
+        let to = &self.order.to;
+        if variant == Variant::Candidate {
+            return balance::Versions::Only(to);
+        }
+        let Earlier { left, withdrawn, base, .. } = &self.earlier;
+        let base = base.as_ref().map(balance::Versions::Only);
+        if let Some(base) = base.filter(|base| serves(*base)) {
+            return base;
+        }
+        let others = balance::Versions::Except { to, others: left };
+        let has_superseded = left.len() > withdrawn.len();
+        if has_superseded && !serves(others) {
+            return balance::Versions::Except { to, others: withdrawn };
+        }
+        others
+    }
+
+    /// Earlier roll-outs and how they ended, for the log.
+    pub fn earlier(&self) -> Vec<Told> {
+        self.earlier.told()
+    }
+}
--- a/crates/ibishill-decide/src/canary/exchange.rs
+++ b/crates/ibishill-decide/src/canary/exchange.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Canary;
+use super::earlier::Told;
 use super::tally::{Answers, Routes, Source, Tally};
 
 /// Processes of one VM whose counts are kept; it restarts a few times in a roll-out at most.
@@ -39,6 +40,9 @@
     /// Whether a verdict may have been reached before the sender heard of the order.
     #[serde(skip)]
     pub is_uninformed: bool,
+    /// Earlier roll-outs of the service.
+    #[serde(skip)]
+    pub earlier: Vec<Told>,
 }
 
 impl Canary {
@@ -149,6 +153,7 @@
             order: self.version,
             is_unproven: self.is_unproven,
             is_uninformed: !self.is_informed,
+            earlier: self.earlier.told(),
         }
     }
 
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -464,14 +464,6 @@
     }
 }
 
-/// Versions that belong to a variant of a roll-out.
-pub(crate) fn versions(variant: canary::Variant, canary: &canary::Canary) -> balance::Versions<'_> {
-    match variant {
-        canary::Variant::Stable => balance::Versions::Except(&canary.order().to),
-        canary::Variant::Candidate => balance::Versions::Only(&canary.order().to),
-    }
-}
-
 fn log_sent(received: &Received, target: &Target, now: time::Tick, remaining: time::Millis) {
     let model = target.model.as_ref().map_or("-", id::ModelId::as_str);
     let waited = now.since(received.arrived);
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -339,7 +339,8 @@
     let mut is_progress = false;
     for (service, snapshot) in snapshots {
         let Some(canary) = state.canaries.get_mut(&service) else { continue };
-        if canary.merge(snapshot, &own, now) {
+        let is_news = canary.merge_earlier(&snapshot) | canary.merge(snapshot, &own, now);
+        if is_news {
             let progress = format!("{:?}", canary.progress());
             let source = format!("{} {}", message.address, message.build);
             rollout_log::log(event::Event::RolloutHeard, canary, &progress, &source, now);
--- a/crates/ibishill-relay/src/rollout_log.rs
+++ b/crates/ibishill-relay/src/rollout_log.rs
@@ -20,6 +20,7 @@
     let mut sources = canary.sources(now);
     sources.sort_by_key(|source| std::cmp::Reverse(source.answers.all + source.answers.lost));
     sources.truncate(SOURCES_MAX);
+    let earlier: Vec<String> = canary.earlier().iter().map(ToString::to_string).collect();
     let sources: Vec<String> = sources.iter().map(ToString::to_string).collect();
     event::emit_json(
         event,
@@ -39,6 +40,7 @@
             event::field("candidate_failed", &totals.candidate.failed),
             event::field("candidate_lost", &totals.candidate.lost),
             event::field("counts", &sources.join(" ")),
+            event::field("earlier", &earlier.join(" ")),
         ],
     );
 }
--- a/crates/ibishill-relay/src/selection.rs
+++ b/crates/ibishill-relay/src/selection.rs
@@ -9,10 +9,10 @@
 use xxhash_rust::xxh3;
 
 use crate::context::Shared;
+use crate::fairness;
 use crate::local_reply::Reason;
 use crate::request::{Received, Target};
 use crate::state::State;
-use crate::{attempt, fairness};
 
 /// Interval of checks for a free slot; slots of cold endpoints become free by time alone.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -84,7 +84,9 @@
         None => balancer.pick(&request, slow_start, rank, now),
         Some(canary) => {
             let variant = canary.assign(session, now);
-            let versions = attempt::versions(variant, canary);
+            let serves =
+                |versions: balance::Versions<'_>| balancer.serves(&received.service, versions);
+            let versions = canary.versions(variant, serves);
             let daemons = peers.others().count() + 1;
             let uses_subset = variant == canary::Variant::Candidate && canary.uses_subset(daemons);
             let for_variant = balance::Request { versions, uses_subset, ..request };
@@ -96,7 +98,7 @@
                 && (choice == balance::Choice::NoEndpoint
                     || (pins_to_variant && choice == balance::Choice::Full));
             if may_fall_back {
-                let versions = attempt::versions(canary::Variant::Stable, canary);
+                let versions = canary.versions(canary::Variant::Stable, serves);
                 choice =
                     balancer.pick(&balance::Request { versions, ..request }, slow_start, rank, now);
                 canary.pin(session);
@@ -352,13 +354,12 @@
     );
 }
 
-// Whether the service has endpoints of a version only that was rolled back.
+// Whether all endpoints of the service are of versions that were rolled back.
 fn is_rolled_back_alone(context: &Shared, service: &id::ServiceId) -> bool {
     let state = context.state();
     let Some(canary) = state.canaries.get(service) else { return false };
-    let to = &canary.order().to;
-    let mut entries = state.balancer.entries();
-    !canary.allows(to) && !entries.any(|entry| entry.service == *service && entry.version != *to)
+    let mut entries = state.balancer.entries().filter(|entry| entry.service == *service);
+    canary.has_withdrawn() && !entries.any(|entry| canary.allows(&entry.version))
 }
 
 fn quarantined(context: &Shared, received: &Received, after: time::Millis) -> Reason {
--- a/crates/ibishill-relay/src/state/expected_ends.rs
+++ b/crates/ibishill-relay/src/state/expected_ends.rs
@@ -2,7 +2,7 @@
 //! that is withdrawn, a zone that is taken out of service and an endpoint that leaves take along the prompts that
 //! happen to be there.
 
-use ibishill_core::{fleet, time};
+use ibishill_core::{fleet, id, time};
 use ibishill_decide::endpoint_key;
 use xxhash_rust::xxh3;
 
@@ -37,15 +37,9 @@
     /// at any time.
     pub(crate) fn is_end_expected(&self, registration: &fleet::Registration) -> bool {
         let is_withdrawn = self.canaries.get(&registration.service).is_some_and(|canary| {
-            let to = &canary.order().to;
-            match canary.progress() {
-                fleet::Progress::Running => false,
-                fleet::Progress::RolledBack => registration.version == *to,
-                fleet::Progress::Completed => {
-                    registration.version != *to
-                        && self.balancer.has_version(&registration.service, to)
-                }
-            }
+            let has_version =
+                |version: &id::VersionId| self.balancer.has_version(&registration.service, version);
+            canary.is_end_expected(&registration.version, has_version)
         });
         is_withdrawn || !self.balancer.is_serving(&registration.id)
     }
--- a/crates/ibishill-relay/src/state/rollouts.rs
+++ b/crates/ibishill-relay/src/state/rollouts.rs
@@ -30,6 +30,9 @@
         let bounds = &self.settings.bounds;
         let mut canary = canary::Canary::new(order, bounds, now);
         canary.set_version(version);
+        if let Some(last) = self.canaries.get(&service) {
+            canary.succeed(last);
+        }
         if is_initial {
             canary.require_news();
         }
@@ -46,7 +49,7 @@
         self.inform_canaries();
     }
 
-    /// Applies what operators were told of a roll-out, if it is the present one of its service.
+    /// Applies what operators were told of the present roll-out of a service, or of one before it.
     pub(super) fn apply_status(
         &mut self,
         status: &fleet::Status,
@@ -55,11 +58,13 @@
     ) {
         let Some(canary) = self.canaries.get_mut(&status.service) else { return };
         let is_about = canary.is_about(version, status.progress);
-        if status.to != canary.order().to || !is_about {
-            return;
-        }
-        if canary.merge_stored(status.progress) {
-            let state = format!("{:?}", status.progress);
+        let is_news = if status.to != canary.order().to {
+            canary.record_earlier(status, version)
+        } else {
+            is_about && canary.merge_stored(status.progress)
+        };
+        if is_news {
+            let state = format!("{} {:?}", status.to, status.progress);
             rollout_log::log(event::Event::RolloutHeard, canary, &state, "store", now);
             self.expect_ends();
         }
--- a/crates/ibishill-relay/src/wire/envelope.rs
+++ b/crates/ibishill-relay/src/wire/envelope.rs
@@ -89,6 +89,9 @@
     pinned: Vec<u64>,
     #[prost(bytes = "bytes", optional, tag = "12")]
     tallies: Option<Bytes>,
+    /// Earlier roll-outs of the service.
+    #[prost(bytes = "bytes", repeated, tag = "13")]
+    earlier: Vec<Bytes>,
 }
 
 impl Envelope {
@@ -216,6 +219,7 @@
         is_cleared: snapshot.is_cleared,
         pinned: snapshot.pinned.clone(),
         tallies: if tallies.is_empty() { None } else { Some(item(tallies)?) },
+        earlier: items(&snapshot.earlier)?,
     };
     Ok(Bytes::from(rollout.encode_to_vec()))
 }
@@ -243,6 +247,7 @@
         pinned: rollout.pinned,
         // A verdict counts without the counts behind it.
         tallies: part("tallies", rollout.tallies.as_ref(), skipped),
+        earlier: readable("earlier roll-outs", &rollout.earlier, skipped),
     })
 }
 
