handler: a stream that may not be resumed is not run again at a larger model

Cause: each way to a further attempt asks whether the request may run again; the one for a larger model asked for models, attempts, confidence, time and retry budget only. Evidence: E2405 between the two E2401 of a request, no fault, and none if the small model is sure. It asks now, too. The other ways were read: unknown, failed and hung attempts, peers' grants and resumed streams do.

Streams that may be resumed, as on all deployments in force, are served as before.

--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -444,6 +444,7 @@
                 may_have_run = true;
                 let largest = models.len().saturating_sub(1);
                 if index < largest
+                    && received.route.kind.may_retry()
                     && sends < received.route.max_attempts
                     && needs_larger_model(context, &received, &start.reply, &models[largest])
                     && begins_in_time(context, &received, &models[largest].name)
