escalation: a request that runs once gets its model before it runs

A stream that may not be resumed gets one model's answer. With the smallest model first, all hard requests on such a route would get weak answers, however much room there is for a better one.

The largest model now runs at once where it would replace an answer that is as likely correct as wrong, by the threshold that decides on a second run elsewhere, and is expected to begin in time; under load, or if it costs more than the answer is worth, the smallest. What is learned of the small model's answers on other routes is not used.

--- a/crates/ibishill-decide/src/escalation.rs
+++ b/crates/ibishill-decide/src/escalation.rs
@@ -2,7 +2,8 @@
 //!
 //! Designed for routes on which most requests are easy, and a small model answers them at a tenth
 //! of the cost and of the engine time. The small model runs first. Its confidence in the answer,
-//! which is known before the first event is forwarded, decides whether a larger model runs.
+//! which is known before the first event is forwarded, decides whether a larger model runs. Where a
+//! request may run only once, the model is chosen before.
 
 use ibishill_core::{call, route, time};
 
@@ -100,6 +101,13 @@
     expected.is_none_or(|expected| expected <= left)
 }
 
+/// Whether the larger model runs at once, if a request may run only once: where it would replace an
+/// answer that is as likely correct as wrong, since nothing is known of the small model's answer yet.
+/// `threshold` is the confidence below which it would run.
+pub fn begins_large(threshold: f64) -> bool {
+    threshold > CONFIDENCE_MIDPOINT
+}
+
 /// Confidence below which a larger model runs: where the expected loss by a wrong answer exceeds
 /// the cost of the larger model at this `pressure`, 0 to 1.
 pub fn threshold(larger: &route::Model, priority: u8, tokens: call::Tokens, pressure: f64) -> f64 {
--- a/crates/ibishill-decide/tests/relay/escalation.rs
+++ b/crates/ibishill-decide/tests/relay/escalation.rs
@@ -41,6 +41,34 @@
     }
 }
 
+// Guards against requests that get the small model's answer only because they may run once.
+#[test]
+fn request_that_runs_once_begins_at_the_larger_model_while_there_is_room() {
+    struct Case {
+        name: &'static str,
+        tokens: call::Tokens,
+        cost: f64,
+        pressure: f64,
+        is_large: bool,
+    }
+    let cases = [
+        Case { name: "report, idle", tokens: REPORT, cost: 0.24, pressure: 0.0, is_large: true },
+        Case { name: "tag, idle", tokens: TAG, cost: 0.24, pressure: 0.0, is_large: true },
+        Case { name: "report, loaded", tokens: REPORT, cost: 0.24, pressure: 1.0, is_large: false },
+        Case { name: "costly model", tokens: TAG, cost: 2.4, pressure: 0.0, is_large: false },
+    ];
+    for case in cases {
+        let large = route::Model { cost: case.cost, ..large() };
+        let threshold = escalation::threshold(&large, 1, case.tokens, case.pressure);
+        assert_eq!(
+            escalation::begins_large(threshold),
+            case.is_large,
+            "{}: {threshold}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn pressure_follows_time_to_first_event() {
     struct Case {
--- a/crates/ibishill-relay/src/handler.rs
+++ b/crates/ibishill-relay/src/handler.rs
@@ -302,7 +302,7 @@
     has_sent: &mut bool,
 ) -> Result<Response<Body>, Reason> {
     let models = models(context, &received);
-    let mut index = 0;
+    let mut index = first_model(context, &received, &models);
     let mut tried: Vec<id::EndpointId> = Vec::new();
     let sends_before = received.hop.as_ref().map_or(0, |hop| hop.sends);
     let mut sends = sends_before;
@@ -472,12 +472,28 @@
     )
 }
 
+// Index of the model that runs first: the smallest one, unless no other may run after it.
+fn first_model(context: &Shared, received: &Received, models: &[route::Model]) -> usize {
+    if received.route.kind.may_retry() {
+        return 0;
+    }
+    let [_, .., largest] = models else { return 0 };
+    let is_large = escalation::begins_large(confidence_threshold(context, received, largest))
+        && begins_in_time(context, received, &largest.name);
+    if is_large { models.len() - 1 } else { 0 }
+}
+
 fn needs_larger_model(
     context: &Shared,
     received: &Received,
     reply: &head::Reply,
     largest: &route::Model,
 ) -> bool {
+    let threshold = confidence_threshold(context, received, largest);
+    reply.confidence.is_some_and(|confidence| confidence < threshold)
+}
+
+fn confidence_threshold(context: &Shared, received: &Received, largest: &route::Model) -> f64 {
     let tokens = received.metadata.tokens.unwrap_or_default();
     let now = context.now();
     let pressure = {
@@ -486,11 +502,10 @@
         let pressure = state.pressures.get(&received.service).copied().unwrap_or_default();
         pressure.level(utilization, now)
     };
-    let threshold = escalation::threshold(largest, received.priority(), tokens, pressure);
-    reply.confidence.is_some_and(|confidence| confidence < threshold)
+    escalation::threshold(largest, received.priority(), tokens, pressure)
 }
 
-// Whether the larger model's answer would begin before the deadline; logs if not, and the answer that is there is
+// Whether the larger model's answer would begin before the deadline; logs if not, and the smaller model's answer is
 // delivered then.
 fn begins_in_time(context: &Shared, received: &Received, larger: &id::ModelId) -> bool {
     let least = selection::least_expected(context, received, larger);
