rollout: how earlier roll-outs ended is kept in the store

Cause: only peers knew. Relays that restart at once, or one after the other faster than messages pass, have none that does, and the status row is of the present order.

The first living relay by rendezvous hash writes the row of a service in the table earlier-rollouts, and a relay that starts while there is an order reads the table once. Nothing is written before the second order of a service.

--- a/crates/ibishill-core/src/fleet.rs
+++ b/crates/ibishill-core/src/fleet.rs
@@ -3,6 +3,7 @@
 //! `ibishill-relay` reads; `ibishill-daemon` does not use these rows.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -87,6 +88,43 @@
     RolledBack,
 }
 
+/// How an earlier roll-out ended; of two reports on the same order the greater one counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RolloutEnd {
+    /// The next order came before a verdict.
+    Superseded,
+    /// It was rolled back for want of proof that the version is sound.
+    Unproven,
+    /// It was completed.
+    Completed,
+    /// It was rolled back for evidence of faults.
+    RolledBack,
+}
+
+impl RolloutEnd {
+    /// Whether the version was rolled back.
+    pub const fn is_withdrawn(self) -> bool {
+        matches!(self, Self::Unproven | Self::RolledBack)
+    }
+}
+
+/// A roll-out of a service before the present one, as relays tell each other and keep it in the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierRollout {
+    /// The version that it moved the service to.
+    pub to: id::VersionId,
+    /// Version of the order's row, or of that of a status of it.
+    pub row: StoreVersion,
+    /// How it ended.
+    pub end: RolloutEnd,
+}
+
+impl fmt::Display for EarlierRollout {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{:?}", self.to, self.end)
+    }
+}
+
 /// State of what was refused, as kept in the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineHold {
--- a/crates/ibishill-decide/src/canary.rs
+++ b/crates/ibishill-decide/src/canary.rs
@@ -20,7 +20,6 @@
 use ibishill_core::{fleet, id, store_version, time};
 use xxhash_rust::xxh3;
 
-pub use earlier::{End, Told};
 pub use exchange::Snapshot;
 pub use recent_sessions::RecentSessions;
 pub use tally::{Answers, Comparison, Routes, Source, Tally};
--- a/crates/ibishill-decide/src/canary/earlier.rs
+++ b/crates/ibishill-decide/src/canary/earlier.rs
@@ -5,10 +5,8 @@
 //! Designed for orders that follow each other within seconds.
 
 use std::collections::BTreeMap;
-use std::fmt;
 
 use ibishill_core::{fleet, id, store_version};
-use serde::{Deserialize, Serialize};
 
 use super::{Canary, Snapshot, Variant};
 use crate::balance;
@@ -16,55 +14,19 @@
 /// Maximum number of versions that are remembered for a service; those of the earliest orders are forgotten first.
 const VERSIONS_MAX: usize = 16;
 
-/// How an earlier roll-out ended; of two reports on the same order the greater one counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum End {
-    /// The next order came before a verdict.
-    Superseded,
-    /// It was rolled back for want of proof that the version is sound.
-    Unproven,
-    /// It was completed.
-    Completed,
-    /// It was rolled back for evidence of faults.
-    RolledBack,
-}
-
-impl End {
-    const fn of(progress: fleet::Progress, is_unproven: bool) -> Self {
-        match progress {
-            fleet::Progress::Running => Self::Superseded,
-            fleet::Progress::Completed => Self::Completed,
-            fleet::Progress::RolledBack if is_unproven => Self::Unproven,
-            fleet::Progress::RolledBack => Self::RolledBack,
-        }
-    }
-
-    const fn is_withdrawn(self) -> bool {
-        matches!(self, Self::Unproven | Self::RolledBack)
-    }
-}
-
-/// An earlier roll-out as daemons tell each other of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Told {
-    /// The version that it moved the service to.
-    pub to: id::VersionId,
-    /// Version of the order's row, or of that of a status of it.
-    pub row: store_version::StoreVersion,
-    /// How it ended.
-    pub end: End,
-}
-
-impl fmt::Display for Told {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{:?}", self.to, self.end)
+const fn end_of(progress: fleet::Progress, is_unproven: bool) -> fleet::RolloutEnd {
+    match progress {
+        fleet::Progress::Running => fleet::RolloutEnd::Superseded,
+        fleet::Progress::Completed => fleet::RolloutEnd::Completed,
+        fleet::Progress::RolledBack if is_unproven => fleet::RolloutEnd::Unproven,
+        fleet::Progress::RolledBack => fleet::RolloutEnd::RolledBack,
     }
 }
 
 /// Earlier roll-outs of a service, by the version that they moved it to.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Earlier {
-    ends: BTreeMap<id::VersionId, (store_version::StoreVersion, End)>,
+    ends: BTreeMap<id::VersionId, (store_version::StoreVersion, fleet::RolloutEnd)>,
     // Versions that are no old ones, and those of them that were rolled back.
     left: Vec<id::VersionId>,
     withdrawn: Vec<id::VersionId>,
@@ -74,7 +36,7 @@
 
 impl Earlier {
     /// Records how a roll-out ended, unless a later or graver end of that version is known; returns whether it was new.
-    pub(super) fn record(&mut self, told: Told) -> bool {
+    pub(super) fn record(&mut self, told: fleet::EarlierRollout) -> bool {
         let found = (told.row, told.end);
         if self.ends.get(&told.to).is_some_and(|known| *known >= found) {
             return false;
@@ -96,13 +58,14 @@
     }
 
     fn sort_out(&mut self) {
-        let versions = |is_included: fn(End) -> bool| {
+        let versions = |is_included: fn(fleet::RolloutEnd) -> bool| {
             let included = self.ends.iter().filter(|(_, (_, end))| is_included(*end));
             included.map(|(version, _)| version.clone()).collect()
         };
-        self.left = versions(|end| end != End::Completed);
-        self.withdrawn = versions(End::is_withdrawn);
-        let completed = self.ends.iter().filter(|(_, (_, end))| *end == End::Completed);
+        self.left = versions(|end| end != fleet::RolloutEnd::Completed);
+        self.withdrawn = versions(fleet::RolloutEnd::is_withdrawn);
+        let completed =
+            self.ends.iter().filter(|(_, (_, end))| *end == fleet::RolloutEnd::Completed);
         let last = completed.max_by_key(|(_, (row, _))| *row);
         self.base = last.map(|(version, _)| version.clone());
     }
@@ -111,12 +74,11 @@
         self.withdrawn.contains(version)
     }
 
-    pub(super) fn told(&self) -> Vec<Told> {
-        let told = |(to, (row, end)): (&id::VersionId, &(store_version::StoreVersion, End))| Told {
-            to: to.clone(),
-            row: *row,
-            end: *end,
-        };
+    pub(super) fn told(&self) -> Vec<fleet::EarlierRollout> {
+        let told = |(to, (row, end)): (
+            &id::VersionId,
+            &(store_version::StoreVersion, fleet::RolloutEnd),
+        )| fleet::EarlierRollout { to: to.clone(), row: *row, end: *end };
         self.ends.iter().map(told).collect()
     }
 }
@@ -125,10 +87,10 @@
     /// Takes over what is known of the roll-outs before this one, of which `last` was the last.
     pub fn succeed(&mut self, last: &Self) {
         self.earlier = last.earlier.clone();
-        self.earlier.record(Told {
+        self.earlier.record(fleet::EarlierRollout {
             to: last.order.to.clone(),
             row: last.version.unwrap_or_default(),
-            end: End::of(last.progress, last.is_unproven),
+            end: end_of(last.progress, last.is_unproven),
         });
         self.earlier.forget(&self.order.to);
     }
@@ -142,8 +104,10 @@
         // A status that says `running` tells nothing of the end.
         let is_end = status.progress != fleet::Progress::Running;
         let is_before = self.version.is_some_and(|order| row < order);
-        let end = End::of(status.progress, false);
-        is_end && is_before && self.record_told(Told { to: status.to.clone(), row, end })
+        let end = end_of(status.progress, false);
+        is_end
+            && is_before
+            && self.record_told(fleet::EarlierRollout { to: status.to.clone(), row, end })
     }
 
     /// Merges what a peer knows of earlier roll-outs; returns whether any of it was new.
@@ -154,14 +118,15 @@
         }
         // The peer may not have heard of this order yet.
         if let Some((row, _)) = snapshot.order.zip(self.version).filter(|(told, own)| told < own) {
-            let end = End::of(snapshot.progress, snapshot.is_unproven);
-            is_new |= self.record_told(Told { to: snapshot.to.clone(), row, end });
+            let end = end_of(snapshot.progress, snapshot.is_unproven);
+            is_new |= self.record_told(fleet::EarlierRollout { to: snapshot.to.clone(), row, end });
         }
         is_new
     }
 
-    // The version that is rolled out now is judged anew.
-    fn record_told(&mut self, told: Told) -> bool {
+    /// Records an earlier roll-out that another relay knows; returns whether it was new.
+    pub fn record_told(&mut self, told: fleet::EarlierRollout) -> bool {
+        // The version that is rolled out now is judged anew.
         told.to != self.order.to && self.earlier.record(told)
     }
 
@@ -219,7 +184,7 @@
     }
 
     /// Earlier roll-outs and how they ended, for the log.
-    pub fn earlier(&self) -> Vec<Told> {
+    pub fn earlier(&self) -> Vec<fleet::EarlierRollout> {
         self.earlier.told()
     }
 }
--- a/crates/ibishill-decide/src/canary/exchange.rs
+++ b/crates/ibishill-decide/src/canary/exchange.rs
@@ -6,7 +6,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::Canary;
-use super::earlier::Told;
 use super::tally::{Answers, Routes, Source, Tally};
 
 /// Processes of one VM whose counts are kept; it restarts a few times in a roll-out at most.
@@ -42,7 +41,7 @@
     pub is_uninformed: bool,
     /// Earlier roll-outs of the service.
     #[serde(skip)]
-    pub earlier: Vec<Told>,
+    pub earlier: Vec<fleet::EarlierRollout>,
 }
 
 impl Canary {
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -622,7 +622,7 @@
 
 #[test]
 fn later_or_graver_end_of_an_earlier_rollout_counts() {
-    use canary::End;
+    use fleet::RolloutEnd as End;
     struct Case {
         name: &'static str,
         told: [(u64, End); 2],
@@ -655,7 +655,7 @@
         let snapshot = canary.snapshot(&"vm".parse().unwrap(), false, time::Tick(0));
         for (number, end) in case.told {
             let to = "v2".parse().unwrap();
-            let earlier = vec![canary::Told { to, row: row(0, number), end }];
+            let earlier = vec![fleet::EarlierRollout { to, row: row(0, number), end }];
             canary.merge_earlier(&canary::Snapshot { earlier, ..snapshot.clone() });
         }
         assert_eq!(canary.allows(&"v2".parse().unwrap()), case.is_allowed, "{}", case.name);
--- a/crates/ibishill-relay/src/lib.rs
+++ b/crates/ibishill-relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod continuation;
 mod control;
 mod datagrams;
+mod earlier_rows;
 mod early_end;
 mod event_sequence;
 mod fairness;
--- a/crates/ibishill-relay/src/start.rs
+++ b/crates/ibishill-relay/src/start.rs
@@ -17,8 +17,8 @@
 use crate::error::RelayError;
 use crate::state::{State, Table};
 use crate::{
-    chunks, cold_check, control, datagrams, early_end, feed, gossip, isolation, load_reports,
-    log_writer, metrics, quarantine_rows, rollout, serve, starts,
+    chunks, cold_check, control, datagrams, earlier_rows, early_end, feed, gossip, isolation,
+    load_reports, log_writer, metrics, quarantine_rows, rollout, serve, starts,
 };
 
 /// Interval of the checks for expired state and for suspensions.
@@ -136,6 +136,8 @@
     tokio::task::spawn_local(cold_check::run(context.clone()));
     tokio::task::spawn_local(rollout::watch(context.clone()));
     tokio::task::spawn_local(rollout::report(context.clone()));
+    tokio::task::spawn_local(earlier_rows::write(context.clone()));
+    tokio::task::spawn_local(earlier_rows::read(context.clone()));
     tokio::task::spawn_local(early_end::check_survivals(context.clone()));
     tokio::task::spawn_local(quarantine_rows::write(context.clone()));
     tokio::task::spawn_local(quarantine_rows::read(context.clone()));
