canary: an earlier roll-out that is not remembered is no news

A roll-out told by a peer that is earlier than the 16 remembered ones was taken in, dropped again and reported as new: each message of that peer would have logged E2303. Recording tells now whether it is remembered; earlier_rollouts_are_remembered_in_a_limited_number asks for that and failed by its construction before (it was not run on that code). Names of the filters say what they hold.

--- a/crates/ibishill-decide/src/canary/earlier.rs
+++ b/crates/ibishill-decide/src/canary/earlier.rs
@@ -27,8 +27,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Earlier {
     ends: BTreeMap<id::VersionId, (store_version::StoreVersion, fleet::RolloutEnd)>,
-    // Versions that are no old ones, and those of them that were rolled back.
-    left: Vec<id::VersionId>,
+    // Versions that are no old ones, as their roll-out was not completed, and those of them that were rolled back.
+    excluded: Vec<id::VersionId>,
     withdrawn: Vec<id::VersionId>,
     // The version of the last roll-out that was completed.
     base: Option<id::VersionId>,
@@ -41,28 +41,28 @@
         if self.ends.get(&told.to).is_some_and(|known| *known >= found) {
             return false;
         }
-        self.ends.insert(told.to, found);
+        self.ends.insert(told.to.clone(), found);
         while self.ends.len() > VERSIONS_MAX {
             let first = self.ends.iter().min_by_key(|(_, found)| **found);
             let Some(first) = first.map(|(version, _)| version.clone()) else { break };
             self.ends.remove(&first);
         }
-        self.sort_out();
-        true
+        self.update_filters();
+        self.ends.contains_key(&told.to)
     }
 
     /// Forgets a version, as it is rolled out again.
     pub(super) fn forget(&mut self, version: &id::VersionId) {
         self.ends.remove(version);
-        self.sort_out();
+        self.update_filters();
     }
 
-    fn sort_out(&mut self) {
+    fn update_filters(&mut self) {
         let versions = |is_included: fn(fleet::RolloutEnd) -> bool| {
             let included = self.ends.iter().filter(|(_, (_, end))| is_included(*end));
             included.map(|(version, _)| version.clone()).collect()
         };
-        self.left = versions(|end| end != fleet::RolloutEnd::Completed);
+        self.excluded = versions(|end| end != fleet::RolloutEnd::Completed);
         self.withdrawn = versions(fleet::RolloutEnd::is_withdrawn);
         let completed =
             self.ends.iter().filter(|(_, (_, end))| *end == fleet::RolloutEnd::Completed);
@@ -95,7 +95,7 @@
         self.earlier.forget(&self.order.to);
     }
 
-    /// Records what the store says of an earlier roll-out; returns whether it was new.
+    /// Records what operators were told of an earlier roll-out; returns whether it was new.
     pub fn record_earlier(
         &mut self,
         status: &fleet::Status,
@@ -160,7 +160,7 @@
     }
 
     /// Versions that requests of a variant go to; `serves` tells whether any of the given versions has an endpoint in
-    /// service. Old are those that the last completed roll-out has left or, without one of these, all that were neither
+    /// service. Old is the version of the last completed roll-out or, if it has none, all that were neither
     /// rolled back nor superseded before a verdict; the latter count if there is no other.
     pub fn versions<F>(&self, variant: Variant, serves: F) -> balance::Versions<'_>
     where
@@ -170,13 +170,13 @@
         if variant == Variant::Candidate {
             return balance::Versions::Only(to);
         }
-        let Earlier { left, withdrawn, base, .. } = &self.earlier;
+        let Earlier { excluded, withdrawn, base, .. } = &self.earlier;
         let base = base.as_ref().map(balance::Versions::Only);
         if let Some(base) = base.filter(|base| serves(*base)) {
             return base;
         }
-        let others = balance::Versions::Except { to, others: left };
-        let has_superseded = left.len() > withdrawn.len();
+        let others = balance::Versions::Except { to, others: excluded };
+        let has_superseded = excluded.len() > withdrawn.len();
         if has_superseded && !serves(others) {
             return balance::Versions::Except { to, others: withdrawn };
         }
--- a/crates/ibishill-decide/tests/relay/canary.rs
+++ b/crates/ibishill-decide/tests/relay/canary.rs
@@ -716,4 +716,11 @@
     }
     assert_eq!(last.earlier().len(), 16);
     assert!(!last.allows(&"v58".parse().unwrap()) && last.allows(&"v2".parse().unwrap()));
+    // What is too early to be remembered is no news, however often peers tell it.
+    let told = fleet::EarlierRollout {
+        to: "v2".parse().unwrap(),
+        row: row(0, 2),
+        end: fleet::RolloutEnd::RolledBack,
+    };
+    assert!(!last.record_told(told));
 }
