decide tests: earlier roll-outs have a file of their own

The five tests of what the next order keeps moved as they were, with a function for their orders; nothing is asserted otherwise. All five pass.

--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod canary;
 mod contact;
+mod earlier_rollouts;
 mod endpoint_limit;
 mod escalation;
 mod exposure;
