--- a/crates/ibishill-decide/src/canary/earlier.rs
+++ b/crates/ibishill-decide/src/canary/earlier.rs
@@ -183,7 +183,7 @@
         others
     }
 
-    /// Earlier roll-outs and how they ended, for the log.
+    /// Earlier roll-outs and how they ended, as they are stored and logged.
     pub fn earlier(&self) -> Vec<fleet::EarlierRollout> {
         self.earlier.told()
     }
