log: which start an entry is of, and why an endpoint is in doubt

Callers lost answers at endpoints that were flooded after a second start (docs/incidents/warm-by-an-earlier-start.md). The logs did not tell whether an entry that came after a removal was of the earlier or the later start, nor why a relay that had noticed a restart sent at the full rate again: the first two hypotheses looked the same.

E2201 and E2202 have the start time. E2213 says that an endpoint may have started again, and by which sign; E2214 that this doubt has ended, by what (reached, out of reach, removed, replaced), and for how long the endpoint counts as cold from then on. No decision changes.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -112,6 +112,8 @@
     TermsChanged = 2208, Info, "endpoint states other terms";
     EndpointCold = 2210, Info, "health check found an endpoint cold";
     EndpointLost = 2212, Warn, "endpoint ended while prompts were there";
+    EndpointDoubted = 2213, Info, "endpoint may have started again";
+    EndpointSettled = 2214, Info, "doubt whether an endpoint has started again has ended";
     EndpointsOutOfReach = 2211, Warn, "endpoints that answer peers are out of reach, or reached again";
     QuarantineDelayed = 2209, Warn, "state of a prompt segment could not be written yet";
     RolloutChanged = 2301, Info, "roll-out changed";
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -8,6 +8,7 @@
 mod access;
 mod admission;
 mod cold;
+pub mod doubt;
 mod endpoint;
 mod forecast;
 mod placement;
@@ -218,6 +219,8 @@
     tiers: RefCell<zone_local::Cache>,
     forecasts: forecasts::Forecasts,
     prefixes: prefix_use::Uses,
+    // Since the last call of take_doubts.
+    doubts: Vec<doubt::Change>,
 }
 
 impl Balancer {
@@ -236,6 +239,7 @@
             tiers: RefCell::default(),
             forecasts: forecasts::Forecasts::default(),
             prefixes: prefix_use::Uses::default(),
+            doubts: Vec::new(),
         }
     }
 
@@ -317,6 +321,9 @@
                     speed: speed::Speed::default(),
                 };
                 if let Some(earlier) = self.endpoints.insert(entry.id, endpoint) {
+                    if earlier.was_unreachable {
+                        self.doubts.push(earlier.doubt(false, doubt::Cause::Replaced));
+                    }
                     self.contacts.remove(earlier.key);
                     self.gate.remove(earlier.key);
                     self.forecasts.remove(earlier.report_key);
@@ -329,12 +336,20 @@
     /// Removes an endpoint, if it is known.
     pub fn remove(&mut self, id: &id::EndpointId) {
         if let Some(endpoint) = self.endpoints.remove(id) {
+            if endpoint.was_unreachable {
+                self.doubts.push(endpoint.doubt(false, doubt::Cause::Removed));
+            }
             self.contacts.remove(endpoint.key);
             self.gate.remove(endpoint.key);
             self.forecasts.remove(endpoint.report_key);
         }
     }
 
+    /// Doubts that were raised or have ended since the last call.
+    pub fn take_doubts(&mut self) -> Vec<doubt::Change> {
+        std::mem::take(&mut self.doubts)
+    }
+
     /// Registration of an endpoint; `None` if it is unknown.
     pub fn entry(&self, id: &id::EndpointId) -> Option<&fleet::Registration> {
         self.endpoints.get(id).map(|endpoint| &endpoint.entry)
@@ -554,10 +569,15 @@
         }
         endpoint.breaker.end(attempt, now);
         match attempt {
-            outlier::Attempt::Unreachable => endpoint.was_unreachable = true,
+            outlier::Attempt::Unreachable => {
+                let is_new = !std::mem::replace(&mut endpoint.was_unreachable, true);
+                let change = is_new.then(|| endpoint.doubt(true, doubt::Cause::Refused));
+                self.doubts.extend(change);
+            }
             _ if endpoint.was_unreachable => {
                 endpoint.was_unreachable = false;
                 endpoint.cold_until = endpoint.cold_until.max(now + cold.duration);
+                self.doubts.push(endpoint.doubt(false, doubt::Cause::Reached));
             }
             _ => {}
         }
--- a/crates/ibishill-decide/src/balance/access.rs
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -5,7 +5,7 @@
 
 use ibishill_core::{id, time};
 
-use super::{Balancer, Counts, Endpoint};
+use super::{Balancer, Counts, Endpoint, doubt};
 use crate::{contact, endpoint_key, gate, outlier};
 
 impl Balancer {
@@ -54,7 +54,9 @@
             for endpoint in self.endpoints.values_mut() {
                 if self.contacts.is_out(endpoint.key) {
                     endpoint.breaker = outlier::Breaker::default();
-                    endpoint.was_unreachable = false;
+                    if std::mem::take(&mut endpoint.was_unreachable) {
+                        self.doubts.push(endpoint.doubt(false, doubt::Cause::OutOfReach));
+                    }
                 }
             }
         }
--- a/crates/ibishill-decide/src/balance/endpoint.rs
+++ b/crates/ibishill-decide/src/balance/endpoint.rs
@@ -3,7 +3,7 @@
 use ibishill_core::{fleet, id, time};
 use xxhash_rust::xxh3;
 
-use super::speed;
+use super::{doubt, speed};
 use crate::endpoint_key;
 use crate::{outlier, rate};
 
@@ -63,6 +63,13 @@
 /// report counts. An engine whose queue is long seldom responds.
 const WAITING_TTL: time::Millis = time::Millis(4_000);
 
+impl Endpoint {
+    pub(super) fn doubt(&self, is_doubted: bool, cause: doubt::Cause) -> doubt::Change {
+        let (endpoint, cold_until) = (self.entry.id.clone(), self.cold_until);
+        doubt::Change { endpoint, is_doubted, cause, cold_until }
+    }
+}
+
 impl Endpoint {
     // Time that work takes there, as a multiple of the usual one.
     pub(super) fn work_factor(&self, now: time::Tick) -> f64 {
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -407,6 +407,7 @@
     // A refusal or a local error says nothing about the endpoint's health.
     if !matches!(outcome, Outcome::Refused | Outcome::NotAttempted) {
         state.balancer.record_attempt(&target.endpoint, attempt, load, slow_start, now);
+        state.log_doubts(now);
         let answer = match (attempt, outcome) {
             (outlier::Attempt::Unreachable, _) => None,
             (outlier::Attempt::Good, _) => Some(canary::Outcome::Answered(took)),
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -143,7 +143,12 @@
 
 fn judge(context: &Shared) {
     let now = context.now();
-    let is_changed = context.state().balancer.judge_contacts(now);
+    let is_changed = {
+        let mut state = context.state();
+        let is_changed = state.balancer.judge_contacts(now);
+        state.log_doubts(now);
+        is_changed
+    };
     if is_changed {
         announce(context);
     }
--- a/crates/ibishill-relay/src/state/rows.rs
+++ b/crates/ibishill-relay/src/state/rows.rs
@@ -1,5 +1,6 @@
 //! Merges rows of the store into the state, whoever delivers them.
 
+use std::fmt;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -195,6 +196,7 @@
                             &(registration.readiness == fleet::Readiness::Ready),
                         ),
                         event::field("cold", &registration.cold_remaining),
+                        event::field("started", &Started(registration.started)),
                         event::field("row", &version),
                     ],
                 );
@@ -202,6 +204,7 @@
                 let (id, key) =
                     (registration.id.clone(), endpoint_key::EndpointKey::of(&registration));
                 self.balancer.register(registration, now);
+                self.log_doubts(now);
                 let entry = self.balancer.entry(&id);
                 let is_expected = entry.is_some_and(|entry| self.is_end_expected(entry));
                 self.exposures.expect_end(key, is_expected);
@@ -252,9 +255,14 @@
     }
 
     pub(super) fn remove_endpoint(&mut self, id: &id::EndpointId, why: &str, now: time::Tick) {
+        let started = Started(self.balancer.entry(id).and_then(|entry| entry.started));
         event::emit_json(
             event::Event::EndpointGone,
-            &[event::field("endpoint", id), event::field("why", &why)],
+            &[
+                event::field("endpoint", id),
+                event::field("why", &why),
+                event::field("started", &started),
+            ],
         );
         if let Some(registration) = self.balancer.entry(id) {
             self.restored.record_gone(registration, now);
@@ -263,6 +271,38 @@
             self.displace(key, now);
         }
         self.balancer.remove(id);
+        self.log_doubts(now);
+    }
+
+    /// Logs which endpoints may have started again, and which doubts have ended.
+    pub(crate) fn log_doubts(&mut self, now: time::Tick) {
+        for change in self.balancer.take_doubts() {
+            let kind = if change.is_doubted {
+                event::Event::EndpointDoubted
+            } else {
+                event::Event::EndpointSettled
+            };
+            event::emit_json(
+                kind,
+                &[
+                    event::field("endpoint", &change.endpoint),
+                    event::field("cause", &change.cause),
+                    event::field("cold", &change.cold_until.since(now)),
+                ],
+            );
+        }
+    }
+}
+
+/// Start time of an endpoint in the log; `-` if it is unknown.
+struct Started(Option<u64>);
+
+impl fmt::Display for Started {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(started) => started.fmt(f),
+            None => f.write_str("-"),
+        }
     }
 }
 
