relay: an endpoint that may have started again is cold until it shows otherwise

Cause: that an endpoint is warm was taken from what was known of its earlier start.

Now a sign is kept by the endpoint's id, through removals and other entries, and only the endpoint itself ends the doubt: an answer to a request that began after the sign (cold for a whole cold start from then), its health check, or its start time in an engine's report of its load, which needs no slot. A connection that ends before the answer is whole is a sign, too, checked at once. Entries of an earlier start wait until the endpoint has had time to write again. A refused connection is told to all peers, by the keys of both starts, after the rows, the latest first; a relay that starts is told all that is known, and until a peer that has run for longer than a cold start has done so, it sends to all endpoints as if they were cold. The prompt memory of an earlier start is forgotten.

Calls of changed functions in other tests pass the time at which the attempt began.

--- a/crates/ibishill-bench/src/experiment/crowd/play.rs
+++ b/crates/ibishill-bench/src/experiment/crowd/play.rs
@@ -277,7 +277,7 @@
         balancer.begin(id, work, SLOW_START, 0, now);
         balancer.record_response_start(id, work);
         let load = balance::Load { running: engine.running.len() as u32, waiting: 0 };
-        balancer.record_attempt(id, outlier::Attempt::Good, Some(load), SLOW_START, now);
+        balancer.record_attempt(id, outlier::Attempt::Good, Some(load), SLOW_START, (now, now));
         self.held[workspace] += 1;
         let hold = model::exponential(&mut self.rng, HOLD_MS) as u64 + 1;
         self.agenda.plan(now.0 + hold, Event::Ended(self.requests.len()));
@@ -324,7 +324,7 @@
         let is_known =
             |relay: &&mut Relay| relay.is_observed || relay.member.zone == old.entry.zone;
         for relay in self.relays.iter_mut().filter(is_known) {
-            relay.balancer.remove(&old.entry.id);
+            relay.balancer.remove(&old.entry.id, self.now);
             relay.balancer.register(self.engines[at].entry.clone(), self.now);
         }
     }
--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -221,6 +221,8 @@
     prefixes: prefix_use::Uses,
     // Since the last call of take_doubts.
     doubts: Vec<doubt::Change>,
+    // Endpoints that are not registered any more, and since when.
+    gone: BTreeMap<id::EndpointId, (doubt::Warmth, time::Tick)>,
 }
 
 impl Balancer {
@@ -240,6 +242,7 @@
             forecasts: forecasts::Forecasts::default(),
             prefixes: prefix_use::Uses::default(),
             doubts: Vec::new(),
+            gone: BTreeMap::new(),
         }
     }
 
@@ -288,19 +291,23 @@
     }
 
     /// Adds or updates an endpoint; a changed start time means a restart, which resets its
-    /// state.
+    /// state but for a doubt about its latest start.
     pub fn register(&mut self, entry: fleet::Registration, now: time::Tick) {
         let cold_until =
             if entry.cold_remaining.0 > 0 { now + entry.cold_remaining } else { time::Tick(0) };
         match self.endpoints.get_mut(&entry.id) {
             Some(endpoint) if endpoint.entry.started == entry.started => {
-                endpoint.cold_until = endpoint.cold_until.max(cold_until);
+                endpoint.warmth.cold_until = endpoint.warmth.cold_until.max(cold_until);
                 self.gate.register(endpoint.key, &entry, now);
                 endpoint.entry = entry;
             }
             _ => {
                 let key = endpoint_key::EndpointKey::of(&entry);
                 let part = contact::Part::of(&entry);
+                let mut warmth = self.warmth(&entry.id).unwrap_or_default();
+                warmth.cold_until = warmth.cold_until.max(cold_until);
+                warmth.started = entry.started;
+                self.gone.remove(&entry.id);
                 self.gate.register(key, &entry, now);
                 let endpoint = Endpoint {
                     report_key: report_key(&entry.id),
@@ -313,20 +320,16 @@
                     observed: None,
                     work: None,
                     breaker: outlier::Breaker::default(),
-                    was_unreachable: false,
-                    cold_until,
-                    checked_until: time::Tick(0),
-                    cold_heard: None,
+                    earlier: self.endpoints.get(&entry.id).map(|earlier| earlier.key),
+                    warmth,
                     cold_bucket: rate::Bucket::new(0.0, now),
                     speed: speed::Speed::default(),
                 };
                 if let Some(earlier) = self.endpoints.insert(entry.id, endpoint) {
-                    if earlier.was_unreachable {
-                        self.doubts.push(earlier.doubt(false, doubt::Cause::Replaced));
-                    }
                     self.contacts.remove(earlier.key);
                     self.gate.remove(earlier.key);
                     self.forecasts.remove(earlier.report_key);
+                    self.prefixes.remove(earlier.report_key);
                 }
                 self.contacts.register(key, part);
             }
@@ -334,22 +337,15 @@
     }
 
     /// Removes an endpoint, if it is known.
-    pub fn remove(&mut self, id: &id::EndpointId) {
+    pub fn remove(&mut self, id: &id::EndpointId, now: time::Tick) {
         if let Some(endpoint) = self.endpoints.remove(id) {
-            if endpoint.was_unreachable {
-                self.doubts.push(endpoint.doubt(false, doubt::Cause::Removed));
-            }
+            self.record_gone(id, endpoint.warmth, now);
             self.contacts.remove(endpoint.key);
             self.gate.remove(endpoint.key);
             self.forecasts.remove(endpoint.report_key);
         }
     }
 
-    /// Doubts that were raised or have ended since the last call.
-    pub fn take_doubts(&mut self) -> Vec<doubt::Change> {
-        std::mem::take(&mut self.doubts)
-    }
-
     /// Registration of an endpoint; `None` if it is unknown.
     pub fn entry(&self, id: &id::EndpointId) -> Option<&fleet::Registration> {
         self.endpoints.get(id).map(|endpoint| &endpoint.entry)
@@ -553,34 +549,33 @@
 
     /// Records the result of an attempt, with the load that the response reported.
     ///
-    /// An endpoint that could not be reached may have restarted: it counts as cold until it
-    /// has been reached, and for [`SlowStart::duration`] after that.
+    /// An endpoint that could not be reached may have restarted: it counts as cold until a request that
+    /// began after that is answered, and for [`SlowStart::duration`] after the answer.
     pub fn record_attempt(
         &mut self,
         id: &id::EndpointId,
         attempt: outlier::Attempt,
         load: Option<Load>,
         cold: SlowStart,
-        now: time::Tick,
+        (began, now): (time::Tick, time::Tick),
     ) {
+        if attempt == outlier::Attempt::Unreachable {
+            let _is_news = self.doubt(id, doubt::Cause::Unreached, cold, now);
+        }
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let is_answered = attempt == outlier::Attempt::Good
+            && endpoint.warmth.doubted.is_some_and(|sign| sign < began);
+        if is_answered {
+            let warmth = &mut endpoint.warmth;
+            warmth.cold_until = warmth.cold_until.max(now + cold.duration);
+            warmth.heard = Some(now);
+            self.settle(id, doubt::Cause::Answered, began);
+        }
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         if attempt != outlier::Attempt::Good && self.contacts.is_out(endpoint.key) {
             return;
         }
         endpoint.breaker.end(attempt, now);
-        match attempt {
-            outlier::Attempt::Unreachable => {
-                let is_new = !std::mem::replace(&mut endpoint.was_unreachable, true);
-                let change = is_new.then(|| endpoint.doubt(true, doubt::Cause::Refused));
-                self.doubts.extend(change);
-            }
-            _ if endpoint.was_unreachable => {
-                endpoint.was_unreachable = false;
-                endpoint.cold_until = endpoint.cold_until.max(now + cold.duration);
-                self.doubts.push(endpoint.doubt(false, doubt::Cause::Reached));
-            }
-            _ => {}
-        }
         if let Some(load) = load {
             let reported = f64::from(load.running) + f64::from(load.waiting);
             let others = (reported - f64::from(endpoint.running)).max(0.0);
--- a/crates/ibishill-decide/src/balance/access.rs
+++ b/crates/ibishill-decide/src/balance/access.rs
@@ -5,7 +5,7 @@
 
 use ibishill_core::{id, time};
 
-use super::{Balancer, Counts, Endpoint, doubt};
+use super::{Balancer, Counts, Endpoint};
 use crate::{contact, endpoint_key, gate, outlier};
 
 impl Balancer {
@@ -41,22 +41,20 @@
         }
         for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.entry.zone == *zone)
         {
-            endpoint.cold_until = endpoint.cold_until.max(now + duration);
+            endpoint.warmth.cold_until = endpoint.warmth.cold_until.max(now + duration);
         }
     }
 
     /// Decides what is out of reach; returns whether that has changed.
     ///
-    /// What endpoints out of reach have failed says nothing about them, so it is forgotten.
+    /// What endpoints out of reach have failed says nothing about their health, so it is forgotten. One that answers
+    /// peers may have started again meanwhile, so doubts stay.
     pub fn judge_contacts(&mut self, now: time::Tick) -> bool {
         let is_changed = self.contacts.judge(now);
         if is_changed {
             for endpoint in self.endpoints.values_mut() {
                 if self.contacts.is_out(endpoint.key) {
                     endpoint.breaker = outlier::Breaker::default();
-                    if std::mem::take(&mut endpoint.was_unreachable) {
-                        self.doubts.push(endpoint.doubt(false, doubt::Cause::OutOfReach));
-                    }
                 }
             }
         }
--- a/crates/ibishill-decide/src/balance/cold.rs
+++ b/crates/ibishill-decide/src/balance/cold.rs
@@ -3,6 +3,7 @@
 
 use ibishill_core::{id, time};
 
+use super::doubt::{self, Warmth};
 use super::{Balancer, Endpoint};
 use crate::endpoint_key::EndpointKey;
 use crate::rate;
@@ -43,63 +44,90 @@
 }
 
 impl Balancer {
-    /// Whether an endpoint has started recently or its last connection failed.
+    /// Whether an endpoint has started recently, or may have done so.
     pub fn is_cold(&self, id: &id::EndpointId, now: time::Tick) -> bool {
-        self.endpoints
-            .get(id)
-            .is_some_and(|endpoint| endpoint.was_unreachable || endpoint.cold_until > now)
+        self.endpoints.get(id).is_some_and(|endpoint| endpoint.warmth.is_cold(now))
     }
 
-    /// Records that an endpoint stays cold for a time, as its health check says; returns whether this
-    /// was unknown.
+    /// Records that an endpoint stays cold for a time, or is warm, as its health check of the time `asked` says;
+    /// returns whether that it is cold was unknown.
     pub fn record_health(
         &mut self,
         id: &id::EndpointId,
         cold_remaining: time::Millis,
-        now: time::Tick,
+        (asked, now): (time::Tick, time::Tick),
     ) -> bool {
-        let Some(endpoint) = self.endpoints.get_mut(id).filter(|_| cold_remaining.0 > 0) else {
-            return false;
-        };
-        endpoint.checked_until = now + cold_remaining;
-        endpoint.hear_cold(cold_remaining, now)
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
+        let mut is_news = false;
+        if cold_remaining.0 > 0 {
+            endpoint.warmth.checked_until = now + cold_remaining;
+            is_news = endpoint.warmth.hear_cold(cold_remaining, now);
+        }
+        self.settle(id, doubt::Cause::Health, asked);
+        is_news
     }
 
     /// Whether an endpoint is cold by a health check of this daemon or of a peer. A registration may be
     /// outdated, so that daemons differ in what they take from it.
     pub fn is_checked_cold(&self, id: &id::EndpointId, now: time::Tick) -> bool {
         let found = self.endpoints.get(id);
-        found.is_some_and(|found| found.checked_until > now)
+        found.is_some_and(|found| found.warmth.checked_until > now)
     }
 
-    /// Merges what peers tell of cold endpoints.
-    pub fn merge_cold(&mut self, told: Vec<(EndpointKey, time::Millis)>, now: time::Tick) {
-        for (key, cold_remaining) in told {
-            let mut endpoints = self.endpoints.values_mut();
-            if let Some(endpoint) = endpoints.find(|endpoint| endpoint.key == key) {
-                endpoint.hear_cold(cold_remaining, now);
-            }
-        }
+    /// Records that an endpoint is cold, as a peer tells; returns whether it was warm here.
+    pub fn hear_cold(
+        &mut self,
+        id: &id::EndpointId,
+        cold_remaining: time::Millis,
+        now: time::Tick,
+    ) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
+        let was_warm = !endpoint.warmth.is_cold(now);
+        endpoint.warmth.hear_cold(cold_remaining, now) && was_warm
     }
 
-    /// Endpoints that have turned cold lately, and how long they stay so, at most `count`, for peers.
-    pub fn told_cold(&self, count: usize, now: time::Tick) -> Vec<(EndpointKey, time::Millis)> {
-        let is_news = |endpoint: &&Endpoint| {
-            endpoint.cold_heard.is_some_and(|heard| now.since(heard) < NEWS_TTL)
-        };
-        let news = self.endpoints.values().filter(is_news);
-        news.map(|endpoint| (endpoint.key, endpoint.cold_until.since(now))).take(count).collect()
+    /// Endpoints that are cold or refuse connections, and how long they stay cold, at most `count`, for peers: those
+    /// of which that was heard lately, the last ones first, or all for a peer that may know of none.
+    ///
+    /// One that has started again is told by the key of its earlier start, too, as peers may know only that one.
+    pub fn told_cold(
+        &self,
+        count: usize,
+        is_complete: bool,
+        now: time::Tick,
+    ) -> Vec<(EndpointKey, time::Millis)> {
+        let mut told = Vec::new();
+        for endpoint in self.endpoints.values() {
+            let warmth = &endpoint.warmth;
+            // Peers may reach an endpoint that this daemon does not.
+            let is_told = is_complete || !self.contacts.is_out(endpoint.key);
+            let remaining = match warmth.refused {
+                Some(_) if is_told => warmth.duration,
+                _ => warmth.cold_until.since(now),
+            };
+            let heard = warmth.refused.max(warmth.heard);
+            let is_recent = heard.is_some_and(|heard| now.since(heard) < NEWS_TTL);
+            if remaining.0 > 0 && (is_complete || is_recent) {
+                told.push((heard, endpoint, remaining));
+            }
+        }
+        told.sort_by_key(|(heard, ..)| std::cmp::Reverse(*heard));
+        let told = told.into_iter().flat_map(|(_, endpoint, remaining)| {
+            let keys = std::iter::once(endpoint.key).chain(endpoint.earlier);
+            keys.map(move |key| (key, remaining))
+        });
+        told.take(count).collect()
     }
 }
 
-impl Endpoint {
+impl Warmth {
     fn hear_cold(&mut self, cold_remaining: time::Millis, now: time::Tick) -> bool {
         let until = now + cold_remaining;
         let is_new = until > self.cold_until.max(now) + SAME_MAX;
         if is_new {
             self.cold_until = until;
             self.checked_until = until;
-            self.cold_heard = Some(now);
+            self.heard = Some(now);
         }
         is_new
     }
@@ -109,7 +137,7 @@
 where
     R: Fn(&id::EndpointId) -> usize,
 {
-    let is_cold = cold.is_stale || endpoint.was_unreachable || endpoint.cold_until > now;
+    let is_cold = cold.is_stale || endpoint.warmth.is_cold(now);
     if !is_cold || cold.rate <= 0.0 {
         return true;
     }
--- a/crates/ibishill-decide/src/balance/endpoint.rs
+++ b/crates/ibishill-decide/src/balance/endpoint.rs
@@ -35,13 +35,9 @@
     // Time that work takes there, as a multiple of the usual one, and when the engine said so.
     pub(super) work: Option<(f64, time::Tick)>,
     pub(super) breaker: outlier::Breaker,
-    // The last connection failed; the endpoint may have restarted since.
-    pub(super) was_unreachable: bool,
-    pub(super) cold_until: time::Tick,
-    // Until when a health check, of this daemon or of a peer, found it cold.
-    pub(super) checked_until: time::Tick,
-    // When it was last heard, from its health check or a peer, that it has turned cold.
-    pub(super) cold_heard: Option<time::Tick>,
+    // Key of the incarnation before, which peers may still know.
+    pub(super) earlier: Option<endpoint_key::EndpointKey>,
+    pub(super) warmth: doubt::Warmth,
     pub(super) cold_bucket: rate::Bucket,
     pub(super) speed: speed::Speed,
 }
@@ -63,13 +59,6 @@
 /// report counts. An engine whose queue is long seldom responds.
 const WAITING_TTL: time::Millis = time::Millis(4_000);
 
-impl Endpoint {
-    pub(super) fn doubt(&self, is_doubted: bool, cause: doubt::Cause) -> doubt::Change {
-        let (endpoint, cold_until) = (self.entry.id.clone(), self.cold_until);
-        doubt::Change { endpoint, is_doubted, cause, cold_until }
-    }
-}
-
 impl Endpoint {
     // Time that work takes there, as a multiple of the usual one.
     pub(super) fn work_factor(&self, now: time::Tick) -> f64 {
--- a/crates/ibishill-decide/src/balance/prefix_use.rs
+++ b/crates/ibishill-decide/src/balance/prefix_use.rs
@@ -35,6 +35,11 @@
         self.0.insert((prefix, endpoint), now);
     }
 
+    /// Forgets what was sent to an engine, which has started again and holds nothing.
+    pub(super) fn remove(&mut self, endpoint: u32) {
+        self.0.retain(|(_, found), _| *found != endpoint);
+    }
+
     /// Share of a prefix that is likely to be cached at an engine of which this part of the memory is in use.
     pub(super) fn cached(
         &self,
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -16,6 +16,9 @@
 /// after more than four seconds.
 pub const HEARTBEAT_TIMEOUT: time::Millis = time::Millis(6_000);
 
+/// Age of a daemon's process up to which it may not know what happened before its start.
+const NEW_AGE: time::Millis = time::Millis(3_000);
+
 /// Time without a new heartbeat after which a daemon is removed.
 const REMOVE_AFTER: time::Millis = time::Millis(60_000);
 
@@ -196,6 +199,12 @@
         self.known.get(vm).map(|known| known.member.address)
     }
 
+    /// Whether the daemon at an address is unknown, or has started lately by the time of day.
+    pub fn has_started_lately(&self, address: SocketAddr, wall: time::Tick) -> bool {
+        let found = self.others().find(|member| member.address == address);
+        found.is_none_or(|member| wall.0.saturating_sub(member.start) < NEW_AGE.0)
+    }
+
     /// Whether a known daemon with this address is in this daemon's zone.
     pub fn is_in_own_zone(&self, address: SocketAddr) -> bool {
         self.others().any(|member| member.address == address && member.zone == self.own.zone)
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -76,7 +76,7 @@
         },
         Case {
             name: "removed",
-            change: |balancer| balancer.remove(&"e0".parse().unwrap()),
+            change: |balancer| balancer.remove(&"e0".parse().unwrap(), time::Tick(0)),
             rule: SLOW_START,
             expected: balance::Choice::NoEndpoint,
         },
@@ -185,11 +185,11 @@
     let now = time::Tick(1_000);
     balancer.begin(&id, balance::Work::default(), SLOW_START, 0, now);
     balancer.end(&id, balance::Work::default(), now);
-    balancer.record_attempt(&id, outlier::Attempt::Unreachable, None, SLOW_START, now);
+    balancer.record_attempt(&id, outlier::Attempt::Unreachable, None, SLOW_START, (now, now));
     let soon = time::Tick(1_010);
     let choice = balancer.pick(&request(&service, &[]), SLOW_START, first_rank, soon);
     assert_eq!(choice, balance::Choice::Full);
-    balancer.record_attempt(&id, outlier::Attempt::Good, None, SLOW_START, soon);
+    balancer.record_attempt(&id, outlier::Attempt::Good, None, SLOW_START, (soon, soon));
     let choice = balancer.pick(&request(&service, &[]), SLOW_START, first_rank, time::Tick(1_020));
     assert_eq!(choice, balance::Choice::Full, "it may have restarted");
     let later = time::Tick(soon.0 + SLOW_START.duration.0 + 1);
@@ -409,14 +409,19 @@
     let mut daemons = vec![balancer(1); 3];
     let id: id::EndpointId = "e0".parse().unwrap();
     let remaining = time::Millis(4_000);
-    assert!(daemons[0].record_health(&id, remaining, time::Tick(1_000)));
-    assert!(!daemons[0].record_health(&id, remaining, time::Tick(1_100)));
+    let at = |ms| (time::Tick(ms), time::Tick(ms));
+    assert!(daemons[0].record_health(&id, remaining, at(1_000)));
+    assert!(!daemons[0].record_health(&id, remaining, at(1_100)));
     for now in (1_050..9_000).step_by(50) {
         for sender in 0..daemons.len() {
-            let told = daemons[sender].told_cold(16, time::Tick(now));
+            let told = daemons[sender].told_cold(16, false, time::Tick(now));
+            let own = daemons[sender].key(&id).unwrap();
             for receiver in &mut daemons {
                 // A message takes 20 ms.
-                receiver.merge_cold(told.clone(), time::Tick(now + 20));
+                for (key, remaining) in &told {
+                    assert_eq!(*key, own);
+                    receiver.hear_cold(&id, *remaining, time::Tick(now + 20));
+                }
             }
         }
         for (at, daemon) in daemons.iter().enumerate() {
@@ -436,7 +441,7 @@
     for id in &ids {
         let key = balancer.key(id).unwrap();
         let unreachable = outlier::Attempt::Unreachable;
-        balancer.record_attempt(id, unreachable, None, SLOW_START, start);
+        balancer.record_attempt(id, unreachable, None, SLOW_START, (start, start));
         balancer.contacts().record_failure(key, start);
         let later = start + time::Millis(100);
         balancer.contacts().record_evidence(&peer, &[(key, time::Millis(0))], later);
@@ -449,6 +454,11 @@
     for id in &ids {
         let key = balancer.key(id).unwrap();
         balancer.contacts().record_answer(key, later);
+        assert!(
+            balancer.is_cold(id, later),
+            "it may have started again before peers were answered"
+        );
+        assert!(!balancer.record_start(id, 1, later, later));
         assert!(!balancer.is_cold(id, later));
     }
     let choice = balancer.pick(&request(&pool, &[]), SLOW_START, first_rank, later);
--- a/crates/ibishill-decide/tests/relay/main.rs
+++ b/crates/ibishill-decide/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod canary;
 mod contact;
+mod doubt;
 mod earlier_rollouts;
 mod endpoint_limit;
 mod escalation;
--- a/crates/ibishill-decide/tests/relay/reach.rs
+++ b/crates/ibishill-decide/tests/relay/reach.rs
@@ -218,7 +218,13 @@
             let is_over = *until <= now;
             if is_over {
                 balancer.reach().record(&zone("b"), id, TIMED_OUT, (*limit, *limit), now);
-                balancer.record_attempt(id, outlier::Attempt::Unreachable, None, SLOW_START, now);
+                balancer.record_attempt(
+                    id,
+                    outlier::Attempt::Unreachable,
+                    None,
+                    SLOW_START,
+                    (now, now),
+                );
             }
             !is_over
         });
--- a/crates/ibishill-decide/tests/relay/surge.rs
+++ b/crates/ibishill-decide/tests/relay/surge.rs
@@ -191,7 +191,7 @@
                 let load =
                     balance::Load { running: queue.len() as u32, waiting: queue.len() as u32 };
                 let attempt = ibishill_decide::outlier::Attempt::Good;
-                balancer.record_attempt(&id, attempt, Some(load), SLOW_START, now);
+                balancer.record_attempt(&id, attempt, Some(load), SLOW_START, (now, now));
                 if let Some(made) = sent.made {
                     balancer.forecasts().record_start(&made, time::Millis(took), now);
                 }
--- a/crates/ibishill-decide/tests/relay/zone_local.rs
+++ b/crates/ibishill-decide/tests/relay/zone_local.rs
@@ -277,7 +277,7 @@
         TierCase { name: "nothing", change: |_| {}, after: 100 },
         TierCase {
             name: "an engine is gone",
-            change: |balancer| balancer.remove(&"a-3".parse().unwrap()),
+            change: |balancer| balancer.remove(&"a-3".parse().unwrap(), time::Tick(0)),
             after: 0,
         },
         TierCase {
@@ -363,7 +363,7 @@
             slots: 32,
             change: |balancer, id| {
                 let load = Some(balance::Load { running: 20, waiting: 6 });
-                balancer.record_attempt(id, outlier::Attempt::Good, load, SLOW_START, NOW);
+                balancer.record_attempt(id, outlier::Attempt::Good, load, SLOW_START, (NOW, NOW));
                 balancer.record_work(id, 1.4, NOW);
             },
             expected: Some((0.0, 6.0, 200, 1.4)),
--- a/crates/ibishill-relay/src/attempt.rs
+++ b/crates/ibishill-relay/src/attempt.rs
@@ -10,7 +10,8 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, fleet, id, route, time};
-use ibishill_decide::{balance, canary, gate, outlier, reach};
+use ibishill_decide::balance::{self, doubt};
+use ibishill_decide::{canary, gate, outlier, reach};
 use tokio::net::TcpStream;
 use tokio::time as clock;
 
@@ -20,7 +21,7 @@
 use crate::request::{Destination, Received, Target};
 use crate::state::State;
 use crate::upstream::{self, CallError};
-use crate::{early_end, isolation, retry_budget, rollout, rollout_log, selection};
+use crate::{cold_check, early_end, isolation, retry_budget, rollout, rollout_log, selection};
 
 /// A streamed response whose head has arrived.
 pub(crate) struct StreamStart {
@@ -202,6 +203,7 @@
             Ok(answered) => answered,
             Err(error) => {
                 isolation::record_failure(&guard.context, &registration.id);
+                cold_check::doubt(&guard.context, registration, doubt::Cause::Cut);
                 let detail = error.to_string();
                 return match error {
                     CallError::Unknown(_) => (Outcome::Unknown, detail),
@@ -256,6 +258,7 @@
         Ok(bytes) => (Outcome::Response(head.map(|()| bytes)), String::new()),
         Err(error) => {
             isolation::record_failure(&guard.context, &registration.id);
+            cold_check::doubt(&guard.context, registration, doubt::Cause::Cut);
             (Outcome::Unknown, error.to_string())
         }
     }
@@ -342,6 +345,7 @@
         isolation::record_failure(context, &registration.id);
     }
     if matches!(result, Err(CallError::Connect(_))) {
+        cold_check::doubt(context, registration, doubt::Cause::Refused);
         early_end::record_refused(context, registration);
     }
     if has_changed {
@@ -406,7 +410,8 @@
     }
     // A refusal or a local error says nothing about the endpoint's health.
     if !matches!(outcome, Outcome::Refused | Outcome::NotAttempted) {
-        state.balancer.record_attempt(&target.endpoint, attempt, load, slow_start, now);
+        let span = (started, now);
+        state.balancer.record_attempt(&target.endpoint, attempt, load, slow_start, span);
         state.log_doubts(now);
         let answer = match (attempt, outcome) {
             (outlier::Attempt::Unreachable, _) => None,
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use ibishill_core::{event, time};
+use ibishill_core::{clock as wall, event, time};
 use ibishill_decide::{canary, peers};
 use ibishill_state::{confirmation, transfer};
 use tokio::time as clock;
@@ -49,6 +49,9 @@
 /// Maximum number of limits and of prompt segments that a message tells of.
 const NEWS_MAX: (usize, usize) = (64, 64);
 
+/// Maximum number of cold endpoints that a peer is told of which has just started, 7 bytes each.
+const COLD_MAX: usize = 512;
+
 /// Daemons that decide on a roll-out; two, so that one may fail.
 pub(crate) const DECIDERS: usize = 2;
 
@@ -200,7 +203,7 @@
     round: u64,
 ) -> Option<wire::Gossip> {
     let address = target.address;
-    let message = build_message(context, deltas, target.is_decider, round, None);
+    let message = build_message(context, deltas, target, round, None);
     let format = context.peer_formats.borrow().of_message(address, context.now());
     let mut response = post(context, &message, address, format).await?;
     if format == Format::Parts && response.status() == StatusCode::BAD_REQUEST {
@@ -273,7 +276,7 @@
 fn build_message(
     context: &Shared,
     deltas: Vec<(usize, transfer::Delta)>,
-    is_decider: bool,
+    Target { address, is_decider }: Target,
     round: u64,
     receiver_known: Option<usize>,
 ) -> wire::Gossip {
@@ -285,9 +288,14 @@
     } else {
         HEARTBEATS_PER_MESSAGE
     };
+    let is_new = state.peers.has_started_lately(address, wall::wall_now());
     let own = &state.settings.vm;
     let canaries =
         state.canaries.values().map(|canary| canary.snapshot(own, is_decider, now)).collect();
+    let mut news = state.news(NEWS_MAX, true, now);
+    if is_new {
+        news.cold = state.balancer.told_cold(COLD_MAX, true, now);
+    }
     wire::Gossip {
         address: state.settings.advertised,
         build: wire::BUILD.to_owned(),
@@ -297,7 +305,7 @@
         deltas,
         canaries,
         configuration: state.announcement(now),
-        news: state.news(NEWS_MAX, true, now),
+        news,
     }
 }
 
@@ -314,6 +322,8 @@
     let now = context.now();
     let own = context.vm();
     let mut state = context.state();
+    let sender = message.members.iter().find(|member| member.address == message.address);
+    let start = sender.map(|sender| sender.start);
     for member in message.members {
         let (vm, address) = (member.vm.clone(), member.address);
         if state.peers.record(member, now) {
@@ -324,13 +334,17 @@
         }
     }
     state.record_announcement(&message.configuration, now);
-    state.merge_news(message.news, now);
     let mut merged = Merged::default();
     for (at, delta) in message.deltas {
         if let Some(table) = Table::ALL.get(at) {
             merged = merged.and(state.accept(*table, delta, message.address, now));
         }
     }
+    // After the rows: news names endpoints that only these tell of.
+    state.merge_news(message.news, now);
+    if let Some(start) = start {
+        state.record_informant(message.address, start, wall::wall_now());
+    }
     state.record_confirmations(&message.versions, now);
     let mut snapshots = BTreeMap::new();
     for snapshot in message.canaries {
@@ -378,9 +392,10 @@
         decode(body, own_address).ok_or(StatusCode::BAD_REQUEST)?;
     context.peer_formats.borrow_mut().record(received.address, format, context.now());
     let (versions, receiver_known) = (received.versions.clone(), received.known);
+    let receiver = Target { address: received.address, is_decider: false };
     record(context, received);
     let round = context.now().0;
     let deltas = missing_deltas(context, &versions);
-    let response = build_message(context, deltas, false, round, Some(receiver_known));
+    let response = build_message(context, deltas, receiver, round, Some(receiver_known));
     wire::encode_gossip(&response, format).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/crates/ibishill-relay/src/isolation.rs
+++ b/crates/ibishill-relay/src/isolation.rs
@@ -17,7 +17,7 @@
 
 use crate::context::Shared;
 use crate::state::State;
-use crate::{packet, upstream};
+use crate::{cold_check, packet, upstream};
 
 /// Interval of the checks for endpoints that owe an answer.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -171,8 +171,14 @@
         (registration, path, hold)
     };
     let has_check = !path.is_empty();
+    let asked = context.now();
     let is_reached = if has_check {
-        check(&registration, path).await
+        let health = check(&registration, path).await;
+        if let Some(health) = &health {
+            // What is reached again may have started again meanwhile.
+            cold_check::record_health(&context, health, asked);
+        }
+        health.is_some()
     } else {
         keeps_connection(registration.address, PROBE_TIMEOUT, hold).await
     };
@@ -228,14 +234,14 @@
     }
 }
 
-// Whether an endpoint answers a health check: another one may have its address by now.
-async fn check(registration: &fleet::Registration, path: String) -> bool {
+// What an endpoint answers to a health check; none if another one does, which may have its address by now.
+async fn check(registration: &fleet::Registration, path: String) -> Option<head::Health> {
     let request = store::get(&registration.address.to_string(), path);
     let limits = upstream::Limits::small(PROBE_TIMEOUT.to_std());
     let progress = upstream::Progress::default();
     let response = upstream::exchange(registration.address, request, limits, &progress).await;
     let health = response.ok().and_then(|response| head::decode_health(response.headers()));
-    health.is_some_and(|health| health.endpoint == registration.id)
+    health.filter(|health| health.endpoint == registration.id)
 }
 
 // Whether a connection is accepted and stays open: a server waits for the request, or greets.
--- a/crates/ibishill-relay/src/metrics.rs
+++ b/crates/ibishill-relay/src/metrics.rs
@@ -258,7 +258,8 @@
          relay_connections_refused {}\nrelay_connections_closed {}\n\
          relay_prompts_forgotten {}\nrelay_bodies_cut {}\n\
          relay_endpoints_fragile {}\nrelay_endpoints_leaving {}\n\
-         relay_services_short {}\nrelay_workspaces_yielding {}\n",
+         relay_services_short {}\nrelay_workspaces_yielding {}\n\
+         relay_endpoints_doubted {}\n",
         state.connections,
         state.peers.alive_count(now),
         state.catalog.as_ref().map_or(0, |catalog| catalog.version),
@@ -284,6 +285,7 @@
         leaving,
         short,
         yielding,
+        state.balancer.doubt_count(),
     );
     let counts = state.balancer.counts(now);
     for (name, count) in [
--- a/crates/ibishill-relay/src/restored.rs
+++ b/crates/ibishill-relay/src/restored.rs
@@ -52,8 +52,8 @@
     }
 
     /// Keeps a row from counting for a while.
-    pub(crate) fn hold(&mut self, table: Table, record: &fleet::RawRow, now: time::Tick) {
-        self.held.insert((table, record.key.clone()), now + HOLD);
+    pub(crate) fn hold(&mut self, table: Table, key: &str, now: time::Tick) {
+        self.held.insert((table, key.to_owned()), now + HOLD);
     }
 
     /// The row was written again and counts.
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -157,6 +157,10 @@
     restored: restored::Restored,
     /// Number of restores of the store that this relay has seen.
     pub(crate) restores: u64,
+    /// When the endpoints were first loaded.
+    loaded: Option<time::Tick>,
+    /// Whether a peer has told which endpoints have started lately, or none has.
+    is_informed: bool,
 }
 
 impl State {
@@ -195,6 +199,8 @@
             lapsed: BTreeMap::new(),
             restored: restored::Restored::default(),
             restores: 0,
+            loaded: None,
+            is_informed: settings.is_bootstrap,
             settings,
         }
     }
@@ -413,6 +419,7 @@
         }
         self.peers.expire(now);
         self.balancer.reports().expire(now);
+        self.balancer.expire(now);
         self.fair_share.expire(now);
         self.promises.expire(now);
         self.divide(now);
@@ -429,7 +436,26 @@
         balance::SlowStart {
             duration: found.map_or(time::Millis(0), |service| service.cold_start),
             rate: found.map_or(0.0, |service| service.cold_rate),
-            is_stale: self.stale_until > now,
+            is_stale: self.stale_until > now || self.is_uninformed(now),
+        }
+    }
+
+    // Whether an endpoint may have started while this relay did, with nobody to tell of it.
+    fn is_uninformed(&self, now: time::Tick) -> bool {
+        let is_recent = |loaded| now.since(loaded) < self.max_cold_start();
+        !self.is_informed && self.loaded.is_some_and(is_recent)
+    }
+
+    /// Records that a peer has told all that it knows, which started at `start` by the time of day. One that has run
+    /// for longer than a cold start has seen, or was told, which endpoints have started lately.
+    pub(crate) fn record_informant(&mut self, peer: SocketAddr, start: u64, wall: time::Tick) {
+        let has_run = time::Millis(wall.0.saturating_sub(start));
+        if !self.is_informed && self.is_loaded() && has_run >= self.max_cold_start() {
+            self.is_informed = true;
+            event::emit_json(
+                event::Event::RelayInformed,
+                &[event::field("peer", &peer), event::field("ran", &has_run)],
+            );
         }
     }
 
--- a/crates/ibishill-relay/src/state/news.rs
+++ b/crates/ibishill-relay/src/state/news.rs
@@ -7,6 +7,9 @@
 use crate::early_end;
 use crate::told::News;
 
+/// Maximum number of cold endpoints that a message tells of, 7 bytes each.
+const COLD_MAX: usize = 64;
+
 impl State {
     /// Records the terms that an endpoint's answer states; returns whether peers are to hear of it at once.
     pub(crate) fn record_terms(
@@ -58,7 +61,15 @@
         if gate.slots().merge(news.fragile, now) || is_limited {
             self.divide(now);
         }
-        self.balancer.merge_cold(news.cold, now);
+        for (key, remaining) in news.cold {
+            let Some(id) = self.endpoint_ids.get(&key) else { continue };
+            if self.balancer.hear_cold(id, remaining, now) {
+                event::emit_json(
+                    event::Event::ColdHeard,
+                    &[event::field("endpoint", id), event::field("remaining", &remaining)],
+                );
+            }
+        }
         self.quarantine.merge(news.evidence, now);
         self.exposures.merge(news.exposures, now);
         early_end::judge(self, now);
@@ -72,7 +83,7 @@
             leaving: self.balancer.gate().told_leaving(max.0, now),
             fragile: self.balancer.gate().slots().told(max.0, now),
             evidence: self.quarantine.evidence(max.1, is_complete, now),
-            cold: self.balancer.told_cold(max.0, now),
+            cold: self.balancer.told_cold(COLD_MAX, false, now),
             // A report gets its own, as many as its receivers allow.
             exposures: if is_complete { self.exposures.gossip(now) } else { Vec::new() },
         }
--- a/crates/ibishill-relay/src/state/rows.rs
+++ b/crates/ibishill-relay/src/state/rows.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use ibishill_adapter::row;
 use ibishill_core::{event, fleet, id, store_version, time};
+use ibishill_decide::balance::doubt;
 use ibishill_decide::endpoint_key;
 use ibishill_state::replica;
 
@@ -26,12 +27,15 @@
         let before = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         let is_restore = delta.is_whole && replica.table.is_later_era(&delta);
         let delta = if is_restore { self.enter_era(table, delta, now) } else { delta };
+        if is_initial && table == Table::Endpoints {
+            self.loaded = Some(now);
+        }
         let replica = self.replicas.entry(table).or_default();
         let changed = replica.table.merge(delta);
         replica.transfer.record(&changed, replica.table.version());
         for record in &changed {
             if is_restore && self.restored.defers(table, record, &self.balancer, &self.canaries) {
-                self.restored.hold(table, record, now);
+                self.restored.hold(table, &record.key, now);
             } else {
                 self.restored.release(table, &record.key);
                 self.apply_record(table, record, is_initial, now);
@@ -177,10 +181,10 @@
                 self.balancer.take_zone_out(zone);
                 self.expect_ends();
             }
-            fleet::Row::Registration(mut registration) => {
-                if is_initial {
-                    // The first read does not show the age of an entry, which may be warm by now.
-                    registration.cold_remaining = registration.cold_remaining.min(LAPSE_GRACE);
+            fleet::Row::Registration(registration) => {
+                if self.balancer.is_earlier_start(&registration) {
+                    self.hold_earlier(&registration, version, now);
+                    return;
                 }
                 self.lapsed.remove(&registration.id);
                 self.restored.record_back(&registration);
@@ -212,6 +216,28 @@
         }
     }
 
+    // Keeps a registration of an earlier start from counting, which was written late. It counts if nothing replaces
+    // it, as the endpoint's time of day may have been set back.
+    fn hold_earlier(
+        &mut self,
+        registration: &fleet::Registration,
+        version: store_version::StoreVersion,
+        now: time::Tick,
+    ) {
+        event::emit_json(
+            event::Event::EntryHeld,
+            &[
+                event::field("endpoint", &registration.id),
+                event::field("started", &Started(registration.started)),
+                event::field("row", &version),
+            ],
+        );
+        self.restored.hold(Table::Endpoints, registration.id.as_str(), now);
+        let cold = self.slow_start(&registration.service, now);
+        let _is_news = self.balancer.doubt(&registration.id, doubt::Cause::EarlierEntry, cold, now);
+        self.log_doubts(now);
+    }
+
     fn apply_removal(&mut self, table: Table, record: &fleet::RawRow, now: time::Tick) {
         match table {
             Table::Endpoints => {
@@ -246,10 +272,13 @@
         let current = self.replica(table).table.row(&key).cloned();
         let version = self.replica(table).table.version();
         let record = current.unwrap_or(fleet::RawRow { key, version, value: None });
+        if let (Table::Endpoints, Ok(id)) = (table, record.key.parse()) {
+            self.balancer.forget_start(&id);
+        }
         self.apply_record(table, &record, false, now);
     }
 
-    fn max_cold_start(&self) -> time::Millis {
+    pub(super) fn max_cold_start(&self) -> time::Millis {
         let services = self.catalog.iter().flat_map(|catalog| catalog.services.values());
         services.map(|service| service.cold_start).max().unwrap_or_default()
     }
@@ -270,7 +299,7 @@
         if let Some(key) = self.balancer.entry(id).map(endpoint_key::EndpointKey::of) {
             self.displace(key, now);
         }
-        self.balancer.remove(id);
+        self.balancer.remove(id, now);
         self.log_doubts(now);
     }
 
--- a/crates/ibishill-relay/src/stream.rs
+++ b/crates/ibishill-relay/src/stream.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use ibishill_adapter::head;
 use ibishill_core::{event, id, time};
-use ibishill_decide::balance::speed;
+use ibishill_decide::balance::{doubt, speed};
 use ibishill_decide::rollout::pace;
 use ibishill_decide::{canary, outlier};
 use tokio::sync::mpsc;
@@ -21,7 +21,8 @@
 use crate::context::Shared;
 use crate::request::{Destination, Received};
 use crate::{
-    continuation, early_end, event_sequence, hop, isolation, retry_budget, selection, unread,
+    cold_check, continuation, early_end, event_sequence, hop, isolation, retry_budget, selection,
+    unread,
 };
 
 /// Least time for a caller to take what was forwarded before its stream is broken off; at the route's timeout the
@@ -428,11 +429,16 @@
     fn record_break(&self) {
         let Some(target) = self.destination.target() else { return };
         isolation::record_failure(&self.context, &target.endpoint);
+        let entry = self.context.state().balancer.entry(&target.endpoint).cloned();
+        if let Some(entry) = entry {
+            cold_check::doubt(&self.context, &entry, doubt::Cause::Cut);
+        }
         let now = self.context.now();
         let mut state = self.context.state();
         let slow_start = state.slow_start(&self.received.service, now);
         let failed = outlier::Attempt::Failed;
-        state.balancer.record_attempt(&target.endpoint, failed, None, slow_start, now);
+        let span = (self.beginning.began(), now);
+        state.balancer.record_attempt(&target.endpoint, failed, None, slow_start, span);
         if !state.balancer.is_out_of_reach(&target.endpoint) {
             let lost = canary::Outcome::Lost;
             attempt::record_for_rollout(&mut state, &self.context, &self.received, target, lost);
