relay: news of cold endpoints lasts, ends and spreads as the endpoints do

Peers had been told of a refused connection at up to 8.2 s and counted the endpoint as cold for 3 s from then, while it came back after; a correction of less than 0.5 s is taken for the same news and was dropped. All relays sent at the full rate from 11.1 s on, and it was cold until 11.25 s.

- A refused connection is told as a cold start and 0.5 s more, and only once a check of the endpoint is refused as well: one that resets a connection for want of room is not taken for cold by all relays.
An own health check always counts in full.
- While connections were only cut, an answer leaves the doubt to the check that runs, instead of beginning a cold start at all relays.
- The start time that an engine reports ends a doubt if it is the known one; another one counts only with a health check that names the endpoint, as the address may be another's.
- A registration of an earlier start counts after 4.5 s, also if it is written again and again: the time of day may have been set back.
- More ends at once than a message tells of are told in an order that differs from message to message, and those are checked first that have waited longest.
Prompt memory is forgotten also if the registration was removed between two starts.
- A service counts as unknown to a relay that has just started for its own cold start, not for the longest one.

--- a/crates/ibishill-decide/src/balance.rs
+++ b/crates/ibishill-decide/src/balance.rs
@@ -306,7 +306,11 @@
                 let part = contact::Part::of(&entry);
                 let mut warmth = self.warmth(&entry.id).unwrap_or_default();
                 warmth.cold_until = warmth.cold_until.max(cold_until);
+                if warmth.started != entry.started {
+                    self.prefixes.remove(report_key(&entry.id));
+                }
                 warmth.started = entry.started;
+                warmth.earlier_since = None;
                 self.gone.remove(&entry.id);
                 self.gate.register(key, &entry, now);
                 let endpoint = Endpoint {
@@ -329,7 +333,6 @@
                     self.contacts.remove(earlier.key);
                     self.gate.remove(earlier.key);
                     self.forecasts.remove(earlier.report_key);
-                    self.prefixes.remove(earlier.report_key);
                 }
                 self.contacts.register(key, part);
             }
@@ -563,8 +566,8 @@
             let _is_news = self.doubt(id, doubt::Cause::Unreached, cold, now);
         }
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
-        let is_answered = attempt == outlier::Attempt::Good
-            && endpoint.warmth.doubted.is_some_and(|sign| sign < began);
+        let is_answered =
+            attempt == outlier::Attempt::Good && endpoint.warmth.is_answered(began, now);
         if is_answered {
             let warmth = &mut endpoint.warmth;
             warmth.cold_until = warmth.cold_until.max(now + cold.duration);
--- a/crates/ibishill-decide/src/balance/cold.rs
+++ b/crates/ibishill-decide/src/balance/cold.rs
@@ -2,6 +2,7 @@
 //! registrations that tell so don't arrive.
 
 use ibishill_core::{id, time};
+use xxhash_rust::xxh3;
 
 use super::doubt::{self, Warmth};
 use super::{Balancer, Endpoint};
@@ -60,8 +61,10 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
         let mut is_news = false;
         if cold_remaining.0 > 0 {
-            endpoint.warmth.checked_until = now + cold_remaining;
-            is_news = endpoint.warmth.hear_cold(cold_remaining, now);
+            let warmth = &mut endpoint.warmth;
+            warmth.checked_until = now + cold_remaining;
+            is_news = warmth.hear_cold(cold_remaining, now);
+            warmth.cold_until = warmth.cold_until.max(now + cold_remaining);
         }
         self.settle(id, doubt::Cause::Health, asked);
         is_news
@@ -87,7 +90,8 @@
     }
 
     /// Endpoints that are cold or refuse connections, and how long they stay cold, at most `count`, for peers: those
-    /// of which that was heard lately, the last ones first, or all for a peer that may know of none.
+    /// of which that was heard lately, in an order that differs from message to message as many may end at once, or
+    /// all for a peer that may know of none.
     ///
     /// One that has started again is told by the key of its earlier start, too, as peers may know only that one.
     pub fn told_cold(
@@ -102,17 +106,21 @@
             // Peers may reach an endpoint that this daemon does not.
             let is_told = is_complete || !self.contacts.is_out(endpoint.key);
             let remaining = match warmth.refused {
-                Some(_) if is_told => warmth.duration,
+                // It may be back any time until the next check.
+                Some(_) if is_told => time::Millis(warmth.duration.0 + SAME_MAX.0),
                 _ => warmth.cold_until.since(now),
             };
             let heard = warmth.refused.max(warmth.heard);
             let is_recent = heard.is_some_and(|heard| now.since(heard) < NEWS_TTL);
             if remaining.0 > 0 && (is_complete || is_recent) {
-                told.push((heard, endpoint, remaining));
+                told.push((endpoint, remaining));
             }
         }
-        told.sort_by_key(|(heard, ..)| std::cmp::Reverse(*heard));
-        let told = told.into_iter().flat_map(|(_, endpoint, remaining)| {
+        let order = |endpoint: &Endpoint| {
+            xxh3::xxh3_64_with_seed(&endpoint.report_key.to_le_bytes(), now.0)
+        };
+        told.sort_by_key(|(endpoint, _)| order(endpoint));
+        let told = told.into_iter().flat_map(|(endpoint, remaining)| {
             let keys = std::iter::once(endpoint.key).chain(endpoint.earlier);
             keys.map(move |key| (key, remaining))
         });
--- a/crates/ibishill-decide/src/balance/doubt.rs
+++ b/crates/ibishill-decide/src/balance/doubt.rs
@@ -16,11 +16,19 @@
 /// Maximum number of endpoints that are remembered so.
 const GONE_MAX: usize = 4_096;
 
+/// Time after which a registration of an earlier start counts: live endpoints have written their heartbeats since.
+pub const EARLIER_HOLD: time::Millis = time::Millis(4_500);
+
+/// Time for which an answer leaves a doubt to the check that was sent at once.
+const CHECK_TIME: time::Millis = time::Millis(1_000);
+
 /// What has raised a doubt, or ended it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
-    /// The endpoint refused a connection.
+    /// The endpoint refused a connection of a request.
     Refused,
+    /// It refused a check's connection as well, so that peers are told.
+    Gone,
     /// No connection was established.
     Unreached,
     /// A connection ended before the answer was whole.
@@ -31,8 +39,6 @@
     Answered,
     /// A check has found the start that is registered.
     SameStart,
-    /// A check has found another start.
-    OtherStart,
     /// A health check told whether it is cold.
     Health,
 }
@@ -41,12 +47,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Refused => "refused",
+            Self::Gone => "gone",
             Self::Unreached => "unreached",
             Self::Cut => "cut",
             Self::EarlierEntry => "earlier entry",
             Self::Answered => "answered",
             Self::SameStart => "same start",
-            Self::OtherStart => "other start",
             Self::Health => "health",
         })
     }
@@ -72,7 +78,9 @@
     pub(super) started: Option<u64>,
     // Last sign that this process may have ended; none if there is no doubt.
     pub(super) doubted: Option<time::Tick>,
-    // Last refused connection of this doubt, which peers are told of.
+    // Whether all that was noticed is that connections ended.
+    pub(super) is_cut: bool,
+    // Last refused check of this doubt, which peers are told of.
     pub(super) refused: Option<time::Tick>,
     // Time for which the endpoint is cold after a start, as of the last sign.
     pub(super) duration: time::Millis,
@@ -81,6 +89,8 @@
     pub(super) checked_until: time::Tick,
     // When it was last heard, from its health check or a peer, that it has turned cold.
     pub(super) heard: Option<time::Tick>,
+    // Since when registrations of an earlier start come.
+    pub(super) earlier_since: Option<time::Tick>,
     // When it was last checked because of a doubt.
     pub(super) asked: time::Tick,
 }
@@ -89,6 +99,13 @@
     pub(super) fn is_cold(&self, now: time::Tick) -> bool {
         self.doubted.is_some() || self.cold_until > now
     }
+
+    // Whether the answer to a request that began at `began` ends a doubt. While only connections were cut, a check
+    // is about to tell more.
+    pub(super) fn is_answered(&self, began: time::Tick, now: time::Tick) -> bool {
+        let is_left = |sign| self.is_cut && now.since(sign) < CHECK_TIME;
+        self.doubted.is_some_and(|sign| sign < began && !is_left(sign))
+    }
 }
 
 impl Balancer {
@@ -104,20 +121,21 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
         let warmth = &mut endpoint.warmth;
         warmth.duration = cold.duration;
-        let is_refused = cause == Cause::Refused;
-        let is_news = is_refused && warmth.refused.replace(now).is_none();
-        if warmth.doubted.replace(now).is_none() {
+        let is_news = cause == Cause::Gone && warmth.refused.replace(now).is_none();
+        let is_first = warmth.doubted.replace(now).is_none();
+        warmth.is_cut = cause == Cause::Cut && (is_first || warmth.is_cut);
+        if is_first {
             self.log_doubt(id, true, cause);
         }
         is_news
     }
 
-    /// Forgets which start of an endpoint is the latest, so that a registration of an earlier one counts.
-    pub fn forget_start(&mut self, id: &id::EndpointId) {
-        let known = self.endpoints.get_mut(id).map(|found| &mut found.warmth);
-        if let Some(warmth) = known.or_else(|| self.gone.get_mut(id).map(|(warmth, _)| warmth)) {
-            warmth.started = None;
-        }
+    /// Endpoints in doubt, those first that have not been checked for the longest time.
+    pub fn doubted(&self) -> impl Iterator<Item = &fleet::Registration> {
+        let doubted = self.endpoints.values().filter(|found| found.warmth.doubted.is_some());
+        let mut doubted: Vec<_> = doubted.collect();
+        doubted.sort_by_key(|found| found.warmth.asked);
+        doubted.into_iter().map(|found| &found.entry)
     }
 
     /// Whether an endpoint may have started again, as far as this daemon has noticed itself.
@@ -147,27 +165,22 @@
         is_due
     }
 
-    /// Records the start time that an endpoint told in a check sent at `asked`; returns whether it is another one than
-    /// that known, so that it counts as cold from now on.
-    pub fn record_start(
-        &mut self,
-        id: &id::EndpointId,
-        started: u64,
-        asked: time::Tick,
-        now: time::Tick,
-    ) -> bool {
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return false };
-        let warmth = &mut endpoint.warmth;
-        let is_same = warmth.started == Some(started);
-        if !is_same {
-            warmth.started = Some(started);
-            warmth.cold_until = warmth.cold_until.max(now + warmth.duration);
-            warmth.heard = Some(now);
-            let key = endpoint.report_key;
-            self.prefixes.remove(key);
+    /// Records the start time that an endpoint told in a check sent at `asked`; returns whether it is the one that is
+    /// known, which ends the doubt. A health check tells whether another one is cold.
+    pub fn record_start(&mut self, id: &id::EndpointId, started: u64, asked: time::Tick) -> bool {
+        let known = self.endpoints.get(id).and_then(|found| found.warmth.started);
+        let is_same = known == Some(started);
+        if is_same {
+            self.settle(id, Cause::SameStart, asked);
         }
-        self.settle(id, if is_same { Cause::SameStart } else { Cause::OtherStart }, asked);
-        !is_same
+        is_same
+    }
+
+    /// Replaces the latest start of an endpoint by one that it has told itself.
+    pub fn replace_start(&mut self, id: &id::EndpointId, started: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        endpoint.warmth.started = Some(started);
+        self.prefixes.remove(endpoint.report_key);
     }
 
     /// Ends the doubt of an endpoint unless a sign has come after `asked`.
@@ -191,10 +204,19 @@
         std::mem::take(&mut self.doubts)
     }
 
-    /// Whether a registration is of an earlier start than the latest that is known.
-    pub fn is_earlier_start(&self, entry: &fleet::Registration) -> bool {
-        let known = self.warmth(&entry.id).and_then(|warmth| warmth.started);
-        known.zip(entry.started).is_some_and(|(known, started)| started < known)
+    /// Whether a registration is of an earlier start than the latest that is known, and has not come for long enough to
+    /// count: a late write is replaced by the endpoint's next ones, unless its time of day was set back.
+    pub fn is_earlier_start(&mut self, entry: &fleet::Registration, now: time::Tick) -> bool {
+        let known = self.endpoints.get_mut(&entry.id).map(|found| &mut found.warmth);
+        let gone = self.gone.get_mut(&entry.id).map(|(warmth, _)| warmth);
+        let Some(warmth) = known.or(gone) else { return false };
+        let is_earlier =
+            warmth.started.zip(entry.started).is_some_and(|(known, started)| started < known);
+        if !is_earlier {
+            warmth.earlier_since = None;
+            return false;
+        }
+        now.since(*warmth.earlier_since.get_or_insert(now)) < EARLIER_HOLD
     }
 
     // What is known of an endpoint that is registered, or was lately.
--- a/crates/ibishill-decide/src/peers.rs
+++ b/crates/ibishill-decide/src/peers.rs
@@ -17,7 +17,7 @@
 pub const HEARTBEAT_TIMEOUT: time::Millis = time::Millis(6_000);
 
 /// Age of a daemon's process up to which it may not know what happened before its start.
-const NEW_AGE: time::Millis = time::Millis(3_000);
+const NEW_AGE: time::Millis = time::Millis(10_000);
 
 /// Time without a new heartbeat after which a daemon is removed.
 const REMOVE_AFTER: time::Millis = time::Millis(60_000);
--- a/crates/ibishill-decide/tests/relay/balance.rs
+++ b/crates/ibishill-decide/tests/relay/balance.rs
@@ -458,7 +458,7 @@
             balancer.is_cold(id, later),
             "it may have started again before peers were answered"
         );
-        assert!(!balancer.record_start(id, 1, later, later));
+        balancer.record_health(id, time::Millis(0), (later, later));
         assert!(!balancer.is_cold(id, later));
     }
     let choice = balancer.pick(&request(&pool, &[]), SLOW_START, first_rank, later);
--- a/crates/ibishill-decide/tests/relay/doubt.rs
+++ b/crates/ibishill-decide/tests/relay/doubt.rs
@@ -43,7 +43,7 @@
 }
 
 use Step::{Answer, Check, Entry, Failure, Health, Reach, Removal, Sign};
-use doubt::Cause::{Cut, Refused};
+use doubt::Cause::{Cut, Gone, Refused};
 
 struct Case {
     name: &'static str,
@@ -92,10 +92,16 @@
     },
     Case {
         name: "it is back between two requests",
-        steps: &[Sign(Cut, 100), Check(100, SECOND)],
+        steps: &[Sign(Cut, 100), Check(100, SECOND), Health(103, 2_990)],
         cold: Some(3_090),
         warm: Some(3_101),
     },
+    Case {
+        name: "a request is answered while the check of a cut connection runs",
+        steps: &[Sign(Cut, 100), Answer(101, 103), Check(100, FIRST)],
+        cold: None,
+        warm: Some(104),
+    },
     Case {
         name: "a sign comes while a check runs",
         steps: &[Sign(Cut, 100), Sign(Cut, 102), Check(101, FIRST)],
@@ -139,7 +145,7 @@
             assert!(!balancer.is_out_of_reach(id));
         }
         Check(asked, started) => {
-            balancer.record_start(id, started, at(asked), at(asked + 1));
+            balancer.record_start(id, started, at(asked));
         }
         Health(now, cold) => {
             balancer.record_health(id, time::Millis(cold), (at(now), at(now)));
@@ -166,41 +172,42 @@
     let id: id::EndpointId = "e0".parse().unwrap();
     let mut balancer = balance::Balancer::new("own".parse().unwrap(), "a".parse().unwrap());
     balancer.register(entry("e0", SECOND, 0), time::Tick(1));
-    assert!(balancer.is_earlier_start(&entry("e0", FIRST, 0)));
-    balancer.remove(&id, time::Tick(2));
-    assert!(balancer.is_earlier_start(&entry("e0", FIRST, 0)), "after the removal");
-    assert!(!balancer.is_earlier_start(&entry("e0", SECOND, 0)));
-    balancer.forget_start(&id);
-    assert!(!balancer.is_earlier_start(&entry("e0", FIRST, 0)), "the clock was set back");
+    let mut is_earlier =
+        |started, now| balancer.is_earlier_start(&entry("e0", started, 0), time::Tick(now));
+    assert!(is_earlier(FIRST, 2));
+    assert!(!is_earlier(SECOND, 3));
+    assert!((10..4_500).step_by(1_200).all(|now| is_earlier(FIRST, now)), "each heartbeat");
+    assert!(!is_earlier(FIRST, 4_511), "the clock was set back");
+    balancer.remove(&id, time::Tick(5_000));
+    balancer.register(entry("e0", SECOND, 0), time::Tick(5_001));
+    balancer.remove(&id, time::Tick(5_002));
+    assert!(
+        balancer.is_earlier_start(&entry("e0", FIRST, 0), time::Tick(5_003)),
+        "after the removal"
+    );
 }
 
-// Half of a service's endpoints end at once, more than a message tells of.
+// Half of a service's endpoints end at the same moment, more than a message tells of.
 #[test]
 fn peers_hear_of_all_endpoints_that_end_at_once_by_either_start() {
     let mut balancer = balance::Balancer::new("own".parse().unwrap(), "a".parse().unwrap());
-    let names: Vec<String> = (0..60).map(|number| format!("e{number}")).collect();
     let mut expected = std::collections::BTreeSet::new();
-    for name in &names {
+    for number in 0..60 {
+        let name = format!("e{number}");
         let id: id::EndpointId = name.parse().unwrap();
-        balancer.register(entry(name, FIRST, 0), time::Tick(1));
-        balancer.register(entry(name, SECOND, 0), time::Tick(2));
+        balancer.register(entry(&name, FIRST, 0), time::Tick(1));
+        balancer.register(entry(&name, SECOND, 0), time::Tick(2));
+        balancer.doubt(&id, Gone, SLOW_START, time::Tick(100));
         expected.insert(endpoint_key::EndpointKey::new(&id, Some(FIRST)));
         expected.insert(endpoint_key::EndpointKey::new(&id, Some(SECOND)));
     }
     let mut heard = std::collections::BTreeSet::new();
-    for round in 0..40_u64 {
-        let now = time::Tick(100 + 100 * round);
-        // A checker finds two of them away in a round, each every 3 s.
-        for number in [2 * round, 2 * round + 1] {
-            let id: id::EndpointId = names[number as usize % names.len()].parse().unwrap();
-            balancer.doubt(&id, Refused, SLOW_START, now);
-        }
-        let told = balancer.told_cold(64, false, now);
+    // Reports and messages of four daemons that have noticed it, within the time for which they tell of it.
+    for now in (100..2_000).step_by(120) {
+        let told = balancer.told_cold(64, false, time::Tick(now));
         assert!(told.len() <= 64);
-        heard.extend(told.into_iter().map(|(key, remaining)| {
-            assert_eq!(remaining, COLD_START);
-            key
-        }));
+        assert!(told.iter().all(|(_, remaining)| *remaining >= COLD_START));
+        heard.extend(told.into_iter().map(|(key, _)| key));
     }
     assert_eq!(heard, expected);
 }
--- a/crates/ibishill-relay/src/cold_check.rs
+++ b/crates/ibishill-relay/src/cold_check.rs
@@ -113,10 +113,9 @@
         return Vec::new();
     };
     let (balancer, peers) = (&mut state.balancer, &state.peers);
-    let doubted = balancer.entries().filter(|entry| {
-        let is_reached = !balancer.is_out_of_reach(&entry.id) && balancer.is_open(&entry.id, now);
-        balancer.is_doubted(&entry.id) && is_reached
-    });
+    let doubted = balancer
+        .doubted()
+        .filter(|entry| !balancer.is_out_of_reach(&entry.id) && balancer.is_open(&entry.id, now));
     let doubted: Vec<Check> = doubted.filter_map(|entry| Check::of(entry, &catalog)).collect();
     let mut due = Vec::new();
     for check in doubted {
@@ -139,8 +138,8 @@
     let cold = state.slow_start(&entry.service, now);
     let is_news = state.balancer.doubt(&entry.id, cause, cold, now);
     state.log_doubts(now);
-    // An endpoint that refuses connections is checked by the periodic ones.
-    let is_due = cause == doubt::Cause::Cut
+    // One that has refused a check is checked by the periodic ones.
+    let is_due = cause != doubt::Cause::Gone
         && !state.balancer.is_out_of_reach(&entry.id)
         && state.balancer.take_doubt_check(&entry.id, CUT_INTERVAL, now);
     drop(state);
@@ -155,9 +154,23 @@
 // Finds out whether an endpoint in doubt has started again; again if a sign has come meanwhile.
 async fn settle(context: Shared, check: Check) {
     for _ in 0..ROUNDS_MAX {
-        let is_answered =
-            check_start(&context, &check).await || check_health(&context, &check).await;
-        if !is_answered || !context.state().balancer.is_doubted(&check.endpoint) {
+        let start = fetch_start(&context, &check).await;
+        let is_same = start.is_some_and(|(started, asked)| {
+            let mut state = context.state();
+            let is_same = state.balancer.key(&check.endpoint) == Some(check.key)
+                && state.balancer.record_start(&check.endpoint, started, asked);
+            state.log_doubts(context.now());
+            is_same
+        });
+        // Another endpoint may have the address; only its health check names it.
+        if !is_same && !check_health(&context, &check).await {
+            return;
+        }
+        let mut state = context.state();
+        if let Some((started, _)) = start.filter(|_| !is_same) {
+            state.balancer.replace_start(&check.endpoint, started);
+        }
+        if !state.balancer.is_doubted(&check.endpoint) {
             return;
         }
     }
@@ -171,35 +184,21 @@
     if matches!(response, Err(upstream::CallError::Connect(_))) {
         let entry = context.state().entry_of(check.key).cloned();
         if let Some(entry) = entry {
-            doubt(context, &entry, doubt::Cause::Refused);
+            doubt(context, &entry, doubt::Cause::Gone);
         }
     }
     // An endpoint that does not answer is found by the requests that it does not answer.
     response.ok()
 }
 
-// Asks an engine for its start time, which needs no slot; returns whether it is the one that is known.
-async fn check_start(context: &Shared, check: &Check) -> bool {
+// Asks an engine for its start time, which needs no slot; returns it and when it was asked.
+async fn fetch_start(context: &Shared, check: &Check) -> Option<(u64, time::Tick)> {
     if !check.is_engine {
-        return false;
+        return None;
     }
     let asked = context.now();
-    let report = get(context, check, head::LOAD_PATH).await;
-    let Some(started) = report.and_then(|report| head::decode_started(report.body())) else {
-        return false;
-    };
-    let now = context.now();
-    let mut state = context.state();
-    if state.balancer.key(&check.endpoint) != Some(check.key) {
-        return false;
-    }
-    let is_other = state.balancer.record_start(&check.endpoint, started, asked, now);
-    state.log_doubts(now);
-    drop(state);
-    if is_other {
-        context.evidence_added.notify_one();
-    }
-    !is_other
+    let report = get(context, check, head::LOAD_PATH).await?;
+    Some((head::decode_started(report.body())?, asked))
 }
 
 // Asks an endpoint whether it is cold; returns whether it has answered.
--- a/crates/ibishill-relay/src/restored.rs
+++ b/crates/ibishill-relay/src/restored.rs
@@ -1,6 +1,6 @@
 //! Rows of a store that was restored from an older copy. Such a copy may lack orders, and have others
 //! that were replaced; operators and endpoints write theirs again. Until then a row that would undo
-//! what is known does not count.
+//! what is known does not count, and neither does a registration of an earlier start, which was written late.
 
 use std::collections::BTreeMap;
 
@@ -12,7 +12,7 @@
 
 /// Time after which the store's rows count as they are: live endpoints have written their heartbeats
 /// again, and those of endpoints that have left are removed after three that were missed.
-const HOLD: time::Millis = time::Millis(4_500);
+const HOLD: time::Millis = balance::doubt::EARLIER_HOLD;
 
 /// Maximum number of endpoints that are remembered after they have left.
 const GONE_MAX: usize = 1_024;
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -436,13 +436,14 @@
         balance::SlowStart {
             duration: found.map_or(time::Millis(0), |service| service.cold_start),
             rate: found.map_or(0.0, |service| service.cold_rate),
-            is_stale: self.stale_until > now || self.is_uninformed(now),
+            is_stale: self.stale_until > now
+                || found.is_some_and(|service| self.is_uninformed(service.cold_start, now)),
         }
     }
 
-    // Whether an endpoint may have started while this relay did, with nobody to tell of it.
-    fn is_uninformed(&self, now: time::Tick) -> bool {
-        let is_recent = |loaded| now.since(loaded) < self.max_cold_start();
+    // Whether an endpoint whose cold start takes so long may have started while this relay did, with nobody to tell.
+    fn is_uninformed(&self, cold_start: time::Millis, now: time::Tick) -> bool {
+        let is_recent = |loaded| now.since(loaded) < cold_start;
         !self.is_informed && self.loaded.is_some_and(is_recent)
     }
 
--- a/crates/ibishill-relay/src/state/rows.rs
+++ b/crates/ibishill-relay/src/state/rows.rs
@@ -182,7 +182,7 @@
                 self.expect_ends();
             }
             fleet::Row::Registration(registration) => {
-                if self.balancer.is_earlier_start(&registration) {
+                if self.balancer.is_earlier_start(&registration, now) {
                     self.hold_earlier(&registration, version, now);
                     return;
                 }
@@ -272,9 +272,6 @@
         let current = self.replica(table).table.row(&key).cloned();
         let version = self.replica(table).table.version();
         let record = current.unwrap_or(fleet::RawRow { key, version, value: None });
-        if let (Table::Endpoints, Ok(id)) = (table, record.key.parse()) {
-            self.balancer.forget_start(&id);
-        }
         self.apply_record(table, &record, false, now);
     }
 
