relay: a relay that no peer has informed yet sends at the full rate

Why refusals went on after the 3 s is not traced. What a relay is told with its first rows stays; after a restart of all it goes by the rows.

--- a/crates/ibishill-core/src/event.rs
+++ b/crates/ibishill-core/src/event.rs
@@ -114,8 +114,7 @@
     EndpointLost = 2212, Warn, "endpoint ended while prompts were there";
     EndpointDoubted = 2213, Info, "endpoint may have started again";
     EndpointSettled = 2214, Info, "doubt whether an endpoint has started again has ended";
-    ColdHeard = 2217, Info, "peer has told that an endpoint is cold";
-    RelayInformed = 2216, Info, "peer has told which endpoints have started lately";
+    ColdHeard = 2216, Info, "peer has told that an endpoint is cold";
     EntryHeld = 2215, Info, "registration of an earlier start does not count yet";
     EndpointsOutOfReach = 2211, Warn, "endpoints that answer peers are out of reach, or reached again";
     QuarantineDelayed = 2209, Warn, "state of a prompt segment could not be written yet";
--- a/crates/ibishill-relay/src/gossip.rs
+++ b/crates/ibishill-relay/src/gossip.rs
@@ -322,8 +322,6 @@
     let now = context.now();
     let own = context.vm();
     let mut state = context.state();
-    let sender = message.members.iter().find(|member| member.address == message.address);
-    let start = sender.map(|sender| sender.start);
     for member in message.members {
         let (vm, address) = (member.vm.clone(), member.address);
         if state.peers.record(member, now) {
@@ -342,9 +340,6 @@
     }
     // After the rows: news names endpoints that only these tell of.
     state.merge_news(message.news, now);
-    if let Some(start) = start {
-        state.record_informant(message.address, start, wall::wall_now());
-    }
     state.record_confirmations(&message.versions, now);
     let mut snapshots = BTreeMap::new();
     for snapshot in message.canaries {
--- a/crates/ibishill-relay/src/state.rs
+++ b/crates/ibishill-relay/src/state.rs
@@ -157,10 +157,6 @@
     restored: restored::Restored,
     /// Number of restores of the store that this relay has seen.
     pub(crate) restores: u64,
-    /// When the endpoints were first loaded.
-    loaded: Option<time::Tick>,
-    /// Whether a peer has told which endpoints have started lately, or none has.
-    is_informed: bool,
 }
 
 impl State {
@@ -199,8 +195,6 @@
             lapsed: BTreeMap::new(),
             restored: restored::Restored::default(),
             restores: 0,
-            loaded: None,
-            is_informed: settings.is_bootstrap,
             settings,
         }
     }
@@ -436,27 +430,7 @@
         balance::SlowStart {
             duration: found.map_or(time::Millis(0), |service| service.cold_start),
             rate: found.map_or(0.0, |service| service.cold_rate),
-            is_stale: self.stale_until > now
-                || found.is_some_and(|service| self.is_uninformed(service.cold_start, now)),
-        }
-    }
-
-    // Whether an endpoint whose cold start takes so long may have started while this relay did, with nobody to tell.
-    fn is_uninformed(&self, cold_start: time::Millis, now: time::Tick) -> bool {
-        let is_recent = |loaded| now.since(loaded) < cold_start;
-        !self.is_informed && self.loaded.is_some_and(is_recent)
-    }
-
-    /// Records that a peer has told all that it knows, which started at `start` by the time of day. One that has run
-    /// for longer than a cold start has seen, or was told, which endpoints have started lately.
-    pub(crate) fn record_informant(&mut self, peer: SocketAddr, start: u64, wall: time::Tick) {
-        let has_run = time::Millis(wall.0.saturating_sub(start));
-        if !self.is_informed && self.is_loaded() && has_run >= self.max_cold_start() {
-            self.is_informed = true;
-            event::emit_json(
-                event::Event::RelayInformed,
-                &[event::field("peer", &peer), event::field("ran", &has_run)],
-            );
+            is_stale: self.stale_until > now,
         }
     }
 
--- a/crates/ibishill-relay/src/state/rows.rs
+++ b/crates/ibishill-relay/src/state/rows.rs
@@ -27,9 +27,6 @@
         let before = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         let is_restore = delta.is_whole && replica.table.is_later_era(&delta);
         let delta = if is_restore { self.enter_era(table, delta, now) } else { delta };
-        if is_initial && table == Table::Endpoints {
-            self.loaded = Some(now);
-        }
         let replica = self.replicas.entry(table).or_default();
         let changed = replica.table.merge(delta);
         replica.transfer.record(&changed, replica.table.version());
@@ -275,7 +272,7 @@
         self.apply_record(table, &record, false, now);
     }
 
-    pub(super) fn max_cold_start(&self) -> time::Millis {
+    fn max_cold_start(&self) -> time::Millis {
         let services = self.catalog.iter().flat_map(|catalog| catalog.services.values());
         services.map(|service| service.cold_start).max().unwrap_or_default()
     }
